--- /dev/null
+++ b/src/process/pr.h
@@ -0,0 +1,87 @@
+/*
+ * pr - what every process of a host has: settings, loop, endpoint, tasks.
+ *
+ * Overview
+ *	pr_main() is the run function of the commands entry, index and control.
+ *	It reads the command line and the settings, starts logging, the RPC
+ *	endpoint, the membership task and the configuration replica, serves the
+ *	time line, then starts the role's own tasks and runs until the graceful
+ *	shutdown (SIGTERM) is complete.
+ *
+ *	index and control answer /metrics and /healthz on a small HTTP server
+ *	of their own; entry's callers' server does it there.
+ *
+ * Use
+ *	static const struct pr_role role = { "index", MB_INDEX, start, stop };
+ *	static int run(int argc, char **argv)
+ *	{
+ *		return pr_main(argc, argv, &role);
+ *	}
+ */
+#ifndef PR_H
+#define PR_H
+
+#include "config/cr.h"
+#include "kernel/kn.h"
+#include "membership/mb_task.h"
+#include "net/hs.h"
+#include "rpc/rp.h"
+#include "settings/cf.h"
+
+/**
+ * struct pr_process - shared by the tasks of a process.
+ * @settings: of the host.
+ * @kernel: the loop and the tasks.
+ * @rpc: the endpoint, for calls and for procedures of the role's tasks.
+ * @members: the membership table, for reading.
+ * @config: the configuration in force, for reading.
+ * @membership: task that takes evidence on members.
+ * @replica: task that holds the configuration.
+ * @cr: the replica itself, for cr_subscribe() and cr_is_trusted().
+ * @incarnation: of this process.
+ * @role_state: for the role's own use.
+ */
+struct pr_process {
+	struct cf_settings settings;
+	struct kn_kernel kernel;
+	struct rp_endpoint rpc;
+	const struct mb_table *members;
+	const struct cm_config *config;
+	struct kn_handle membership;
+	struct kn_handle replica;
+	struct cr_replica cr;
+	uint64_t incarnation;
+	void *role_state;
+
+	struct mb_task _mb;
+	struct hs_server _admin;
+	bool _has_admin;
+};
+
+/**
+ * struct pr_role - what differs between the roles.
+ * @name: word on the command line.
+ * @role: in the membership.
+ * @start: spawn the role's own tasks.
+ * @finish: free what @start made; called after the loop has ended and before
+ *	the kernel stops the tasks. May be NULL.
+ */
+struct pr_role {
+	const char *name;
+	enum mb_role role;
+	enum st_code (*start)(struct pr_process *process);
+	void (*finish)(struct pr_process *process);
+};
+
+/**
+ * pr_main() - run a role.
+ *
+ * Return: exit code: 0 after a graceful shutdown, EX_USAGE, EX_CONFIG for
+ * settings with findings, EX_UNAVAILABLE if a port is taken.
+ */
+int pr_main(int argc, char **argv, const struct pr_role *role);
+
+/** pr_answer_metrics() - answer GET /metrics. */
+void pr_answer_metrics(struct hs_exchange *x);
+
+#endif
