rpc endpoint

Cause: processes need authenticated calls with deadlines that never block the loop; libtirpc's own client and server handles do block. Ruled out: libtirpc's clnt_*/svc_* (blocking, one global descriptor set); the hybrid clock as replay bound (one host whose clock is fast moves all of them, and hosts that are slow would then refuse everyone), so the authenticator also carries the sender's wall clock. A broken connection ends a call with ST_UNKNOWN unless no byte of it was written; a connection that stayed silent over a call's deadline gets no further calls.

--- a/src/rpc/rp.h
+++ b/src/rpc/rp.h
@@ -98,8 +98,10 @@
  * @result_bytes: size of the result in memory.
  * @deadline_ms: from now; required.
  * @on_done: ST_OK with the decoded result, which is freed after the call
- *	back; ST_UNAVAILABLE if nothing was sent; ST_TIMEOUT; ST_DENIED if the
- *	peer refused the message; ST_STALE if another incarnation answered.
+ *	back; ST_UNAVAILABLE if nothing was sent; ST_TIMEOUT; ST_UNKNOWN if
+ *	the connection broke after the call may have been sent; ST_DENIED if
+ *	the peer refused the message; ST_STALE if another incarnation
+ *	answered; ST_INVALID if the result could not be decoded.
  *	Never called from within rp_call(). May be NULL for a call whose
  *	reply does not matter, which is then not awaited.
  * @arg: first argument of @on_done.
@@ -154,7 +156,10 @@
 
 enum st_code rp_init(struct rp_endpoint *ep, const struct rp_desc *desc);
 
-/** rp_finish() - drop calls and connections without calling back. */
+/**
+ * rp_finish() - drop calls and connections without calling back; not to be
+ * called from a handler or an on_done.
+ */
 void rp_finish(struct rp_endpoint *ep);
 
 /** rp_port() - the port bound. */
