--- a/src/membership/mb.h
+++ b/src/membership/mb.h
@@ -25,10 +25,17 @@
  *	for (m = mb_next(&table, NULL, MB_INDEX); m; m = mb_next(...))
  *
  * Hysteresis
- *	A member of which nothing was heard is SUSPECT after
+ *	A process of which nothing was heard is SUSPECT after
  *	MB_SUSPECT_AFTER_MS and DEAD after MB_DEAD_AFTER_MS; a suspect keeps
  *	its place in the placement, so that one-way loss or a short pause does
  *	not shift it. Only news of the member itself makes it ALIVE again.
+ *
+ *	Silence alone never makes an upstream DEAD, since nobody may be left
+ *	who follows its events; direct failures keep work from it instead. A
+ *	process that was paused itself does not take its own deafness for the
+ *	silence of the others (mb_tick()).
+ *
+ *	For upstreams the heartbeat is raised by whoever hears them directly.
  */
 #ifndef MB_H
 #define MB_H
@@ -45,6 +52,12 @@
 /** A dead member that the host list does not name is forgotten after it. */
 #define MB_FORGET_AFTER_MS 600000
 #define MB_MAX_MEMBERS	   8192
+/** After so many direct failures in a row a member gets no work ... */
+#define MB_MAX_DIRECT_FAILURES 3
+/** ... until this time has passed since the last; then one more try. */
+#define MB_RETRY_FAILED_AFTER_MS 2000
+/** A record is passed on so many times after it was news. */
+#define MB_MAX_RELAYS 6
 
 enum mb_role {
 	MB_ENTRY = 0,
@@ -73,6 +86,7 @@
  * @is_listed: the host list names it.
  * @is_listed_leaving: the host list says that it is leaving.
  * @failures: direct failures since the last direct answer.
+ * @failed_ms: when the last of them was.
  */
 struct mb_member {
 	char name[MB_NAME_BYTES];
@@ -92,6 +106,10 @@
 	bool is_listed;
 	bool is_listed_leaving;
 	uint32_t failures;
+	int64_t failed_ms;
+
+	uint32_t _position;
+	uint32_t _relays;
 };
 
 /**
@@ -107,7 +125,7 @@
 	GHashTable *_members;
 	GPtrArray *_order;
 	struct mb_member *_self;
-	uint32_t _next_to_send;
+	int64_t _last_tick_ms;
 };
 
 void mb_init(struct mb_table *table, const struct mb_desc *desc);
@@ -140,6 +158,10 @@
 void mb_failed(struct mb_table *table, enum mb_role role, const char *name,
 	       int64_t now_ms);
 
+/** mb_left() - the member itself said to this process that it is leaving. */
+void mb_left(struct mb_table *table, enum mb_role role, const char *name,
+	     uint64_t incarnation);
+
 /** mb_tick() - age the members; call some times a second. */
 void mb_tick(struct mb_table *table, int64_t now_ms);
 
@@ -160,13 +182,17 @@
 bool mb_may_get_work(const struct mb_member *member);
 
 /**
- * mb_select() - records to gossip: the own one, then others in turn.
+ * mb_select() - records to gossip: the own one, then the newest others.
  *
  * Return: how many were copied to @out.
  */
 uint32_t mb_select(struct mb_table *table, struct mb_member *out,
 		   uint32_t capacity);
 
+/** mb_sent() - the records went out to a peer; counts their relays. */
+void mb_sent(struct mb_table *table, const struct mb_member *records,
+	     uint32_t count);
+
 /**
  * mb_owner() - rendezvous owner of an upstream among the living index
  * processes of a zone; NULL if there is none.
--- a/src/rpc/balsampin.x
+++ b/src/rpc/balsampin.x
@@ -35,7 +35,7 @@
 	unsigned int rpc_port;
 	unsigned hyper incarnation;
 	unsigned hyper heartbeat;
-	unsigned hyper config_version;
+	unsigned hyper config_revision;
 };
 
 struct bp_gossip {
--- a/src/rpc/gen/balsampin.h
+++ b/src/rpc/gen/balsampin.h
@@ -42,7 +42,7 @@
 	u_int rpc_port;
 	u_quad_t incarnation;
 	u_quad_t heartbeat;
-	u_quad_t config_version;
+	u_quad_t config_revision;
 };
 typedef struct bp_member bp_member;
 
--- a/src/rpc/gen/balsampin_xdr.c
+++ b/src/rpc/gen/balsampin_xdr.c
@@ -72,7 +72,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->heartbeat))
 			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+		 if (!xdr_u_quad_t (xdrs, &objp->config_revision))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -106,7 +106,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->heartbeat))
 			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+		 if (!xdr_u_quad_t (xdrs, &objp->config_revision))
 			 return FALSE;
 	 return TRUE;
 	}
@@ -131,7 +131,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->heartbeat))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+	 if (!xdr_u_quad_t (xdrs, &objp->config_revision))
 		 return FALSE;
 	return TRUE;
 }
