--- a/src/rpc/rp_private.h
+++ b/src/rpc/rp_private.h
@@ -49,6 +49,7 @@
  * struct _rp_conn - a TCP connection.
  * @is_outgoing: carries our calls; else the peer's.
  * @is_retired: takes no new calls, closed when the last one has ended.
+ * @is_reading: its messages are being handled right now.
  * @pending: calls awaited or requests unanswered on it.
  * @received: reads that brought bytes.
  */
@@ -60,6 +61,7 @@
 	bool is_outgoing;
 	bool is_connecting;
 	bool is_retired;
+	bool is_reading;
 	uint32_t pending;
 	uint64_t received;
 	int64_t active_ms;
--- a/src/rpc/rp_tcp.c
+++ b/src/rpc/rp_tcp.c
@@ -77,10 +77,14 @@
 	static uint8_t data[RP_TCP_READ_BYTES];
 	struct _rp_conn *conn = io->data;
 	ssize_t n = read(conn->fd, data, sizeof(data));
+	bool ok;
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
-	if (n <= 0 || !rp_conn_feed(conn, data, (uint32_t)n))
+	conn->is_reading = true;
+	ok = n > 0 && rp_conn_feed(conn, data, (uint32_t)n);
+	conn->is_reading = false;
+	if (!ok)
 		rp_conn_close(conn);
 }
 
@@ -182,6 +186,24 @@
 	ev_io_start(s->loop, &rp_conn_new(s, fd, &peer, false)->readable);
 }
 
+/* Makes room for another outgoing connection; false if all are in use. */
+static bool rp_tcp_close_idlest(struct _rp_state *s)
+{
+	struct _rp_conn *idlest = NULL;
+
+	for (uint32_t i = 0; i < s->conns->len; i++) {
+		struct _rp_conn *conn = g_ptr_array_index(s->conns, i);
+
+		if (conn->is_outgoing && !conn->pending && !conn->is_reading &&
+		    !conn->out.length &&
+		    (!idlest || conn->active_ms < idlest->active_ms))
+			idlest = conn;
+	}
+	if (idlest)
+		rp_conn_close(idlest);
+	return idlest != NULL;
+}
+
 static struct _rp_conn *rp_tcp_connect(struct _rp_state *s, uint32_t ipv4,
 				       uint16_t port)
 {
@@ -189,7 +211,8 @@
 	struct _rp_conn *conn;
 	int fd;
 
-	if (s->conn_count[true] == RP_MAX_CONNECTIONS_EACH_WAY) {
+	if (s->conn_count[true] == RP_MAX_CONNECTIONS_EACH_WAY &&
+	    !rp_tcp_close_idlest(s)) {
 		mt_add(&rp_connections_refused, 1);
 		return NULL;
 	}
--- a/tests/unit/rpc_test.cc
+++ b/tests/unit/rpc_test.cc
@@ -589,6 +589,34 @@
 	EXPECT_EQ(open->value, before + 2) << "one seen from both ends";
 }
 
+TEST_F(Rpc, MoreTargetsThanConnections)
+{
+	struct rp_endpoint servers[2] = {};
+	struct rp_desc desc = {};
+	const uint32_t targets = RP_MAX_CONNECTIONS / 2 + 20;
+
+	// All of 127.0.0.0/8 reaches an endpoint on 0.0.0.0.
+	desc.loop = loop;
+	desc.address = "0.0.0.0";
+	desc.key = KEY;
+	desc.incarnation = 1;
+	for (auto &ep : servers)
+		ASSERT_EQ(rp_init(&ep, &desc), ST_OK);
+	for (uint32_t i = 0; i < targets; i++) {
+		bp_ix_lookup args = {};
+		Outcome o;
+		auto d = Call(RP_TCP, &o, &args);
+
+		d.to.ipv4 = INADDR_LOOPBACK + i;
+		d.to.port = rp_port(&servers[i % 2]);
+		ASSERT_EQ(rp_call(&client, &d, nullptr), ST_OK);
+		Until([&] { return o.count == 1; });
+		ASSERT_EQ(o.code, ST_DENIED) << "target " << i;
+	}
+	for (auto &ep : servers)
+		rp_finish(&ep);
+}
+
 TEST_F(Rpc, SilentConnectionIsNotUsedAgain)
 {
 	const struct mt_metric *open = mt_find("balsampin_rpc_connections");
