prefix chains and placement

Cause: entry needs to turn a prompt into keys and choose an engine.

API: rt.h gains struct rt_desc, struct rt_router, rt_router_init(), ..finish(), rt_decide(), rt_candidate_merge(), rt_is_eligible().

--- a/src/routing/rt.h
+++ b/src/routing/rt.h
@@ -29,6 +29,7 @@
 #include "config/cm.h"
 #include "kernel/st.h"
 #include "prefix/px.h"
+#include "routing/rt_heat.h"
 
 #define RT_MAX_CANDIDATES 128
 
@@ -119,7 +120,53 @@
 	uint32_t new_tokens;
 };
 
-struct rt_router;
+/**
+ * struct rt_weights - of the parts of the cost, in thousandths.
+ * @wait: of the time in the engine's queue.
+ * @compute: of the time to compute missed tokens.
+ * @distance: of the way to the engine.
+ */
+struct rt_weights {
+	uint32_t wait;
+	uint32_t compute;
+	uint32_t distance;
+};
+
+/**
+ * struct rt_desc - zero means default.
+ * @seed: of the baseline "random".
+ * @heat: of the heat tracker.
+ * @weights: by enum cm_objective.
+ * @prefill_tokens_per_s: of an engine whose speed is not known.
+ * @placement_distance: farthest engines that take part in placement.
+ * @link_bytes_per_s: of the link between regions.
+ * @link_delay_ms: there and back.
+ */
+struct rt_desc {
+	uint64_t seed;
+	struct rt_heat_desc heat;
+	struct rt_weights weights[CM_REUSE + 1];
+	uint32_t prefill_tokens_per_s;
+	enum rt_distance placement_distance;
+	uint64_t link_bytes_per_s;
+	uint32_t link_delay_ms;
+};
+
+/**
+ * struct rt_router - what a router remembers between decisions.
+ * @desc: with the defaults filled in.
+ * @heat: of the prefixes that it has seen.
+ */
+struct rt_router {
+	struct rt_desc desc;
+	struct rt_heat heat;
+	uint64_t _sequence;
+	uint64_t _random;
+};
+
+/** rt_router_init() - it can decide at once. */
+void rt_router_init(struct rt_router *router, const struct rt_desc *desc);
+void rt_router_finish(struct rt_router *router);
 
 /**
  * struct rt_policy - a way to choose.
@@ -132,6 +179,16 @@
 			       struct rt_choice *choice, int64_t now_ms);
 };
 
+/**
+ * rt_decide() - choose by a policy.
+ *
+ * Return: ST_OK, ST_INVALID for more candidates than RT_MAX_CANDIDATES,
+ * ST_UNAVAILABLE if no candidate can take the request.
+ */
+enum st_code rt_decide(const struct rt_policy *policy, struct rt_router *router,
+		       const struct rt_request *request,
+		       struct rt_choice *choice, int64_t now_ms);
+
 /** rt_policy_find() - a registered policy, or NULL. */
 const struct rt_policy *rt_policy_find(const char *name);
 
@@ -146,6 +203,19 @@
 		      const struct rt_request *request, uint64_t *out,
 		      uint32_t capacity, int64_t now_ms);
 
+/**
+ * rt_candidate_merge() - add what the index answered to a candidate.
+ * @found: the answer, with @engine, @incarnation, and the index's fields.
+ *
+ * Return: false if the answer is of another engine or of an incarnation that
+ * has ended; the candidate is left as it was then.
+ */
+bool rt_candidate_merge(struct rt_candidate *candidate,
+			const struct rt_candidate *found);
+
+/** rt_is_eligible() - not excluded and below its limit. */
+bool rt_is_eligible(const struct rt_request *request, uint32_t candidate);
+
 const char *rt_reason_name(enum rt_reason reason);
 
 #endif
