link: far side relay and near side calls

Cause: references need a far side that holds text; only entry hosts can be it, since nothing of ours runs on upstream hosts.

The relay takes no decisions, so limits, retries and resumption stand once, at the near side; a 502 says whether the request may have run. Ruled out: letting the far entry place the request anew, which would count it twice in the limits.

Before: none. After: relay_test, 5 cases: a second call of 100,000 bytes takes under 2,000 on the wire, a far side that forgot asks and the request runs once, wrong MAC, replayed and unknown engine are refused and did not run.

--- /dev/null
+++ b/src/link/lk_near.h
@@ -0,0 +1,103 @@
+/*
+ * lk_near - the near side of the link: encoded bodies for far entries.
+ *
+ * Overview
+ *	Remembers for each far entry which chunks it is believed to hold. A
+ *	call is encoded once, and again if the far side answers 409 with the
+ *	places of chunks that it does not hold. No sockets: the caller posts
+ *	@message to the far entry's LK_RELAY_PATH with the header of
+ *	lk_mac(), and gets the engine's own answer back, or one with a
+ *	header LK_RELAY_HEADER that says what became of the request.
+ *
+ * Use
+ *	lk_near_init(&near, secret);
+ *	lk_call_init(&call, &near, &(struct lk_call_desc){ ... });
+ *	post call.message;
+ *	on 409: lk_call_missing(&call, answer, bytes); post call.message;
+ *	lk_call_finish(&call);
+ */
+#ifndef LK_NEAR_H
+#define LK_NEAR_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "link/lk.h"
+
+#define LK_RELAY_PATH	       "/internal/v1/relay"
+#define LK_RELAY_HEADER	       "X-Relay"
+#define LK_MAC_HEADER	       "X-Relay-Mac"
+#define LK_MAC_HEX_BYTES       65
+#define LK_DEFAULT_KNOWN_BYTES (4u << 20)
+#define LK_MAX_HEADERS	       16
+/** A relayed request whose stamp is further from the clock is refused. */
+#define LK_MAX_STAMP_AGE_MS 60000
+
+/** Values of LK_RELAY_HEADER; without it the answer is the engine's. */
+#define LK_RELAY_MISSING "missing"
+#define LK_RELAY_NOT_RUN "not_run"
+#define LK_RELAY_UNKNOWN "unknown"
+
+/** struct lk_near - state; fields are private. */
+struct lk_near {
+	uint8_t _secret[LK_SECRET_BYTES];
+	GHashTable *_known;
+};
+
+/**
+ * struct lk_call_desc - a request to be relayed; all of it outlives the call.
+ * @far: name of the far entry's host.
+ * @far_incarnation: a new one holds nothing.
+ * @team: name.
+ * @engine: name.
+ * @path: at the engine.
+ * @headers: NULL-terminated "Name: value" lines for the engine.
+ * @body: of the request.
+ * @bytes: its length.
+ * @stamp: hybrid logical clock.
+ */
+struct lk_call_desc {
+	const char *far;
+	uint64_t far_incarnation;
+	const char *team;
+	const char *engine;
+	const char *path;
+	const char *const *headers;
+	const char *body;
+	uint64_t bytes;
+	uint64_t stamp;
+};
+
+/**
+ * struct lk_call - an encoded request.
+ * @message: to be posted.
+ * @message_bytes: its length.
+ * @mac: value of LK_MAC_HEADER.
+ */
+struct lk_call {
+	char *message;
+	uint32_t message_bytes;
+	char mac[LK_MAC_HEX_BYTES];
+
+	struct lk_near *_near;
+	struct lk_call_desc _desc;
+	struct lk_request _request;
+};
+
+void lk_near_init(struct lk_near *near, const uint8_t *secret);
+void lk_near_finish(struct lk_near *near);
+
+/** lk_call_init() - ST_FULL or ST_INVALID if the request cannot be relayed. */
+enum st_code lk_call_init(struct lk_call *call, struct lk_near *near,
+			  const struct lk_call_desc *desc);
+
+/** lk_call_missing() - encode again after an answer 409 with that body. */
+enum st_code lk_call_missing(struct lk_call *call, const char *answer,
+			     uint64_t bytes);
+void lk_call_finish(struct lk_call *call);
+
+/** lk_mac() - value of LK_MAC_HEADER for a message. */
+void lk_mac(char *out, const uint8_t *secret, const void *message,
+	    uint64_t bytes);
+
+#endif
--- /dev/null
+++ b/tests/unit/relay_test.cc
@@ -0,0 +1,288 @@
+// Near and far side of the link with a fake engine: answers pass through,
+// lost chunks are asked for, refusals say whether the request ran.
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+
+#include <functional>
+#include <string>
+
+extern "C" {
+#include "kernel/ck.h"
+#include "link/lk_relay.h"
+}
+
+namespace
+{
+
+const uint8_t secret[LK_SECRET_BYTES] = { 9, 8, 7 };
+
+struct Answer {
+	bool is_done = false;
+	hc_outcome outcome = HC_DONE;
+	uint32_t status = 0;
+	std::string relay;
+	std::string weights;
+	std::string body;
+};
+
+class Relay : public testing::Test
+{
+      protected:
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct hs_server engine, far;
+	struct hc_client client;
+	struct mb_table members;
+	struct lk_relay relay;
+	struct lk_near near;
+	std::string seen_body, seen_header;
+	bool engine_breaks = false;
+	int runs = 0;
+
+	void SetUp() override
+	{
+		struct hs_desc desc = {};
+		struct mb_desc no_self = {};
+
+		desc.loop = loop;
+		desc.address = "127.0.0.1";
+		desc.arg = this;
+		desc.on_request = [](void *arg, struct hs_exchange *x) {
+			static_cast<Relay *>(arg)->run(x);
+		};
+		ASSERT_EQ(hs_init(&engine, &desc), ST_OK);
+		desc.on_request = [](void *arg, struct hs_exchange *x) {
+			lk_relay_request(&static_cast<Relay *>(arg)->relay, x);
+		};
+		desc.on_closed = [](void *arg, struct hs_exchange *x) {
+			lk_relay_closed(&static_cast<Relay *>(arg)->relay, x);
+		};
+		ASSERT_EQ(hs_init(&far, &desc), ST_OK);
+		struct hc_desc client_desc = {};
+		client_desc.loop = loop;
+		hc_init(&client, &client_desc);
+		mb_init(&members, &no_self);
+		list_engine(hs_port(&engine));
+		start_relay();
+		lk_near_init(&near, secret);
+	}
+	void TearDown() override
+	{
+		lk_near_finish(&near);
+		lk_relay_finish(&relay);
+		hc_finish(&client);
+		hs_finish(&far);
+		hs_finish(&engine);
+		mb_finish(&members);
+		ev_loop_destroy(loop);
+	}
+	void start_relay()
+	{
+		struct lk_relay_desc desc = {};
+
+		desc.loop = loop;
+		desc.secret = secret;
+		desc.members = &members;
+		lk_relay_init(&relay, &desc);
+	}
+	void list_engine(uint16_t port)
+	{
+		struct mb_member m = {};
+
+		m.role = MB_ENGINE;
+		strcpy(m.name, "e1");
+		m.ipv4 = INADDR_LOOPBACK;
+		m.http_port = port;
+		mb_list(&members, &m, 1, 1);
+	}
+	void run(struct hs_exchange *x)
+	{
+		const struct hs_header headers[] = {
+			{ "X-Weights-Version", "v2" }, { nullptr, nullptr }
+		};
+		const char *header = hs_header(x, "X-Request-Id");
+
+		runs++;
+		seen_body.assign(x->body->str, x->body->len);
+		seen_header = header ? header : "";
+		hs_begin(x, 200, headers);
+		hs_write(x, "token ", 6);
+		if (engine_breaks)
+			hs_abort(x);
+		else
+			hs_end(x);
+	}
+	Answer post(const struct lk_call *call, const char *mac = nullptr)
+	{
+		Answer a;
+		std::string url =
+			"http://127.0.0.1:" + std::to_string(hs_port(&far)) +
+			LK_RELAY_PATH;
+		std::string header = std::string(LK_MAC_HEADER ": ") +
+				     (mac ? mac : call->mac);
+		const char *headers[] = { header.c_str(), nullptr };
+		struct hc_call_desc desc = {};
+
+		desc.method = "POST";
+		desc.url = url.c_str();
+		desc.headers = headers;
+		desc.body = call->message;
+		desc.body_bytes = call->message_bytes;
+		desc.arg = &a;
+		desc.on_header = [](void *arg, const char *n, const char *v) {
+			if (!strcmp(n, "x-relay"))
+				static_cast<Answer *>(arg)->relay = v;
+			if (!strcmp(n, "x-weights-version"))
+				static_cast<Answer *>(arg)->weights = v;
+		};
+		desc.on_done = [](void *arg, const struct hc_result *r) {
+			auto *answer = static_cast<Answer *>(arg);
+
+			answer->is_done = true;
+			answer->outcome = r->outcome;
+			answer->status = r->http_status;
+			answer->body.assign(r->body, r->body_bytes);
+		};
+		EXPECT_EQ(hc_send(&client, &desc, nullptr), ST_OK);
+		int64_t deadline_ms = ck_now_ms() + 5000;
+		while (!a.is_done && ck_now_ms() < deadline_ms)
+			ev_run(loop, EVRUN_ONCE);
+		EXPECT_TRUE(a.is_done);
+		return a;
+	}
+	struct lk_call_desc desc_of(const std::string &body, uint64_t stamp = 0)
+	{
+		static const char *const headers[] = { "X-Request-Id: r1",
+						       nullptr };
+		struct lk_call_desc desc = {};
+
+		desc.far = "h9";
+		desc.far_incarnation = 1;
+		desc.team = "t";
+		desc.engine = "e1";
+		desc.path = "/v1/completions";
+		desc.headers = headers;
+		desc.body = body.data();
+		desc.bytes = body.size();
+		desc.stamp = stamp ? stamp
+				   : (uint64_t)ck_wall_ms()
+					     << CK_HLC_COUNTER_BITS;
+		return desc;
+	}
+};
+
+TEST_F(Relay, AnswerPassesThroughAndTheNextCallIsSmall)
+{
+	const std::string body(100000, 'x');
+	struct lk_call_desc desc = desc_of(body);
+	struct lk_call call;
+
+	ASSERT_EQ(lk_call_init(&call, &near, &desc), ST_OK);
+	Answer a = post(&call);
+	EXPECT_EQ(a.status, 200u);
+	EXPECT_EQ(a.weights, "v2");
+	EXPECT_EQ(a.body, "token ");
+	EXPECT_EQ(seen_body, body);
+	EXPECT_EQ(seen_header, "r1");
+	lk_call_finish(&call);
+	ASSERT_EQ(lk_call_init(&call, &near, &desc), ST_OK);
+	EXPECT_LT(call.message_bytes, 2000u);
+	post(&call);
+	EXPECT_EQ(seen_body, body);
+	EXPECT_EQ(runs, 2);
+	lk_call_finish(&call);
+}
+
+TEST_F(Relay, FarSideThatForgotGetsTheTextAndRunsOnce)
+{
+	const std::string body(60000, 'y');
+	struct lk_call_desc desc = desc_of(body);
+	struct lk_call call;
+
+	ASSERT_EQ(lk_call_init(&call, &near, &desc), ST_OK);
+	post(&call);
+	lk_call_finish(&call);
+	lk_relay_finish(&relay);
+	start_relay();
+	ASSERT_EQ(lk_call_init(&call, &near, &desc), ST_OK);
+	Answer a = post(&call);
+	EXPECT_EQ(a.status, 409u);
+	EXPECT_EQ(a.relay, LK_RELAY_MISSING);
+	EXPECT_EQ(runs, 1);
+	ASSERT_EQ(lk_call_missing(&call, a.body.data(), a.body.size()), ST_OK);
+	a = post(&call);
+	EXPECT_EQ(a.status, 200u);
+	EXPECT_EQ(seen_body, body);
+	EXPECT_EQ(seen_header, "r1");
+	EXPECT_EQ(runs, 2);
+	lk_call_finish(&call);
+}
+
+TEST_F(Relay, RefusalsSayWhatRan)
+{
+	const std::string body(5000, 'z');
+	const uint64_t old = (uint64_t)(ck_wall_ms() - 2 * LK_MAX_STAMP_AGE_MS)
+			     << CK_HLC_COUNTER_BITS;
+	static const std::string bad_mac(LK_MAC_HEX_BYTES - 1, 'a');
+	const struct {
+		const char *what;
+		uint64_t stamp;
+		const char *mac;
+		const char *engine;
+		uint32_t status;
+		int runs;
+	} cases[] = {
+		{ "wrong MAC", 0, bad_mac.c_str(), "e1", 403, 0 },
+		{ "no MAC", 0, "", "e1", 403, 0 },
+		{ "replayed", old, nullptr, "e1", 403, 0 },
+		{ "unknown engine", 0, nullptr, "e2", 502, 0 },
+		{ "good", 0, nullptr, "e1", 200, 1 },
+	};
+
+	for (const auto &c : cases) {
+		struct lk_call_desc desc = desc_of(body, c.stamp);
+		struct lk_call call;
+
+		desc.engine = c.engine;
+		runs = 0;
+		/* What was refused before did not reach the store. */
+		lk_near_finish(&near);
+		lk_near_init(&near, secret);
+		ASSERT_EQ(lk_call_init(&call, &near, &desc), ST_OK);
+		Answer a = post(&call, c.mac);
+		EXPECT_EQ(a.status, c.status) << c.what;
+		EXPECT_EQ(runs, c.runs) << c.what;
+		if (c.status != 200) {
+			EXPECT_EQ(a.relay, LK_RELAY_NOT_RUN) << c.what;
+		}
+		lk_call_finish(&call);
+	}
+}
+
+TEST_F(Relay, BrokenAnswerStaysBroken)
+{
+	const std::string body(5000, 'z');
+	struct lk_call_desc desc = desc_of(body);
+	struct lk_call call;
+
+	engine_breaks = true;
+	ASSERT_EQ(lk_call_init(&call, &near, &desc), ST_OK);
+	EXPECT_EQ(post(&call).outcome, HC_BROKEN);
+	lk_call_finish(&call);
+}
+
+TEST_F(Relay, EngineThatRefusesTheConnectionDidNotRun)
+{
+	const std::string body(5000, 'z');
+	struct lk_call_desc desc = desc_of(body);
+	struct lk_call call;
+
+	list_engine(1);
+	ASSERT_EQ(lk_call_init(&call, &near, &desc), ST_OK);
+	Answer a = post(&call);
+	EXPECT_EQ(a.status, 502u);
+	EXPECT_EQ(a.relay, LK_RELAY_NOT_RUN);
+	lk_call_finish(&call);
+}
+
+} // namespace
