--- a/src/platform/pf.h
+++ b/src/platform/pf.h
@@ -174,6 +174,7 @@
 struct pf_store {
 	const struct pf_ops *_ops;
 	void *_impl;
+	struct _pf_budget *_budget;
 };
 
 enum st_code pf_init(struct pf_store *store, const struct pf_desc *desc);
