--- a/src/config/cm_parse.c
+++ b/src/config/cm_parse.c
@@ -104,7 +104,7 @@
 	size_t bytes = 0;
 
 	if (!json_object_is_type(value, json_type_string) ||
-	    strlen(text) != 2 * CM_KEY_HASH_BYTES ||
+	    strlen(text) != 2UL * CM_KEY_HASH_BYTES ||
 	    sodium_hex2bin(out, CM_KEY_HASH_BYTES, text, strlen(text), NULL,
 			   &bytes, NULL) ||
 	    bytes != CM_KEY_HASH_BYTES)
