fuzz targets of the decoders; settings: an open comment at the end

Ruled out: passing one byte less, which makes a bare number never complete. Before: settings_test's new case fails under ASan (heap-buffer-overflow in cf_skip_blank).

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -67,6 +67,10 @@
 	step "build with ASan and UBSan" build build-asan \
 		-DBALSAMPIN_SANITIZE=ON -DCMAKE_BUILD_TYPE=Debug
 	step "tests with ASan and UBSan" run_tests build-asan
+	step "build of the fuzz targets" build build-fuzz \
+		-DCMAKE_C_COMPILER=clang -DCMAKE_CXX_COMPILER=clang++ \
+		-DBALSAMPIN_FUZZ=ON -DBALSAMPIN_TESTS=OFF
+	step "fuzz targets, bounded" run_tests build-fuzz
 fi
 step "known red" print_known_red
 step "share of tests" scripts/share.sh
--- a/src/settings/cf.c
+++ b/src/settings/cf.c
@@ -449,6 +449,9 @@
 	root = json_tokener_parse_ex(tokener, text, (int)strlen(text) + 1);
 	error = json_tokener_get_error(tokener);
 	end = json_tokener_get_parse_end(tokener);
+	/* json-c takes the end of the text for the end of an open comment. */
+	if (end > strlen(text))
+		error = json_tokener_error_parse_eof;
 	if (error != json_tokener_success)
 		cf_add_syntax(text, end, json_tokener_error_desc(error),
 			      findings);
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -88,6 +88,14 @@
 		    "/peers/1: is no object",
 		    "/peers/1: has the name '' of /peers/0" } },
 		{ "[]", { "/: is no object" } },
+		{ "{ \"host\": /* never closed",
+		  { "line 1, column 26: unexpected end of data" } },
+		{ "{ \"host\": ",
+		  { "line 1, column 11: unexpected end "
+		    "of data" } },
+		{ "{\"host\": {\"name\": \"h1\"/* never closed",
+		  { "line 1, column 38: unexpected end of data" } },
+		{ "", { "line 1, column 1: unexpected end of data" } },
 	};
 
 	for (const auto &c : cases)
