--- a/src/routing/rt_heat.c
+++ b/src/routing/rt_heat.c
@@ -111,9 +111,13 @@
 double rt_heat_share(const struct rt_heat *heat, uint64_t key)
 {
 	const struct _rt_heat_slot *slot = rt_heat_find(heat, key);
-	double prior = RT_HEAT_PRIOR_REQUESTS * heat->_weight;
+	double requests, all;
 
 	if (!slot)
 		return 0.0;
-	return (double)(slot->count - slot->error) / (heat->_total + prior);
+	requests = (double)(slot->count - slot->error) / heat->_weight;
+	all = heat->_total / heat->_weight + RT_HEAT_PRIOR_REQUESTS;
+	if (requests <= 1.0)
+		return 0.0;
+	return (requests - sqrt(requests)) / all;
 }
--- a/src/routing/rt_heat.h
+++ b/src/routing/rt_heat.h
@@ -75,7 +75,12 @@
 void rt_heat_count(struct rt_heat *heat, const struct px_chain *chain,
 		   int64_t now_ms);
 
-/** rt_heat_share() - part of recent requests with that key, 0 to 1. */
+/**
+ * rt_heat_share() - part of recent requests with that key, 0 to 1.
+ *
+ * A low estimate, by one standard deviation of the count: a key that was seen
+ * once has no share yet.
+ */
 double rt_heat_share(const struct rt_heat *heat, uint64_t key);
 
 #endif
--- a/src/routing/rt_place.c
+++ b/src/routing/rt_place.c
@@ -8,8 +8,6 @@
 #define RT_LEVEL_MIN_SHARE 0.01
 /* Engines for a prefix, over its exact share, to level out bursts. */
 #define RT_SPREAD_HEADROOM 1.25
-/* Engines for a prefix whose heat is not known. */
-#define RT_COLD_SPREAD 2
 
 struct _rt_ranked {
 	uint64_t rank;
@@ -22,8 +20,6 @@
 	double wanted = ceil(share * engines * RT_SPREAD_HEADROOM);
 	uint32_t spread = wanted < 1.0 ? 1 : (uint32_t)wanted;
 
-	if (share == 0.0)
-		spread = RT_COLD_SPREAD;
 	return spread < engines ? spread : engines;
 }
 
