limits: shares, queue, limit per engine

Cause: entry must keep teams within their limits over all entries without a counter, and bound what waits.

Found by the test while it was written: with each entry counting its own demand as of the report before last, and the others' as of the last one, nine entries under even load ran 98 of 90 for good whenever demand fell. Ruled out: the rounding of parts (parts of equal reports add up to the limit, 3000 random cases). An entry now counts the least of what it reported and has, which no other entry counts lower.

Before: 98 of 90 running with all entries well.

--- a/src/limits/lm.h
+++ b/src/limits/lm.h
@@ -147,13 +147,15 @@
 
 	GHashTable *_teams;
 	GHashTable *_requests;
+	GPtrArray *_order;
+	GPtrArray *_queued;
+	GTree *_expiry;
 	GArray *_entries;
+	GArray *_shares;
 	GQueue _refused;
-	uint64_t _rows;
-	double _virtual_time;
-	double _ended_per_s;
-	int64_t _ended_ms;
+	uint32_t _rows;
 	uint32_t _report_from;
+	double _virtual_time;
 };
 
 void lm_init(struct lm_limits *limits, const struct lm_desc *desc);
--- /dev/null
+++ b/src/limits/lm_team.h
@@ -0,0 +1,100 @@
+/*
+ * lm_team - private to lm: teams and their requests at one entry.
+ *
+ * Overview
+ *	A team has a queue for each urgency, in the order of arrival, and the
+ *	last reports of the other entries on it, sorted by entry. lm_team.c
+ *	keeps the teams and their shares, lm_queue.c the waiting requests.
+ */
+#ifndef LM_TEAM_H
+#define LM_TEAM_H
+
+#include "limits/lm.h"
+
+/** struct lm_row - last report of a peer on one team. */
+struct lm_row {
+	uint64_t entry;
+	uint32_t running;
+	uint32_t waiting;
+	int64_t at_ms;
+};
+
+/** struct lm_entry - a living entry host; @heard_ms of its last report. */
+struct lm_entry {
+	uint64_t id;
+	int64_t heard_ms;
+};
+
+/**
+ * struct lm_team - a team at this entry.
+ * @queues: waiting requests, by enum cm_urgency.
+ * @rows: of struct lm_row, sorted by entry.
+ * @told: demand in the last two reports, the older one second.
+ * @finish: virtual time at which its last request is paid for.
+ * @ended_per_s: smoothed rate at which its requests end, as of @ended_ms.
+ * @share: cached until @share_until_ms.
+ */
+struct lm_team {
+	uint64_t id;
+	uint32_t weight;
+	uint32_t max_running;
+	uint32_t max_waiting;
+	uint32_t running;
+	uint32_t waiting;
+	GQueue queues[CM_DEFERRABLE + 1];
+	GArray *rows;
+	uint32_t told[2];
+	double finish;
+	double ended_per_s;
+	int64_t ended_ms;
+	uint32_t share;
+	int64_t share_until_ms;
+};
+
+/**
+ * struct lm_held - a request that waits or runs.
+ * @link: in its team's queue, NULL while it runs.
+ */
+struct lm_held {
+	struct lm_request request;
+	struct lm_team *team;
+	int64_t since_ms;
+	int64_t expires_ms;
+	GList *link;
+};
+
+/* lm_team.c */
+struct lm_team *lm_team_get(struct lm_limits *limits, uint64_t id);
+void lm_team_free(struct lm_team *team);
+bool lm_team_may_run(struct lm_limits *limits, struct lm_team *team,
+		     int64_t now_ms);
+void lm_team_stale(struct lm_team *team);
+uint32_t lm_team_max_waiting(const struct lm_limits *limits,
+			     const struct lm_team *team);
+
+/* lm_queue.c */
+void lm_queue_add(struct lm_limits *limits, struct lm_held *held);
+void lm_queue_remove(struct lm_limits *limits, struct lm_held *held);
+
+/** lm_queue_pick() - the request to run next, or NULL. */
+struct lm_held *lm_queue_pick(struct lm_limits *limits, int64_t now_ms);
+
+/** lm_queue_expired() - a request whose time in the queue is over, or NULL. */
+struct lm_held *lm_queue_expired(struct lm_limits *limits, int64_t now_ms);
+
+/**
+ * lm_queue_victim() - the waiting request to give up for a new one.
+ * @team: look only at this team; NULL for all.
+ *
+ * Return: NULL if none is worth less than @request.
+ */
+struct lm_held *lm_queue_victim(struct lm_limits *limits, struct lm_team *team,
+				const struct lm_request *request);
+
+/** lm_queue_charge() - account for a request of @team that starts. */
+void lm_queue_charge(struct lm_limits *limits, struct lm_team *team,
+		     uint32_t tokens);
+
+int lm_expiry_compare(gconstpointer a, gconstpointer b, gpointer unused);
+
+#endif
