limits: lint, and which entries share a limit

Cause: clang-tidy found widening multiplications and a division that only an empty report list could reach; the header left open which hosts to pass. Ruled out: passing only hosts that are heard of, since both sides of a partition would then take the whole limit. After: clang-tidy clean on src/limits, limits_test passes.

--- a/src/limits/lm.c
+++ b/src/limits/lm.c
@@ -11,7 +11,7 @@
 /* A team of which none has ended yet is taken to end one in this time. */
 #define LM_UNKNOWN_RATE_MS 1000.0
 /* Refused callers come back spread over this part around the wait. */
-#define LM_JITTER_PERMILLE 250
+#define LM_JITTER_PERMILLE INT64_C(250)
 
 static const int64_t lm_default_wait_ms[CM_DEFERRABLE + 1] = {
 	[CM_AUTO] = LM_NORMAL_WAIT_MS,
--- a/src/limits/lm.h
+++ b/src/limits/lm.h
@@ -7,7 +7,7 @@
  *	and waiting requests per team (lm_report(), BP_USAGE) and computes its
  *	own share of the limit from what the others reported. Half of an equal
  *	share is always its own, the rest goes by demand. Entries that are
- *	alive but silent are taken to use an equal share, and so does this one
+ *	listed but silent are taken to use an equal share, and so does this one
  *	if it hears of nobody.
  *
  *	What may not run yet waits in a queue that is bounded in number, bytes
@@ -179,8 +179,11 @@
 void lm_drain(struct lm_limits *limits);
 
 /**
- * lm_entries() - the entry hosts that live now, this one included.
+ * lm_entries() - the entry hosts that share the limits, this one included.
  * @ids: px_id() of their names, in any order.
+ *
+ * Pass those that the host list names, not only those that are heard of: a
+ * host that is cut off goes on with its equal part, and so must be counted.
  */
 void lm_entries(struct lm_limits *limits, const uint64_t *ids, uint32_t count,
 		int64_t now_ms);
--- a/src/limits/lm_share.c
+++ b/src/limits/lm_share.c
@@ -86,7 +86,7 @@
 
 	if (count == 1)
 		return limit;
-	if (sums.heard == 1)
+	if (sums.heard <= 1)
 		return lm_equal(limit, count, sums.self);
 	pool = limit > sums.reserved ? limit - sums.reserved : 0;
 	share = floor + lm_by_demand(&sums, pool, entries, floor);
--- a/src/limits/lm_share.h
+++ b/src/limits/lm_share.h
@@ -11,7 +11,7 @@
  *	requests than the limit are known to run.
  *
  *	Demand counts only once it has been reported, so that the others have
- *	had the time to give way. A living entry that is silent is taken to use
+ *	had the time to give way. A listed entry that is silent is taken to use
  *	its equal part, which is what it uses if it hears of nobody itself.
  *	Requests that run elsewhere above their part are waited for.
  */
@@ -22,7 +22,7 @@
 #include <stdint.h>
 
 /**
- * struct lm_share_entry - what is known of one living entry.
+ * struct lm_share_entry - what is known of one entry.
  * @demand: running and waiting requests.
  * @running: of these, running.
  * @is_silent: it has not reported of late.
@@ -37,7 +37,7 @@
 
 /**
  * lm_share_of() - the part of the entry that asks.
- * @entries: all living ones, in the same order everywhere.
+ * @entries: all listed ones, in the same order everywhere.
  *
  * Return: requests it may run at a time, at most @limit.
  */
--- a/src/limits/lm_team.c
+++ b/src/limits/lm_team.c
@@ -4,7 +4,7 @@
 
 #define LM_SHARE_CACHE_MS 25
 /* Teams take turns in reports, so a row outlives a single one. */
-#define LM_ROW_KEPT_MS (4 * LM_PEER_FRESH_MS)
+#define LM_ROW_KEPT_MS (INT64_C(4) * LM_PEER_FRESH_MS)
 
 static void lm_forget_team(struct lm_limits *limits, uint32_t at)
 {
--- a/src/limits/lm_team.h
+++ b/src/limits/lm_team.h
@@ -19,7 +19,7 @@
 	int64_t at_ms;
 };
 
-/** struct lm_entry - a living entry host; @heard_ms of its last report. */
+/** struct lm_entry - an entry host; @heard_ms of its last report. */
 struct lm_entry {
 	uint64_t id;
 	int64_t heard_ms;
