--- /dev/null
+++ b/src/upstream/up_engine.c
@@ -0,0 +1,161 @@
+/*
+ * The "engine" plug-in: OpenAI-compatible calls.
+ */
+#include <inttypes.h>
+#include <string.h>
+
+#include "kernel/ck.h"
+#include "kernel/kn_registry.h"
+#include "kernel/tl.h"
+#include "upstream/up.h"
+
+#define UP_STREAM_PATH_BYTES (UP_ID_BYTES + 32)
+
+static void up_engine_add_headers(struct up_attempt *a, GPtrArray *headers)
+{
+	uint64_t stamp = ck_hlc_tick(tl_clock(), ck_wall_ms());
+
+	g_ptr_array_add(headers, g_strdup("Content-Type: application/json"));
+	g_ptr_array_add(headers, g_strdup_printf("X-Request-Id: %s", a->_id));
+	g_ptr_array_add(headers,
+			g_strdup_printf("X-Weights-Version: %s", a->_weights));
+	g_ptr_array_add(headers, g_strdup_printf("X-Cache-Salt: %016" PRIx64,
+						 a->_desc.cache_salt));
+	g_ptr_array_add(headers,
+			g_strdup_printf("X-Event-Time: %" PRIu64, stamp));
+}
+
+static void up_engine_header(struct up_attempt *a, const char *name,
+			     const char *value)
+{
+	sd_header(&a->_decoder, name, value);
+}
+
+static void up_engine_data(struct up_attempt *a, uint32_t http_status,
+			   const char *data, uint64_t bytes)
+{
+	if (http_status == 200) {
+		sd_feed(&a->_decoder, data, bytes);
+		return;
+	}
+	if (a->_refusal->len + bytes <= UP_MAX_ERROR_BYTES)
+		g_string_append_len(a->_refusal, data, (gssize)bytes);
+}
+
+static void up_engine_set_fault(struct up_result *result, enum sd_fault fault)
+{
+	result->fault = fault;
+	if (fault != SD_FINE)
+		result->end = UP_FAULTY;
+}
+
+/* A connection that ends after [DONE] took nothing from the answer. */
+static void up_engine_judge_stream(struct up_attempt *a,
+				   struct up_result *result)
+{
+	struct sd_decoder *d = &a->_decoder;
+
+	if (d->fault != SD_FINE) {
+		up_engine_set_fault(result, d->fault);
+		return;
+	}
+	if (d->is_done) {
+		result->end = UP_COMPLETE;
+		return;
+	}
+	/* A body that ends early with its closing chunk is a broken one. */
+	if (result->end == UP_COMPLETE) {
+		sd_end(d);
+		up_engine_set_fault(result, d->fault);
+		if (d->fault == SD_NOT_DONE)
+			result->end = UP_BROKEN;
+	}
+}
+
+static void up_engine_judge_plain(struct up_attempt *a,
+				  const struct hc_result *answer,
+				  struct up_result *result)
+{
+	struct json_object *field;
+	const char *id = NULL;
+
+	if (result->end != UP_COMPLETE)
+		return;
+	up_engine_set_fault(result, sd_check_headers(&a->_decoder));
+	if (result->fault != SD_FINE)
+		return;
+	a->_json = up_parse_json(answer->body, answer->body_bytes);
+	if (json_object_object_get_ex(a->_json, "id", &field))
+		id = json_object_get_string(field);
+	if (!id || !g_str_has_suffix(id, a->_id)) {
+		up_engine_set_fault(result, SD_CROSSED);
+		return;
+	}
+	result->json = a->_json;
+}
+
+static void up_engine_judge(struct up_attempt *a,
+			    const struct hc_result *answer,
+			    struct up_result *result)
+{
+	if (result->end == UP_COMPLETE && answer->http_status != 200) {
+		result->end = UP_REFUSED;
+		result->body = answer->body;
+		result->body_bytes = answer->body_bytes;
+		if (a->_desc.is_stream) {
+			result->body = a->_refusal->str;
+			result->body_bytes = a->_refusal->len;
+		}
+		return;
+	}
+	if (a->_desc.is_stream)
+		up_engine_judge_stream(a, result);
+	else
+		up_engine_judge_plain(a, answer, result);
+}
+
+static void up_engine_stream_path(const struct up_attempt *a,
+				  char path[UP_STREAM_PATH_BYTES])
+{
+	g_snprintf(path, UP_STREAM_PATH_BYTES, "/v1/streams/%s", a->_id);
+}
+
+/* On a new connection: the old one may be silent for good. */
+static enum st_code up_engine_resume(struct up_attempt *a)
+{
+	const struct up_desc *desc = &a->_desc;
+	struct hc_call_desc call = {
+		.method = "GET",
+		.first_byte_timeout_ms = desc->idle_timeout_ms,
+		.idle_timeout_ms = desc->idle_timeout_ms,
+		.total_timeout_ms = desc->total_timeout_ms,
+		.fresh_connection = true,
+	};
+	char path[UP_STREAM_PATH_BYTES];
+	char last[64];
+	const char *headers[] = { last, "Accept: text/event-stream", NULL };
+
+	up_engine_stream_path(a, path);
+	g_snprintf(last, sizeof(last), "Last-Event-ID: %" PRIu64,
+		   a->_decoder.last);
+	return up_send(a, &call, path, headers);
+}
+
+static void up_engine_abandon(struct up_attempt *a)
+{
+	char path[UP_STREAM_PATH_BYTES];
+
+	up_engine_stream_path(a, path);
+	up_send_aside(a, "DELETE", path);
+}
+
+static const struct up_ops up_engine = {
+	.name = "engine",
+	.add_headers = up_engine_add_headers,
+	.header = up_engine_header,
+	.data = up_engine_data,
+	.judge = up_engine_judge,
+	.resume = up_engine_resume,
+	.abandon = up_engine_abandon,
+};
+KN_REGISTER("upstream", "engine", up_engine)
