--- a/src/upstream/up.c
+++ b/src/upstream/up.c
@@ -48,6 +48,23 @@
 	return value;
 }
 
+bool up_owns_answer(const struct up_attempt *a, struct json_object *answer)
+{
+	static const char *const prefixes[] = { "cmpl-", "chatcmpl-", "" };
+	struct json_object *field;
+	const char *id = NULL;
+
+	if (json_object_object_get_ex(answer, "id", &field))
+		id = json_object_get_string(field);
+	for (size_t i = 0; id && i < G_N_ELEMENTS(prefixes); i++) {
+		size_t bytes = strlen(prefixes[i]);
+
+		if (!strncmp(id, prefixes[i], bytes))
+			return !strcmp(id + bytes, a->_id);
+	}
+	return false;
+}
+
 static void up_on_sequenced(void *arg, const struct sd_event *event)
 {
 	struct up_attempt *a = arg;
@@ -55,7 +72,6 @@
 				.is_done = event->is_done };
 
 	if (!event->is_done) {
-		const char *id = NULL;
 		struct json_object *field;
 
 		out.json = up_parse_json(event->data, event->bytes);
@@ -64,9 +80,7 @@
 			json_object_put(out.json);
 			return;
 		}
-		if (json_object_object_get_ex(out.json, "id", &field))
-			id = json_object_get_string(field);
-		if (!id || !g_str_has_suffix(id, a->_id)) {
+		if (!up_owns_answer(a, out.json)) {
 			sd_reject(&a->_decoder, SD_CROSSED);
 			json_object_put(out.json);
 			return;
--- a/src/upstream/up.h
+++ b/src/upstream/up.h
@@ -225,6 +225,13 @@
 /** up_send_aside() - for plug-ins: a call whose answer nobody awaits. */
 void up_send_aside(struct up_attempt *a, const char *method, const char *path);
 
+/**
+ * up_owns_answer() - for plug-ins: does the answer's id name this attempt?
+ *
+ * Engines put "cmpl-" or "chatcmpl-" before the request's id.
+ */
+bool up_owns_answer(const struct up_attempt *a, struct json_object *answer);
+
 /**
  * up_parse_json() - parse a text of bounded depth.
  *
--- a/src/upstream/up_engine.c
+++ b/src/upstream/up_engine.c
@@ -76,18 +76,13 @@
 				  const struct hc_result *answer,
 				  struct up_result *result)
 {
-	struct json_object *field;
-	const char *id = NULL;
-
 	if (result->end != UP_COMPLETE)
 		return;
 	up_engine_set_fault(result, sd_check_headers(&a->_decoder));
 	if (result->fault != SD_FINE)
 		return;
 	a->_json = up_parse_json(answer->body, answer->body_bytes);
-	if (json_object_object_get_ex(a->_json, "id", &field))
-		id = json_object_get_string(field);
-	if (!id || !g_str_has_suffix(id, a->_id)) {
+	if (!up_owns_answer(a, a->_json)) {
 		up_engine_set_fault(result, SD_CROSSED);
 		return;
 	}
