--- a/src/index/ix.c
+++ b/src/index/ix.c
@@ -97,6 +97,7 @@
 	/* Its first event has number 1, so nothing is missing yet. */
 	e->is_complete = true;
 	e->has_load = false;
+	e->load_sequence = 0;
 }
 
 static struct _ix_engine *ix_largest(const struct ix_index *index)
--- a/src/index/ix.h
+++ b/src/index/ix.h
@@ -76,7 +76,8 @@
 	uint32_t _block_count;
 };
 
-enum ix_event_kind { IX_STORED = 0, IX_REMOVED, IX_CLEARED, IX_LOAD };
+/** enum ix_event_kind - IX_OTHER has a number and no effect. */
+enum ix_event_kind { IX_STORED = 0, IX_REMOVED, IX_CLEARED, IX_LOAD, IX_OTHER };
 
 /**
  * struct ix_load - a load report.
--- a/src/index/ix_engine.h
+++ b/src/index/ix_engine.h
@@ -28,6 +28,7 @@
  * @is_complete: every event since the incarnation's start, or since the last
  *	snapshot, has come.
  * @blind_since_ms: when the stream broke; 0 while it is open.
+ * @load_sequence: of the event with the load report.
  * @reported_ms: time that the load report shows.
  * @eviction_ms: learned quantile of the age of blocks at their removal.
  * @journal: struct _ix_change, NULL while no snapshot is fetched.
@@ -42,6 +43,7 @@
 	int64_t blind_since_ms;
 	bool has_load;
 	struct ix_load load;
+	uint64_t load_sequence;
 	int64_t reported_ms;
 	double eviction_ms;
 	GArray *journal;
--- a/src/index/ix_events.c
+++ b/src/index/ix_events.c
@@ -77,6 +77,7 @@
 		ix_clear(index, e);
 		return;
 	case IX_LOAD:
+	case IX_OTHER:
 		return;
 	}
 	ix_count_blocks(index, e, before);
@@ -98,12 +99,13 @@
 	e->journal_from = sequence;
 }
 
-static void ix_take_load(struct _ix_engine *e, const struct ix_load *load,
+static void ix_take_load(struct _ix_engine *e, const struct ix_event *event,
 			 int64_t now_ms)
 {
 	e->has_load = true;
-	e->load = *load;
-	e->reported_ms = now_ms - load->age_ms;
+	e->load = event->load;
+	e->load_sequence = event->sequence;
+	e->reported_ms = now_ms - event->load.age_ms;
 	ix_pending_report(&e->pending, e->reported_ms);
 }
 
@@ -113,11 +115,11 @@
 	uint32_t tick = ix_tick_of(index, now_ms);
 
 	if (event->kind == IX_LOAD) {
-		ix_take_load(e, &event->load, now_ms);
+		ix_take_load(e, event, now_ms);
 	} else if (event->kind == IX_CLEARED) {
 		ix_keep_change(e, event->sequence, IX_CLEARED, 0);
 		ix_change(index, e, IX_CLEARED, 0, tick);
-	} else {
+	} else if (event->kind != IX_OTHER) {
 		for (uint32_t i = 0; i < event->block_count; i++) {
 			ix_keep_change(e, event->sequence, event->kind,
 				       event->blocks[i]);
@@ -127,6 +129,17 @@
 	}
 }
 
+/* A snapshot may cover events that are still to come, but no load report. */
+static enum ix_effect ix_take_covered(struct _ix_engine *e,
+				      const struct ix_event *event,
+				      int64_t now_ms)
+{
+	if (event->kind != IX_LOAD || event->sequence <= e->load_sequence)
+		return IX_IGNORED;
+	ix_take_load(e, event, now_ms);
+	return IX_NONE;
+}
+
 enum ix_effect ix_event(struct ix_index *index, uint64_t engine,
 			const struct ix_event *event, int64_t now_ms)
 {
@@ -140,7 +153,7 @@
 		ix_reset(index, e, event->incarnation);
 	}
 	if (event->sequence <= e->sequence)
-		return IX_IGNORED;
+		return ix_take_covered(e, event, now_ms);
 	if (event->sequence != e->sequence + 1) {
 		e->is_complete = false;
 		e->gap_before = event->sequence;
--- /dev/null
+++ b/src/index/ix_feed.h
@@ -0,0 +1,112 @@
+/*
+ * ix_feed - follows one engine: its event stream, and snapshots after gaps.
+ *
+ * Overview
+ *	A feed keeps one stream of /v1/cache/events open and puts the events
+ *	into the index. A stream that breaks or falls silent is opened again,
+ *	after a delay that grows and is random, so that an engine that comes
+ *	back does not meet all feeds at once; Last-Event-ID makes it go on
+ *	where it broke. When the index wants a snapshot, the feed fetches one.
+ *
+ *	What the feed sees of the engine itself goes to a function.
+ *
+ * Use
+ *	ix_feed_start(&feed, &(struct ix_feed_desc){ .loop = loop,
+ *		.http = &client, .index = &index, .engine = id, .name = "e1",
+ *		.ipv4 = ip, .port = port, .on_news = fn, .arg = me });
+ *	ix_feed_stop(&feed);
+ */
+#ifndef IX_FEED_H
+#define IX_FEED_H
+
+#include <ev.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "index/ix.h"
+#include "net/hc.h"
+#include "net/se.h"
+
+#define IX_FEED_NAME_BYTES 64
+/* Engines report their load several times a second. */
+#define IX_FEED_IDLE_MS		  5000
+#define IX_FEED_MIN_RETRY_MS	  100
+#define IX_FEED_MAX_RETRY_MS	  5000
+#define IX_FEED_SNAPSHOT_MS	  10000
+#define IX_FEED_SNAPSHOT_BYTES	  (8u << 20)
+#define IX_FEED_ANSWERED_EVERY_MS 500
+
+/**
+ * enum ix_news - what a feed saw of its engine.
+ * @IX_NEWS_ANSWERED: it sent an event; reported now and then.
+ * @IX_NEWS_FAILED: it did not take a connection, or fell silent.
+ * @IX_NEWS_LEAVING: it says that it is leaving; once for an incarnation.
+ * @IX_NEWS_RESTARTED: it has a new incarnation.
+ * @IX_NEWS_GAP: events were lost.
+ */
+enum ix_news {
+	IX_NEWS_ANSWERED = 0,
+	IX_NEWS_FAILED,
+	IX_NEWS_LEAVING,
+	IX_NEWS_RESTARTED,
+	IX_NEWS_GAP
+};
+
+struct ix_feed;
+
+/**
+ * struct ix_feed_desc - all but @idle_ms and @arg are required.
+ * @idle_ms: silence after which the stream is opened anew; 0 means
+ *	IX_FEED_IDLE_MS.
+ * @on_news: must not stop the feed.
+ */
+struct ix_feed_desc {
+	struct ev_loop *loop;
+	struct hc_client *http;
+	struct ix_index *index;
+	uint64_t engine;
+	const char *name;
+	uint32_t ipv4;
+	uint16_t port;
+	int64_t idle_ms;
+	void (*on_news)(void *arg, const struct ix_feed *feed,
+			enum ix_news news);
+	void *arg;
+};
+
+/**
+ * struct ix_feed - state. Readable fields:
+ * @name: of the engine.
+ * @ipv4: its address.
+ * @port: its port.
+ * @incarnation: of the last event.
+ * @sequence: of the last event.
+ */
+struct ix_feed {
+	char name[IX_FEED_NAME_BYTES];
+	uint32_t ipv4;
+	uint16_t port;
+	uint64_t incarnation;
+	uint64_t sequence;
+
+	struct ix_feed_desc _desc;
+	struct se_parser _parser;
+	GArray *_blocks;
+	struct hc_call _stream;
+	struct hc_call _snapshot;
+	ev_timer _stream_timer;
+	ev_timer _snapshot_timer;
+	int64_t _stream_retry_ms;
+	int64_t _snapshot_retry_ms;
+	int64_t _answered_ms;
+	bool _is_streaming;
+	bool _is_unusable;
+	bool _is_leaving;
+};
+
+void ix_feed_start(struct ix_feed *feed, const struct ix_feed_desc *desc);
+
+/** ix_feed_stop() - close the stream; the index keeps its entries. */
+void ix_feed_stop(struct ix_feed *feed);
+
+#endif
--- a/tests/unit/index_test.cc
+++ b/tests/unit/index_test.cc
@@ -439,6 +439,22 @@
 	EXPECT_EQ(Look({}).sent_tokens, 0u);
 }
 
+TEST_F(Index, LoadReportThatASnapshotCovers)
+{
+	ix_snapshot_begin(&ix, E);
+	EXPECT_EQ(Snapshot(20, {}), ST_OK);
+	seq = 9;
+	EXPECT_EQ(Load(0, 500), IX_NONE);
+	EXPECT_EQ(Look({}).waiting_tokens, 500u);
+	seq = 8;
+	EXPECT_EQ(Load(0, 400), IX_IGNORED) << "older than the one known";
+	seq = 9;
+	EXPECT_EQ(Load(0, 400), IX_IGNORED) << "repeated";
+	EXPECT_EQ(Look({}).waiting_tokens, 500u);
+	EXPECT_EQ(EventAt(20, IX_STORED, { 1 }), IX_IGNORED);
+	EXPECT_EQ(EventAt(21, IX_STORED, { 1 }), IX_NONE);
+}
+
 TEST_F(Index, ConfidenceFallsWithAgeAndSilence)
 {
 	const Ids keys = Keys(0, 3, 1);
