--- a/tests/unit/index_feed_test.cc
+++ b/tests/unit/index_feed_test.cc
@@ -287,7 +287,7 @@
 
 	bool InStep()
 	{
-		return Stats().sequence == engine->seq &&
+		return engine->streams > 0 && Stats().sequence == engine->seq &&
 		       Stats().held == engine->blocks.size() &&
 		       !Stats().is_doubtful;
 	}
