configuration replica: pulling, serving, and when it may vouch

Cause: every process needs the configuration and the host list in force, also while the platform is down, and never an older one than it had.

A tick looks for a process that gossip shows to hold more, control of the own host first, then the own zone and region; one pull is under way at a time, a failed source is left alone for a doubling time.

A replica that started empty may vouch once it has read the platform, or once a replica that may vouch has answered and nothing higher was heard of anybody, reachable or not. "Holds the highest heard revision" alone was ruled out: with it EmptyReplicasDoNotVouchForEachOther fails, two empty replicas trust each other at once; without the highest heard revision ARevisionHeardOfButOutOfReachKeepsAReplicaFromVouching fails. Data itself is taken from any source: a higher revision is always an accepted one.

Entry and index processes that serve BP_PULL are asked when no control process holds what is newest, so that a restart of all control processes while the platform is down loses nothing.

--- /dev/null
+++ b/src/config/cr_source.c
@@ -0,0 +1,172 @@
+#include "config/cr_source.h"
+
+#include <string.h>
+
+/* Preference among sources: the lower, the better. */
+enum cr_rank {
+	CR_OWN_HOST = 0,
+	CR_OWN_ZONE,
+	CR_OWN_REGION,
+	CR_ELSEWHERE,
+	CR_OTHER_ROLES,
+	CR_NEVER = 16
+};
+
+struct cr_failures {
+	uint32_t count;
+	int64_t retry_at_ms;
+};
+
+void cr_sources_init(struct cr_sources *sources, const char *host,
+		     const char *zone, const char *region)
+{
+	sources->host = host;
+	sources->zone = zone;
+	sources->region = region;
+	sources->_failures =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void cr_sources_finish(struct cr_sources *sources)
+{
+	g_hash_table_destroy(sources->_failures);
+	memset(sources, 0, sizeof(*sources));
+}
+
+static char *cr_source_key(enum mb_role role, const char *name)
+{
+	return g_strdup_printf("%s/%s", mb_role_name(role), name);
+}
+
+static bool cr_may_ask(const struct cr_sources *sources,
+		       const struct mb_member *m, int64_t now_ms)
+{
+	g_autofree char *key = cr_source_key(m->role, m->name);
+	const struct cr_failures *failures =
+		g_hash_table_lookup(sources->_failures, key);
+
+	if (m->state == MB_DEAD || !m->rpc_port)
+		return false;
+	return !failures || now_ms >= failures->retry_at_ms;
+}
+
+static uint32_t cr_rank(const struct cr_sources *sources,
+			const struct mb_member *m)
+{
+	uint32_t rank = m->role == MB_CONTROL ? 0 : CR_OTHER_ROLES;
+
+	if (!strcmp(m->name, sources->host))
+		return rank + CR_OWN_HOST;
+	if (!strcmp(m->zone, sources->zone))
+		return rank + CR_OWN_ZONE;
+	if (!strcmp(m->region, sources->region))
+		return rank + CR_OWN_REGION;
+	return rank + CR_ELSEWHERE;
+}
+
+/* struct cr_pick - best rank so far, and a fair choice within it. */
+struct cr_pick {
+	const struct mb_member *best;
+	uint32_t rank;
+	uint32_t equals;
+	uint32_t random;
+	bool is_wide;
+};
+
+static void cr_consider(struct cr_pick *pick, const struct mb_member *m,
+			uint32_t rank)
+{
+	if (rank > pick->rank)
+		return;
+	pick->equals = rank < pick->rank ? 1 : pick->equals + 1;
+	pick->rank = rank;
+	if (pick->random % pick->equals == 0)
+		pick->best = m;
+}
+
+static void cr_consider_role(struct cr_pick *pick,
+			     const struct cr_sources *sources,
+			     const struct mb_table *members, enum mb_role role,
+			     uint64_t above, int64_t now_ms)
+{
+	const struct mb_member *m = NULL;
+
+	while ((m = mb_next(members, role, NULL, m))) {
+		if (above != UINT64_MAX && m->config_revision <= above)
+			continue;
+		if (m == mb_self((struct mb_table *)members) ||
+		    !cr_may_ask(sources, m, now_ms))
+			continue;
+		cr_consider(pick, m,
+			    pick->is_wide ? CR_ELSEWHERE : cr_rank(sources, m));
+	}
+}
+
+const struct mb_member *cr_source_newer(const struct cr_sources *sources,
+					const struct mb_table *members,
+					uint64_t have_revision, uint32_t random,
+					int64_t now_ms)
+{
+	static const enum mb_role roles[] = { MB_CONTROL, MB_ENTRY, MB_INDEX };
+	struct cr_pick pick = { .rank = CR_NEVER, .random = random };
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(roles); i++)
+		cr_consider_role(&pick, sources, members, roles[i],
+				 have_revision, now_ms);
+	return pick.best;
+}
+
+const struct mb_member *cr_source_any(const struct cr_sources *sources,
+				      const struct mb_table *members,
+				      bool is_wide, uint32_t random,
+				      int64_t now_ms)
+{
+	struct cr_pick pick = { .rank = CR_NEVER,
+				.random = random,
+				.is_wide = is_wide };
+
+	cr_consider_role(&pick, sources, members, MB_CONTROL, UINT64_MAX,
+			 now_ms);
+	return pick.best;
+}
+
+void cr_source_failed(struct cr_sources *sources, enum mb_role role,
+		      const char *name, int64_t now_ms)
+{
+	char *key = cr_source_key(role, name);
+	struct cr_failures *failures =
+		g_hash_table_lookup(sources->_failures, key);
+	int64_t wait_ms = CR_FIRST_BACKOFF_MS;
+
+	if (!failures) {
+		failures = g_new0(struct cr_failures, 1);
+		g_hash_table_insert(sources->_failures, key, failures);
+	} else {
+		g_free(key);
+	}
+	for (uint32_t i = 0; i < failures->count; i++)
+		wait_ms = MIN(wait_ms * 2, CR_MAX_BACKOFF_MS);
+	failures->count++;
+	failures->retry_at_ms = now_ms + wait_ms;
+}
+
+void cr_source_answered(struct cr_sources *sources, enum mb_role role,
+			const char *name)
+{
+	g_autofree char *key = cr_source_key(role, name);
+
+	g_hash_table_remove(sources->_failures, key);
+}
+
+uint64_t cr_highest_heard(const struct mb_table *members)
+{
+	uint64_t highest = 0;
+
+	for (uint32_t role = MB_ENTRY; role <= MB_CONTROL; role++) {
+		const struct mb_member *m = NULL;
+
+		while ((m = mb_next(members, role, NULL, m)))
+			highest = MAX(highest, m->config_revision);
+	}
+	return highest;
+}
--- /dev/null
+++ b/src/config/cr_source.h
@@ -0,0 +1,83 @@
+/*
+ * cr_source - which process a replica pulls from, and when it may vouch.
+ *
+ * Overview
+ *	Private to the module cr; plain functions over the membership table.
+ *	A source that failed is left alone for a while that doubles with each
+ *	failure in a row.
+ */
+#ifndef CR_SOURCE_H
+#define CR_SOURCE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "membership/mb.h"
+
+#define CR_FIRST_BACKOFF_MS 500
+#define CR_MAX_BACKOFF_MS   16000
+
+/**
+ * struct cr_sources - what is known of sources.
+ * @host: own host, whose control process is asked first.
+ * @zone: own availability zone, whose processes come next.
+ * @region: own region.
+ */
+struct cr_sources {
+	const char *host;
+	const char *zone;
+	const char *region;
+	GHashTable *_failures;
+};
+
+void cr_sources_init(struct cr_sources *sources, const char *host,
+		     const char *zone, const char *region);
+void cr_sources_finish(struct cr_sources *sources);
+
+/**
+ * cr_source_newer() - a process that holds more than @have_revision.
+ * @random: chooses among equally good ones.
+ *
+ * Return: control processes before others; own host, zone and region first;
+ * NULL if there is none that may be asked now.
+ */
+const struct mb_member *cr_source_newer(const struct cr_sources *sources,
+					const struct mb_table *members,
+					uint64_t have_revision, uint32_t random,
+					int64_t now_ms);
+
+/**
+ * cr_source_any() - the same whatever it holds, control only.
+ * @is_wide: no preference for own host, zone and region.
+ */
+const struct mb_member *cr_source_any(const struct cr_sources *sources,
+				      const struct mb_table *members,
+				      bool is_wide, uint32_t random,
+				      int64_t now_ms);
+
+/** cr_source_failed() - a pull from it got no usable answer. */
+void cr_source_failed(struct cr_sources *sources, enum mb_role role,
+		      const char *name, int64_t now_ms);
+void cr_source_answered(struct cr_sources *sources, enum mb_role role,
+			const char *name);
+
+/** cr_highest_heard() - highest revision in any record, reachable or not. */
+uint64_t cr_highest_heard(const struct mb_table *members);
+
+/**
+ * cr_may_vouch() - has a replica that started empty caught up?
+ * @source_is_trusted: the process that answered may vouch itself.
+ * @source_revision: what it holds.
+ * @own_revision: in force here after its answer.
+ * @highest_heard: see cr_highest_heard().
+ */
+static inline bool cr_may_vouch(bool source_is_trusted,
+				uint64_t source_revision, uint64_t own_revision,
+				uint64_t highest_heard)
+{
+	return source_is_trusted && own_revision >= source_revision &&
+	       own_revision >= highest_heard;
+}
+
+#endif
--- /dev/null
+++ b/tests/unit/replica_test.cc
@@ -0,0 +1,361 @@
+// The configuration replica: replicas on one loop that pull from each other
+// over loopback; gossip is played by writing into their membership tables.
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "config/cr.h"
+#include "config/cr_source.h"
+#include "kernel/ck.h"
+}
+
+namespace
+{
+
+const uint8_t KEY[RP_KEY_BYTES] = { 7 };
+
+mb_member Member(mb_role role, const char *name, const char *zone,
+		 uint64_t revision, uint16_t port = 1)
+{
+	mb_member m = {};
+
+	g_strlcpy(m.name, name, sizeof(m.name));
+	g_strlcpy(m.zone, zone, sizeof(m.zone));
+	g_strlcpy(m.region, "r", sizeof(m.region));
+	m.role = role;
+	m.state = MB_ALIVE;
+	m.ipv4 = 0x7f000001;
+	m.rpc_port = port;
+	m.incarnation = 1;
+	m.config_revision = revision;
+	return m;
+}
+
+struct Node {
+	cf_settings settings = {};
+	kn_kernel kernel = {};
+	rp_endpoint rpc = {};
+	mb_table members = {};
+	cr_replica cr = {};
+	kn_handle replica = {};
+	kn_handle spy = {};
+	std::vector<std::string> listed;
+	int lists = 0;
+	int applied = 0;
+	uint64_t heartbeat = 0;
+
+	Node(struct ev_loop *loop, const char *name, mb_role role, bool serve)
+	{
+		static const kn_task_ops spy_ops = {
+			"spy",
+			[](kn_task *) { return ST_OK; },
+			[](kn_task *task, kn_message *message) {
+				static_cast<Node *>(task->state)->Take(message);
+			},
+			nullptr,
+			nullptr,
+			[](kn_task *) {},
+		};
+		kn_desc kernel_desc = {};
+		rp_desc rpc_desc = {};
+		cr_desc desc = {};
+		mb_member self = Member(role, name, "z", 0);
+		mb_desc members_desc = { &self };
+
+		kernel_desc.loop = loop;
+		kernel_desc.no_signals = true;
+		kn_init(&kernel, &kernel_desc);
+		rpc_desc.loop = loop;
+		rpc_desc.address = "127.0.0.1";
+		rpc_desc.key = KEY;
+		rpc_desc.host = name;
+		rpc_desc.role = "control";
+		rpc_desc.incarnation = 1;
+		EXPECT_EQ(rp_init(&rpc, &rpc_desc), ST_OK);
+		mb_init(&members, &members_desc);
+		g_strlcpy(settings.self.name, name, sizeof(settings.self.name));
+		g_strlcpy(settings.self.zone, "z", sizeof(settings.self.zone));
+		EXPECT_EQ(kn_spawn(&kernel, &spy_ops, this, &spy), ST_OK);
+		desc.settings = &settings;
+		desc.rpc = &rpc;
+		desc.members = &members;
+		desc.membership = spy;
+		desc.serve = serve;
+		EXPECT_EQ(cr_spawn(&cr, &kernel, &desc, &replica), ST_OK);
+		cr_subscribe(&cr, spy);
+	}
+
+	~Node()
+	{
+		kn_finish(&kernel);
+		rp_finish(&rpc);
+		mb_finish(&members);
+	}
+
+	void Take(kn_message *message)
+	{
+		if (message->type == MB_MSG_REVISION)
+			mb_self(&members)->config_revision = message->cookie;
+		if (message->type == CR_MSG_APPLIED)
+			applied++;
+		if (message->type != MB_MSG_LIST)
+			return;
+		auto *listing = static_cast<mb_listing *>(message->body);
+		lists++;
+		listed.clear();
+		for (uint32_t i = 0; i < listing->count; i++)
+			listed.push_back(listing->members[i].name);
+	}
+
+	// What gossip says here of another node.
+	void Hear(Node &other, mb_role role = MB_CONTROL)
+	{
+		mb_member m = Member(role, other.settings.self.name, "z",
+				     other.Revision(), rp_port(&other.rpc));
+
+		m.heartbeat = ++other.heartbeat;
+		mb_hear(&members, &m, ck_now_ms());
+	}
+
+	uint64_t Revision()
+	{
+		return cr_config(&cr)->revision;
+	}
+
+	bool IsTrusted()
+	{
+		return cr_is_trusted(&cr);
+	}
+
+	void Platform(uint64_t revision, const char *version)
+	{
+		std::string json =
+			std::string("{\"version\": \"") + version + "\"}";
+		cm_object object = { "model", "m", json.c_str(), revision,
+				     false };
+		cr_delta *delta = cr_delta_new(revision);
+		kn_message message = {};
+
+		if (*version)
+			cr_delta_add(delta, &object);
+		message.type = CR_MSG_DELTA;
+		message.body = delta;
+		message.free_body = cr_delta_free;
+		kn_post(&kernel, replica, &message);
+	}
+
+	void Hosts(const std::vector<std::string> &names)
+	{
+		auto *listing = static_cast<mb_listing *>(g_malloc0(
+			sizeof(mb_listing) + names.size() * sizeof(mb_member)));
+		kn_message message = {};
+
+		for (const auto &name : names)
+			listing->members[listing->count++] =
+				Member(MB_ENGINE, name.c_str(), "z", 0);
+		message.type = CR_MSG_HOSTS;
+		message.body = listing;
+		message.free_body = g_free;
+		kn_post(&kernel, replica, &message);
+	}
+};
+
+class Replica : public testing::Test
+{
+      protected:
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+
+	void TearDown() override
+	{
+		ev_loop_destroy(loop);
+	}
+
+	void Until(const std::function<bool()> &condition, bool must = true,
+		   int64_t ms = 15000)
+	{
+		int64_t end = ck_now_ms() + ms;
+
+		while (!condition() && ck_now_ms() < end)
+			ev_run(loop, EVRUN_ONCE);
+		if (must) {
+			ASSERT_TRUE(condition());
+		}
+	}
+
+	// Long enough for some questions between replicas.
+	void RunFor(int64_t ms)
+	{
+		Until([] { return false; }, false, ms);
+	}
+};
+
+TEST_F(Replica, ARestartTakesTheNewestThatPeersHoldAndNeverALower)
+{
+	Node old_peer(loop, "old", MB_CONTROL, true);
+	Node new_peer(loop, "new", MB_CONTROL, true);
+
+	old_peer.Platform(5, "v5");
+	new_peer.Platform(9, "v9");
+	Until([&] {
+		return old_peer.Revision() == 5 && new_peer.Revision() == 9;
+	});
+	Node fresh(loop, "fresh", MB_CONTROL, true);
+	fresh.Hear(old_peer);
+	Until([&] { return fresh.Revision() == 5; });
+	fresh.Hear(new_peer);
+	Until([&] { return fresh.Revision() == 9; });
+	EXPECT_STREQ(cm_model(cr_config(&fresh.cr), "m")->version, "v9");
+	fresh.Platform(7, "v7");
+	RunFor(300);
+	EXPECT_EQ(fresh.Revision(), 9u);
+	EXPECT_EQ(fresh.applied, 2);
+}
+
+// Neither of two replicas that both started empty knows what it missed.
+TEST_F(Replica, EmptyReplicasDoNotVouchForEachOther)
+{
+	Node a(loop, "a", MB_CONTROL, true);
+	Node b(loop, "b", MB_CONTROL, true);
+
+	a.Hear(b);
+	b.Hear(a);
+	RunFor(3000);
+	EXPECT_FALSE(a.IsTrusted());
+	EXPECT_FALSE(b.IsTrusted());
+
+	Node c(loop, "c", MB_CONTROL, true);
+	c.Platform(9, "v9");
+	Until([&] { return c.IsTrusted(); });
+	a.Hear(c);
+	b.Hear(c);
+	Until([&] { return a.IsTrusted() && b.IsTrusted(); });
+	EXPECT_EQ(a.Revision(), 9u);
+}
+
+TEST_F(Replica, APlatformWithNothingNewerIsProofOfHavingCaughtUp)
+{
+	Node a(loop, "a", MB_CONTROL, true);
+
+	a.Platform(0, "");
+	Until([&] { return a.IsTrusted(); });
+}
+
+// The newest is held by nobody who answers: what is there is served, and the
+// replica knows that it is behind.
+TEST_F(Replica, ARevisionHeardOfButOutOfReachKeepsAReplicaFromVouching)
+{
+	Node peer(loop, "peer", MB_CONTROL, true);
+	Node fresh(loop, "fresh", MB_CONTROL, true);
+	mb_member lost = Member(MB_CONTROL, "lost", "far", 12, 9);
+
+	peer.Platform(5, "v5");
+	Until([&] { return peer.IsTrusted(); });
+	lost.state = MB_DEAD;
+	mb_hear(&fresh.members, &lost, ck_now_ms());
+	fresh.Hear(peer);
+	Until([&] { return fresh.Revision() == 5; });
+	RunFor(1500);
+	EXPECT_FALSE(fresh.IsTrusted());
+	EXPECT_EQ(cr_highest_heard(&fresh.members), 12u);
+	peer.Platform(12, "v12");
+	Until([&] { return peer.Revision() == 12; });
+	fresh.Hear(peer);
+	Until([&] { return fresh.IsTrusted(); });
+}
+
+// All control processes have restarted and the platform is down.
+TEST_F(Replica, AnEntryThatServesItGivesTheNewestBack)
+{
+	Node entry(loop, "h", MB_ENTRY, true);
+	Node control(loop, "h", MB_CONTROL, true);
+
+	entry.Platform(9, "v9");
+	Until([&] { return entry.Revision() == 9; });
+	control.Hear(entry, MB_ENTRY);
+	Until([&] { return control.Revision() == 9; });
+}
+
+TEST_F(Replica, TheHostListSpreadsOnceForEachContent)
+{
+	Node control(loop, "h", MB_CONTROL, true);
+	Node entry(loop, "h", MB_ENTRY, false);
+
+	entry.Hear(control);
+	control.Hosts({ "e1", "e2" });
+	Until([&] { return entry.lists == 1; });
+	EXPECT_EQ(entry.listed, (std::vector<std::string>{ "e1", "e2" }));
+	control.Hosts({ "e1", "e2" });
+	RunFor(1500);
+	EXPECT_EQ(entry.lists, 1);
+	EXPECT_LT(cr_hosts_age_ms(&entry.cr, ck_now_ms()), 15000);
+	control.Hosts({ "e1" });
+	Until([&] { return entry.lists == 2; });
+	EXPECT_EQ(entry.listed, (std::vector<std::string>{ "e1" }));
+}
+
+TEST(ReplicaSource, NearAndControlFirstAndFailedOnesLater)
+{
+	struct Case {
+		const char *what;
+		std::vector<mb_member> members;
+		std::vector<const char *> failed;
+		const char *expected;
+	} cases[] = {
+		{ "nobody is newer",
+		  { Member(MB_CONTROL, "h", "z", 5) },
+		  {},
+		  nullptr },
+		{ "own host first",
+		  { Member(MB_CONTROL, "a", "z", 9),
+		    Member(MB_CONTROL, "h", "z", 9) },
+		  {},
+		  "h" },
+		{ "own zone before another",
+		  { Member(MB_CONTROL, "a", "far", 9),
+		    Member(MB_CONTROL, "b", "z", 9) },
+		  {},
+		  "b" },
+		{ "control of another zone before an own entry",
+		  { Member(MB_CONTROL, "a", "far", 9),
+		    Member(MB_ENTRY, "h", "z", 9) },
+		  {},
+		  "a" },
+		{ "a failed one waits",
+		  { Member(MB_CONTROL, "a", "far", 9),
+		    Member(MB_CONTROL, "h", "z", 9) },
+		  { "h" },
+		  "a" },
+		{ "all failed",
+		  { Member(MB_CONTROL, "h", "z", 9) },
+		  { "h" },
+		  nullptr },
+	};
+
+	for (const auto &c : cases) {
+		mb_table table;
+		mb_desc desc = {};
+		cr_sources sources;
+
+		mb_init(&table, &desc);
+		cr_sources_init(&sources, "h", "z", "r");
+		for (const auto &m : c.members)
+			mb_hear(&table, &m, 1000);
+		for (const char *name : c.failed)
+			cr_source_failed(&sources, MB_CONTROL, name, 1000);
+		const mb_member *m =
+			cr_source_newer(&sources, &table, 5, 3, 1001);
+		EXPECT_STREQ(m ? m->name : nullptr, c.expected) << c.what;
+		m = cr_source_newer(&sources, &table, 5, 3,
+				    1000 + CR_FIRST_BACKOFF_MS);
+		EXPECT_EQ(m != nullptr, !c.failed.empty() || c.expected)
+			<< c.what;
+		cr_sources_finish(&sources);
+		mb_finish(&table);
+	}
+}
+
+} // namespace
