--- /dev/null
+++ b/src/limits/ps.c
@@ -0,0 +1,376 @@
+#include "limits/ps.h"
+
+#include <xxhash.h>
+
+/* A crash; @at_ms is when the news of it came. */
+struct _ps_crash {
+	uint64_t engine;
+	uint64_t incarnation;
+	int64_t at_ms;
+};
+
+/* A fingerprint that was running at some crash. */
+struct _ps_suspect {
+	uint64_t fingerprint;
+	struct _ps_crash crashes[PS_MAX_CRASHES];
+	uint32_t count;
+	int64_t last_ms;
+	int64_t cleared_ms;
+};
+
+/* An attempt that runs, or broke at @broken_ms. */
+struct _ps_run {
+	uint64_t fingerprint;
+	uint64_t engine;
+	uint64_t incarnation;
+	int64_t broken_ms;
+	bool is_broken;
+};
+
+void ps_init(struct ps_table *table)
+{
+	table->_suspects = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						 NULL, g_free);
+	table->_runs = g_array_new(FALSE, FALSE, sizeof(struct _ps_run));
+}
+
+void ps_finish(struct ps_table *table)
+{
+	g_hash_table_destroy(table->_suspects);
+	g_array_free(table->_runs, TRUE);
+}
+
+uint64_t ps_fingerprint(const struct px_chain *chain, const void *tail,
+			uint64_t tail_bytes, const void *params,
+			uint64_t params_bytes)
+{
+	uint64_t key = chain->count ? chain->keys[chain->count - 1] : 0;
+
+	key = XXH3_64bits_withSeed(tail, tail_bytes, key ^ chain->bytes);
+	return XXH3_64bits_withSeed(params, params_bytes, key);
+}
+
+static struct _ps_run *ps_run_at(const struct ps_table *table, uint32_t i)
+{
+	return &g_array_index(table->_runs, struct _ps_run, i);
+}
+
+static bool ps_was_at(const struct _ps_suspect *suspect,
+		      const struct _ps_crash *crash)
+{
+	for (uint32_t i = 0; i < suspect->count; i++) {
+		if (suspect->crashes[i].engine == crash->engine &&
+		    suspect->crashes[i].incarnation == crash->incarnation)
+			return true;
+	}
+	return false;
+}
+
+/* Whether @other explains all crashes of @suspect as well. */
+static bool ps_is_rival(const struct _ps_suspect *suspect,
+			const struct _ps_suspect *other)
+{
+	if (other == suspect || other->count < suspect->count)
+		return false;
+	for (uint32_t i = 0; i < suspect->count; i++) {
+		if (!ps_was_at(other, &suspect->crashes[i]))
+			return false;
+	}
+	return true;
+}
+
+static bool ps_has_rival(const struct ps_table *table,
+			 const struct _ps_suspect *suspect)
+{
+	GHashTableIter iter;
+	gpointer other;
+
+	g_hash_table_iter_init(&iter, table->_suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &other)) {
+		if (ps_is_rival(suspect, other))
+			return true;
+	}
+	return false;
+}
+
+static void ps_drop_oldest(struct ps_table *table)
+{
+	struct _ps_suspect *oldest = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->_suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct _ps_suspect *s = value;
+
+		if (!oldest || s->count < oldest->count ||
+		    (s->count == oldest->count && s->last_ms < oldest->last_ms))
+			oldest = s;
+	}
+	if (oldest)
+		g_hash_table_remove(table->_suspects, &oldest->fingerprint);
+}
+
+static struct _ps_suspect *ps_suspect(struct ps_table *table,
+				      uint64_t fingerprint)
+{
+	struct _ps_suspect *s =
+		g_hash_table_lookup(table->_suspects, &fingerprint);
+
+	if (s)
+		return s;
+	if (g_hash_table_size(table->_suspects) >= PS_MAX_SUSPECTS)
+		ps_drop_oldest(table);
+	s = g_new0(struct _ps_suspect, 1);
+	s->fingerprint = fingerprint;
+	s->cleared_ms = INT64_MIN;
+	g_hash_table_insert(table->_suspects, &s->fingerprint, s);
+	return s;
+}
+
+/* Returns whether the charge is new. */
+static bool ps_charge(struct ps_table *table, uint64_t fingerprint,
+		      const struct _ps_crash *crash)
+{
+	struct _ps_suspect *s = ps_suspect(table, fingerprint);
+
+	if (crash->at_ms < s->cleared_ms || ps_was_at(s, crash) ||
+	    s->count == PS_MAX_CRASHES)
+		return false;
+	s->crashes[s->count++] = *crash;
+	if (crash->at_ms > s->last_ms)
+		s->last_ms = crash->at_ms;
+	return true;
+}
+
+/* What came before a complete answer does not speak against the request. */
+static bool ps_clear(struct ps_table *table, uint64_t fingerprint,
+		     int64_t at_ms)
+{
+	struct _ps_suspect *s =
+		g_hash_table_lookup(table->_suspects, &fingerprint);
+	uint32_t kept = 0, before;
+
+	if (!s)
+		return false;
+	before = s->count;
+	for (uint32_t i = 0; i < s->count; i++) {
+		if (s->crashes[i].at_ms > at_ms)
+			s->crashes[kept++] = s->crashes[i];
+	}
+	s->count = kept;
+	if (at_ms > s->cleared_ms)
+		s->cleared_ms = at_ms;
+	return kept < before;
+}
+
+/* Engines on which it broke of late, of which no crash is known (yet). */
+static uint32_t ps_broken(const struct ps_table *table, uint64_t fingerprint,
+			  const struct _ps_suspect *suspect, int64_t now_ms,
+			  int64_t *last_ms)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < table->_runs->len; i++) {
+		const struct _ps_run *run = ps_run_at(table, i);
+		struct _ps_crash crash = { run->engine, run->incarnation, 0 };
+
+		if (run->fingerprint != fingerprint || !run->is_broken ||
+		    now_ms - run->broken_ms > PS_HOLD_MS)
+			continue;
+		if (suspect && ps_was_at(suspect, &crash))
+			continue;
+		if (count++ == 0 || run->broken_ms > *last_ms)
+			*last_ms = run->broken_ms;
+	}
+	return count;
+}
+
+/* A suspect runs once at a time, so that it does not take several engines. */
+static bool ps_is_running(const struct ps_table *table, uint64_t fingerprint)
+{
+	for (uint32_t i = 0; i < table->_runs->len; i++) {
+		const struct _ps_run *run = ps_run_at(table, i);
+
+		if (run->fingerprint == fingerprint && !run->is_broken)
+			return true;
+	}
+	return false;
+}
+
+static bool ps_is_expired(const struct _ps_suspect *suspect, int64_t now_ms)
+{
+	return now_ms - suspect->last_ms > PS_EXPIRE_MS;
+}
+
+static struct _ps_suspect *ps_current(struct ps_table *table,
+				      uint64_t fingerprint, int64_t now_ms)
+{
+	struct _ps_suspect *s =
+		g_hash_table_lookup(table->_suspects, &fingerprint);
+
+	if (!s || !ps_is_expired(s, now_ms))
+		return s;
+	g_hash_table_remove(table->_suspects, &fingerprint);
+	return NULL;
+}
+
+static struct ps_answer ps_hold(int64_t left_ms)
+{
+	return (struct ps_answer){ PS_HOLD,
+				   left_ms > 0 ? (uint32_t)left_ms : 1 };
+}
+
+struct ps_answer ps_check(struct ps_table *table, uint64_t fingerprint,
+			  int64_t now_ms)
+{
+	struct _ps_suspect *s = ps_current(table, fingerprint, now_ms);
+	uint32_t crashes = s ? s->count : 0;
+	int64_t last_ms = now_ms;
+	uint32_t broken = ps_broken(table, fingerprint, s, now_ms, &last_ms);
+	bool has_rival = crashes == PS_POISON_CRASHES && ps_has_rival(table, s);
+
+	if (crashes >= PS_POISON_CRASHES && !has_rival) {
+		/* Kept for as long as it is sent again. */
+		s->last_ms = now_ms;
+		return (struct ps_answer){ PS_REFUSE, 0 };
+	}
+	if (crashes + broken == 0)
+		return (struct ps_answer){ PS_RUN, 0 };
+	if (ps_is_running(table, fingerprint))
+		return (struct ps_answer){ PS_HOLD, PS_RUNNING_RETRY_MS };
+	if (has_rival && broken == 0)
+		return (struct ps_answer){ PS_APART, 0 };
+	if (crashes + broken >= PS_POISON_CRASHES)
+		return ps_hold(last_ms + PS_HOLD_MS - now_ms);
+	return (struct ps_answer){ PS_RUN, 0 };
+}
+
+uint32_t ps_avoid(const struct ps_table *table, uint64_t fingerprint,
+		  uint64_t *engines, uint32_t capacity)
+{
+	const struct _ps_suspect *s =
+		g_hash_table_lookup(table->_suspects, &fingerprint);
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; s && i < table->_runs->len; i++) {
+		const struct _ps_run *run = ps_run_at(table, i);
+		const struct _ps_suspect *other = g_hash_table_lookup(
+			table->_suspects, &run->fingerprint);
+
+		if (run->is_broken || !other || !ps_is_rival(s, other))
+			continue;
+		if (count < capacity)
+			engines[count++] = run->engine;
+	}
+	return count;
+}
+
+void ps_started(struct ps_table *table, uint64_t fingerprint, uint64_t engine,
+		uint64_t incarnation, int64_t now_ms)
+{
+	struct _ps_run run = { fingerprint, engine, incarnation, 0, false };
+
+	if (table->_runs->len >= PS_MAX_RUNS)
+		ps_expire(table, now_ms);
+	if (table->_runs->len < PS_MAX_RUNS)
+		g_array_append_val(table->_runs, run);
+}
+
+static struct _ps_run *ps_find_run(const struct ps_table *table,
+				   uint64_t fingerprint, uint64_t engine,
+				   uint64_t incarnation, uint32_t *at)
+{
+	for (*at = 0; *at < table->_runs->len; (*at)++) {
+		struct _ps_run *run = ps_run_at(table, *at);
+
+		if (run->fingerprint == fingerprint && run->engine == engine &&
+		    run->incarnation == incarnation && !run->is_broken)
+			return run;
+	}
+	return NULL;
+}
+
+static void ps_forget_broken(struct ps_table *table, uint64_t fingerprint)
+{
+	for (uint32_t i = table->_runs->len; i-- > 0;) {
+		const struct _ps_run *run = ps_run_at(table, i);
+
+		if (run->fingerprint == fingerprint && run->is_broken)
+			g_array_remove_index_fast(table->_runs, i);
+	}
+}
+
+bool ps_ended(struct ps_table *table, uint64_t fingerprint, uint64_t engine,
+	      uint64_t incarnation, enum ps_end end, int64_t now_ms)
+{
+	uint32_t at;
+	struct _ps_run *run =
+		ps_find_run(table, fingerprint, engine, incarnation, &at);
+
+	if (run && end == PS_BROKEN) {
+		run->is_broken = true;
+		run->broken_ms = now_ms;
+		return false;
+	}
+	if (run)
+		g_array_remove_index_fast(table->_runs, at);
+	if (end != PS_COMPLETED)
+		return false;
+	ps_forget_broken(table, fingerprint);
+	return ps_clear(table, fingerprint, now_ms);
+}
+
+uint32_t ps_crashed(struct ps_table *table, uint64_t engine,
+		    uint64_t incarnation, uint64_t *charged, uint32_t capacity,
+		    int64_t now_ms)
+{
+	struct _ps_crash crash = { engine, incarnation, now_ms };
+	uint32_t count = 0;
+
+	for (uint32_t i = table->_runs->len; i-- > 0;) {
+		struct _ps_run run = *ps_run_at(table, i);
+
+		if (run.engine != engine || run.incarnation != incarnation)
+			continue;
+		g_array_remove_index_fast(table->_runs, i);
+		if (run.is_broken && now_ms - run.broken_ms > PS_BROKEN_KEPT_MS)
+			continue;
+		if (ps_charge(table, run.fingerprint, &crash) &&
+		    count < capacity)
+			charged[count++] = run.fingerprint;
+	}
+	return count;
+}
+
+void ps_peer(struct ps_table *table, uint64_t fingerprint, uint64_t engine,
+	     uint64_t incarnation, int64_t age_ms, int64_t now_ms)
+{
+	struct _ps_crash crash = { engine, incarnation, now_ms - age_ms };
+
+	if (engine == 0)
+		ps_clear(table, fingerprint, crash.at_ms);
+	else if (age_ms <= PS_EXPIRE_MS)
+		ps_charge(table, fingerprint, &crash);
+}
+
+void ps_expire(struct ps_table *table, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->_suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct _ps_suspect *s = value;
+
+		if (ps_is_expired(s, now_ms))
+			g_hash_table_iter_remove(&iter);
+	}
+	for (uint32_t i = table->_runs->len; i-- > 0;) {
+		const struct _ps_run *run = ps_run_at(table, i);
+
+		if (run->is_broken &&
+		    now_ms - run->broken_ms > PS_BROKEN_KEPT_MS)
+			g_array_remove_index_fast(table->_runs, i);
+	}
+}
--- /dev/null
+++ b/src/limits/ps.h
@@ -0,0 +1,130 @@
+/*
+ * ps - requests that crash the engines which run them.
+ *
+ * Overview
+ *	A request is known by a fingerprint of its content, so it is recognized
+ *	when its caller sends it again, to any entry. A fingerprint is charged
+ *	with a crash only if it was running on that incarnation of the engine,
+ *	or its connection to it broke shortly before.
+ *
+ *	Several requests may run at a crash. One of them is held to be the
+ *	cause once it was present at crashes of two incarnations and no other
+ *	one was present at all the same crashes. As long as there is such a
+ *	rival, it may be tried once more, apart from its rivals. A request that
+ *	completes is cleared of what came before.
+ *
+ *	A broken connection is no proof of a crash. After two of them on
+ *	different engines a request is held back until it is known whether the
+ *	engines crashed.
+ *
+ *	What an entry charges it tells its peers (BP_POISON), and also what it
+ *	cleared, as a report without engine. The tables are bounded, and old
+ *	charges expire.
+ *
+ * Use
+ *	fingerprint = ps_fingerprint(&chain, tail, tail_bytes, params, n);
+ *	answer = ps_check(&table, fingerprint, now_ms);
+ *	ps_started(&table, fingerprint, engine, incarnation, now_ms);
+ *	ps_ended(&table, fingerprint, engine, incarnation, PS_BROKEN, now_ms);
+ *	...when the engine is known to have restarted or died:
+ *	n = ps_crashed(&table, engine, incarnation, charged, 64, now_ms);
+ */
+#ifndef PS_H
+#define PS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "prefix/px.h"
+
+#define PS_MAX_SUSPECTS	  4096
+#define PS_MAX_RUNS	  16384
+#define PS_MAX_CRASHES	  4
+#define PS_POISON_CRASHES 2
+#define PS_EXPIRE_MS	  1800000
+/** How long a broken connection may precede the news of the crash. */
+#define PS_BROKEN_KEPT_MS 60000
+/** Longer than membership takes to tell that an engine is dead. */
+#define PS_HOLD_MS	    7000
+#define PS_RUNNING_RETRY_MS 1000
+
+/**
+ * enum ps_verdict - what may be done with a request.
+ * @PS_RUN: run it.
+ * @PS_APART: run it, but on none of the engines of ps_avoid().
+ * @PS_HOLD: refuse it for a short time.
+ * @PS_REFUSE: refuse it; it crashes engines.
+ */
+enum ps_verdict { PS_RUN = 0, PS_APART, PS_HOLD, PS_REFUSE };
+
+/** struct ps_answer - @retry_after_ms: 0 if trying again is of no use. */
+struct ps_answer {
+	enum ps_verdict verdict;
+	uint32_t retry_after_ms;
+};
+
+/**
+ * enum ps_end - how an attempt ended.
+ * @PS_COMPLETED: the engine answered in full.
+ * @PS_BROKEN: the connection to the engine failed.
+ * @PS_CANCELLED: given up by this side; says nothing.
+ */
+enum ps_end { PS_COMPLETED = 0, PS_BROKEN, PS_CANCELLED };
+
+struct ps_table {
+	GHashTable *_suspects;
+	GArray *_runs;
+};
+
+void ps_init(struct ps_table *table);
+void ps_finish(struct ps_table *table);
+
+/**
+ * ps_fingerprint() - of a request's content.
+ * @chain: of the prompt.
+ * @tail: what follows the chain's whole pieces.
+ * @params: those parameters that change what the engine does, as text.
+ */
+uint64_t ps_fingerprint(const struct px_chain *chain, const void *tail,
+			uint64_t tail_bytes, const void *params,
+			uint64_t params_bytes);
+
+/** ps_check() - before every attempt. */
+struct ps_answer ps_check(struct ps_table *table, uint64_t fingerprint,
+			  int64_t now_ms);
+
+/** ps_avoid() - engines on which rivals of @fingerprint run now. */
+uint32_t ps_avoid(const struct ps_table *table, uint64_t fingerprint,
+		  uint64_t *engines, uint32_t capacity);
+
+void ps_started(struct ps_table *table, uint64_t fingerprint, uint64_t engine,
+		uint64_t incarnation, int64_t now_ms);
+
+/**
+ * ps_ended() - an attempt ended.
+ *
+ * Return: whether it was under suspicion and is cleared now: to be told to
+ * the peers as a report with engine and incarnation 0.
+ */
+bool ps_ended(struct ps_table *table, uint64_t fingerprint, uint64_t engine,
+	      uint64_t incarnation, enum ps_end end, int64_t now_ms);
+
+/**
+ * ps_crashed() - an incarnation of an engine is known to have ended.
+ * @charged: fingerprints to be told to the peers.
+ *
+ * Return: their number, @capacity at most.
+ */
+uint32_t ps_crashed(struct ps_table *table, uint64_t engine,
+		    uint64_t incarnation, uint64_t *charged, uint32_t capacity,
+		    int64_t now_ms);
+
+/** ps_peer() - a peer charged a fingerprint, or cleared it (engine 0). */
+void ps_peer(struct ps_table *table, uint64_t fingerprint, uint64_t engine,
+	     uint64_t incarnation, int64_t age_ms, int64_t now_ms);
+
+/** ps_expire() - drop what is old; call about once a minute. */
+void ps_expire(struct ps_table *table, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/tests/unit/poison_test.cc
@@ -0,0 +1,318 @@
+// Requests that crash engines: who is charged, and who is refused.
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "limits/ps.h"
+}
+
+namespace
+{
+
+const int64_t now = 1000000;
+
+// A step: '+' fingerprint starts on engine, '-' completes, '!' breaks,
+// '/' cancelled, 'x' the engine's incarnation is known to have crashed,
+// 'p' a peer charges fingerprint with engine, 'c' a peer cleared it,
+// 'w' wait for that many seconds.
+struct Step {
+	char what;
+	uint64_t fingerprint;
+	uint64_t engine;
+};
+
+struct PoisonCase {
+	const char *what;
+	std::vector<Step> steps;
+	uint64_t asked;
+	enum ps_verdict verdict;
+};
+
+const PoisonCase cases[] = {
+	{ "unknown", {}, 1, PS_RUN },
+	{ "one crash is no proof",
+	  { { '+', 1, 1 }, { 'x', 0, 1 } },
+	  1,
+	  PS_RUN },
+	{ "two crashes, alone",
+	  { { '+', 1, 1 }, { 'x', 0, 1 }, { '+', 1, 2 }, { 'x', 0, 2 } },
+	  1,
+	  PS_REFUSE },
+	{ "the connection broke before the news",
+	  { { '+', 1, 1 },
+	    { '!', 1, 1 },
+	    { 'x', 0, 1 },
+	    { '+', 1, 2 },
+	    { '!', 1, 2 },
+	    { 'x', 0, 2 } },
+	  1,
+	  PS_REFUSE },
+	{ "two connections that broke are no crash yet",
+	  { { '+', 1, 1 }, { '!', 1, 1 }, { '+', 1, 2 }, { '!', 1, 2 } },
+	  1,
+	  PS_HOLD },
+	{ "and never become one without news",
+	  { { '+', 1, 1 },
+	    { '!', 1, 1 },
+	    { '+', 1, 2 },
+	    { '!', 1, 2 },
+	    { 'w', 0, 8 } },
+	  1,
+	  PS_RUN },
+	{ "it had ended when the engine crashed",
+	  { { '+', 1, 1 },
+	    { '-', 1, 1 },
+	    { 'x', 0, 1 },
+	    { '+', 1, 2 },
+	    { '/', 1, 2 },
+	    { 'x', 0, 2 } },
+	  1,
+	  PS_RUN },
+	{ "it ran on other engines than those that crashed",
+	  { { '+', 1, 3 }, { 'x', 0, 1 }, { 'x', 0, 2 } },
+	  1,
+	  PS_RUN },
+	{ "a crash told twice counts once",
+	  { { '+', 1, 1 }, { 'x', 0, 1 }, { 'p', 1, 1 }, { 'p', 1, 1 } },
+	  1,
+	  PS_RUN },
+	{ "a bystander of one crash",
+	  { { '+', 1, 1 },
+	    { '+', 2, 1 },
+	    { 'x', 0, 1 },
+	    { '+', 1, 2 },
+	    { 'x', 0, 2 } },
+	  2,
+	  PS_RUN },
+	{ "the one at both is singled out",
+	  { { '+', 1, 1 },
+	    { '+', 2, 1 },
+	    { 'x', 0, 1 },
+	    { '+', 1, 2 },
+	    { '+', 3, 2 },
+	    { 'x', 0, 2 } },
+	  1,
+	  PS_REFUSE },
+	{ "two at both crashes: tried apart",
+	  { { '+', 1, 1 },
+	    { '+', 2, 1 },
+	    { 'x', 0, 1 },
+	    { '+', 1, 2 },
+	    { '+', 2, 2 },
+	    { 'x', 0, 2 } },
+	  1,
+	  PS_APART },
+	{ "apart, the one of them that crashes a third engine",
+	  { { '+', 1, 1 },
+	    { '+', 2, 1 },
+	    { 'x', 0, 1 },
+	    { '+', 1, 2 },
+	    { '+', 2, 2 },
+	    { 'x', 0, 2 },
+	    { '+', 1, 3 },
+	    { 'x', 0, 3 } },
+	  1,
+	  PS_REFUSE },
+	{ "apart, the one that completes",
+	  { { '+', 1, 1 },
+	    { '+', 2, 1 },
+	    { 'x', 0, 1 },
+	    { '+', 1, 2 },
+	    { '+', 2, 2 },
+	    { 'x', 0, 2 },
+	    { '+', 2, 3 },
+	    { '-', 2, 3 } },
+	  2,
+	  PS_RUN },
+	{ "which leaves the other as the cause",
+	  { { '+', 1, 1 },
+	    { '+', 2, 1 },
+	    { 'x', 0, 1 },
+	    { '+', 1, 2 },
+	    { '+', 2, 2 },
+	    { 'x', 0, 2 },
+	    { '+', 2, 3 },
+	    { '-', 2, 3 } },
+	  1,
+	  PS_REFUSE },
+	{ "completed elsewhere before the news of the crash",
+	  { { '+', 1, 1 },
+	    { '!', 1, 1 },
+	    { '+', 1, 2 },
+	    { '-', 1, 2 },
+	    { 'x', 0, 1 },
+	    { '+', 1, 3 },
+	    { 'x', 0, 3 } },
+	  1,
+	  PS_RUN },
+	{ "learned from peers",
+	  { { 'p', 1, 1 }, { 'p', 1, 2 } },
+	  1,
+	  PS_REFUSE },
+	{ "half of it from a peer",
+	  { { '+', 1, 1 }, { 'x', 0, 1 }, { 'p', 1, 2 } },
+	  1,
+	  PS_REFUSE },
+	{ "a peer saw it complete",
+	  { { 'p', 1, 1 }, { 'w', 0, 1 }, { 'c', 1, 0 }, { 'p', 1, 2 } },
+	  1,
+	  PS_RUN },
+	{ "a suspect runs once at a time",
+	  { { '+', 1, 1 }, { 'x', 0, 1 }, { '+', 1, 2 } },
+	  1,
+	  PS_HOLD },
+	{ "charges expire",
+	  { { 'p', 1, 1 }, { 'p', 1, 2 }, { 'w', 0, 1801 } },
+	  1,
+	  PS_RUN },
+};
+
+void run(struct ps_table *table, const std::vector<Step> &steps, int64_t *at)
+{
+	uint64_t charged[64];
+
+	for (const Step &s : steps) {
+		switch (s.what) {
+		case '+':
+			ps_started(table, s.fingerprint, s.engine, 1, *at);
+			break;
+		case '-':
+			ps_ended(table, s.fingerprint, s.engine, 1,
+				 PS_COMPLETED, *at);
+			break;
+		case '!':
+			ps_ended(table, s.fingerprint, s.engine, 1, PS_BROKEN,
+				 *at);
+			break;
+		case '/':
+			ps_ended(table, s.fingerprint, s.engine, 1,
+				 PS_CANCELLED, *at);
+			break;
+		case 'x':
+			ps_crashed(table, s.engine, 1, charged, 64, *at);
+			break;
+		case 'p':
+			ps_peer(table, s.fingerprint, s.engine, 1, 0, *at);
+			break;
+		case 'c':
+			ps_peer(table, s.fingerprint, 0, 0, 0, *at);
+			break;
+		case 'w':
+			*at += (int64_t)s.engine * 1000;
+			break;
+		default:
+			FAIL() << s.what;
+		}
+		*at += 10;
+	}
+}
+
+TEST(Poison, ChargedOnlyForCrashesItWasRunningAt)
+{
+	for (const PoisonCase &c : cases) {
+		struct ps_table table;
+		int64_t at = now;
+
+		ps_init(&table);
+		run(&table, c.steps, &at);
+		EXPECT_EQ(ps_check(&table, c.asked, at).verdict, c.verdict)
+			<< c.what;
+		ps_finish(&table);
+	}
+}
+
+TEST(Poison, RivalsAreKeptApart)
+{
+	struct ps_table table;
+	int64_t at = now;
+	uint64_t engines[4];
+
+	ps_init(&table);
+	run(&table,
+	    { { '+', 1, 1 },
+	      { '+', 2, 1 },
+	      { 'x', 0, 1 },
+	      { '+', 1, 2 },
+	      { '+', 2, 2 },
+	      { 'x', 0, 2 },
+	      { '+', 9, 4 },
+	      { '+', 2, 3 } },
+	    &at);
+	ASSERT_EQ(ps_avoid(&table, 1, engines, 4), 1u);
+	EXPECT_EQ(engines[0], 3u);
+	ps_finish(&table);
+}
+
+TEST(Poison, AnotherIncarnationOfTheEngineIsAnotherCrash)
+{
+	struct ps_table table;
+	uint64_t charged[4];
+
+	ps_init(&table);
+	for (uint64_t incarnation = 1; incarnation <= 2; incarnation++) {
+		ps_started(&table, 5, 1, incarnation, now);
+		EXPECT_EQ(ps_crashed(&table, 1, 99, charged, 4, now), 0u);
+		ASSERT_EQ(ps_crashed(&table, 1, incarnation, charged, 4, now),
+			  1u);
+		EXPECT_EQ(charged[0], 5u);
+	}
+	EXPECT_EQ(ps_check(&table, 5, now).verdict, PS_REFUSE);
+	ps_finish(&table);
+}
+
+// A flood of single suspects must not push out one that is proven.
+TEST(Poison, TheTableIsBoundedAndKeepsTheProven)
+{
+	struct ps_table table;
+
+	ps_init(&table);
+	ps_peer(&table, 7, 1, 1, 0, now);
+	ps_peer(&table, 7, 2, 1, 0, now);
+	for (uint64_t i = 0; i < PS_MAX_SUSPECTS + 100; i++)
+		ps_peer(&table, 1000 + i, 3, i, 0, now + (int64_t)i);
+	EXPECT_LE(g_hash_table_size(table._suspects), (guint)PS_MAX_SUSPECTS);
+	EXPECT_EQ(ps_check(&table, 7, now).verdict, PS_REFUSE);
+	ps_expire(&table, now + 2 * PS_EXPIRE_MS + 10000);
+	EXPECT_EQ(g_hash_table_size(table._suspects), 0u);
+	ps_finish(&table);
+}
+
+TEST(Poison, FingerprintsAreOfContent)
+{
+	std::string text(3 * PX_CHUNK_BYTES + 100, 'a');
+	struct {
+		const char *what;
+		uint64_t salt;
+		char last, first;
+		const char *params;
+		bool is_same;
+	} contents[] = {
+		{ "sent again", 1, 'a', 'a', "{\"max_tokens\":5}", true },
+		{ "another tail", 1, 'b', 'a', "{\"max_tokens\":5}", false },
+		{ "another start", 1, 'a', 'b', "{\"max_tokens\":5}", false },
+		{ "other parameters", 1, 'a', 'a', "{}", false },
+		{ "another team or weights", 2, 'a', 'a', "{\"max_tokens\":5}",
+		  false },
+	};
+	uint64_t first = 0;
+
+	for (auto &c : contents) {
+		struct px_chain chain;
+		std::string t = text;
+
+		t.back() = c.last;
+		t.front() = c.first;
+		px_chain_make(&chain, c.salt, t.data(), t.size());
+		uint64_t tail = (uint64_t)chain.count * PX_CHUNK_BYTES;
+		uint64_t fingerprint =
+			ps_fingerprint(&chain, t.data() + tail, t.size() - tail,
+				       c.params, strlen(c.params));
+		first = first ? first : fingerprint;
+		EXPECT_EQ(fingerprint == first, c.is_same) << c.what;
+	}
+}
+
+} // namespace
