--- a/tests/harness/http.cc
+++ b/tests/harness/http.cc
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 
-#include "../standin/sa_answer.h"
+#include "bench/bench_answer.h"
 
 namespace harness
 {
@@ -165,14 +165,14 @@
 std::string expected_text(const std::string &prompt, const std::string &model,
 			  const std::string &version, uint32_t tokens)
 {
-	uint64_t seed = sa_answer_seed(prompt.data(), prompt.size(),
-				       model.c_str(), version.c_str());
+	uint64_t seed = bench_answer_seed(prompt.data(), prompt.size(),
+					  model.c_str(), version.c_str());
 	std::string text;
 
 	for (uint32_t i = 0; i < tokens; i++) {
-		char token[SA_TOKEN_BYTES + 1];
+		char token[BENCH_TOKEN_BYTES + 1];
 
-		sa_answer_token(seed, i, token);
+		bench_answer_token(seed, i, token);
 		text += token;
 	}
 	return text;
--- a/tests/standin/sa_run.c
+++ b/tests/standin/sa_run.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "sa_answer.h"
+#include "bench/bench_answer.h"
 #include "sa_engine.h"
 
 #define SA_DEFAULT_MAX_TOKENS 16
@@ -20,8 +20,8 @@
 
 static uint64_t sa_run_cache_seed(const struct sa_run *run)
 {
-	return sa_answer_seed(run->salt, strlen(run->salt), run->model,
-			      run->version);
+	return bench_answer_seed(run->salt, strlen(run->salt), run->model,
+				 run->version);
 }
 
 /* "content" is a text, or a list of parts of which the texts count. */
@@ -64,12 +64,12 @@
 			       ? sa_run_chat_prompt(sa_member(body, "messages"))
 			       : g_strdup(sa_text(body, "prompt", ""));
 
-	run->answer_seed = sa_answer_seed(prompt, strlen(prompt), run->model,
-					  run->version);
-	run->answered_tokens = (uint32_t)(strlen(so_far) / SA_TOKEN_BYTES);
+	run->answer_seed = bench_answer_seed(prompt, strlen(prompt), run->model,
+					     run->version);
+	run->answered_tokens = (uint32_t)(strlen(so_far) / BENCH_TOKEN_BYTES);
 	run->prompt = g_strconcat(prompt, so_far, NULL);
 	run->prompt_bytes = strlen(run->prompt);
-	run->prompt_hash = sa_answer_seed(prompt, strlen(prompt), "", "");
+	run->prompt_hash = bench_answer_seed(prompt, strlen(prompt), "", "");
 	g_free(prompt);
 }
 
@@ -211,11 +211,11 @@
 
 static void sa_run_next_token(struct sa_run *run)
 {
-	char token[SA_TOKEN_BYTES + 1];
+	char token[BENCH_TOKEN_BYTES + 1];
 	bool is_last;
 
-	sa_answer_token(run->answer_seed,
-			run->answered_tokens + run->produced_tokens, token);
+	bench_answer_token(run->answer_seed,
+			   run->answered_tokens + run->produced_tokens, token);
 	run->produced_tokens++;
 	is_last = run->produced_tokens >= run->max_tokens;
 	sa_stream_token(run, token, is_last);
