--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -77,6 +77,7 @@
 	ev_signal_init(&on_term, sa_on_signal, SIGTERM);
 	ev_signal_start(world.loop, &on_term);
 	sa_print_ready(&world);
+	json_object_put(file);
 	ev_run(world.loop, 0);
 	return 0;
 }
