--- a/src/kernel/kn.c
+++ b/src/kernel/kn.c
@@ -141,12 +141,17 @@
 	kernel->_generations[i]++;
 }
 
-void kn_finish(struct kn_kernel *kernel)
+void kn_stop_all(struct kn_kernel *kernel)
 {
 	for (uint32_t i = KN_MAX_TASKS; i-- > 0;)
 		kn_stop_slot(kernel, i);
 	while (kernel->_queue_length)
 		kn_deliver_one(kernel);
+}
+
+void kn_finish(struct kn_kernel *kernel)
+{
+	kn_stop_all(kernel);
 	ev_prepare_stop(kernel->loop, &kernel->_deliver);
 	ev_idle_stop(kernel->loop, &kernel->_wake);
 	ev_timer_stop(kernel->loop, &kernel->_drain_check);
--- a/src/kernel/kn.h
+++ b/src/kernel/kn.h
@@ -150,7 +150,7 @@
 /** kn_init() - prepare a kernel on memory that the caller owns. */
 enum st_code kn_init(struct kn_kernel *kernel, const struct kn_desc *desc);
 
-/** kn_finish() - stop every task, last spawned first, and free the loop. */
+/** kn_finish() - kn_stop_all(), then free the loop. */
 void kn_finish(struct kn_kernel *kernel);
 
 /**
@@ -165,6 +165,12 @@
 /** kn_stop() - stop one task; messages still queued for it are dropped. */
 void kn_stop(struct kn_kernel *kernel, struct kn_handle handle);
 
+/**
+ * kn_stop_all() - stop every task, last spawned first, and drop what is
+ * queued. The loop is still there, for what the tasks shared.
+ */
+void kn_stop_all(struct kn_kernel *kernel);
+
 /**
  * kn_post() - queue a message; @message is copied, its body handed over.
  *
