upstream: attempts over the link, with one resend of missing chunks

Cause: an attempt must not care whether its engine is reached directly or by a far entry. Ruled out: a third upstream kind, which would repeat the checks of the engine kind. Before: none. After: relay_test, two more cases: whole also after the far side forgot (three runs for three attempts), and an engine that refuses the connection behind the relay is reported as not sent.

--- a/src/upstream/up.c
+++ b/src/upstream/up.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "kernel/kn_registry.h"
+#include "upstream/up_link.h"
 
 #define UP_URL_BYTES	    (UP_PATH_BYTES + 64)
 #define UP_ASIDE_TIMEOUT_MS 2000
@@ -112,15 +113,20 @@
 static void up_on_done(void *arg, const struct hc_result *answer)
 {
 	struct up_attempt *a = arg;
+	struct hc_result result = *answer;
 
 	ev_timer_stop(a->_desc.loop, &a->_fail_later);
-	up_end_attempt(a, answer);
+	if (a->_link && up_link_take(a, &result))
+		return;
+	up_end_attempt(a, &result);
 }
 
 static void up_on_header(void *arg, const char *name, const char *value)
 {
 	struct up_attempt *a = arg;
 
+	if (a->_link)
+		up_link_header(a, name, value);
 	a->_ops->header(a, name, value);
 }
 
@@ -186,6 +192,7 @@
 	if (!a->_ops)
 		return;
 	up_stop(a);
+	up_link_finish(a);
 	sd_finish(&a->_decoder);
 	g_string_free(a->_refusal, TRUE);
 	g_ptr_array_free(a->_headers, TRUE);
@@ -193,24 +200,29 @@
 	memset(a, 0, sizeof(*a));
 }
 
-static void up_make_url(const struct up_attempt *a, const char *path,
+static void up_make_url(uint32_t ipv4, uint16_t port, const char *path,
 			char url[UP_URL_BYTES])
 {
-	uint32_t ip = a->_desc.ipv4;
-
-	g_snprintf(url, UP_URL_BYTES, "http://%u.%u.%u.%u:%u%s", ip >> 24,
-		   ip >> 16 & 0xff, ip >> 8 & 0xff, ip & 0xff, a->_desc.port,
+	g_snprintf(url, UP_URL_BYTES, "http://%u.%u.%u.%u:%u%s", ipv4 >> 24,
+		   ipv4 >> 16 & 0xff, ipv4 >> 8 & 0xff, ipv4 & 0xff, port,
 		   path);
 }
 
 enum st_code up_send(struct up_attempt *a, const struct hc_call_desc *desc,
 		     const char *path, const char *const *headers)
+{
+	return up_send_to(a, desc, a->_desc.ipv4, a->_desc.port, path, headers);
+}
+
+enum st_code up_send_to(struct up_attempt *a, const struct hc_call_desc *desc,
+			uint32_t ipv4, uint16_t port, const char *path,
+			const char *const *headers)
 {
 	struct hc_call_desc call = *desc;
 	char url[UP_URL_BYTES];
 	enum st_code code;
 
-	up_make_url(a, path, url);
+	up_make_url(ipv4, port, path, url);
 	call.url = url;
 	call.headers = headers;
 	call.on_header = up_on_header;
@@ -235,7 +247,7 @@
 				     .fresh_connection = true,
 				     .on_done = up_ignore };
 
-	up_make_url(a, path, url);
+	up_make_url(a->_desc.ipv4, a->_desc.port, path, url);
 	hc_send(a->_desc.client, &call, NULL);
 }
 
@@ -259,8 +271,12 @@
 		g_ptr_array_add(headers, g_strdup(*h));
 	a->_ops->add_headers(a, headers);
 	g_ptr_array_add(headers, NULL);
-	code = up_send(a, &call, desc->path,
-		       (const char *const *)headers->pdata);
+	if (desc->via)
+		code = up_link_start(a, &call, desc->path,
+				     (const char *const *)headers->pdata);
+	else
+		code = up_send(a, &call, desc->path,
+			       (const char *const *)headers->pdata);
 	g_ptr_array_free(headers, TRUE);
 	/* The caller's texts may be gone after this. */
 	a->_desc.body = NULL;
--- a/src/upstream/up.h
+++ b/src/upstream/up.h
@@ -108,6 +108,29 @@
 	const char *message;
 };
 
+struct lk_near;
+struct _up_link;
+
+/**
+ * struct up_via - the far entry that forwards an attempt; outlives it.
+ * @near: near side of the link.
+ * @far: name of the far entry's host.
+ * @far_incarnation: of the far entry.
+ * @ipv4: of the far entry, in host byte order.
+ * @port: of its HTTP server.
+ * @team: name.
+ * @engine: name.
+ */
+struct up_via {
+	struct lk_near *near;
+	const char *far;
+	uint64_t far_incarnation;
+	uint32_t ipv4;
+	uint16_t port;
+	const char *team;
+	const char *engine;
+};
+
 /**
  * struct up_desc - an attempt; zero means default. Texts are copied.
  * @kind: name of the plug-in, required.
@@ -126,6 +149,7 @@
  * @headers: more headers, "Name: value", NULL-terminated; may be NULL.
  * @body: may be NULL; copied by up_start().
  * @body_bytes: its length.
+ * @via: the request goes by the far entry; NULL sends it directly.
  * @first_byte_timeout_ms, @idle_timeout_ms, @total_timeout_ms,
  * @max_answer_bytes: see struct hc_call_desc.
  * @on_event: events of a stream; required with @is_stream.
@@ -149,6 +173,7 @@
 	const char *const *headers;
 	const void *body;
 	uint64_t body_bytes;
+	const struct up_via *via;
 	int64_t first_byte_timeout_ms;
 	int64_t idle_timeout_ms;
 	int64_t total_timeout_ms;
@@ -194,6 +219,7 @@
 	GString *_refusal;
 	GPtrArray *_headers;
 	struct json_object *_json;
+	struct _up_link *_link;
 	bool _is_running;
 	bool _was_sent;
 };
@@ -222,6 +248,11 @@
 enum st_code up_send(struct up_attempt *a, const struct hc_call_desc *desc,
 		     const char *path, const char *const *headers);
 
+/** up_send_to() - the same to another address. */
+enum st_code up_send_to(struct up_attempt *a, const struct hc_call_desc *desc,
+			uint32_t ipv4, uint16_t port, const char *path,
+			const char *const *headers);
+
 /** up_send_aside() - for plug-ins: a call whose answer nobody awaits. */
 void up_send_aside(struct up_attempt *a, const char *method, const char *path);
 
--- a/tests/unit/relay_test.cc
+++ b/tests/unit/relay_test.cc
@@ -10,6 +10,7 @@
 extern "C" {
 #include "kernel/ck.h"
 #include "link/lk_relay.h"
+#include "upstream/up.h"
 }
 
 namespace
@@ -37,6 +38,7 @@
 	struct lk_near near;
 	std::string seen_body, seen_header;
 	bool engine_breaks = false;
+	bool streams = false;
 	int runs = 0;
 
 	void SetUp() override
@@ -103,6 +105,10 @@
 		const char *header = hs_header(x, "X-Request-Id");
 
 		runs++;
+		if (streams) {
+			stream(x, header);
+			return;
+		}
 		seen_body.assign(x->body->str, x->body->len);
 		seen_header = header ? header : "";
 		hs_begin(x, 200, headers);
@@ -112,6 +118,62 @@
 		else
 			hs_end(x);
 	}
+	void stream(struct hs_exchange *x, const char *id)
+	{
+		const struct hs_header headers[] = {
+			{ "X-Weights-Version", "v2" },
+			{ "X-Engine-Incarnation", "5" },
+			{ nullptr, nullptr }
+		};
+		std::string out = "id: 1\ndata: {\"id\": \"cmpl-" +
+				  std::string(id ? id : "") +
+				  "\"}\n\nid: 2\ndata: [DONE]\n\n";
+
+		hs_begin(x, 200, headers);
+		hs_write(x, out.data(), out.size());
+		hs_end(x);
+	}
+	// One streamed attempt over the link.
+	struct up_result attempt(const std::string &body)
+	{
+		struct up_via via = { &near,	     "h9", 1,	INADDR_LOOPBACK,
+				      hs_port(&far), "t",  "e1" };
+		struct up_desc desc = {};
+		struct up_attempt a;
+		struct Seen {
+			struct up_result result;
+			bool is_done = false;
+		} seen;
+
+		streams = true;
+		desc.kind = "engine";
+		desc.loop = loop;
+		desc.client = &client;
+		desc.id = "r7";
+		desc.ipv4 = INADDR_LOOPBACK;
+		desc.port = hs_port(&engine);
+		desc.path = "/v1/completions";
+		desc.weights = "v2";
+		desc.incarnation = 5;
+		desc.is_stream = true;
+		desc.body = body.data();
+		desc.body_bytes = body.size();
+		desc.via = &via;
+		desc.on_event = [](void *, const struct up_event *) {};
+		desc.on_done = [](void *arg, const struct up_result *r) {
+			static_cast<Seen *>(arg)->result = *r;
+			static_cast<Seen *>(arg)->is_done = true;
+		};
+		desc.arg = &seen;
+		EXPECT_EQ(up_init(&a, &desc), ST_OK);
+		EXPECT_EQ(up_start(&a), ST_OK);
+		int64_t deadline_ms = ck_now_ms() + 5000;
+		while (!seen.is_done && ck_now_ms() < deadline_ms)
+			ev_run(loop, EVRUN_ONCE);
+		EXPECT_TRUE(seen.is_done);
+		up_finish(&a);
+		return seen.result;
+	}
 	Answer post(const struct lk_call *call, const char *mac = nullptr)
 	{
 		Answer a;
@@ -285,4 +347,28 @@
 	lk_call_finish(&call);
 }
 
+TEST_F(Relay, AttemptOverTheLinkIsWholeAlsoAfterTheFarSideForgot)
+{
+	const std::string body(60000, 'y');
+
+	EXPECT_EQ(attempt(body).end, UP_COMPLETE);
+	EXPECT_EQ(attempt(body).end, UP_COMPLETE);
+	EXPECT_EQ(runs, 2);
+	lk_relay_finish(&relay);
+	start_relay();
+	EXPECT_EQ(attempt(body).end, UP_COMPLETE);
+	EXPECT_EQ(runs, 3);
+}
+
+TEST_F(Relay, AttemptThatTheRelayCouldNotForwardDidNotRun)
+{
+	struct up_result r;
+
+	list_engine(1);
+	r = attempt("{}");
+	EXPECT_EQ(r.end, UP_NOT_SENT);
+	EXPECT_FALSE(r.maybe_sent);
+	EXPECT_EQ(runs, 0);
+}
+
 } // namespace
