--- a/src/kernel/kn_registry.h
+++ b/src/kernel/kn_registry.h
@@ -11,6 +11,7 @@
  *	"platform"	struct pf_ops		src/platform/pf.h
  *	"upstream"	struct up_ops		src/upstream/up.h
  *	"policy"	struct rt_policy	src/routing/rt.h
+ *	"bench"		struct bn_mode		src/bench/bn.h
  *
  * Use
  *	static const struct kn_command check = { "check", "...", run };
--- a/src/routing/rt.h
+++ b/src/routing/rt.h
@@ -32,6 +32,8 @@
 #include "routing/rt_heat.h"
 
 #define RT_MAX_CANDIDATES 128
+/** Engines that rt_preselect() looks at. */
+#define RT_MAX_ENGINES 1024
 
 /** enum rt_distance - from this entry to an engine. */
 enum rt_distance { RT_SAME_ZONE = 0, RT_SAME_REGION, RT_OTHER_REGION };
@@ -192,6 +194,19 @@
 /** rt_policy_find() - a registered policy, or NULL. */
 const struct rt_policy *rt_policy_find(const char *name);
 
+/**
+ * rt_preselect() - which engines to take as candidates if there are more.
+ * @engines: with the right weights; of each, id and distance are read.
+ * @count: RT_MAX_ENGINES at most, further ones are not looked at.
+ * @out: indices into @engines, room for RT_MAX_CANDIDATES.
+ *
+ * Return: their number. Nearer engines come first, and among equally near ones
+ * those that rank highest for the prompt's first key, so that routers agree.
+ */
+uint32_t rt_preselect(const struct px_chain *chain,
+		      const struct rt_candidate *engines, uint32_t count,
+		      uint32_t *out);
+
 /**
  * rt_shortlist() - the engines whose index entries are worth a look-up.
  * @out: ids, in the order of preference.
--- a/src/routing/rt_place.c
+++ b/src/routing/rt_place.c
@@ -169,3 +169,32 @@
 		place->expected[items[i].candidate] = items[i].expected;
 	}
 }
+
+/* Above all ranks of the engines that are farther away. */
+static uint64_t rt_rank_by_distance(uint64_t key, const struct rt_candidate *c)
+{
+	uint64_t nearness = RT_OTHER_REGION - c->distance;
+
+	return nearness << 62 | px_rank(key, c->engine) >> 2;
+}
+
+uint32_t rt_preselect(const struct px_chain *chain,
+		      const struct rt_candidate *engines, uint32_t count,
+		      uint32_t *out)
+{
+	struct _rt_ranked items[RT_MAX_ENGINES];
+	uint64_t key = chain->count ? chain->keys[0] : chain->bytes;
+	uint32_t kept;
+
+	if (count > RT_MAX_ENGINES)
+		count = RT_MAX_ENGINES;
+	for (uint32_t i = 0; i < count; i++) {
+		items[i].candidate = i;
+		items[i].rank = rt_rank_by_distance(key, &engines[i]);
+	}
+	kept = count < RT_MAX_CANDIDATES ? count : RT_MAX_CANDIDATES;
+	rt_select(items, count, kept);
+	for (uint32_t i = 0; i < kept; i++)
+		out[i] = items[i].candidate;
+	return kept;
+}
--- a/tests/unit/routing_test.cc
+++ b/tests/unit/routing_test.cc
@@ -337,6 +337,48 @@
 	}
 }
 
+// 600 engines are more than a decision weighs: the near ones come first, and
+// routers that list them in another order take the same ones.
+TEST(Routing, TheSameEnginesArePreselected)
+{
+	struct {
+		const char *what;
+		uint32_t count, near, kept, kept_near;
+	} sizes[] = {
+		{ "few", 12, 4, 12, 4 },
+		{ "many, few near", 600, 100, 128, 100 },
+		{ "many near", 600, 300, 128, 128 },
+		{ "more than are looked at", 2000, 2000, 128, 128 },
+	};
+	struct px_chain chain = prompt(1, 4, 1, 4);
+
+	for (auto &c : sizes) {
+		auto all = engines(c.count);
+		uint32_t out[RT_MAX_CANDIDATES], again[RT_MAX_CANDIDATES];
+		std::set<uint64_t> first, second;
+		uint32_t near = 0;
+
+		for (uint32_t i = c.near; i < c.count; i++)
+			all[i].distance = RT_SAME_REGION;
+		ASSERT_EQ(rt_preselect(&chain, all.data(), c.count, out),
+			  c.kept)
+			<< c.what;
+		for (uint32_t i = 0; i < c.kept; i++) {
+			near += out[i] < c.near;
+			first.insert(all[out[i]].engine);
+		}
+		EXPECT_EQ(near, c.kept_near) << c.what;
+		EXPECT_EQ(first.size(), c.kept) << c.what;
+		if (c.count > RT_MAX_ENGINES)
+			continue;
+		std::reverse(all.begin(), all.end());
+		rt_preselect(&chain, all.data(), c.count, again);
+		for (uint32_t i = 0; i < c.kept; i++)
+			second.insert(all[again[i]].engine);
+		EXPECT_EQ(first, second) << c.what;
+	}
+}
+
 // Every router sees the same old reports, in which engine 0 looks a little
 // better than the others.
 TEST(Routing, NoHerdOnALaggedReport)
