entry: checked requests and error answers

Cause: whatever is wrong with a caller's request is to be found before anything is queued or sent, and every error is to say whether the request may have run.

Ruled out: checking in the HTTP handler, where it cannot be tested without sockets.

--- /dev/null
+++ b/src/entry/en_error.h
@@ -0,0 +1,76 @@
+/*
+ * en_error - answers that are errors.
+ *
+ * Overview
+ *	Every error that a caller can get is one of enum en_code, with its
+ *	HTTP status, its type, whether the request may have run, and after
+ *	how many seconds a later try can work. The body is
+ *	{"error": {"message", "type", "code", "run"}}.
+ *
+ * Use
+ *	const struct en_error *error = en_error(EN_DRAINING);
+ *	en_error_body(body, error, NULL);
+ */
+#ifndef EN_ERROR_H
+#define EN_ERROR_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/** enum en_code - what is wrong; EN_FINE is no error. */
+enum en_code {
+	EN_FINE = 0,
+	EN_NO_KEY,
+	EN_BAD_KEY,
+	EN_BAD_HEADER,
+	EN_BAD_JSON,
+	EN_BAD_FIELD,
+	EN_UNKNOWN_MODEL,
+	EN_MODEL_DENIED,
+	EN_UNKNOWN_SERVICE,
+	EN_SERVICE_DENIED,
+	EN_UNKNOWN_PATH,
+	EN_BAD_METHOD,
+	EN_DUPLICATE_ID,
+	EN_DRAINING,
+	EN_OVERLOADED,
+	EN_NO_UPSTREAM,
+	EN_NOT_RUN,
+	EN_UNCERTAIN,
+	EN_BROKEN,
+	EN_DEADLINE,
+	EN_DEADLINE_NOT_RUN,
+	EN_POISONED,
+	EN_PLATFORM_DOWN,
+	EN_UNSETTLED,
+	EN_NOT_KEPT,
+	EN_KEY_REUSED,
+	EN_CODE_COUNT
+};
+
+/**
+ * struct en_error - a kind of error.
+ * @status: of HTTP.
+ * @type: as in the OpenAI API.
+ * @code: for programs.
+ * @message: for people, if there is nothing better.
+ * @may_have_run: "run" is "unknown"; else "not_run".
+ * @retry_after_s: 0 if a later try cannot help.
+ */
+struct en_error {
+	uint32_t status;
+	const char *type;
+	const char *code;
+	const char *message;
+	bool may_have_run;
+	uint32_t retry_after_s;
+};
+
+const struct en_error *en_error(enum en_code code);
+
+/** en_error_body() - append the JSON; @message NULL means the usual one. */
+void en_error_body(GString *out, const struct en_error *error,
+		   const char *message);
+
+#endif
--- a/src/net/hs.c
+++ b/src/net/hs.c
@@ -340,6 +340,54 @@
 					   MHD_GET_ARGUMENT_KIND, name);
 }
 
+struct hs_each {
+	void (*fn)(void *arg, const char *name, const char *value);
+	void *arg;
+};
+
+static enum MHD_Result hs_on_pair(void *arg, enum MHD_ValueKind kind,
+				  const char *name, const char *value)
+{
+	struct hs_each *each = arg;
+
+	each->fn(each->arg, name, value);
+	return MHD_YES;
+}
+
+void hs_each_header(struct hs_exchange *x,
+		    void (*fn)(void *arg, const char *name, const char *value),
+		    void *arg)
+{
+	struct hs_each each = { fn, arg };
+
+	MHD_get_connection_values(x->_connection, MHD_HEADER_KIND, hs_on_pair,
+				  &each);
+}
+
+static void hs_append_parameter(void *arg, const char *name, const char *value)
+{
+	GString *out = arg;
+
+	g_string_append_uri_escaped(out, name, NULL, FALSE);
+	if (value) {
+		g_string_append_c(out, '=');
+		g_string_append_uri_escaped(out, value, NULL, FALSE);
+	}
+	g_string_append_c(out, '&');
+}
+
+void hs_append_query(struct hs_exchange *x, GString *out)
+{
+	struct hs_each each = { hs_append_parameter, out };
+	gsize before = out->len;
+
+	g_string_append_c(out, '?');
+	MHD_get_connection_values(x->_connection, MHD_GET_ARGUMENT_KIND,
+				  hs_on_pair, &each);
+	/* The last separator, or the question mark of no parameters. */
+	g_string_truncate(out, MAX(before, out->len - 1));
+}
+
 static void hs_queue(struct hs_exchange *x, uint32_t status,
 		     const struct hs_header *headers,
 		     struct MHD_Response *response)
--- a/src/net/hs.h
+++ b/src/net/hs.h
@@ -149,6 +149,14 @@
 /** hs_query() - a parameter of the URL's query, or NULL. */
 const char *hs_query(struct hs_exchange *x, const char *name);
 
+/** hs_each_header() - call @fn for every header of the request. */
+void hs_each_header(struct hs_exchange *x,
+		    void (*fn)(void *arg, const char *name, const char *value),
+		    void *arg);
+
+/** hs_append_query() - append "?a=b&c" to @out, or nothing. */
+void hs_append_query(struct hs_exchange *x, GString *out);
+
 /** hs_respond() - the whole answer; @headers may be NULL. Call once. */
 void hs_respond(struct hs_exchange *x, uint32_t status,
 		const struct hs_header *headers, const void *body,
