--- /dev/null
+++ b/src/entry/en_message.c
@@ -0,0 +1,34 @@
+/* Bodies of the messages between the tasks. */
+#include "entry/en.h"
+
+static void en_free_string(GString *text)
+{
+	if (text)
+		g_string_free(text, TRUE);
+}
+
+void en_reply_free(void *body)
+{
+	struct en_reply *reply = body;
+
+	if (reply->headers)
+		g_ptr_array_free(reply->headers, TRUE);
+	en_free_string(reply->data);
+	g_free(reply);
+}
+
+void en_once_step_free(void *body)
+{
+	struct en_once_step *step = body;
+
+	en_free_string(step->body);
+	g_free(step);
+}
+
+void en_once_sent_free(void *body)
+{
+	struct en_once_sent *sent = body;
+
+	en_free_string(sent->body);
+	g_free(sent);
+}
