--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -146,6 +146,14 @@
 	       std::to_string((pid & 15) << 4 | index);
 }
 
+std::string completion(const std::string &prompt, uint32_t tokens,
+		       bool is_stream, const std::string &more)
+{
+	return "{" + field("model", "m") + "," + field("prompt", prompt) + "," +
+	       field("max_tokens", (int)tokens) +
+	       ",\"stream\":" + (is_stream ? "true" : "false") + more + "}";
+}
+
 TemporaryDirectory::TemporaryDirectory()
     : path(testing::TempDir() + "balsampin-XXXXXX")
 {
@@ -209,6 +217,14 @@
 	return total;
 }
 
+int StandIns::engine_with(const std::string &name)
+{
+	for (uint32_t i = 0; i < engine_count; i++)
+		if (number("/engines/engine" + std::to_string(i) + "/" + name))
+			return (int)i;
+	return -1;
+}
+
 std::string StandIns::engine_url(uint32_t index) const
 {
 	return url(stand_in_index, first_engine_port + (int)index);
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -27,6 +27,13 @@
 namespace harness
 {
 
+/** small_engine - fields of a quick engine with blocks of 400 bytes. */
+constexpr char small_engine[] =
+	"{\"models\":[{\"model\":\"m\",\"version\":\"v1\"}],"
+	"\"block_tokens\":100,\"cache_blocks\":1000,\"token_ms\":5,"
+	"\"prefill_tokens_per_s\":100000,\"event_delay_ms\":20,"
+	"\"load_period_ms\":50,\"load_ms\":50}";
+
 /**
  * Options - of a cluster. Hosts and engines are spread over the zones in turn.
  * @engine_defaults: JSON object, fields of sa.h.
@@ -37,7 +44,7 @@
 	uint32_t hosts = 1;
 	uint32_t engines = 2;
 	std::vector<std::string> zones = { "z1" };
-	std::string engine_defaults = "{}";
+	std::string engine_defaults = small_engine;
 	std::string limits = "{}";
 	std::vector<std::string> services = { "dispatch" };
 };
@@ -69,6 +76,9 @@
 	/** runs() - sum over the engines of one number of their records. */
 	long sum(const std::string &name);
 
+	/** engine_with() - the first whose record has more than 0; or -1. */
+	int engine_with(const std::string &name);
+
 	std::string engine_url(uint32_t index) const;
 	std::string service_url(uint32_t index) const;
 	std::string platform_url() const;
@@ -125,6 +135,10 @@
 	uint64_t revision = 0;
 };
 
+/** completion() - body of a request for a completion by the model "m". */
+std::string completion(const std::string &prompt, uint32_t tokens,
+		       bool is_stream, const std::string &more = "");
+
 /** host_address() - loopback address @index of this test process, 0 to 15. */
 std::string host_address(uint32_t index);
 
--- a/tests/sessions/standin_test.cc
+++ b/tests/sessions/standin_test.cc
@@ -19,14 +19,6 @@
 	return std::string(bytes, 'x');
 }
 
-std::string request(const std::string &prompt, int tokens, bool stream,
-		    const std::string &more = "")
-{
-	return "{\"model\":\"m\",\"prompt\":\"" + prompt +
-	       "\",\"max_tokens\":" + std::to_string(tokens) +
-	       ",\"stream\":" + (stream ? "true" : "false") + more + "}";
-}
-
 // SEQ of an id INC:SEQ.
 size_t event_number(const Event &event)
 {
@@ -63,14 +55,14 @@
 {
 	std::string expected = expected_text("abc", "m", "v1", 7);
 
-	Reply plain = call(completions(0), request("abc", 7, false));
-	Reply streamed = call(completions(1), request("abc", 7, true));
+	Reply plain = call(completions(0), completion("abc", 7, false));
+	Reply streamed = call(completions(1), completion("abc", 7, true));
 	EXPECT_EQ(answer_text(plain), expected);
 	EXPECT_EQ(answer_text(streamed), expected);
 	EXPECT_TRUE(ends_whole(streamed));
-	EXPECT_NE(answer_text(call(completions(), request("abd", 7, false))),
+	EXPECT_NE(answer_text(call(completions(), completion("abd", 7, false))),
 		  expected);
-	EXPECT_EQ(call(completions(), request("abc", 7, false),
+	EXPECT_EQ(call(completions(), completion("abc", 7, false),
 		       { "X-Weights-Version: v2" })
 			  .status,
 		  409);
@@ -78,7 +70,7 @@
 
 TEST_F(StandInTest, EventNumbersHaveNoGap)
 {
-	Reply reply = call(completions(), request("abc", 5, true));
+	Reply reply = call(completions(), completion("abc", 5, true));
 	std::vector<Event> events = parse_events(reply.body);
 
 	ASSERT_EQ(events.size(), 7u);
@@ -98,7 +90,7 @@
 	};
 
 	for (const auto &c : cases) {
-		call(completions(), request(prompt_of(c.bytes), 1, false),
+		call(completions(), completion(prompt_of(c.bytes), 1, false),
 		     { std::string("X-Cache-Salt: ") + c.salt });
 		EXPECT_EQ(stand_ins->sum("cached_blocks"), c.cached_in_all);
 	}
@@ -106,14 +98,14 @@
 
 TEST_F(StandInTest, BlocksOfALiveEngineComputedElsewhereAreWasted)
 {
-	call(completions(0), request(prompt_of(100), 1, false));
-	call(completions(1), request(prompt_of(100), 1, false));
+	call(completions(0), completion(prompt_of(100), 1, false));
+	call(completions(1), completion(prompt_of(100), 1, false));
 	EXPECT_EQ(stand_ins->sum("wasted_blocks"), 2);
 }
 
 TEST_F(StandInTest, StreamGoesOnWithoutItsReaderAndIsResumed)
 {
-	Stream stream(completions(), request("abc", 30, true),
+	Stream stream(completions(), completion("abc", 30, true),
 		      { "X-Request-Id: r1" });
 	ASSERT_TRUE(stream.wait_events(3));
 	stream.hang_up();
@@ -130,14 +122,14 @@
 	std::string whole = expected_text("abc", "m", "v1", 10);
 	std::string more =
 		",\"continue_from\":{\"text\":\"" + whole.substr(0, 16) + "\"}";
-	Reply reply = call(completions(), request("abc", 6, true, more));
+	Reply reply = call(completions(), completion("abc", 6, true, more));
 
 	EXPECT_EQ(answer_text(reply), whole.substr(16));
 }
 
 TEST_F(StandInTest, CancelEndsTheStreamIncomplete)
 {
-	Stream stream(completions(), request("abc", 1000, true),
+	Stream stream(completions(), completion("abc", 1000, true),
 		      { "X-Request-Id: r1" });
 	ASSERT_TRUE(stream.wait_events(1));
 	EXPECT_EQ(call(stand_ins->engine_url(0) + "/v1/streams/r1", "", {},
@@ -150,7 +142,7 @@
 
 TEST_F(StandInTest, SilentConnectionSaysNothingWhileNewOnesWork)
 {
-	Stream stream(completions(), request("abc", 200, true),
+	Stream stream(completions(), completion("abc", 200, true),
 		      { "X-Request-Id: r1" });
 	ASSERT_TRUE(stream.wait_events(2));
 	stand_ins->fault("silent", "{\"engine\":\"engine0\"}");
@@ -180,12 +172,12 @@
 TEST_F(StandInTest, CrashBreaksStreamsAndEmptiesTheCache)
 {
 	std::string before = stand_ins->record("/engines/engine0/incarnation");
-	Stream stream(completions(), request(prompt_of(100), 1000, true));
+	Stream stream(completions(), completion(prompt_of(100), 1000, true));
 	ASSERT_TRUE(stream.wait_events(2));
 	stand_ins->fault("crash", "{\"engine\":\"engine0\",\"down_ms\":100}");
 	EXPECT_FALSE(stream.finish().complete);
 	ASSERT_TRUE(wait_until([&] {
-		return call(completions(), request(prompt_of(100), 1, false))
+		return call(completions(), completion(prompt_of(100), 1, false))
 			       .status == 200;
 	}));
 	EXPECT_EQ(stand_ins->sum("cached_blocks"), 0);
@@ -198,14 +190,14 @@
 	EXPECT_FALSE(
 		call(stand_ins->engine_url(0) + "/v1/status", "", {}, "", 50)
 			.complete);
-	EXPECT_EQ(call(completions(), request("abc", 2, false)).status, 200);
+	EXPECT_EQ(call(completions(), completion("abc", 2, false)).status, 200);
 }
 
 TEST_F(StandInTest, PoisonCrashesTheEngineThatPrefillsIt)
 {
 	stand_ins->fault("poison", "{\"text\":\"bad\",\"down_ms\":50}");
-	EXPECT_FALSE(
-		call(completions(), request("a bad one", 2, false)).complete);
+	EXPECT_FALSE(call(completions(), completion("a bad one", 2, false))
+			     .complete);
 	EXPECT_EQ(stand_ins->number("/engines/engine0/crashed"), 1);
 }
 
@@ -258,26 +250,27 @@
 	EXPECT_EQ(call(orders, order(5, "v2")).status, 200);
 	EXPECT_EQ(call(orders, order(4, "v1")).status, 409);
 	ASSERT_TRUE(wait_until([&] {
-		return call(completions(), request("abc", 2, false)).status ==
-		       200;
+		return call(completions(), completion("abc", 2, false))
+			       .status == 200;
 	}));
-	EXPECT_EQ(answer_text(call(completions(), request("abc", 2, false))),
+	EXPECT_EQ(answer_text(call(completions(), completion("abc", 2, false))),
 		  expected_text("abc", "m", "v2", 2));
 }
 
 TEST_F(StandInTest, LowerPriorityValueGoesFirst)
 {
 	// The first one keeps the prefill busy while the others queue up.
-	Stream busy(completions(), request(prompt_of(40000), 1, false));
+	Stream busy(completions(), completion(prompt_of(40000), 1, false));
 	ASSERT_TRUE(wait_until([&] {
 		return stand_ins->number("/engines/engine0/prefill") == 1;
 	}));
-	Stream late(completions(), request(prompt_of(40000) + "l", 1, false,
-					   ",\"priority\":5"));
+	Stream late(completions(), completion(prompt_of(40000) + "l", 1, false,
+					      ",\"priority\":5"));
 	ASSERT_TRUE(wait_until([&] {
 		return stand_ins->number("/engines/engine0/waiting") == 1;
 	}));
-	Stream urgent(completions(), request("u", 1, false, ",\"priority\":1"));
+	Stream urgent(completions(),
+		      completion("u", 1, false, ",\"priority\":1"));
 	EXPECT_TRUE(urgent.finish().complete);
 	EXPECT_EQ(stand_ins->number("/engines/engine0/done"), 2);
 	EXPECT_TRUE(late.finish().complete);
