placement and poison: prior of a share, lint, cases that mutations had passed

Of 13 mutations of the decisions that built in a scratch copy, four passed the tests: the mean wait of engines without report, the low estimate of a share, a late charge after a clearing, and the order of eviction (not a fault: the hash order hides it).

--- a/src/routing/rt_heat.h
+++ b/src/routing/rt_heat.h
@@ -36,7 +36,7 @@
 #define RT_HEAT_DEFAULT_HALF_MS 60000
 #define RT_HEAT_MAX_NEW		16
 /** Requests that stand for other traffic until enough has been seen. */
-#define RT_HEAT_PRIOR_REQUESTS 8
+#define RT_HEAT_PRIOR_REQUESTS 32
 
 struct _rt_heat_slot {
 	uint64_t key;
--- a/src/routing/rt_place.c
+++ b/src/routing/rt_place.c
@@ -269,7 +269,7 @@
 			last[in_last++] = packed[i];
 	}
 	rt_select(last, in_last, kept - above);
-	for (uint32_t i = 0; taken < kept; i++)
+	for (uint32_t i = 0; i < in_last && taken < kept; i++)
 		out[taken++] = rt_index(last[i]);
 	return kept;
 }
--- a/tests/unit/poison_test.cc
+++ b/tests/unit/poison_test.cc
@@ -16,7 +16,8 @@
 
 // A step: '+' fingerprint starts on engine, '-' completes, '!' breaks,
 // '/' cancelled, 'x' the engine's incarnation is known to have crashed,
-// 'p' a peer charges fingerprint with engine, 'c' a peer cleared it,
+// 'p' a peer charges fingerprint with engine, 'o' that was 5 s ago, 'c' a peer
+// cleared it,
 // 'w' wait for that many seconds.
 struct Step {
 	char what;
@@ -160,6 +161,14 @@
 	  { { 'p', 1, 1 }, { 'w', 0, 1 }, { 'c', 1, 0 }, { 'p', 1, 2 } },
 	  1,
 	  PS_RUN },
+	{ "a charge older than its clearing comes late",
+	  { { 'p', 1, 1 },
+	    { 'w', 0, 9 },
+	    { 'c', 1, 0 },
+	    { 'o', 1, 2 },
+	    { 'p', 1, 3 } },
+	  1,
+	  PS_RUN },
 	{ "a suspect runs once at a time",
 	  { { '+', 1, 1 }, { 'x', 0, 1 }, { '+', 1, 2 } },
 	  1,
@@ -197,6 +206,9 @@
 		case 'p':
 			ps_peer(table, s.fingerprint, s.engine, 1, 0, *at);
 			break;
+		case 'o':
+			ps_peer(table, s.fingerprint, s.engine, 1, 5000, *at);
+			break;
 		case 'c':
 			ps_peer(table, s.fingerprint, 0, 0, 0, *at);
 			break;
