control: store task and operators' calls

Cause: the configuration has to come from the table service to every host, and operators' changes have to get there, racing each other and with answers lost.

The revision of the configuration is the store's revision of the row config/head, which every change writes, so one number orders everything and no counter of our own is kept. A poll reads only rows newer than that. A change checks config/head and the absence of change/ID in one transaction; an unclear outcome goes back to reading. The order of reads matters: what is newer first, then the change's own row. The other order was written first and ruled out on reading it: a write landing between the two would be reported as a conflict with itself. A void row that fences a lost write off was weighed and left out, since sending the same transaction again settles the same question.

Two control processes of a zone read the host list, the others pull from them; all read it once the list is old.

Also: rp_cancel() on an endpoint that has ended did crash, which pr_main()'s order of ending reaches; APullInFlightDoesNotOutliveTheEndpoint failed (crash) before and passes now.

--- a/src/config/cr.c
+++ b/src/config/cr.c
@@ -17,11 +17,11 @@
 
 #define CR_TICK_MS 200
 /* A process that does not read the platform asks its control process. */
-#define CR_ASK_PERIOD_MS 1000
+#define CR_ASK_PERIOD_MS 500
 /* One such question in this many goes to any zone. */
 #define CR_ASK_WIDELY_EVERY 4
 /* Control asks others for the host list once its own is that old. */
-#define CR_HOSTS_OLD_MS	    5000
+#define CR_HOSTS_OLD_MS	    1500
 #define CR_PULL_DEADLINE_MS 4000
 #define CR_JITTER_PERMILLE  250
 
--- a/src/config/cr_source.c
+++ b/src/config/cr_source.c
@@ -5,6 +5,7 @@
 /* Preference among sources: the lower, the better. */
 enum cr_rank {
 	CR_OWN_HOST = 0,
+	CR_LIST_READER,
 	CR_OWN_ZONE,
 	CR_OWN_REGION,
 	CR_ELSEWHERE,
@@ -64,6 +65,22 @@
 	return rank + CR_ELSEWHERE;
 }
 
+bool cr_reads_list(const struct mb_table *members, const char *zone,
+		   const char *host)
+{
+	const struct mb_member *m = NULL;
+	uint32_t before = 0;
+
+	while ((m = mb_next(members, MB_CONTROL, zone, m)) &&
+	       before < CR_LIST_READERS) {
+		if (!strcmp(m->name, host))
+			return true;
+		if (m->state == MB_ALIVE || m->state == MB_SUSPECT)
+			before++;
+	}
+	return false;
+}
+
 /* struct cr_pick - best rank so far, and a fair choice within it. */
 struct cr_pick {
 	const struct mb_member *best;
@@ -90,6 +107,7 @@
 			     uint64_t above, int64_t now_ms)
 {
 	const struct mb_member *m = NULL;
+	uint32_t rank;
 
 	while ((m = mb_next(members, role, NULL, m))) {
 		if (above != UINT64_MAX && m->config_revision <= above)
@@ -97,8 +115,11 @@
 		if (m == mb_self((struct mb_table *)members) ||
 		    !cr_may_ask(sources, m, now_ms))
 			continue;
-		cr_consider(pick, m,
-			    pick->is_wide ? CR_ELSEWHERE : cr_rank(sources, m));
+		rank = pick->is_wide ? CR_ELSEWHERE : cr_rank(sources, m);
+		if (above == UINT64_MAX && rank == CR_OWN_ZONE &&
+		    cr_reads_list(members, sources->zone, m->name))
+			rank = CR_LIST_READER;
+		cr_consider(pick, m, rank);
 	}
 }
 
--- a/src/config/cr_source.h
+++ b/src/config/cr_source.h
@@ -2,9 +2,9 @@
  * cr_source - which process a replica pulls from, and when it may vouch.
  *
  * Overview
- *	Private to the module cr; plain functions over the membership table.
- *	A source that failed is left alone for a while that doubles with each
- *	failure in a row.
+ *	Used by cr and by control's store task; plain functions over the
+ *membership table. A source that failed is left alone for a while that doubles
+ *with each failure in a row.
  */
 #ifndef CR_SOURCE_H
 #define CR_SOURCE_H
@@ -17,6 +17,7 @@
 
 #define CR_FIRST_BACKOFF_MS 500
 #define CR_MAX_BACKOFF_MS   16000
+#define CR_LIST_READERS	    2
 
 /**
  * struct cr_sources - what is known of sources.
@@ -62,6 +63,15 @@
 void cr_source_answered(struct cr_sources *sources, enum mb_role role,
 			const char *name);
 
+/**
+ * cr_reads_list() - whether a control process polls the host list.
+ *
+ * The first CR_LIST_READERS living ones of each zone, in the order of names,
+ * do; the others of the zone pull from them.
+ */
+bool cr_reads_list(const struct mb_table *members, const char *zone,
+		   const char *host);
+
 /** cr_highest_heard() - highest revision in any record, reachable or not. */
 uint64_t cr_highest_heard(const struct mb_table *members);
 
--- /dev/null
+++ b/src/control/dr.h
@@ -0,0 +1,27 @@
+/*
+ * dr - DRAIN in processes other than control.
+ *
+ * Overview
+ *	entry and index serve BP_OPERATE for this one operation, so that the
+ *	control process of their host can pass an operator's `drain HOST` on.
+ *	Each checks the operators' key itself.
+ */
+#ifndef DR_H
+#define DR_H
+
+#include "kernel/kn.h"
+#include "rpc/rp.h"
+#include "settings/cf.h"
+
+/** struct dr_server - state; fields are private. */
+struct dr_server {
+	struct kn_kernel *_kernel;
+	const struct cf_settings *_settings;
+};
+
+/** dr_init() - serve DRAIN. @dr must outlive the endpoint. */
+enum st_code dr_init(struct dr_server *dr, struct kn_kernel *kernel,
+		     struct rp_endpoint *rpc,
+		     const struct cf_settings *settings);
+
+#endif
--- a/src/rpc/rp_calls.c
+++ b/src/rpc/rp_calls.c
@@ -232,7 +232,7 @@
 	struct _rp_state *s = ep->_state;
 	uint32_t slot = handle.slot - 1;
 
-	if (!handle.slot || slot >= RP_MAX_CALLS || !s->calls[slot] ||
+	if (!s || !handle.slot || slot >= RP_MAX_CALLS || !s->calls[slot] ||
 	    s->generations[slot] != handle.generation)
 		return;
 	rp_call_free(s->calls[slot]);
--- /dev/null
+++ b/tests/unit/control_test.cc
@@ -0,0 +1,433 @@
+// Control: the store task and operators' calls, over loopback RPC, with a
+// store that loses answers.
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fake_store.h"
+
+extern "C" {
+#include "control/cs.h"
+#include "control/op.h"
+#include "kernel/ck.h"
+#include "kernel/mt.h"
+}
+
+namespace
+{
+
+const uint8_t KEY[RP_KEY_BYTES] = { 7 };
+const char OPERATOR_KEY[] = "correct horse";
+
+struct Answer {
+	bool is_done = false;
+	st_code code = ST_OK;
+	st_code status = ST_OK;
+	uint64_t revision = 0;
+	std::map<std::string, std::string> objects;
+	std::vector<std::string> places;
+	std::string text;
+};
+
+struct Change {
+	std::string kind, name, json;
+	bool is_deleted = false;
+};
+
+struct Control {
+	cf_settings settings = {};
+	kn_kernel kernel = {};
+	rp_endpoint rpc = {};
+	mb_table members = {};
+	cr_replica cr = {};
+	cs_task cs = {};
+	op_server op = {};
+	kn_handle replica = {};
+
+	Control(struct ev_loop *loop, const char *name)
+	{
+		kn_desc kernel_desc = {};
+		rp_desc rpc_desc = {};
+		mb_member self = {};
+		mb_desc members_desc = { &self };
+		cr_desc replica_desc = {};
+		cs_desc store_desc = {};
+		op_desc operator_desc = {};
+		gsize bytes = CF_KEY_BYTES;
+		GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
+
+		g_checksum_update(
+			sum, reinterpret_cast<const guchar *>(OPERATOR_KEY),
+			-1);
+		g_checksum_get_digest(sum, settings.operator_key_hash, &bytes);
+		g_checksum_free(sum);
+		g_strlcpy(settings.self.name, name, CF_NAME_BYTES);
+		g_strlcpy(settings.self.zone, "z", CF_NAME_BYTES);
+		g_strlcpy(settings.platform.kind, "fake", CF_NAME_BYTES);
+		settings.platform.reads_per_s = 1000;
+		settings.platform.writes_per_s = 1000;
+		g_strlcpy(self.name, name, sizeof(self.name));
+		g_strlcpy(self.zone, "z", sizeof(self.zone));
+		self.role = MB_CONTROL;
+		kernel_desc.loop = loop;
+		kernel_desc.no_signals = true;
+		kn_init(&kernel, &kernel_desc);
+		rpc_desc.loop = loop;
+		rpc_desc.address = "127.0.0.1";
+		rpc_desc.key = KEY;
+		rpc_desc.host = name;
+		rpc_desc.role = "control";
+		rpc_desc.incarnation = 1;
+		EXPECT_EQ(rp_init(&rpc, &rpc_desc), ST_OK);
+		mb_init(&members, &members_desc);
+		replica_desc.settings = &settings;
+		replica_desc.rpc = &rpc;
+		replica_desc.members = &members;
+		replica_desc.serve = true;
+		EXPECT_EQ(cr_spawn(&cr, &kernel, &replica_desc, &replica),
+			  ST_OK);
+		store_desc.settings = &settings;
+		store_desc.members = &members;
+		store_desc.cr = &cr;
+		store_desc.replica = replica;
+		store_desc.change_deadline_ms = 1500;
+		EXPECT_EQ(cs_spawn(&cs, &kernel, &store_desc, nullptr), ST_OK);
+		operator_desc.settings = &settings;
+		operator_desc.kernel = &kernel;
+		operator_desc.rpc = &rpc;
+		operator_desc.members = &members;
+		operator_desc.cr = &cr;
+		operator_desc.cs = &cs;
+		EXPECT_EQ(op_init(&op, &operator_desc), ST_OK);
+	}
+
+	~Control()
+	{
+		kn_finish(&kernel);
+		rp_finish(&rpc);
+		mb_finish(&members);
+	}
+
+	uint64_t Revision()
+	{
+		return cr_config(&cr)->revision;
+	}
+};
+
+class ControlTest : public testing::Test
+{
+      protected:
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	rp_endpoint client = {};
+	pf_store store = {};
+	std::unique_ptr<Control> a, b;
+
+	void SetUp() override
+	{
+		rp_desc desc = {};
+		pf_desc store_desc = {};
+
+		FakeRegister();
+		desc.loop = loop;
+		desc.address = "127.0.0.1";
+		desc.key = KEY;
+		desc.host = "operator";
+		desc.role = "ctl";
+		desc.incarnation = 2;
+		ASSERT_EQ(rp_init(&client, &desc), ST_OK);
+		store_desc.loop = loop;
+		store_desc.kind = "fake";
+		ASSERT_EQ(pf_init(&store, &store_desc), ST_OK);
+		a = std::make_unique<Control>(loop, "a");
+		b = std::make_unique<Control>(loop, "b");
+	}
+
+	void TearDown() override
+	{
+		a.reset();
+		b.reset();
+		pf_finish(&store);
+		rp_finish(&client);
+		ev_loop_destroy(loop);
+	}
+
+	void Until(const std::function<bool()> &condition)
+	{
+		int64_t end = ck_now_ms() + 20000;
+
+		while (!condition() && ck_now_ms() < end)
+			ev_run(loop, EVRUN_ONCE);
+		ASSERT_TRUE(condition());
+	}
+
+	static void OnDone(void *arg, st_code code, const rp_peer *,
+			   const void *result)
+	{
+		auto *answer = static_cast<Answer *>(arg);
+		auto *operated = static_cast<const bp_operated *>(result);
+
+		answer->is_done = true;
+		answer->code = code;
+		if (code != ST_OK)
+			return;
+		answer->status = static_cast<st_code>(operated->status);
+		answer->revision = operated->revision;
+		answer->text = operated->text;
+		for (u_int i = 0; i < operated->objects.objects_len; i++) {
+			const bp_object &o = operated->objects.objects_val[i];
+			answer->objects[std::string(o.kind) + "/" + o.name] =
+				o.deleted ? "deleted" : o.json;
+		}
+		for (u_int i = 0; i < operated->findings.findings_len; i++)
+			answer->places.push_back(
+				operated->findings.findings_val[i].place);
+	}
+
+	void Call(Control &control, bp_operation operation, Answer *answer,
+		  const std::vector<Change> &changes = {},
+		  uint64_t expected = 0, const char *change_id = "",
+		  const char *key = OPERATOR_KEY, const char *name = "")
+	{
+		std::vector<bp_object> objects;
+		bp_operate args = {};
+		rp_call_desc desc = {};
+
+		for (const auto &c : changes)
+			objects.push_back(
+				{ const_cast<char *>(c.kind.c_str()),
+				  const_cast<char *>(c.name.c_str()), 0,
+				  c.is_deleted,
+				  const_cast<char *>(c.json.c_str()) });
+		args.operation = operation;
+		args.operator_key = const_cast<char *>(key);
+		args.change_id = const_cast<char *>(change_id);
+		args.expected_revision = expected;
+		args.kind = const_cast<char *>("");
+		args.name = const_cast<char *>(name);
+		args.objects.objects_val = objects.data();
+		args.objects.objects_len = objects.size();
+		desc.to.ipv4 = 0x7f000001;
+		desc.to.port = rp_port(&control.rpc);
+		desc.transport = RP_TCP;
+		desc.number = BP_OPERATE;
+		desc.args = (xdrproc_t)xdr_bp_operate;
+		desc.args_value = &args;
+		desc.result = (xdrproc_t)xdr_bp_operated;
+		desc.result_bytes = sizeof(bp_operated);
+		desc.deadline_ms = 15000;
+		desc.on_done = OnDone;
+		desc.arg = answer;
+		ASSERT_EQ(rp_call(&client, &desc, nullptr), ST_OK);
+	}
+
+	Answer Apply(Control &control, const std::string &version,
+		     uint64_t expected, const char *change_id)
+	{
+		Answer answer;
+
+		Call(control, BP_OP_APPLY, &answer, { Model(version) },
+		     expected, change_id);
+		Until([&] { return answer.is_done; });
+		return answer;
+	}
+
+	static Change Model(const std::string &version)
+	{
+		return { "model", "m", "{\"version\": \"" + version + "\"}" };
+	}
+
+	static std::string Version(Control &control)
+	{
+		const struct cm_model *m =
+			cm_model(cr_config(&control.cr), "m");
+
+		return m ? m->version : "";
+	}
+
+	int Rows(const char *prefix)
+	{
+		int count = -1;
+		struct pf_range range = {};
+
+		range.prefix = prefix;
+		pf_range(
+			&store, &range,
+			[](void *arg, st_code, const pf_rows *rows) {
+				*static_cast<int *>(arg) =
+					static_cast<int>(rows->count);
+			},
+			&count);
+		Until([&] { return count >= 0; });
+		return count;
+	}
+};
+
+TEST_F(ControlTest, AChangeIsInForceHereAtOnceAndThereByPolling)
+{
+	Answer answer = Apply(*a, "v1", 0, "id1");
+
+	EXPECT_EQ(answer.status, ST_OK);
+	Until([&] { return Version(*a) == "v1"; });
+	EXPECT_EQ(a->Revision(), answer.revision);
+	Until([&] { return Version(*b) == "v1"; });
+	EXPECT_TRUE(cr_is_trusted(&b->cr));
+}
+
+TEST_F(ControlTest, AWrongKeyIsRefusedAndCounted)
+{
+	mt_metric *denied = mt_find("balsampin_operator_calls_denied_total");
+	int64_t before = denied->value;
+
+	for (const char *key : { "", "correct", "correct horse " }) {
+		Answer answer;
+
+		Call(*a, BP_OP_APPLY, &answer, { Model("v1") }, 0, "id", key);
+		Until([&] { return answer.is_done; });
+		EXPECT_EQ(answer.status, ST_DENIED) << key;
+	}
+	EXPECT_EQ(denied->value, before + 3);
+	EXPECT_EQ(Rows(""), 0);
+}
+
+TEST_F(ControlTest, AnInvalidChangeIsRefusedWholeWithAllFindings)
+{
+	Answer answer;
+
+	Call(*a, BP_OP_APPLY, &answer,
+	     { Model("v1"), { "team", "t", "{\"weight\": 0}" } }, 0, "id");
+	Until([&] { return answer.is_done; });
+	EXPECT_EQ(answer.status, ST_INVALID);
+	EXPECT_EQ(answer.places,
+		  (std::vector<std::string>{ "/team/t/weight",
+					     "/team/t/key_sha256" }));
+	EXPECT_EQ(Rows(""), 0);
+}
+
+TEST_F(ControlTest, TheLaterOfTwoOperatorsSeesWhatChanged)
+{
+	Answer first, second;
+
+	Call(*a, BP_OP_APPLY, &first, { Model("v1") }, 0, "one");
+	Call(*b, BP_OP_APPLY, &second, { Model("v2") }, 0, "two");
+	Until([&] { return first.is_done && second.is_done; });
+	Answer &won = first.status == ST_OK ? first : second;
+	Answer &lost = first.status == ST_OK ? second : first;
+	EXPECT_EQ(won.status, ST_OK);
+	EXPECT_EQ(lost.status, ST_CONFLICT);
+	EXPECT_EQ(lost.revision, won.revision);
+	EXPECT_EQ(lost.objects.count("model/m"), 1u);
+	EXPECT_EQ(Rows("change/"), 1);
+}
+
+// Whatever becomes of the first write, the change takes effect once, and the
+// operator is told so; a repetition of its id changes nothing.
+TEST_F(ControlTest, ALostAnswerIsSettled)
+{
+	for (FakeWrite write : { WRITE_LOSE_ANSWER, WRITE_LATE, WRITE_LOST }) {
+		uint64_t expected = a->Revision();
+		std::string id = "id" + std::to_string(write);
+		std::string version = "v" + std::to_string(write);
+
+		FakeStore::Get().write = write;
+		Answer answer = Apply(*a, version, expected, id.c_str());
+		EXPECT_EQ(answer.status, ST_OK) << write;
+		Until([&] { return Version(*a) == version; });
+		EXPECT_EQ(a->Revision(), answer.revision) << write;
+		Answer again = Apply(*b, version, expected, id.c_str());
+		EXPECT_EQ(again.status, ST_OK) << write;
+		EXPECT_EQ(again.revision, answer.revision) << write;
+		EXPECT_EQ(a->Revision(), answer.revision) << write;
+	}
+	EXPECT_EQ(Rows("change/"), 3);
+}
+
+TEST_F(ControlTest, WithTheStoreDownNothingTookEffect)
+{
+	FakeStore::Get().is_down = true;
+	EXPECT_EQ(Apply(*a, "v1", 0, "id").status, ST_UNAVAILABLE);
+	FakeStore::Get().is_down = false;
+	EXPECT_EQ(Apply(*a, "v1", 0, "id").status, ST_OK);
+}
+
+TEST_F(ControlTest, WhenTheStoreStaysSilentTheOutcomeIsUnknown)
+{
+	Answer answer;
+
+	FakeStore::Get().write = WRITE_LOSE_ANSWER;
+	Call(*a, BP_OP_APPLY, &answer, { Model("v1") }, 0, "id");
+	Until([&] { return FakeStore::Get().writes == 1; });
+	FakeStore::Get().is_down = true;
+	Until([&] { return answer.is_done; });
+	EXPECT_EQ(answer.status, ST_UNKNOWN);
+	FakeStore::Get().is_down = false;
+	EXPECT_EQ(Apply(*b, "v1", 0, "id").status, ST_OK);
+	EXPECT_EQ(Rows("change/"), 1);
+}
+
+TEST_F(ControlTest, RowsOfOldChangesAreDeleted)
+{
+	char dropped[64];
+	char *head = nullptr;
+
+	for (int i = 0; i < CS_KEPT_CHANGES + 2; i++) {
+		std::string id = "id" + std::to_string(i);
+		char *next = cs_head_next(head, id.c_str(), dropped,
+					  sizeof(dropped));
+		std::string expected =
+			i < CS_KEPT_CHANGES
+				? ""
+				: "id" + std::to_string(i - CS_KEPT_CHANGES);
+
+		g_free(head);
+		head = next;
+		EXPECT_EQ(dropped, expected);
+	}
+	g_free(head);
+}
+
+TEST_F(ControlTest, ListVersionsAndCounters)
+{
+	Answer list, versions, counters;
+
+	Apply(*a, "v1", 0, "id");
+	Call(*a, BP_OP_LIST, &list);
+	Call(*a, BP_OP_VERSIONS, &versions);
+	Call(*a, BP_OP_COUNTERS, &counters, {}, 0, "", OPERATOR_KEY, "a");
+	Until([&] {
+		return list.is_done && versions.is_done && counters.is_done;
+	});
+	EXPECT_EQ(list.objects.count("model/m"), 1u);
+	EXPECT_NE(versions.text.find("\"host\": \"a\""), std::string::npos);
+	EXPECT_NE(counters.text.find("balsampin_config_revision"),
+		  std::string::npos);
+}
+
+TEST_F(ControlTest, AHerdReadsTheStoreWithinItsBudget)
+{
+	const int kHosts = 50;
+	std::vector<std::unique_ptr<Control>> herd;
+
+	Apply(*a, "v1", 0, "id");
+	FakeStore::Get().reads = 0;
+	for (int i = 0; i < kHosts; i++)
+		herd.push_back(std::make_unique<Control>(
+			loop, ("h" + std::to_string(i)).c_str()));
+	int64_t start = ck_now_ms();
+	Until([&] {
+		for (auto &c : herd)
+			if (Version(*c) != "v1")
+				return false;
+		return true;
+	});
+	// One read each to catch up, and the regular polls of the time.
+	int64_t periods = (ck_now_ms() - start) * 4 / (3 * CS_POLL_PERIOD_MS);
+	EXPECT_LE(FakeStore::Get().reads,
+		  (kHosts + 2) * (1 + static_cast<int>(periods)));
+	herd.clear();
+}
+
+} // namespace
--- a/tests/unit/replica_test.cc
+++ b/tests/unit/replica_test.cc
@@ -11,6 +11,7 @@
 #include "config/cr.h"
 #include "config/cr_source.h"
 #include "kernel/ck.h"
+#include "kernel/mt.h"
 }
 
 namespace
@@ -297,6 +298,24 @@
 	EXPECT_EQ(entry.listed, (std::vector<std::string>{ "e1" }));
 }
 
+// pr_main() ends the endpoint before the tasks.
+TEST_F(Replica, APullInFlightDoesNotOutliveTheEndpoint)
+{
+	Node fresh(loop, "fresh", MB_CONTROL, true);
+	mt_metric *pulls = mt_find("balsampin_config_pulls_total");
+	int64_t before = pulls->value;
+
+	mb_member silent = Member(MB_CONTROL, "silent", "z", 9, 1);
+	mb_hear(&fresh.members, &silent, ck_now_ms());
+	Until([&] { return pulls->value > before; });
+	rp_finish(&fresh.rpc);
+	kn_finish(&fresh.kernel);
+	kn_desc desc = {};
+	desc.loop = loop;
+	desc.no_signals = true;
+	kn_init(&fresh.kernel, &desc);
+}
+
 TEST(ReplicaSource, NearAndControlFirstAndFailedOnesLater)
 {
 	struct Case {
