--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -363,9 +363,11 @@
 		return "{\"request_put\":{" + field("key", base64(key)) + "," +
 		       field("value", base64(value)) + "}}";
 	};
+	std::string changes =
+		"{\"changes\":[" + quote(std::to_string(++change_count)) + "]}";
 	std::string txn = "{\"success\":[" +
 			  put("config/" + kind + "/" + name, json) + "," +
-			  put("config/head", std::to_string(++revision)) + "]}";
+			  put("config/head", changes) + "]}";
 
 	ASSERT_EQ(call(stand_ins->platform_url() + "/v3/kv/txn", txn).status,
 		  200);
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -132,7 +132,7 @@
 	Options options;
 	TemporaryDirectory directory;
 	std::map<std::string, std::unique_ptr<Process>> processes;
-	uint64_t revision = 0;
+	uint64_t change_count = 0;
 };
 
 /** completion() - body of a request for a completion by the model "m". */
