--- a/src/bench/bench_load.c
+++ b/src/bench/bench_load.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <sysexits.h>
 
-#include "bench/bench.h"
+#include "bench/bn.h"
 #include "kernel/ck.h"
 #include "kernel/kn_registry.h"
 
@@ -258,10 +258,10 @@
 	return code;
 }
 
-static const struct bench_mode bench_load_mode = {
+static const struct bn_mode bench_load_mode = {
 	"load",
 	"open-loop load against entry processes, with figures",
 	bench_load_run,
 };
 
-KN_REGISTER("bench_mode", "load", bench_load_mode)
+KN_REGISTER("bench", "load", bench_load_mode)
