link_test: the team's name outlives the request

Ruled out: a fault of lk_decode(), whose caller owns the wire form. Before: ChangedTextIsRefused aborts under ASan. After: 6 tests pass under ASan.

--- a/tests/unit/link_test.cc
+++ b/tests/unit/link_test.cc
@@ -46,11 +46,11 @@
 			reinterpret_cast<xdrproc_t>(xdr_bp_link_request),
 			&r->wire);
 	}
-	void name(struct lk_request *r, const std::string &team)
+	void name(struct lk_request *r, const char *team)
 	{
 		static char empty[] = "";
 
-		r->wire.team = const_cast<char *>(team.c_str());
+		r->wire.team = const_cast<char *>(team);
 		r->wire.engine = empty;
 		r->wire.path = empty;
 	}
@@ -68,7 +68,7 @@
 		EXPECT_EQ(lk_encode(&known, secret, team.c_str(), body.data(),
 				    body.size(), &r),
 			  ST_OK);
-		name(&r, team);
+		name(&r, team.c_str());
 		for (; round < 3 && code == ST_NOT_FOUND; round++) {
 			bp_link_missing m;
 
