--- a/src/index/ix_feed.c
+++ b/src/index/ix_feed.c
@@ -58,21 +58,29 @@
 	return delay_ms;
 }
 
+/* Returns whether the incarnation is a new one. */
+static bool ix_feed_saw_run(struct ix_feed *feed, uint64_t incarnation)
+{
+	bool is_restart = feed->incarnation != 0;
+
+	if (incarnation <= feed->incarnation)
+		return false;
+	feed->incarnation = incarnation;
+	feed->_is_leaving = false;
+	if (is_restart)
+		ix_feed_news(feed, IX_NEWS_RESTARTED);
+	return true;
+}
+
 static void ix_feed_report(struct ix_feed *feed, const struct ix_event *event,
 			   enum ix_effect effect)
 {
 	int64_t now_ms = ck_now_ms();
-	bool is_new_run = event->incarnation > feed->incarnation;
-	bool is_restart = is_new_run && feed->incarnation;
+	bool is_new_run = ix_feed_saw_run(feed, event->incarnation);
 
 	if (effect == IX_IGNORED && !is_new_run)
 		return;
-	feed->incarnation = event->incarnation;
 	feed->sequence = event->sequence;
-	if (is_new_run)
-		feed->_is_leaving = false;
-	if (is_restart)
-		ix_feed_news(feed, IX_NEWS_RESTARTED);
 	if (effect == IX_GAP) {
 		mt_add(&ix_events_gaps, 1);
 		ix_feed_news(feed, IX_NEWS_GAP);
@@ -203,6 +211,8 @@
 			     (const uint64_t *)(const void *)blocks->data,
 			     blocks->len, ck_now_ms()) == ST_OK;
 	g_array_unref(blocks);
+	if (ok)
+		ix_feed_saw_run(feed, incarnation);
 	return ok;
 }
 
--- a/src/index/ix_feed.h
+++ b/src/index/ix_feed.h
@@ -79,7 +79,7 @@
  * @name: of the engine.
  * @ipv4: its address.
  * @port: its port.
- * @incarnation: of the last event.
+ * @incarnation: of the last event or snapshot.
  * @sequence: of the last event.
  */
 struct ix_feed {
--- a/tests/unit/index_feed_test.cc
+++ b/tests/unit/index_feed_test.cc
@@ -356,6 +356,17 @@
 	EXPECT_EQ(Stats().incarnation, 8u);
 }
 
+TEST_F(Feed, RestartOfAnEngineKnownBySnapshotOnly)
+{
+	engine->is_silent = true;
+	Start(100);
+	ASSERT_TRUE(loop.run_until([&] { return Stats().incarnation == 7; }));
+	engine->inc = 8;
+	engine->is_silent = false;
+	ASSERT_TRUE(loop.run_until([&] { return Stats().incarnation == 8; }));
+	EXPECT_EQ(news[IX_NEWS_RESTARTED], 1);
+}
+
 TEST_F(Feed, SilentStreamIsOpenedAnew)
 {
 	engine->is_silent = true;
