placement: constants in the description; limits: test under changing demand

Cause: the load tool is to weigh constants without a rebuild; the shares had only been tested under even load.

--- a/src/routing/rt.c
+++ b/src/routing/rt.c
@@ -14,23 +14,58 @@
 	[CM_REUSE] = { .wait = 300, .compute = 3000, .distance = 1000 },
 };
 
-void rt_router_init(struct rt_router *router, const struct rt_desc *desc)
+static const struct rt_constants rt_default_constants = {
+	.band_permille = 50,
+	.min_band_ms = 2,
+	.lag_permille = 250,
+	.max_lag_ms = 100,
+	.placed_permille = 500,
+	.pending_left_permille = 500,
+	.spread_permille = 1250,
+	.deferrable_permille = 500,
+};
+
+static void rt_default(uint32_t *value, uint32_t otherwise)
 {
-	struct rt_desc *d = &router->desc;
+	if (*value == 0)
+		*value = otherwise;
+}
 
-	*router = (struct rt_router){ .desc = *desc, ._random = desc->seed };
+static void rt_fill_constants(struct rt_constants *c)
+{
+	const struct rt_constants *d = &rt_default_constants;
+
+	rt_default(&c->band_permille, d->band_permille);
+	rt_default(&c->min_band_ms, d->min_band_ms);
+	rt_default(&c->lag_permille, d->lag_permille);
+	rt_default(&c->max_lag_ms, d->max_lag_ms);
+	rt_default(&c->placed_permille, d->placed_permille);
+	rt_default(&c->pending_left_permille, d->pending_left_permille);
+	rt_default(&c->spread_permille, d->spread_permille);
+	rt_default(&c->deferrable_permille, d->deferrable_permille);
+}
+
+static void rt_fill_weights(struct rt_weights *weights)
+{
 	for (int i = 0; i <= CM_REUSE; i++) {
-		const struct rt_weights *w = &d->weights[i];
+		const struct rt_weights *w = &weights[i];
 
 		if (!w->wait && !w->compute && !w->distance)
-			d->weights[i] = rt_default_weights[i];
+			weights[i] = rt_default_weights[i];
 	}
-	if (!d->prefill_tokens_per_s)
-		d->prefill_tokens_per_s = RT_DEFAULT_PREFILL_TOKENS_PER_S;
+}
+
+void rt_router_init(struct rt_router *router, const struct rt_desc *desc)
+{
+	struct rt_desc *d = &router->desc;
+
+	*router = (struct rt_router){ .desc = *desc, ._random = desc->seed };
+	rt_fill_weights(d->weights);
+	rt_fill_constants(&d->constants);
+	rt_default(&d->prefill_tokens_per_s, RT_DEFAULT_PREFILL_TOKENS_PER_S);
+	rt_default(&d->link_delay_ms, RT_DEFAULT_LINK_DELAY_MS);
 	if (!d->link_bytes_per_s)
 		d->link_bytes_per_s = RT_DEFAULT_LINK_BYTES_PER_S;
-	if (!d->link_delay_ms)
-		d->link_delay_ms = RT_DEFAULT_LINK_DELAY_MS;
 	rt_heat_init(&router->heat, &d->heat);
 }
 
--- a/src/routing/rt.h
+++ b/src/routing/rt.h
@@ -134,11 +134,34 @@
 	uint32_t distance;
 };
 
+/**
+ * struct rt_constants - of the prediction; docs/ROUTING.md explains each.
+ * @band_permille: costs closer than this part are taken as equal.
+ * @min_band_ms: and costs closer than this.
+ * @lag_permille: by this part of its age a load report may be off.
+ * @max_lag_ms: and by this at most.
+ * @placed_permille: chance that an engine of the placement set holds a prefix.
+ * @pending_left_permille: part of a prefix in flight that is still to compute.
+ * @spread_permille: engines for a prefix, over its share of the traffic.
+ * @deferrable_permille: weight of a wait for a deferrable request.
+ */
+struct rt_constants {
+	uint32_t band_permille;
+	uint32_t min_band_ms;
+	uint32_t lag_permille;
+	uint32_t max_lag_ms;
+	uint32_t placed_permille;
+	uint32_t pending_left_permille;
+	uint32_t spread_permille;
+	uint32_t deferrable_permille;
+};
+
 /**
  * struct rt_desc - zero means default.
  * @seed: of the baseline "random".
  * @heat: of the heat tracker.
  * @weights: by enum cm_objective.
+ * @constants: each one zero for its default.
  * @prefill_tokens_per_s: of an engine whose speed is not known.
  * @placement_distance: farthest engines that take part in placement.
  * @link_bytes_per_s: of the link between regions.
@@ -148,6 +171,7 @@
 	uint64_t seed;
 	struct rt_heat_desc heat;
 	struct rt_weights weights[CM_REUSE + 1];
+	struct rt_constants constants;
 	uint32_t prefill_tokens_per_s;
 	enum rt_distance placement_distance;
 	uint64_t link_bytes_per_s;
--- a/src/routing/rt_cost.c
+++ b/src/routing/rt_cost.c
@@ -11,19 +11,6 @@
 #define RT_MS_US	   1e3
 #define RT_PERMILLE	   1000.0
 #define RT_REGION_DELAY_US (2.0 * RT_MS_US)
-/* Chance that an engine of the placement set holds the level. */
-#define RT_PLACED 0.5
-/* Expected part of a pending prefix that is still to be computed. */
-#define RT_PENDING_LEFT 0.5
-/* Costs closer than this part are taken as equal. */
-#define RT_BAND	       0.05
-#define RT_MIN_BAND_US (2.0 * RT_MS_US)
-/* A load report is off by up to this part of its age. */
-#define RT_LAG		   0.25
-#define RT_MAX_LAG_BAND_US (100.0 * RT_MS_US)
-/* Waits of deferrable requests weigh this part. */
-#define RT_DEFERRABLE 0.5
-
 /*
  * What the decision weighs of one candidate. Times are in floating point:
  * a decision has no room for a hundred integer divisions.
@@ -44,6 +31,7 @@
 struct _rt_frame {
 	const struct rt_router *router;
 	const struct rt_request *request;
+	const struct rt_constants *constants;
 	double wait_weight;
 	double compute_weight;
 	double distance_weight;
@@ -101,7 +89,8 @@
 	if (c->has_index)
 		return c->held *
 		       fmin(c->confidence_permille / RT_PERMILLE, 1.0);
-	return frame->place.expected[i] * RT_PLACED;
+	return frame->place.expected[i] *
+	       (frame->constants->placed_permille / RT_PERMILLE);
 }
 
 static void rt_score(struct _rt_frame *frame, uint32_t i)
@@ -118,8 +107,9 @@
 	s->new_tokens = all - held;
 	if (s->is_pending) {
 		double then = rt_keys_tokens(frame, c->pending);
-		double left_us =
-			(then - held) * s->us_per_token * RT_PENDING_LEFT;
+		double left_us = (then - held) * s->us_per_token *
+				 frame->constants->pending_left_permille /
+				 RT_PERMILLE;
 
 		s->new_tokens = all - then;
 		wait_us = wait_us > left_us ? wait_us : left_us;
@@ -180,11 +170,13 @@
 
 	frame->router = router;
 	frame->request = request;
+	frame->constants = &desc->constants;
 	frame->wait_weight = weights->wait / RT_PERMILLE;
 	frame->compute_weight = weights->compute / RT_PERMILLE;
 	frame->distance_weight = weights->distance / RT_PERMILLE;
 	if (request->urgency == CM_DEFERRABLE)
-		frame->wait_weight *= RT_DEFERRABLE;
+		frame->wait_weight *=
+			desc->constants.deferrable_permille / RT_PERMILLE;
 	frame->tokens_per_key =
 		bytes > 0.0 ? request->prompt_tokens / keys : 0.0;
 	frame->link_us = desc->link_delay_ms * RT_MS_US +
@@ -237,15 +229,15 @@
  */
 static double rt_band_us(const struct _rt_frame *frame, uint32_t cheapest)
 {
-	const struct rt_candidate *c = &frame->request->candidates[cheapest];
-	double band_us = frame->scores[cheapest].cost_us * RT_BAND;
-	double lag_us = c->load_age_ms * RT_MS_US * RT_LAG;
-
-	if (lag_us > RT_MAX_LAG_BAND_US)
-		lag_us = RT_MAX_LAG_BAND_US;
-	if (band_us < RT_MIN_BAND_US)
-		band_us = RT_MIN_BAND_US;
-	return band_us > lag_us ? band_us : lag_us;
+	const struct rt_constants *k = frame->constants;
+	double age_ms = frame->request->candidates[cheapest].load_age_ms;
+	double band_us = frame->scores[cheapest].cost_us * k->band_permille /
+			 RT_PERMILLE;
+	double lag_ms =
+		fmin(age_ms * k->lag_permille / RT_PERMILLE, k->max_lag_ms);
+
+	band_us = fmax(band_us, k->min_band_ms * RT_MS_US);
+	return fmax(band_us, lag_ms * RT_MS_US);
 }
 
 static bool rt_is_better(const struct _rt_frame *frame, uint32_t a, uint32_t b)
--- a/src/routing/rt_place.c
+++ b/src/routing/rt_place.c
@@ -8,8 +8,6 @@
 #define RT_LEVEL_DROP 0.7
 /* A level needs this part of the traffic to be told from chance. */
 #define RT_LEVEL_MIN_SHARE 0.01
-/* Engines for a prefix, over its exact share, to level out bursts. */
-#define RT_SPREAD_HEADROOM 1.25
 
 /* The lowest bits of a packed rank name the engine. */
 #define RT_INDEX_BITS 10
@@ -21,16 +19,18 @@
 
 _Static_assert(RT_MAX_ENGINES <= 1 << RT_INDEX_BITS, "an index has no room");
 
-static uint32_t rt_spread(double share, uint32_t engines)
+static uint32_t rt_spread(double share, uint32_t engines,
+			  uint32_t spread_permille)
 {
-	double wanted = ceil(share * engines * RT_SPREAD_HEADROOM);
+	double wanted = ceil(share * engines * spread_permille / 1000.0);
 	uint32_t spread = wanted < 1.0 ? 1 : (uint32_t)wanted;
 
 	return spread < engines ? spread : engines;
 }
 
 uint32_t rt_levels(const struct rt_heat *heat, const struct px_chain *chain,
-		   uint32_t engines, struct rt_level *out)
+		   uint32_t engines, uint32_t spread_permille,
+		   struct rt_level *out)
 {
 	uint32_t count = 0;
 	double of_level = 0.0;
@@ -44,7 +44,8 @@
 			if (count == RT_MAX_LEVELS)
 				break;
 			out[count].key = chain->keys[i];
-			out[count].spread = rt_spread(share, engines);
+			out[count].spread =
+				rt_spread(share, engines, spread_permille);
 			of_level = share;
 			count++;
 		}
@@ -149,7 +150,9 @@
 		      const struct rt_request *request, uint32_t near)
 {
 	struct rt_level levels[RT_MAX_LEVELS];
-	uint32_t count = rt_levels(&router->heat, request->chain, near, levels);
+	uint32_t count =
+		rt_levels(&router->heat, request->chain, near,
+			  router->desc.constants.spread_permille, levels);
 	uint32_t set = near;
 
 	place->rings = count + 2;
--- a/src/routing/rt_place.h
+++ b/src/routing/rt_place.h
@@ -60,12 +60,14 @@
 /**
  * rt_levels() - cut a chain into levels.
  * @engines: among which it is spread.
+ * @spread_permille: see struct rt_constants.
  * @out: room for RT_MAX_LEVELS.
  *
  * Return: their number, 0 for a chain without keys.
  */
 uint32_t rt_levels(const struct rt_heat *heat, const struct px_chain *chain,
-		   uint32_t engines, struct rt_level *out);
+		   uint32_t engines, uint32_t spread_permille,
+		   struct rt_level *out);
 
 /** rt_place_make() - the order of a request's candidates. */
 void rt_place_make(struct rt_place *place, const struct rt_router *router,
--- a/tests/unit/limits_test.cc
+++ b/tests/unit/limits_test.cc
@@ -273,6 +273,40 @@
 	}
 }
 
+// Demand that comes and goes at every entry, with requests that outlast many
+// reports: what runs above a part that has shrunk is not cut off.
+TEST(Share, ChangingDemandStaysWithinABound)
+{
+	struct {
+		uint32_t limit;
+		int64_t for_ms;
+		uint32_t most;
+	} loads[] = {
+		{ 4, 1500, 4 + 9 }, { 30, 1500, 37 },	{ 90, 300, 100 },
+		{ 90, 6000, 112 },  { 300, 1500, 330 },
+	};
+
+	for (auto &c : loads) {
+		std::mt19937 random(1);
+		Cluster cluster(9);
+		std::vector<int> arrivals(9);
+		uint64_t sum = 0;
+
+		for (int i = 0; i < 1500; i++) {
+			for (int &a : arrivals) {
+				uint32_t burst = random() % (c.limit / 8 + 2);
+
+				if (random() % 20 == 0)
+					a = random() % 2 ? (int)burst : 0;
+			}
+			cluster.step(arrivals, c.limit, c.for_ms);
+			sum += cluster.running();
+		}
+		EXPECT_LE(cluster.most, c.most) << c.limit;
+		EXPECT_GE(sum / 1500, c.limit * 8 / 10) << c.limit;
+	}
+}
+
 TEST(Share, AnIdleEntryGivesItsPartAwayAndGetsItBackAtOnce)
 {
 	Cluster cluster(9);
--- a/tests/unit/routing_test.cc
+++ b/tests/unit/routing_test.cc
@@ -451,7 +451,8 @@
 	warm(r, weights, 7, 3);
 	for (auto &c : cases) {
 		struct px_chain chain = prompt(c.prefix, 10, 77, 12);
-		uint32_t n = rt_levels(&r.router.heat, &chain, 12, levels);
+		uint32_t n =
+			rt_levels(&r.router.heat, &chain, 12, 1250, levels);
 
 		ASSERT_GE(n, 1u) << c.what;
 		EXPECT_GE(levels[0].spread, c.spread_min) << c.what;
@@ -470,7 +471,7 @@
 
 	for (int i = 0; i < 2; i++)
 		place(r, chain, all);
-	ASSERT_GE(rt_levels(&r.router.heat, &chain, 61, levels), 1u);
+	ASSERT_GE(rt_levels(&r.router.heat, &chain, 61, 1250, levels), 1u);
 	EXPECT_LE(levels[0].spread, 2u);
 }
 
