--- a/src/control/cs.c
+++ b/src/control/cs.c
@@ -68,6 +68,17 @@
 					     .free_body = cr_delta_free });
 }
 
+/* All control processes together poll some ten times a second at most. */
+static int64_t cs_poll_period(const struct cs_task *cs)
+{
+	const struct mb_member *m = NULL;
+	int64_t period_ms = 0;
+
+	while ((m = mb_next(cs->_desc.members, MB_CONTROL, NULL, m)))
+		period_ms += CS_POLL_SHARE_MS;
+	return CLAMP(period_ms, CS_MIN_POLL_PERIOD_MS, CS_MAX_POLL_PERIOD_MS);
+}
+
 static void cs_on_rows(void *arg, enum st_code code, const struct pf_rows *rows)
 {
 	struct cs_task *cs = arg;
@@ -77,7 +88,7 @@
 		cs_take_rows(cs, rows, cs->_asked_revision);
 	cs_platform_answered(cs, code == ST_OK);
 	cs->_poll_period_ms =
-		cs_next_period(cs->_poll_period_ms, CS_POLL_PERIOD_MS, code);
+		cs_next_period(cs->_poll_period_ms, cs_poll_period(cs), code);
 	cs_arm(cs, &cs->_poll, cs->_poll_period_ms);
 }
 
@@ -218,7 +229,7 @@
 	cs->_desc = *desc;
 	if (!cs->_desc.change_deadline_ms)
 		cs->_desc.change_deadline_ms = CS_CHANGE_DEADLINE_MS;
-	cs->_poll_period_ms = CS_POLL_PERIOD_MS;
+	cs->_poll_period_ms = CS_MIN_POLL_PERIOD_MS;
 	cs->_hosts_period_ms = CS_HOSTS_PERIOD_MS;
 	g_queue_init(&cs->_changes);
 	return kn_spawn(kernel, &cs_ops, cs, handle);
--- a/src/control/cs.h
+++ b/src/control/cs.h
@@ -25,9 +25,12 @@
 #include "platform/pf.h"
 #include "settings/cf.h"
 
-#define CS_POLL_PERIOD_MS  5000
-#define CS_HOSTS_PERIOD_MS 1000
-/** Upper bound of the two periods while the platform fails. */
+/** Between two polls: this for each control process, within the bounds. */
+#define CS_POLL_SHARE_MS      100
+#define CS_MIN_POLL_PERIOD_MS 1000
+#define CS_MAX_POLL_PERIOD_MS 5000
+#define CS_HOSTS_PERIOD_MS    1000
+/** Upper bound of the periods while the platform fails. */
 #define CS_MAX_PERIOD_MS 8000
 /** A list of that age is polled by every control process, not by two. */
 #define CS_HOSTS_OLD_MS 3000
--- a/src/process/pr.c
+++ b/src/process/pr.c
@@ -121,6 +121,10 @@
 					  .incarnation = p->incarnation });
 	if (code != ST_OK)
 		return code;
+	if (role->role != MB_CONTROL)
+		code = dr_init(&p->_dr, &p->kernel, &p->rpc, &p->settings);
+	if (code != ST_OK)
+		return code;
 	return tl_rpc_serve(&p->rpc, self->name, role->name, p->incarnation);
 }
 
@@ -144,7 +148,7 @@
 					   .rpc = &p->rpc,
 					   .members = p->members,
 					   .membership = p->membership,
-					   .serve = role->role == MB_CONTROL },
+					   .serve = true },
 			&p->replica);
 	if (code != ST_OK)
 		return code;
--- a/src/process/pr.h
+++ b/src/process/pr.h
@@ -22,6 +22,7 @@
 #define PR_H
 
 #include "config/cr.h"
+#include "control/dr.h"
 #include "kernel/kn.h"
 #include "membership/mb_task.h"
 #include "net/hs.h"
@@ -54,6 +55,7 @@
 	void *role_state;
 
 	struct mb_task _mb;
+	struct dr_server _dr;
 	struct hs_server _admin;
 	bool _has_admin;
 };
