entry: callers to engines and services, end to end

Cause: one process has to take a caller's request, place it, relay the answer, and mend or plainly end what fails on the way.

Three tasks talk by messages: front (HTTP server), dispatch (limits, placement, attempts, recovery) and once (claims). What follows a failed attempt is a plain function over rb_decide(); the life cycle is a table of transitions.

Ruled out: passing an engine's events on as bytes (an answer that comes from two engines would carry two ids, and the text to go on from would not be known).

Before: none. After: entry_test (12) and service_test (10) pass, 20 runs each.

--- /dev/null
+++ b/src/entry/en_dispatch.h
@@ -0,0 +1,175 @@
+/*
+ * en_dispatch - private state of the dispatch task, shared by its files.
+ *
+ *	en_dispatch.c	the task: messages, limits, timer
+ *	en_call.c	one request: states, answers, end
+ *	en_place.c	which engine: candidates, look-up, decision
+ *	en_engine.c	attempts at engines and what follows them
+ *	en_service.c	attempts at plain services
+ *	en_peers.c	what entries and index processes are told
+ */
+#ifndef EN_DISPATCH_H
+#define EN_DISPATCH_H
+
+#include "entry/en.h"
+#include "entry/en_recover.h"
+#include "entry/en_relay.h"
+#include "entry/en_state.h"
+#include "kernel/ck.h"
+#include "kernel/lg.h"
+#include "kernel/mt.h"
+#include "kernel/tl.h"
+#include "limits/lm.h"
+#include "limits/lm_engine.h"
+#include "limits/ps.h"
+#include "limits/rb.h"
+#include "routing/rt.h"
+#include "routing/ug.h"
+#include "upstream/up.h"
+#include "upstream/up_body.h"
+
+#define EN_BYTES_PER_TOKEN    4
+#define EN_WRONG_WEIGHTS_MS   1000
+#define EN_MAX_WRONG_WEIGHTS  4096
+#define EN_CRASH_SCAN_MS      500
+#define EN_EXPIRE_MS	      60000
+#define EN_USAGE_FANOUT	      16
+#define EN_RECORD_DEADLINE_MS 1000
+
+/**
+ * struct en_load - what this entry has at one upstream.
+ * @running: requests.
+ * @tokens: prompt tokens sent that have no first token yet.
+ * @incarnation: last known, to see a restart.
+ */
+struct en_load {
+	uint64_t id;
+	uint32_t running;
+	uint32_t tokens;
+	uint64_t incarnation;
+};
+
+struct en_dispatch {
+	struct en_dispatch_desc desc;
+	struct kn_task *task;
+	struct pr_process *process;
+	struct hc_client client;
+	struct rt_router router;
+	const struct rt_policy *policy;
+	struct lm_limits limits;
+	struct lm_engine_table engine_limits;
+	struct rb_budget budget;
+	struct ps_table poison;
+	struct ug_table urgency;
+	GHashTable *calls;
+	GHashTable *loads;
+	GHashTable *wrong_weights;
+	GArray *lost_replies;
+	ev_timer tick;
+	uint64_t attempts;
+	uint64_t usage_sequence;
+	uint32_t usage_turn;
+	int64_t next_report_ms;
+	int64_t next_scan_ms;
+	int64_t next_expire_ms;
+	bool is_started;
+};
+
+struct en_placing;
+
+/**
+ * struct en_call - one request.
+ * @deadline_ms: on the monotonic clock; 0 for none.
+ * @is_gone: the caller has hung up, but the call goes on.
+ * @is_once: claimed by the once task.
+ * @is_idempotent: running it twice does no harm.
+ * @may_have_run: an attempt may have run.
+ * @is_resuming: the present attempt is a resumption.
+ * @has_begun: the caller has the head of a stream.
+ * @upstream: name of the present one; its id, zone and incarnation follow.
+ */
+struct en_call {
+	struct en_dispatch *d;
+	struct en_ask *ask;
+	uint64_t id;
+	enum en_state state;
+	int64_t arrived_ms;
+	int64_t sent_ms;
+	int64_t deadline_ms;
+	enum cm_urgency urgency;
+	uint64_t behaviour;
+	uint64_t fingerprint;
+	bool is_gone;
+	bool is_once;
+	bool is_idempotent;
+	bool may_have_run;
+	bool is_resuming;
+	bool has_begun;
+	bool is_counted;
+	struct px_chain *chain;
+	uint32_t prompt_tokens;
+	struct en_placing *placing;
+	uint64_t excluded[RB_MAX_ATTEMPTS + 1];
+	uint32_t excluded_count;
+	uint32_t attempts;
+	struct up_attempt attempt;
+	bool has_attempt;
+	char upstream[MB_NAME_BYTES];
+	char upstream_zone[MB_NAME_BYTES];
+	uint64_t upstream_id;
+	uint64_t incarnation;
+	char version[CM_NAME_BYTES];
+	uint32_t new_tokens;
+	uint32_t running_then;
+	uint32_t tokens_counted;
+	char *body;
+	struct en_relay relay;
+};
+
+/* en_call.c */
+struct en_call *en_call_new(struct en_dispatch *d, struct en_ask *ask);
+void en_call_change(struct en_call *call, enum en_change change);
+void en_call_reply(struct en_call *call, enum en_part part, uint32_t status,
+		   GPtrArray *headers, GString *data);
+void en_call_fail(struct en_call *call, enum en_code code, const char *message,
+		  uint32_t retry_after_s);
+/** en_call_end() - the call is over and freed. */
+void en_call_end(struct en_call *call);
+void en_call_drop_attempt(struct en_call *call);
+/** en_call_exclude() - this upstream is not to be met again. */
+void en_call_exclude(struct en_call *call, uint64_t upstream);
+int64_t en_call_time_left_ms(const struct en_call *call);
+void en_call_next_id(struct en_call *call, char id[UP_ID_BYTES]);
+void en_call_free(void *call);
+
+/* en_place.c */
+void en_place(struct en_call *call);
+/** en_place_cancel() - forget a placement under way. */
+void en_place_cancel(struct en_call *call);
+
+/* en_engine.c */
+void en_engine_begin(struct en_call *call);
+void en_engine_send(struct en_call *call, const struct mb_member *engine,
+		    uint32_t new_tokens);
+void en_engine_gone(struct en_call *call);
+
+/* en_service.c */
+void en_service_begin(struct en_call *call);
+void en_service_gone(struct en_call *call);
+void en_service_step(struct en_call *call, struct en_once_step *step);
+
+/* en_peers.c */
+void en_peers_serve(struct en_dispatch *d);
+void en_peers_tick(struct en_dispatch *d, int64_t now_ms);
+void en_peers_record(struct en_call *call, bp_ix_phase phase);
+void en_peers_poison(struct en_dispatch *d, uint64_t fingerprint,
+		     uint64_t engine, uint64_t incarnation);
+
+/* en_dispatch.c */
+struct en_load *en_load(struct en_dispatch *d, uint64_t id);
+void en_load_count(struct en_call *call);
+void en_load_first_token(struct en_call *call);
+void en_load_uncount(struct en_call *call);
+void en_dispatch_run_waiting(struct en_dispatch *d);
+
+#endif
--- a/src/entry/en_recover.c
+++ b/src/entry/en_recover.c
@@ -1,7 +1,5 @@
 #include "entry/en_recover.h"
 
-#define EN_BUDGET_WINDOW 1000
-
 static const char *const en_step_names[EN_STEP_COUNT] = {
 	[EN_FINISH] = "finish",
 	[EN_RESUME] = "resume",
@@ -11,10 +9,17 @@
 	[EN_PASS_ON] = "pass_on",
 	[EN_FAIL_NOT_RUN] = "fail_not_run",
 	[EN_FAIL_UNCERTAIN] = "fail_uncertain",
-	[EN_FAIL_BROKEN] = "fail_broken",
 	[EN_FAIL_DEADLINE] = "fail_deadline",
 };
 
+static const enum en_step en_step_of_verdict[] = {
+	[RB_RETRY] = EN_RETRY,
+	[RB_RESUME] = EN_RESUME,
+	[RB_CONTINUE] = EN_CONTINUE,
+	[RB_NOT_RUN] = EN_FAIL_NOT_RUN,
+	[RB_UNKNOWN] = EN_FAIL_UNCERTAIN,
+};
+
 const char *en_step_name(enum en_step step)
 {
 	return en_step_names[step];
@@ -34,58 +39,42 @@
 	}
 }
 
-static bool en_may_resume(const struct en_ended *e)
+/* An engine that answers 4xx or 503 before the answer ran nothing. */
+static bool en_ran_nothing(uint32_t status)
 {
-	if (!e->can_resume || e->resumes >= e->max_resumes)
+	return (status >= 400 && status < 500) || status == 503;
+}
+
+bool en_may_have_run(const struct en_ended *e)
+{
+	if (!e->maybe_sent)
 		return false;
-	return e->end == UP_SILENT || e->end == UP_BROKEN;
+	if (e->end == UP_REFUSED && !e->is_resuming)
+		return !en_ran_nothing(e->http_status);
+	return true;
 }
 
-static enum en_step en_fail(const struct en_ended *e)
+static bool en_is_resumable(const struct en_ended *e)
 {
-	if (e->has_given)
-		return EN_FAIL_BROKEN;
-	return e->may_have_run ? EN_FAIL_UNCERTAIN : EN_FAIL_NOT_RUN;
+	return e->can_resume && (e->end == UP_SILENT || e->end == UP_BROKEN);
 }
 
-enum en_step en_recover(const struct en_ended *e)
+enum en_step en_recover(const struct en_ended *e, int64_t now_ms)
 {
+	struct rb_attempt rb = e->rb;
+
 	if (e->end == UP_COMPLETE)
 		return EN_FINISH;
+	if (e->has_text_end && rb.has_answer_bytes)
+		return EN_END_TEXT;
 	if (e->end == UP_TIMEOUT)
 		return EN_FAIL_DEADLINE;
-	if (e->has_given && e->has_text_end)
-		return EN_END_TEXT;
-	if (e->end == UP_REFUSED && !e->is_resuming && !e->has_given &&
+	if (e->end == UP_REFUSED && !e->is_resuming && !rb.has_answer_bytes &&
 	    en_is_about_request(e->http_status))
 		return EN_PASS_ON;
+	rb.may_have_begun = e->may_have_begun_before || en_may_have_run(e);
+	rb.is_resumable = en_is_resumable(e);
 	if (e->end == UP_TOO_LARGE)
-		return en_fail(e);
-	if (en_may_resume(e))
-		return EN_RESUME;
-	if (e->attempts >= EN_MAX_ATTEMPTS || !e->has_budget)
-		return en_fail(e);
-	if (!e->has_given)
-		return EN_RETRY;
-	return e->is_continuable ? EN_CONTINUE : EN_FAIL_BROKEN;
-}
-
-void en_budget_request(struct en_budget *budget)
-{
-	budget->requests++;
-	if (budget->requests < EN_BUDGET_WINDOW)
-		return;
-	budget->requests /= 2;
-	budget->spent /= 2;
-}
-
-bool en_budget_has(const struct en_budget *budget)
-{
-	return budget->spent <
-	       EN_RETRY_RESERVE + budget->requests / EN_RETRY_EVERY;
-}
-
-void en_budget_spend(struct en_budget *budget)
-{
-	budget->spent++;
+		rb.has_budget = false;
+	return en_step_of_verdict[rb_decide(&rb, now_ms)];
 }
--- /dev/null
+++ b/src/entry/en_relay.h
@@ -0,0 +1,81 @@
+/*
+ * en_relay - an engine's answer as the caller gets it.
+ *
+ * Overview
+ *	Every attempt has an id of its own, and an answer may come from more
+ *	than one engine; the caller sees one answer with one id. The relay
+ *	rewrites each event, keeps the text so far (from which another engine
+ *	can go on), and takes out what is the router's: the names of cached
+ *	blocks, and the usage if the caller did not ask for it. No sockets.
+ *
+ * Use
+ *	en_relay_init(&relay, ask);
+ *	en_relay_event(&relay, event->json, out);
+ *	en_relay_continue(&relay);	another engine goes on
+ *	en_relay_finish(&relay);
+ */
+#ifndef EN_RELAY_H
+#define EN_RELAY_H
+
+#include "entry/en_ask.h"
+#include "rpc/gen/balsampin.h"
+
+#define EN_ANSWER_ID_BYTES (EN_ID_BYTES + 16)
+
+/**
+ * struct en_usage - what the engine says of the prompt.
+ * @prompt_tokens: 0 until it is known.
+ * @block_tokens: size of a block.
+ * @blocks: the engine's names of the prompt's whole blocks.
+ * @block_count: their number, BP_MAX_BLOCKS at most.
+ */
+struct en_usage {
+	uint32_t prompt_tokens;
+	uint32_t block_tokens;
+	uint64_t blocks[BP_MAX_BLOCKS];
+	uint32_t block_count;
+};
+
+/**
+ * struct en_relay - state. Readable fields:
+ * @text: the answer so far.
+ * @tokens: events with text so far, taken as tokens.
+ * @has_token: at least one event with text came.
+ * @has_text_end: the engine said why the text ended.
+ * @is_continuable: @text is all that the caller has of the answer.
+ * @usage: of the last attempt.
+ */
+struct en_relay {
+	GString *text;
+	uint32_t tokens;
+	bool has_token;
+	bool has_text_end;
+	bool is_continuable;
+	struct en_usage usage;
+
+	enum en_kind _kind;
+	bool _wants_usage;
+	bool _is_continued;
+	uint32_t _tokens_before;
+	char _id[EN_ANSWER_ID_BYTES];
+	char _model[CM_NAME_BYTES];
+};
+
+void en_relay_init(struct en_relay *relay, const struct en_ask *ask);
+void en_relay_finish(struct en_relay *relay);
+
+/** en_relay_event() - append to @out what the caller gets, maybe nothing. */
+void en_relay_event(struct en_relay *relay, struct json_object *event,
+		    GString *out);
+
+/** en_relay_plain() - the same for a whole answer. */
+void en_relay_plain(struct en_relay *relay, struct json_object *answer,
+		    GString *out);
+
+/** en_relay_continue() - the next events come from another engine. */
+void en_relay_continue(struct en_relay *relay);
+
+/** en_relay_end_text() - an event that ends the text for its length. */
+void en_relay_end_text(struct en_relay *relay, GString *out);
+
+#endif
--- a/src/once/on.c
+++ b/src/once/on.c
@@ -33,7 +33,9 @@
 
 int64_t on_wait_ms(const struct on_machine *m)
 {
-	return (int64_t)ON_FIRST_WAIT_MS << m->_releases;
+	uint32_t tries = m->state == ON_KEEP_WAITING ? m->_keeps : m->_releases;
+
+	return (int64_t)ON_FIRST_WAIT_MS << tries;
 }
 
 /* The claim may be there or come later; it is taken back when it is seen. */
@@ -140,13 +142,20 @@
 
 static enum on_action on_keep(struct on_machine *m)
 {
-	if (m->_keeps == ON_MAX_KEEPS)
-		return on_end(m, ON_FINISHED);
-	m->_keeps++;
 	m->state = ON_KEEPING;
 	return ON_KEEP;
 }
 
+/* Without the kept answer a repeat would get "unknown" for good. */
+static enum on_action on_keep_again(struct on_machine *m)
+{
+	m->_keeps++;
+	if (m->_keeps == ON_MAX_KEEPS)
+		return on_end(m, ON_FINISHED);
+	m->state = ON_KEEP_WAITING;
+	return ON_WAIT;
+}
+
 static enum on_action on_send_ended(struct on_machine *m, enum on_event event)
 {
 	switch (event) {
@@ -184,7 +193,9 @@
 		return on_send_ended(m, event);
 	if (m->state == ON_KEEPING && event == ON_KEEP_ANSWERED)
 		return on_is_written(input->code) ? on_end(m, ON_FINISHED)
-						  : on_keep(m);
+						  : on_keep_again(m);
+	if (m->state == ON_KEEP_WAITING && event == ON_WAITED)
+		return on_keep(m);
 	if (m->state == ON_RELEASING && event == ON_RELEASE_ANSWERED)
 		return on_is_written(input->code) ? on_end(m, ON_FINISHED)
 						  : on_wait(m);
--- a/src/once/on.h
+++ b/src/once/on.h
@@ -29,7 +29,7 @@
 
 #define ON_MAX_CLAIMS	 3
 #define ON_MAX_READS	 3
-#define ON_MAX_KEEPS	 5
+#define ON_MAX_KEEPS	 8
 #define ON_MAX_RELEASES	 6
 #define ON_FIRST_WAIT_MS 500
 #define ON_MAX_SENDS	 3
@@ -102,6 +102,7 @@
 	ON_READING,
 	ON_SENDING,
 	ON_KEEPING,
+	ON_KEEP_WAITING,
 	ON_ABANDONED,
 	ON_CHECKING,
 	ON_RELEASING,
--- a/src/upstream/sd.c
+++ b/src/upstream/sd.c
@@ -70,6 +70,7 @@
 		d->_is_other_incarnation = true;
 		return;
 	}
+	d->seen_incarnation = incarnation;
 	d->_is_other_incarnation =
 		d->incarnation && d->incarnation != incarnation;
 	if (!d->incarnation)
--- a/src/upstream/up.c
+++ b/src/upstream/up.c
@@ -106,7 +106,7 @@
 	result.maybe_sent = a->_was_sent;
 	a->_ops->judge(a, answer, &result);
 	result.last = a->_decoder.last;
-	result.incarnation = a->_decoder.incarnation;
+	result.incarnation = a->_decoder.seen_incarnation;
 	a->_desc.on_done(a->_desc.arg, &result);
 }
 
@@ -302,9 +302,12 @@
 
 void up_cancel(struct up_attempt *a)
 {
+	bool has_begun;
+
 	if (!a->_ops)
 		return;
+	has_begun = a->_is_running || a->_was_sent;
 	up_stop(a);
-	if (a->_ops->abandon)
+	if (has_begun && a->_ops->abandon)
 		a->_ops->abandon(a);
 }
--- a/src/upstream/up.h
+++ b/src/upstream/up.h
@@ -232,6 +232,12 @@
 /** up_start() - send the request; what hc_send() returned. */
 enum st_code up_start(struct up_attempt *a);
 
+/** up_incarnation() - of the engine, 0 until it is known. */
+static inline uint64_t up_incarnation(const struct up_attempt *a)
+{
+	return a->_decoder.incarnation;
+}
+
 /** up_can_resume() - whether the plug-in and the attempt allow it. */
 bool up_can_resume(const struct up_attempt *a);
 
--- a/src/upstream/up_engine.c
+++ b/src/upstream/up_engine.c
@@ -49,20 +49,20 @@
 		result->end = UP_FAULTY;
 }
 
-/* A connection that ends after [DONE] took nothing from the answer. */
+/* Whatever comes after [DONE] takes nothing from the answer. */
 static void up_engine_judge_stream(struct up_attempt *a,
 				   struct up_result *result)
 {
 	struct sd_decoder *d = &a->_decoder;
 
-	if (d->fault != SD_FINE) {
-		up_engine_set_fault(result, d->fault);
-		return;
-	}
 	if (d->is_done) {
 		result->end = UP_COMPLETE;
 		return;
 	}
+	if (d->fault != SD_FINE) {
+		up_engine_set_fault(result, d->fault);
+		return;
+	}
 	/* A body that ends early with its closing chunk is a broken one. */
 	if (result->end == UP_COMPLETE) {
 		sd_end(d);
--- /dev/null
+++ b/tests/unit/entry_test.cc
@@ -0,0 +1,459 @@
+// The entry process, end to end in one program: callers, engines that fail in
+// every way, limits, bad input, drain.
+#include "entry_host.h"
+
+namespace
+{
+
+const char *const completions = "/v1/completions";
+const std::string plain = "{\"model\":\"m\",\"prompt\":\"p\"}";
+const std::string streamed =
+	"{\"model\":\"m\",\"prompt\":\"p\",\"stream\":true,\"max_tokens\":9}";
+
+class Entry : public testing::Test
+{
+      protected:
+	Loop l;
+	FakeServer e1{ l.loop }, e2{ l.loop };
+	Caller caller{ l.loop };
+	std::unique_ptr<Host> host;
+
+	void SetUp() override
+	{
+		auto whole = [this](struct hs_exchange *x) { serve(x); };
+
+		e1.on_request = whole;
+		e2.on_request = whole;
+		restart();
+	}
+	void restart()
+	{
+		host.reset();
+		e1.seen.clear();
+		e2.seen.clear();
+		host.reset(new Host(l.loop, "h1",
+				    { { MB_ENGINE, "e1", e1.port(), 7 },
+				      { MB_ENGINE, "e2", e2.port(), 7 } }));
+	}
+	void TearDown() override
+	{
+		host.reset();
+	}
+	static std::string id_of(struct hs_exchange *x)
+	{
+		return hs_header(x, "X-Request-Id");
+	}
+	static bool is_post(struct hs_exchange *x)
+	{
+		return !strcmp(x->method, "POST");
+	}
+	// A good engine: "abc", streamed or plain, from where it is asked on.
+	static void serve(struct hs_exchange *x)
+	{
+		std::string id;
+
+		if (!strcmp(x->method, "DELETE")) {
+			hs_respond(x, 200, nullptr, "", 0);
+			return;
+		}
+		id = id_of(x);
+		if (!has(x->body->str, "\"stream\":true")) {
+			send_whole(x, 200,
+				   "{\"id\":\"cmpl-" + id +
+					   "\",\"choices\":[{\"index\":0,"
+					   "\"text\":\"abc\"}]}");
+			return;
+		}
+		bool is_rest = has(x->body->str, "continue_from");
+		const char *const texts[] = { "a", "b", "c" };
+		int n = 0;
+
+		begin_stream(x);
+		for (int i = is_rest ? 1 : 0; i < 3; i++)
+			send_event(x, ++n, token(id, texts[i]));
+		send_event(x, n + 1, "[DONE]");
+		hs_end(x);
+	}
+	Answer ask(const std::string &body, int64_t limit_ms = 10000)
+	{
+		Answer a;
+
+		caller.send(&a, host->port(), "POST", completions, body);
+		EXPECT_TRUE(l.run_until([&] { return a.is_done; }, limit_ms));
+		return a;
+	}
+	// Whichever engine is asked first fails so, and then behaves.
+	void first_does(const std::function<void(struct hs_exchange *)> &fault)
+	{
+		auto is_first = std::make_shared<bool>(true);
+		auto both = [=](struct hs_exchange *x) {
+			if (!*is_first || !is_post(x)) {
+				serve(x);
+				return;
+			}
+			*is_first = false;
+			fault(x);
+		};
+
+		e1.on_request = both;
+		e2.on_request = both;
+	}
+	FakeServer &first()
+	{
+		return e1.seen.empty() ? e2 : e1;
+	}
+	int posts()
+	{
+		return e1.count("POST") + e2.count("POST");
+	}
+};
+
+TEST_F(Entry, PlainAndStreamedAnswersComeWhole)
+{
+	Answer p = ask(plain), s = ask(streamed);
+
+	EXPECT_EQ(p.status, 200u);
+	EXPECT_TRUE(has(p.body, "abc"));
+	EXPECT_TRUE(has(p.body, p.request_id.c_str()));
+	EXPECT_EQ(s.status, 200u);
+	EXPECT_EQ(s.outcome, HC_DONE);
+	EXPECT_EQ(text_of(s.body), "abc");
+	EXPECT_TRUE(has(s.body, "data: [DONE]"));
+	for (const FakeServer *e : { &e1, &e2 })
+		for (const Seen &seen : e->seen) {
+			EXPECT_EQ(seen.weights, "v1");
+			EXPECT_TRUE(has(seen.body, "\"priority\":"));
+			EXPECT_FALSE(has(s.body, seen.id.c_str()));
+		}
+}
+
+// However the first engine fails, the caller gets the whole answer once.
+TEST_F(Entry, FailuresBeforeAndInTheAnswerAreMended)
+{
+	const struct {
+		const char *name;
+		const std::string &body;
+		std::function<void(struct hs_exchange *)> fault;
+		int posts;
+	} cases[] = {
+		{ "crash before a plain answer", plain,
+		  [](struct hs_exchange *x) {
+			  hs_begin(x, 200, engine_headers);
+			  hs_abort(x);
+		  },
+		  2 },
+		{ "another's plain answer", plain,
+		  [](struct hs_exchange *x) {
+			  send_whole(x, 200, "{\"id\":\"cmpl-other\"}");
+		  },
+		  2 },
+		{ "wrong weights", plain,
+		  [](struct hs_exchange *x) {
+			  send_whole(x, 409, "{\"error\":{}}");
+		  },
+		  2 },
+		{ "answer from other weights", plain,
+		  [](struct hs_exchange *x) {
+			  const struct hs_header headers[] = {
+				  { "X-Weights-Version", "v0" },
+				  { "X-Engine-Incarnation", "7" },
+				  { nullptr, nullptr },
+			  };
+			  send_whole(x, 200,
+				     "{\"id\":\"cmpl-" + id_of(x) + "\"}",
+				     headers);
+		  },
+		  2 },
+		{ "crossed event in mid-stream", streamed,
+		  [](struct hs_exchange *x) {
+			  begin_stream(x);
+			  send_event(x, 1, token(id_of(x), "a"));
+			  send_event(x, 2, token("other", "z"));
+		  },
+		  2 },
+		{ "gap in mid-stream", streamed,
+		  [](struct hs_exchange *x) {
+			  begin_stream(x);
+			  send_event(x, 1, token(id_of(x), "a"));
+			  send_event(x, 3, token(id_of(x), "c"));
+		  },
+		  2 },
+		{ "repeated events", streamed,
+		  [](struct hs_exchange *x) {
+			  begin_stream(x);
+			  send_event(x, 1, token(id_of(x), "a"));
+			  send_event(x, 1, token(id_of(x), "a"));
+			  send_event(x, 2, token(id_of(x), "b"));
+			  send_event(x, 3, token(id_of(x), "c"));
+			  send_event(x, 2, token(id_of(x), "b"));
+			  send_event(x, 4, "[DONE]");
+			  hs_end(x);
+		  },
+		  1 },
+	};
+
+	for (const auto &c : cases) {
+		restart();
+		first_does(c.fault);
+		Answer a = ask(c.body);
+		EXPECT_EQ(a.status, 200u) << c.name << a.body;
+		EXPECT_EQ(a.outcome, HC_DONE) << c.name;
+		EXPECT_EQ(text_of(a.body), "abc") << c.name << a.body;
+		EXPECT_EQ(posts(), c.posts) << c.name;
+	}
+}
+
+TEST_F(Entry, SilentStreamIsResumedOnANewConnection)
+{
+	std::string id;
+	auto engine = [&](struct hs_exchange *x) {
+		if (is_post(x)) {
+			id = id_of(x);
+			begin_stream(x);
+			send_event(x, 1, token(id, "a"));
+			return;
+		}
+		begin_stream(x);
+		send_event(x, 2, token(id, "b"));
+		send_event(x, 3, token(id, "c"));
+		send_event(x, 4, "[DONE]");
+		hs_end(x);
+	};
+
+	e1.on_request = engine;
+	e2.on_request = engine;
+	Answer a = ask(streamed);
+	EXPECT_EQ(text_of(a.body), "abc");
+	EXPECT_TRUE(has(a.body, "[DONE]"));
+	EXPECT_EQ(posts(), 1);
+	ASSERT_EQ(first().seen.size(), 2u);
+	EXPECT_EQ(first().seen[1].path, "/v1/streams/" + id);
+	EXPECT_EQ(first().seen[1].last_event, "1");
+}
+
+TEST_F(Entry, DeadEngineIsContinuedElsewhere)
+{
+	FakeServer *dead = nullptr;
+	Answer a;
+
+	first_does([](struct hs_exchange *x) {
+		begin_stream(x);
+		send_event(x, 1, token(id_of(x), "a"));
+	});
+	caller.send(&a, host->port(), "POST", completions, streamed);
+	ASSERT_TRUE(l.run_until([&] { return text_of(a.body) == "a"; }));
+	dead = &first();
+	dead->stop();
+	ASSERT_TRUE(l.run_until([&] { return a.is_done; }));
+	EXPECT_EQ(a.outcome, HC_DONE);
+	EXPECT_EQ(text_of(a.body), "abc");
+	FakeServer &other = dead == &e1 ? e2 : e1;
+	ASSERT_EQ(other.count("POST"), 1);
+	EXPECT_TRUE(
+		has(other.seen[0].body, "\"continue_from\":{\"text\":\"a\"}"));
+	EXPECT_TRUE(has(other.seen[0].body, "\"max_tokens\":8"));
+	ASSERT_FALSE(host->failed.empty());
+	EXPECT_EQ(host->failed[0], dead == &e1 ? "e1" : "e2");
+}
+
+TEST_F(Entry, BrokenForGoodEndsAsAnExplicitError)
+{
+	Answer a;
+
+	first_does([](struct hs_exchange *x) {
+		begin_stream(x);
+		send_event(x, 1, token(id_of(x), "a"));
+	});
+	caller.send(&a, host->port(), "POST", completions, streamed);
+	ASSERT_TRUE(l.run_until([&] { return text_of(a.body) == "a"; }));
+	e1.stop();
+	e2.stop();
+	ASSERT_TRUE(l.run_until([&] { return a.is_done; }));
+	EXPECT_EQ(a.outcome, HC_BROKEN);
+	EXPECT_FALSE(has(a.body, "[DONE]"));
+	EXPECT_TRUE(has(a.body, "\"run\":\"unknown\"")) << a.body;
+}
+
+TEST_F(Entry, NothingRanWithoutAnyEngine)
+{
+	e1.stop();
+	e2.stop();
+	Answer a = ask(plain);
+	EXPECT_EQ(a.status, 503u);
+	EXPECT_TRUE(has(a.body, "\"run\":\"not_run\""));
+	EXPECT_EQ(a.retry_after, "1");
+}
+
+TEST_F(Entry, HangUpIsCancelledAtTheEngine)
+{
+	Answer a;
+	auto engine = [](struct hs_exchange *x) {
+		if (is_post(x)) {
+			begin_stream(x);
+			send_event(x, 1, token(id_of(x), "a"));
+		} else {
+			hs_respond(x, 200, nullptr, "", 0);
+		}
+	};
+
+	e1.on_request = engine;
+	e2.on_request = engine;
+	caller.send(&a, host->port(), "POST", completions, streamed);
+	ASSERT_TRUE(l.run_until([&] { return text_of(a.body) == "a"; }));
+	hc_cancel(&caller.client, a.call);
+	ASSERT_TRUE(l.run_until(
+		[&] { return e1.count("DELETE") + e2.count("DELETE") == 1; }));
+	EXPECT_EQ(first().seen.back().path,
+		  "/v1/streams/" + first().seen[0].id);
+}
+
+TEST_F(Entry, DeadlineEndsWithAnError)
+{
+	Answer a;
+	auto silent = [](struct hs_exchange *x) {
+		if (!is_post(x))
+			hs_respond(x, 200, nullptr, "", 0);
+	};
+
+	e1.on_request = silent;
+	e2.on_request = silent;
+	caller.send(&a, host->port(), "POST", completions, plain,
+		    { "X-Deadline-Ms: 60" });
+	ASSERT_TRUE(l.run_until([&] { return a.is_done; }));
+	EXPECT_EQ(a.status, 504u);
+	EXPECT_TRUE(has(a.body, "\"run\":\"unknown\""));
+}
+
+TEST_F(Entry, BadInputGetsAClearAnswer)
+{
+	const std::string unknown = "{\"model\":\"x\",\"prompt\":\"p\"}";
+	const std::string denied = "{\"model\":\"n\",\"prompt\":\"p\"}";
+	const std::string deep =
+		"{\"model\":\"m\",\"prompt\":" + std::string(100, '[') +
+		std::string(100, ']') + "}";
+	const struct {
+		const char *path;
+		std::string body;
+		const char *key;
+		const char *header;
+		uint32_t status;
+		const char *code;
+	} cases[] = {
+		{ completions, plain, nullptr, nullptr, 401, "no_key" },
+		{ completions, plain, "k9", nullptr, 401, "invalid_api_key" },
+		{ completions, "{", "k1", nullptr, 400, "bad_json" },
+		{ completions, "[]", "k1", nullptr, 400, "bad_json" },
+		{ completions, plain + "x", "k1", nullptr, 400, "bad_json" },
+		{ completions, deep, "k1", nullptr, 400, "bad_json" },
+		{ completions, "{}", "k1", nullptr, 400, "bad_field" },
+		{ completions, "{\"model\":\"m\"}", "k1", nullptr, 400,
+		  "bad_field" },
+		{ completions,
+		  "{\"model\":\"m\",\"prompt\":\"p\",\"stream\":1}", "k1",
+		  nullptr, 400, "bad_field" },
+		{ completions,
+		  "{\"model\":\"m\",\"prompt\":\"p\",\"max_tokens\":0}", "k1",
+		  nullptr, 400, "bad_field" },
+		{ completions, unknown, "k1", nullptr, 404, "model_not_found" },
+		{ completions, denied, "k1", nullptr, 403, "model_denied" },
+		{ "/v1/chat/completions", plain, "k1", nullptr, 400,
+		  "bad_field" },
+		{ "/v1/nothing", plain, "k1", nullptr, 404, "not_found" },
+		{ "/v1/services/x/y", "", "k1", nullptr, 404,
+		  "service_not_found" },
+		{ "/v1/services/letters/y", "", "k2", nullptr, 403,
+		  "service_denied" },
+		{ completions, plain, "k1", "X-Deadline-Ms: soon", 400,
+		  "bad_header" },
+		{ completions, plain, "k1", "X-Request-Id: a b", 400,
+		  "bad_header" },
+		{ completions, std::string(2 << 20, 'x'), "k1", nullptr, 413,
+		  "body_too_large" },
+	};
+
+	for (const auto &c : cases) {
+		Answer a;
+		std::vector<std::string> headers;
+
+		if (c.header)
+			headers.push_back(c.header);
+		caller.send(&a, host->port(), "POST", c.path, c.body, headers,
+			    c.key);
+		ASSERT_TRUE(l.run_until([&] { return a.is_done; }));
+		EXPECT_EQ(a.status, c.status) << c.code;
+		EXPECT_TRUE(has(a.body, c.code)) << c.code << a.body;
+		EXPECT_TRUE(has(a.body, "\"run\":\"not_run\"")) << c.code;
+	}
+	EXPECT_EQ(posts(), 0);
+}
+
+TEST_F(Entry, RequestIdInFlightIsRefusedOnce)
+{
+	Answer one, two, three;
+	auto silent = [](struct hs_exchange *x) {};
+
+	e1.on_request = silent;
+	e2.on_request = silent;
+	caller.send(&one, host->port(), "POST", completions, plain,
+		    { "X-Request-Id: same" });
+	ASSERT_TRUE(l.run_until([&] { return posts() == 1; }));
+	caller.send(&two, host->port(), "POST", completions, plain,
+		    { "X-Request-Id: same" });
+	ASSERT_TRUE(l.run_until([&] { return two.is_done; }));
+	EXPECT_EQ(two.status, 409u);
+	EXPECT_EQ(two.request_id, "same");
+	EXPECT_FALSE(one.is_done);
+	struct hs_exchange *x = e1.open.empty() ? e2.open[0] : e1.open[0];
+	serve(x);
+	ASSERT_TRUE(l.run_until([&] { return one.is_done; }));
+	EXPECT_EQ(one.status, 200u);
+	e1.on_request = serve;
+	e2.on_request = serve;
+	caller.send(&three, host->port(), "POST", completions, plain,
+		    { "X-Request-Id: same" });
+	ASSERT_TRUE(l.run_until([&] { return three.is_done; }));
+	EXPECT_EQ(three.status, 200u);
+}
+
+TEST_F(Entry, DrainFinishesOpenStreamsAndRefusesNewOnes)
+{
+	Answer open, late, health;
+	struct hs_exchange *held = nullptr;
+
+	first_does([&](struct hs_exchange *x) {
+		held = x;
+		begin_stream(x);
+		send_event(x, 1, token(id_of(x), "a"));
+	});
+	caller.send(&open, host->port(), "POST", completions, streamed);
+	ASSERT_TRUE(l.run_until([&] { return text_of(open.body) == "a"; }));
+	kn_drain(&host->p.kernel);
+	caller.send(&late, host->port(), "POST", completions, plain);
+	caller.send(&health, host->port(), "GET", "/healthz", "");
+	ASSERT_TRUE(
+		l.run_until([&] { return late.is_done && health.is_done; }));
+	EXPECT_EQ(late.status, 503u);
+	EXPECT_TRUE(has(late.body, "\"run\":\"not_run\""));
+	EXPECT_EQ(late.retry_after, "1");
+	EXPECT_EQ(late.connection, "close");
+	EXPECT_EQ(health.status, 503u);
+	send_event(held, 2, token(id_of(held), "b"));
+	send_event(held, 3, "[DONE]");
+	hs_end(held);
+	ASSERT_TRUE(l.run_until([&] { return open.is_done; }));
+	EXPECT_EQ(open.outcome, HC_DONE);
+	EXPECT_EQ(text_of(open.body), "ab");
+	EXPECT_TRUE(has(open.body, "[DONE]"));
+}
+
+TEST_F(Entry, ModelsAreThoseOfTheTeam)
+{
+	Answer a;
+
+	caller.send(&a, host->port(), "GET", "/v1/models", "");
+	ASSERT_TRUE(l.run_until([&] { return a.is_done; }));
+	EXPECT_TRUE(has(a.body, "\"id\":\"m\""));
+	EXPECT_FALSE(has(a.body, "\"id\":\"n\""));
+}
+
+} // namespace
--- a/tests/unit/once_test.cc
+++ b/tests/unit/once_test.cc
@@ -128,7 +128,8 @@
 		  { begin,
 		    { claim(ST_OK), ON_SEND },
 		    { event(ON_SENT_WHOLE), ON_KEEP },
-		    { event(ON_KEEP_ANSWERED, ST_UNKNOWN), ON_KEEP },
+		    { event(ON_KEEP_ANSWERED, ST_UNKNOWN), ON_WAIT },
+		    { event(ON_WAITED), ON_KEEP },
 		    { event(ON_KEEP_ANSWERED, ST_CONFLICT), ON_FINISHED } } },
 	};
 
--- /dev/null
+++ b/tests/unit/service_test.cc
@@ -0,0 +1,249 @@
+// Plain services through the entry process: what may be sent again, and calls
+// that must run at most once under every fault of platform and service.
+#include "entry_host.h"
+
+namespace
+{
+
+const std::string fee = "/v1/services/letters/fee?x=1%202";
+
+class Service : public testing::Test
+{
+      protected:
+	Loop l;
+	FakeServer s1{ l.loop }, s2{ l.loop };
+	Caller caller{ l.loop };
+	std::unique_ptr<Host> h1, h2;
+	int runs = 0;
+
+	void SetUp() override
+	{
+		auto run = [this](struct hs_exchange *x) { serve(x); };
+
+		s1.on_request = run;
+		s2.on_request = run;
+		restart();
+	}
+	void TearDown() override
+	{
+		h1.reset();
+		h2.reset();
+	}
+	void restart()
+	{
+		std::vector<Upstreams> services = {
+			{ MB_SERVICE, "s1", s1.port() },
+			{ MB_SERVICE, "s2", s2.port() },
+		};
+
+		h1.reset();
+		h2.reset();
+		platform_faults = PlatformFaults();
+		runs = 0;
+		h1.reset(new Host(l.loop, "h1", services));
+		h2.reset(new Host(l.loop, "h2", services));
+	}
+	void serve(struct hs_exchange *x)
+	{
+		runs++;
+		send_whole(x, 201, "run " + std::to_string(runs), nullptr);
+	}
+	void both(const std::function<void(struct hs_exchange *)> &fn)
+	{
+		s1.on_request = fn;
+		s2.on_request = fn;
+	}
+	Answer call(Host &host, const char *method, const char *key = nullptr,
+		    const std::string &body = "b")
+	{
+		Answer a;
+		std::vector<std::string> headers;
+
+		if (key)
+			headers.push_back(std::string("Idempotency-Key: ") +
+					  key);
+		caller.send(&a, host.port(), method, fee, body, headers);
+		EXPECT_TRUE(l.run_until([&] { return a.is_done; }));
+		return a;
+	}
+	FakeServer &first()
+	{
+		return s1.seen.empty() ? s2 : s1;
+	}
+};
+
+void crash(struct hs_exchange *x)
+{
+	hs_begin(x, 200, nullptr);
+	hs_abort(x);
+}
+
+TEST_F(Service, CallIsPassedOnWhole)
+{
+	Answer a = call(*h1, "POST");
+
+	EXPECT_EQ(a.status, 201u);
+	EXPECT_EQ(a.body, "run 1");
+	EXPECT_EQ(first().seen[0].path, "/fee");
+	EXPECT_EQ(first().seen[0].body, "b");
+}
+
+// What may be sent again after the upstream broke: (method, key) to runs.
+TEST_F(Service, OnlyIdempotentCallsAreSentAgain)
+{
+	const struct {
+		const char *method;
+		const char *key;
+		uint32_t status;
+		int sent;
+	} cases[] = {
+		{ "GET", nullptr, 201, 2 },
+		{ "POST", nullptr, 502, 1 },
+		{ "DELETE", nullptr, 502, 1 },
+		{ "POST", "k", 502, 1 },
+	};
+
+	for (const auto &c : cases) {
+		int sent = 0;
+
+		restart();
+		both([&](struct hs_exchange *x) {
+			sent++;
+			if (sent == 1)
+				crash(x);
+			else
+				serve(x);
+		});
+		Answer a = call(*h1, c.method, c.key, "");
+		EXPECT_EQ(a.status, c.status) << c.method;
+		EXPECT_EQ(sent, c.sent) << c.method;
+		if (c.status == 502) {
+			EXPECT_TRUE(has(a.body, "\"run\":\"unknown\""));
+		}
+	}
+}
+
+TEST_F(Service, NotSentIsTriedElsewhereWhateverTheMethod)
+{
+	s1.stop();
+	for (int i = 0; i < 4; i++)
+		EXPECT_EQ(call(*h1, "POST").status, 201u);
+	EXPECT_EQ(call(*h1, "POST", "k").status, 201u);
+	EXPECT_EQ(runs, 5);
+}
+
+TEST_F(Service, RepeatGetsTheKeptAnswerWhereverItArrives)
+{
+	Answer one = call(*h1, "POST", "k"), two, other;
+
+	EXPECT_EQ(one.body, "run 1");
+	ASSERT_TRUE(l.run_until([&] { return platform_faults.txns == 2; }));
+	two = call(*h2, "POST", "k");
+	EXPECT_EQ(two.status, 201u);
+	EXPECT_EQ(two.body, "run 1");
+	other = call(*h2, "POST", "k", "another body");
+	EXPECT_EQ(other.status, 422u);
+	EXPECT_TRUE(has(other.body, "idempotency_key_reused"));
+	EXPECT_EQ(runs, 1);
+	EXPECT_EQ(call(*h2, "POST", "k3").body, "run 2");
+}
+
+TEST_F(Service, RepeatWhileTheFirstIsUnsettledGetsUnknown)
+{
+	Answer one;
+	struct hs_exchange *held = nullptr;
+
+	both([&](struct hs_exchange *x) { held = x; });
+	caller.send(&one, h1->port(), "POST", fee, "b",
+		    { "Idempotency-Key: k" });
+	ASSERT_TRUE(l.run_until([&] { return held != nullptr; }));
+	Answer two = call(*h2, "POST", "k");
+	EXPECT_EQ(two.status, 409u);
+	EXPECT_EQ(two.retry_after, "2");
+	EXPECT_TRUE(has(two.body, "\"run\":\"unknown\""));
+	serve(held);
+	ASSERT_TRUE(l.run_until([&] { return one.is_done; }));
+	EXPECT_EQ(one.body, "run 1");
+	EXPECT_EQ(runs, 1);
+}
+
+// The store's answer to a claim is lost, with and without its effect.
+TEST_F(Service, LostAnswerToAClaimRunsOnce)
+{
+	const struct {
+		int lose_answers;
+		int drop_writes;
+	} cases[] = { { 1, 0 }, { 0, 1 }, { 2, 0 }, { 0, 2 }, { 1, 1 } };
+
+	for (const auto &c : cases) {
+		restart();
+		platform_faults.lose_answers = c.lose_answers;
+		platform_faults.drop_writes = c.drop_writes;
+		EXPECT_EQ(call(*h1, "POST", "k").body, "run 1");
+		EXPECT_EQ(runs, 1);
+	}
+}
+
+TEST_F(Service, PlatformDownIsNotRun)
+{
+	platform_faults.is_down = true;
+	Answer a = call(*h1, "POST", "k");
+	EXPECT_EQ(a.status, 503u);
+	EXPECT_EQ(a.retry_after, "2");
+	EXPECT_TRUE(has(a.body, "\"run\":\"not_run\""));
+	EXPECT_EQ(runs, 0);
+	platform_faults.is_down = false;
+	EXPECT_EQ(call(*h2, "POST", "k").body, "run 1");
+}
+
+// Nothing was sent, so the claim is taken back and a repeat runs.
+TEST_F(Service, ClaimOfACallThatWasNotSentIsTakenBack)
+{
+	std::vector<Upstreams> none, two = { { MB_SERVICE, "s2", s2.port() } };
+
+	s1.stop();
+	h1->list({ { MB_SERVICE, "s1", s1.port() },
+		   { MB_SERVICE, "s2", s1.port() } });
+	Answer a = call(*h1, "POST", "k");
+	EXPECT_EQ(a.status, 503u);
+	EXPECT_TRUE(has(a.body, "\"run\":\"not_run\""));
+	ASSERT_TRUE(l.run_until([&] { return platform_faults.txns == 2; }));
+	h2->list({ { MB_SERVICE, "s1", s2.port() },
+		   { MB_SERVICE, "s2", s2.port() } });
+	EXPECT_EQ(call(*h2, "POST", "k").body, "run 1");
+}
+
+// A caller that hangs up stops an idempotent call, never another one.
+TEST_F(Service, HangUpDoesNotStopACallThatMayHaveBegun)
+{
+	Answer one;
+	struct hs_exchange *held = nullptr;
+
+	both([&](struct hs_exchange *x) { held = x; });
+	caller.send(&one, h1->port(), "POST", fee, "b",
+		    { "Idempotency-Key: k" });
+	ASSERT_TRUE(l.run_until([&] { return held != nullptr; }));
+	hc_cancel(&caller.client, one.call);
+	l.run_until([] { return false; }, 50);
+	ASSERT_NE(first().open[0], nullptr);
+	serve(held);
+	ASSERT_TRUE(l.run_until([&] { return platform_faults.txns == 2; }));
+	EXPECT_EQ(call(*h2, "POST", "k").body, "run 1");
+	EXPECT_EQ(runs, 1);
+}
+
+TEST_F(Service, KeepingGoesOnAfterALostAnswer)
+{
+	Answer one;
+
+	both([&](struct hs_exchange *x) {
+		platform_faults.drop_writes = 1;
+		serve(x);
+	});
+	one = call(*h1, "POST", "k");
+	EXPECT_EQ(one.status, 201u);
+	ASSERT_TRUE(l.run_until([&] { return platform_faults.txns == 3; }));
+	EXPECT_EQ(call(*h2, "POST", "k").body, "run 1");
+}
+
+} // namespace
