replica: without a host list it goes on asking

Cause: an entry that caught up before its control process had read the host list had the age -1 for the list, which is not above the limit of 1,500 ms, so it never asked again; demo.sh's first host refused every request with no_upstream. Ruled out: the host list of the platform (control had read it three times), membership (the other processes were known). Before: demo.sh exit 1, replica_test's new case fails after 15 s. After: the case passes, demo.sh exit 0 with 14 of 18 prompt blocks cached and the dispatch run once.

--- a/src/config/cr.c
+++ b/src/config/cr.c
@@ -289,12 +289,14 @@
 
 static bool cr_has_to_ask(struct _cr_state *s, int64_t now_ms)
 {
+	int64_t hosts_age_ms =
+		cr_hosts_age_ms(&(struct cr_replica){ s }, now_ms);
+
 	if (now_ms < s->next_ask_ms)
 		return false;
 	if (!s->desc.serve || !s->is_trusted)
 		return true;
-	return cr_hosts_age_ms(&(struct cr_replica){ s }, now_ms) >
-	       CR_HOSTS_OLD_MS;
+	return hosts_age_ms < 0 || hosts_age_ms > CR_HOSTS_OLD_MS;
 }
 
 /* A whole zone that restarted cannot vouch for itself. */
--- a/tests/unit/replica_test.cc
+++ b/tests/unit/replica_test.cc
@@ -298,6 +298,20 @@
 	EXPECT_EQ(entry.listed, (std::vector<std::string>{ "e1" }));
 }
 
+// An entry that caught up before its control process had read the host list.
+TEST_F(Replica, AReplicaWithoutAHostListGoesOnAsking)
+{
+	Node control(loop, "h", MB_CONTROL, true);
+	Node entry(loop, "h", MB_ENTRY, true);
+
+	entry.Hear(control);
+	control.Platform(5, "v5");
+	Until([&] { return entry.IsTrusted(); });
+	EXPECT_EQ(entry.lists, 0);
+	control.Hosts({ "e1" });
+	Until([&] { return entry.lists == 1; });
+}
+
 // pr_main() ends the endpoint before the tasks.
 TEST_F(Replica, APullInFlightDoesNotOutliveTheEndpoint)
 {
