--- a/tests/unit/index_figures_test.cc
+++ b/tests/unit/index_figures_test.cc
@@ -4,10 +4,12 @@
 
 #include <chrono>
 #include <cstdio>
+#include <string>
 #include <vector>
 
 extern "C" {
 #include "index/ix.h"
+#include "index/ix_decode.h"
 #include "prefix/px.h"
 }
 
@@ -121,6 +123,52 @@
 	ix_finish(&ix);
 }
 
+// One stored event of one block on the wire: parser, JSON and state.
+TEST(IndexDecodingFigures, Print)
+{
+	struct Sink {
+		struct ix_index ix;
+		GArray *blocks = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+		uint32_t taken = 0;
+	} sink;
+	struct ix_desc desc = {};
+	struct se_desc parser_desc = {};
+	struct se_parser parser;
+	const uint32_t count = 100000;
+	std::string text;
+
+	for (uint32_t i = 1; i <= count; i++) {
+		char line[160];
+
+		snprintf(line, sizeof(line),
+			 "id: 1796351695412:%u\nevent: stored\ndata: "
+			 "{\"blocks\":[\"%016lx\"]}\n\n",
+			 i, (unsigned long)px_rank(i, 5));
+		text += line;
+	}
+	ix_init(&sink.ix, &desc, 0);
+	ix_own(&sink.ix, E, 0);
+	parser_desc.arg = &sink;
+	parser_desc.on_event = [](void *arg, const struct se_event *from) {
+		auto *s = static_cast<Sink *>(arg);
+		struct ix_event event;
+
+		if (ix_decode_event(from, &event, s->blocks) &&
+		    ix_event(&s->ix, E, &event, 0) == IX_NONE)
+			s->taken++;
+	};
+	se_init(&parser, &parser_desc);
+	auto start = std::chrono::steady_clock::now();
+	EXPECT_TRUE(se_feed(&parser, text.data(), text.size()));
+	printf("events %u: %.3f us from the wire into the index, %.1f bytes "
+	       "each\n",
+	       count, Microseconds(start) / count, (double)text.size() / count);
+	EXPECT_EQ(sink.taken, count);
+	se_finish(&parser);
+	ix_finish(&sink.ix);
+	g_array_unref(sink.blocks);
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, IndexFigures,
 			 testing::Values(10000, 142000, 390000));
 
