--- a/tests/unit/index_figures_test.cc
+++ b/tests/unit/index_figures_test.cc
@@ -169,6 +169,46 @@
 	g_array_unref(sink.blocks);
 }
 
+// A snapshot of an engine of the size designed for, 51 million blocks / 600.
+TEST(IndexSnapshotFigures, Print)
+{
+	const uint32_t count = 85000;
+	struct ix_index ix;
+	struct ix_desc desc = {};
+	struct ix_stats stats;
+	GArray *blocks = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	std::string text = "{\"incarnation\":1,\"seq\":1,\"blocks\":[";
+	uint64_t incarnation = 0, sequence = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "%s\"%016lx\"", i ? "," : "",
+			 (unsigned long)px_rank(i, 5));
+		text += id;
+	}
+	text += "]}";
+	ix_init(&ix, &desc, 0);
+	ix_own(&ix, E, 0);
+	ix_snapshot_begin(&ix, E);
+	auto start = std::chrono::steady_clock::now();
+	ASSERT_TRUE(ix_decode_snapshot(text.data(), text.size(), &incarnation,
+				       &sequence, blocks));
+	double decode_us = Microseconds(start);
+	start = std::chrono::steady_clock::now();
+	EXPECT_EQ(ix_snapshot_end(&ix, E, incarnation, sequence,
+				  (const uint64_t *)(void *)blocks->data,
+				  blocks->len, 0),
+		  ST_OK);
+	printf("snapshot of %u blocks: %.1f ms to decode, %.1f ms to take "
+	       "in\n",
+	       count, decode_us / 1000, Microseconds(start) / 1000);
+	ix_stats(&ix, E, &stats);
+	EXPECT_EQ(stats.held, count);
+	ix_finish(&ix);
+	g_array_unref(blocks);
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, IndexFigures,
 			 testing::Values(10000, 142000, 390000));
 
