--- a/src/index/ix.c
+++ b/src/index/ix.c
@@ -59,6 +59,7 @@
 		return st_fail(ST_FULL, "%u engines owned", IX_MAX_ENGINES);
 	e = g_new0(struct _ix_engine, 1);
 	e->id = engine;
+	e->lost_events = IX_LOST_UNKNOWN;
 	e->blind_since_ms = now_ms;
 	ix_pending_init(&e->pending, index->_desc.max_requests);
 	g_hash_table_insert(index->_engines, &e->id, e);
@@ -96,6 +97,7 @@
 	e->gap_before = 0;
 	/* Its first event has number 1, so nothing is missing yet. */
 	e->is_complete = true;
+	e->lost_events = 0;
 	e->has_load = false;
 	e->load_sequence = 0;
 }
@@ -170,6 +172,7 @@
 		ix_reset(index, e, record->incarnation);
 		/* Nothing is known of the events before this moment. */
 		e->is_complete = false;
+		e->lost_events = IX_LOST_UNKNOWN;
 	}
 	switch (record->phase) {
 	case IX_SENT:
@@ -223,9 +226,21 @@
 	return last;
 }
 
+/* What is missing may concern a chain in proportion to the blocks held. */
+static int64_t ix_gap_confidence(const struct _ix_engine *e)
+{
+	uint64_t lost = MIN(e->lost_events, IX_LOST_UNKNOWN);
+	uint64_t doubt =
+		1000 * IX_CHAIN_BLOCKS * lost / MAX(e->blocks.held_count, 1);
+
+	if (e->is_complete)
+		return 1000;
+	return (int64_t)(1000 - MIN(doubt, 1000 - IX_DOUBTFUL_PERMILLE));
+}
+
 static uint32_t ix_base_confidence(const struct _ix_engine *e, int64_t now_ms)
 {
-	int64_t confidence = e->is_complete ? 1000 : IX_DOUBTFUL_PERMILLE;
+	int64_t confidence = ix_gap_confidence(e);
 	int64_t blind_ms;
 
 	if (e->blind_since_ms) {
--- a/src/index/ix.h
+++ b/src/index/ix.h
@@ -49,8 +49,10 @@
 #define IX_REQUEST_EXPIRES_MS 60000
 /* Without its events an engine's entries lose all confidence in this time. */
 #define IX_BLIND_MS 20000
-/* Confidence while events are known to be missing. */
-#define IX_DOUBTFUL_PERMILLE	   500
+/* Lowest confidence while events are known to be missing ... */
+#define IX_DOUBTFUL_PERMILLE 500
+/* ... each of which may concern one of this many blocks of a chain. */
+#define IX_CHAIN_BLOCKS		   16
 #define IX_MIN_AGE_FACTOR_PERMILLE 100
 /* Share of blocks that are evicted younger than the learned age. */
 #define IX_EVICTION_QUANTILE 0.2
--- a/src/index/ix_engine.h
+++ b/src/index/ix_engine.h
@@ -12,6 +12,9 @@
 #include "index/ix_blocks.h"
 #include "index/ix_pending.h"
 
+/* Of an engine that was joined late: nothing before is known. */
+#define IX_LOST_UNKNOWN UINT32_MAX
+
 /** struct _ix_change - one event kept while a snapshot is fetched. */
 struct _ix_change {
 	uint64_t sequence;
@@ -27,6 +30,7 @@
  *	a snapshot closes the gap if it is at most one event older.
  * @is_complete: every event since the incarnation's start, or since the last
  *	snapshot, has come.
+ * @lost_events: missing while not @is_complete.
  * @blind_since_ms: when the stream broke; 0 while it is open.
  * @load_sequence: of the event with the load report.
  * @reported_ms: time that the load report shows.
@@ -40,6 +44,7 @@
 	uint64_t sequence;
 	uint64_t gap_before;
 	bool is_complete;
+	uint64_t lost_events;
 	int64_t blind_since_ms;
 	bool has_load;
 	struct ix_load load;
--- a/src/index/ix_events.c
+++ b/src/index/ix_events.c
@@ -157,6 +157,9 @@
 	if (event->sequence != e->sequence + 1) {
 		e->is_complete = false;
 		e->gap_before = event->sequence;
+		e->lost_events += e->sequence
+					  ? event->sequence - e->sequence - 1
+					  : IX_LOST_UNKNOWN;
 		/* To join a stream late is no loss. */
 		if (effect == IX_NONE && e->sequence)
 			effect = IX_GAP;
@@ -249,5 +252,7 @@
 	ix_snapshot_cancel(index, engine);
 	e->sequence = MAX(e->sequence, sequence);
 	e->is_complete = sequence + 1 >= e->gap_before;
+	if (e->is_complete)
+		e->lost_events = 0;
 	return ST_OK;
 }
--- a/src/index/ix_feed.c
+++ b/src/index/ix_feed.c
@@ -221,6 +221,9 @@
 	struct ix_feed *feed = arg;
 
 	feed->_snapshot = (struct hc_call){ 0 };
+	feed->_snapshot_not_before_ms =
+		ck_now_ms() + (int64_t)(result->body_bytes * 1000 /
+					IX_FEED_SNAPSHOT_BYTES_PER_S);
 	if (ix_feed_take_snapshot(feed, result)) {
 		mt_add(&ix_snapshots_taken, 1);
 		feed->_snapshot_retry_ms = IX_FEED_MIN_RETRY_MS;
@@ -244,10 +247,16 @@
 		.on_done = ix_feed_on_snapshot_done,
 		.arg = feed,
 	};
+	int64_t wait_ms;
 
 	if (!ix_wants_snapshot(feed->_desc.index, feed->_desc.engine) ||
 	    ev_is_active(&feed->_snapshot_timer))
 		return;
+	wait_ms = feed->_snapshot_not_before_ms - ck_now_ms();
+	if (wait_ms > 0) {
+		ix_feed_timer_start(feed, &feed->_snapshot_timer, wait_ms);
+		return;
+	}
 	ix_feed_url(feed, "/v1/cache/blocks", url);
 	ix_snapshot_begin(feed->_desc.index, feed->_desc.engine);
 	if (hc_send(feed->_desc.http, &desc, &feed->_snapshot) == ST_OK)
--- a/src/index/ix_feed.h
+++ b/src/index/ix_feed.h
@@ -6,7 +6,8 @@
  *	into the index. A stream that breaks or falls silent is opened again,
  *	after a delay that grows and is random, so that an engine that comes
  *	back does not meet all feeds at once; Last-Event-ID makes it go on
- *	where it broke. When the index wants a snapshot, the feed fetches one.
+ *	where it broke. When the index wants a snapshot, the feed fetches one,
+ *	but on average no more bytes than IX_FEED_SNAPSHOT_BYTES_PER_S.
  *
  *	What the feed sees of the engine itself goes to a function.
  *
@@ -29,12 +30,14 @@
 
 #define IX_FEED_NAME_BYTES 64
 /* Engines report their load several times a second. */
-#define IX_FEED_IDLE_MS		  5000
-#define IX_FEED_MIN_RETRY_MS	  100
-#define IX_FEED_MAX_RETRY_MS	  5000
-#define IX_FEED_SNAPSHOT_MS	  10000
-#define IX_FEED_SNAPSHOT_BYTES	  (8u << 20)
-#define IX_FEED_ANSWERED_EVERY_MS 500
+#define IX_FEED_IDLE_MS	       5000
+#define IX_FEED_MIN_RETRY_MS   100
+#define IX_FEED_MAX_RETRY_MS   5000
+#define IX_FEED_SNAPSHOT_MS    10000
+#define IX_FEED_SNAPSHOT_BYTES (8u << 20)
+/* Gaps may follow each other closely, and a snapshot may be large. */
+#define IX_FEED_SNAPSHOT_BYTES_PER_S 20000
+#define IX_FEED_ANSWERED_EVERY_MS    500
 
 /**
  * enum ix_news - what a feed saw of its engine.
@@ -98,6 +101,7 @@
 	ev_timer _snapshot_timer;
 	int64_t _stream_retry_ms;
 	int64_t _snapshot_retry_ms;
+	int64_t _snapshot_not_before_ms;
 	int64_t _answered_ms;
 	bool _is_streaming;
 	bool _is_unusable;
--- a/tests/unit/index_feed_test.cc
+++ b/tests/unit/index_feed_test.cc
@@ -337,6 +337,28 @@
 	ASSERT_TRUE(loop.run_until([&] { return InStep(); }));
 }
 
+TEST_F(Feed, SnapshotsAreBoundedInBytesPerSecond)
+{
+	const int64_t wait_ms = 400;
+
+	// Each id takes 19 bytes.
+	for (int i = 0; i < wait_ms * IX_FEED_SNAPSHOT_BYTES_PER_S / 19000;
+	     i++) {
+		char id[17];
+
+		snprintf(id, sizeof(id), "%016x", i);
+		engine->blocks.push_back(id);
+	}
+	Start();
+	ASSERT_TRUE(loop.run_until([&] { return InStep(); }));
+	int64_t taken_ms = ck_now_ms();
+	engine->seq++;
+	engine->Send("load", "{}");
+	ASSERT_TRUE(loop.run_until([&] { return engine->snapshots == 2; }));
+	EXPECT_GE(ck_now_ms() - taken_ms, wait_ms / 2);
+	ASSERT_TRUE(loop.run_until([&] { return InStep(); }));
+}
+
 TEST_F(Feed, RestartAndLeaving)
 {
 	Start();
--- a/tests/unit/index_test.cc
+++ b/tests/unit/index_test.cc
@@ -301,6 +301,35 @@
 	EXPECT_FALSE(ix_wants_snapshot(&ix, E));
 }
 
+TEST_F(Index, DoubtIsInProportionToWhatIsMissing)
+{
+	struct {
+		uint32_t held;
+		uint64_t lost;
+		uint32_t want;
+	} cases[] = { { 16000, 1, 999 },
+		      { 16000, 100, 900 },
+		      { 16000, 5000, IX_DOUBTFUL_PERMILLE },
+		      { 100, 1, 840 },
+		      { 0, 1, IX_DOUBTFUL_PERMILLE } };
+
+	for (const auto &k : cases) {
+		inc++;
+		seq = 0;
+		Load(0);
+		for (uint64_t i = 0; i < k.held; i++)
+			Event(IX_STORED, { i });
+		seq += k.lost;
+		EXPECT_EQ(Load(0), IX_GAP);
+		EXPECT_EQ(Look({}).confidence_permille, k.want)
+			<< k.lost << " of " << k.held;
+	}
+	// Joined late: nobody knows how much is missing.
+	inc++;
+	EXPECT_EQ(EventAt(500, IX_STORED, { 1 }), IX_RESTARTED);
+	EXPECT_EQ(Look({}).confidence_permille, IX_DOUBTFUL_PERMILLE);
+}
+
 // Snapshot and events travel on different connections. Whatever the order in
 // which they come, the end result is that of the events alone.
 TEST_F(Index, SnapshotCrossesEvents)
