placement of small teams, fingerprints of short prompts

Cause: the minimum share of a level also ended the first level, so that a prefix with less than 1% of the traffic was taken to be one key long; and a prompt shorter than one piece has no key, so its fingerprint had no salt. Ruled out: the heat tracker losing keys (200 prefixes of 10 keys fit). Before: level of one key instead of 10; the same short prompt of another team or of other weights had the same fingerprint. Both new cases failed. After: the minimum holds for further levels only; ps_fingerprint() takes the salt. routing_test 16, poison_test 5 tests pass.

--- a/src/limits/lm.h
+++ b/src/limits/lm.h
@@ -184,6 +184,7 @@
  *
  * Pass those that the host list names, not only those that are heard of: a
  * host that is cut off goes on with its equal part, and so must be counted.
+ * Before the first call this entry takes itself for the only one.
  */
 void lm_entries(struct lm_limits *limits, const uint64_t *ids, uint32_t count,
 		int64_t now_ms);
--- a/src/limits/ps.c
+++ b/src/limits/ps.c
@@ -40,11 +40,11 @@
 	g_array_free(table->_runs, TRUE);
 }
 
-uint64_t ps_fingerprint(const struct px_chain *chain, const void *tail,
-			uint64_t tail_bytes, const void *params,
-			uint64_t params_bytes)
+uint64_t ps_fingerprint(uint64_t salt, const struct px_chain *chain,
+			const void *tail, uint64_t tail_bytes,
+			const void *params, uint64_t params_bytes)
 {
-	uint64_t key = chain->count ? chain->keys[chain->count - 1] : 0;
+	uint64_t key = chain->count ? chain->keys[chain->count - 1] : salt;
 
 	key = XXH3_64bits_withSeed(tail, tail_bytes, key ^ chain->bytes);
 	return XXH3_64bits_withSeed(params, params_bytes, key);
--- a/src/limits/ps.h
+++ b/src/limits/ps.h
@@ -22,7 +22,7 @@
  *	charges expire.
  *
  * Use
- *	fingerprint = ps_fingerprint(&chain, tail, tail_bytes, params, n);
+ *	fingerprint = ps_fingerprint(salt, &chain, tail, tail_bytes, params, n);
  *	answer = ps_check(&table, fingerprint, now_ms);
  *	ps_started(&table, fingerprint, engine, incarnation, now_ms);
  *	ps_ended(&table, fingerprint, engine, incarnation, PS_BROKEN, now_ms);
@@ -82,13 +82,14 @@
 
 /**
  * ps_fingerprint() - of a request's content.
+ * @salt: px_salt() that the chain was made with.
  * @chain: of the prompt.
  * @tail: what follows the chain's whole pieces.
  * @params: those parameters that change what the engine does, as text.
  */
-uint64_t ps_fingerprint(const struct px_chain *chain, const void *tail,
-			uint64_t tail_bytes, const void *params,
-			uint64_t params_bytes);
+uint64_t ps_fingerprint(uint64_t salt, const struct px_chain *chain,
+			const void *tail, uint64_t tail_bytes,
+			const void *params, uint64_t params_bytes);
 
 /** ps_check() - before every attempt. */
 struct ps_answer ps_check(struct ps_table *table, uint64_t fingerprint,
--- a/src/routing/rt_place.c
+++ b/src/routing/rt_place.c
@@ -6,7 +6,7 @@
 
 /* A level ends where less than this part of its requests go on together. */
 #define RT_LEVEL_DROP 0.7
-/* A level needs this part of the traffic to be told from chance. */
+/* A further level needs this part of the traffic to be told from chance. */
 #define RT_LEVEL_MIN_SHARE 0.01
 
 /* The lowest bits of a packed rank name the engine. */
@@ -38,9 +38,11 @@
 	for (uint32_t i = 0; i < chain->count; i++) {
 		double share = rt_heat_share(heat, chain->keys[i]);
 
-		if (i > 0 && share < RT_LEVEL_MIN_SHARE)
+		if (i > 0 && share == 0.0)
 			break;
 		if (i == 0 || share < of_level * RT_LEVEL_DROP) {
+			if (i > 0 && share < RT_LEVEL_MIN_SHARE)
+				break;
 			if (count == RT_MAX_LEVELS)
 				break;
 			out[count].key = chain->keys[i];
--- a/tests/unit/poison_test.cc
+++ b/tests/unit/poison_test.cc
@@ -294,7 +294,6 @@
 
 TEST(Poison, FingerprintsAreOfContent)
 {
-	std::string text(3 * PX_CHUNK_BYTES + 100, 'a');
 	struct {
 		const char *what;
 		uint64_t salt;
@@ -309,21 +308,25 @@
 		{ "another team or weights", 2, 'a', 'a', "{\"max_tokens\":5}",
 		  false },
 	};
-	uint64_t first = 0;
 
-	for (auto &c : contents) {
-		struct px_chain chain;
-		std::string t = text;
+	for (size_t bytes : { 3 * PX_CHUNK_BYTES + 100, 100 }) {
+		uint64_t first = 0;
 
-		t.back() = c.last;
-		t.front() = c.first;
-		px_chain_make(&chain, c.salt, t.data(), t.size());
-		uint64_t tail = (uint64_t)chain.count * PX_CHUNK_BYTES;
-		uint64_t fingerprint =
-			ps_fingerprint(&chain, t.data() + tail, t.size() - tail,
-				       c.params, strlen(c.params));
-		first = first ? first : fingerprint;
-		EXPECT_EQ(fingerprint == first, c.is_same) << c.what;
+		for (auto &c : contents) {
+			struct px_chain chain;
+			std::string t(bytes, 'a');
+
+			t.back() = c.last;
+			t.front() = c.first;
+			px_chain_make(&chain, c.salt, t.data(), t.size());
+			uint64_t tail = (uint64_t)chain.count * PX_CHUNK_BYTES;
+			uint64_t fingerprint = ps_fingerprint(
+				c.salt, &chain, t.data() + tail,
+				t.size() - tail, c.params, strlen(c.params));
+			first = first ? first : fingerprint;
+			EXPECT_EQ(fingerprint == first, c.is_same)
+				<< c.what << ", " << bytes;
+		}
 	}
 }
 
--- a/tests/unit/routing_test.cc
+++ b/tests/unit/routing_test.cc
@@ -475,6 +475,23 @@
 	EXPECT_LE(levels[0].spread, 2u);
 }
 
+// With thousands of teams each prefix has a tiny share, and is still known.
+TEST(Routing, APrefixOfASmallTeamIsKnownToItsEnd)
+{
+	Router r;
+	struct rt_level levels[RT_MAX_LEVELS];
+	auto all = engines(12);
+	struct px_chain chain;
+
+	for (uint64_t i = 0; i < 8 * 200; i++) {
+		chain = prompt(i % 200, 10, i, 12);
+		place(r, chain, all);
+	}
+	ASSERT_EQ(rt_levels(&r.router.heat, &chain, 12, 1250, levels), 1u);
+	EXPECT_EQ(levels[0].end, 10u);
+	EXPECT_EQ(levels[0].spread, 1u);
+}
+
 // The set of a longer prefix lies in the set of the shorter one, so that the
 // shared part is not computed on engines that do not have it.
 TEST(Routing, NestedPrefixesHaveNestedSets)
