--- /dev/null
+++ b/tests/unit/share_test.cc
@@ -0,0 +1,282 @@
+// Shares of a team's limit over all entries.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+extern "C" {
+#include "limits/lm_share.h"
+}
+#include "limits_fixture.h"
+
+namespace
+{
+
+struct ShareCase {
+	const char *what;
+	uint32_t limit;
+	std::vector<struct lm_share_entry> entries;
+	std::vector<uint32_t> shares;
+};
+
+TEST(Share, FollowsDemandAboveAFloor)
+{
+	const ShareCase cases[] = {
+		{ "alone", 64, { { 5, 5, false, false } }, { 64 } },
+		{ "nobody asks",
+		  9,
+		  { { 0, 0, false, false },
+		    { 0, 0, false, false },
+		    { 0, 0, false, false } },
+		  { 3, 3, 3 } },
+		{ "one asks for all",
+		  12,
+		  { { 99, 0, false, false },
+		    { 0, 0, false, false },
+		    { 0, 0, false, false } },
+		  { 8, 2, 2 } },
+		{ "two ask alike",
+		  12,
+		  { { 50, 0, false, false },
+		    { 50, 0, false, false },
+		    { 0, 0, false, false } },
+		  { 5, 5, 2 } },
+		{ "a silent one is taken to use an equal part",
+		  12,
+		  { { 99, 0, false, false },
+		    { 0, 0, true, false },
+		    { 0, 0, false, false } },
+		  { 6, 4, 2 } },
+		{ "the asker hears of nobody",
+		  12,
+		  { { 99, 0, false, false },
+		    { 0, 0, true, false },
+		    { 0, 0, true, false } },
+		  { 4, 4, 4 } },
+		{ "others still run above their part",
+		  12,
+		  { { 99, 0, false, false },
+		    { 99, 9, false, false },
+		    { 0, 0, false, false } },
+		  { 3, 5, 2 } },
+	};
+
+	for (const ShareCase &c : cases) {
+		for (size_t i = 0; i < c.entries.size(); i++) {
+			auto seen = c.entries;
+
+			/* An entry hears itself. */
+			seen[i].is_self = true;
+			seen[i].is_silent = false;
+			if (c.entries[i].is_silent) {
+				for (size_t j = 0; j < seen.size(); j++)
+					seen[j].is_silent = j != i;
+			}
+			EXPECT_EQ(lm_share_of(c.limit, seen.data(),
+					      (uint32_t)seen.size()),
+				  c.shares[i])
+				<< c.what << ", entry " << i;
+		}
+	}
+}
+
+TEST(Share, SameReportsNeverGiveMoreThanTheLimit)
+{
+	std::mt19937 random(1);
+
+	for (int round = 0; round < 3000; round++) {
+		uint32_t count = 1 + random() % 40;
+		uint32_t limit = 1 + random() % 200;
+		std::vector<struct lm_share_entry> entries(count);
+		uint64_t sum = 0;
+
+		for (auto &e : entries) {
+			e.demand = random() % 3 ? random() % 60 : 0;
+			e.running = 0;
+		}
+		for (uint32_t i = 0; i < count; i++) {
+			entries[i].is_self = true;
+			sum += lm_share_of(limit, entries.data(), count);
+			entries[i].is_self = false;
+		}
+		if (limit >= count) {
+			EXPECT_EQ(sum, limit);
+		}
+		EXPECT_LE(sum, limit + count);
+	}
+}
+
+// Entries exchange reports every half second; requests run for a while.
+struct Cluster {
+	std::vector<std::unique_ptr<Limits>> entries;
+	std::vector<bool> is_deaf, is_mute;
+	std::multimap<int64_t, std::pair<size_t, uint64_t>> ends;
+	std::vector<std::map<uint64_t, int64_t>> waiting;
+	int64_t now_ms = 1000000;
+	uint32_t most = 0;
+
+	explicit Cluster(size_t count)
+	    : is_deaf(count), is_mute(count), waiting(count)
+	{
+		std::vector<uint64_t> ids;
+
+		for (size_t i = 0; i < count; i++)
+			ids.push_back(100 + i);
+		for (size_t i = 0; i < count; i++) {
+			struct lm_desc desc = {};
+
+			desc.self = ids[i];
+			entries.push_back(std::make_unique<Limits>(desc));
+			lm_entries(&entries[i]->lm, ids.data(), count, now_ms);
+		}
+	}
+	uint32_t running()
+	{
+		uint32_t sum = 0;
+
+		for (auto &e : entries)
+			sum += e->lm.running;
+		return sum;
+	}
+	void exchange()
+	{
+		for (size_t i = 0; i < entries.size(); i++) {
+			struct lm_usage usage[32];
+			uint32_t n =
+				lm_report(&entries[i]->lm, usage, 32, now_ms);
+
+			for (size_t j = 0; j < entries.size(); j++) {
+				if (i != j && !is_mute[i] && !is_deaf[j])
+					lm_peer_report(&entries[j]->lm, 100 + i,
+						       usage, n, 40, now_ms);
+			}
+		}
+	}
+	void run(size_t entry, uint64_t id, int64_t for_ms)
+	{
+		ends.emplace(now_ms + for_ms, std::make_pair(entry, id));
+	}
+	void step(const std::vector<int> &arrivals, uint32_t limit,
+		  int64_t for_ms)
+	{
+		now_ms += LM_TICK_MS;
+		if (now_ms % LM_REPORT_INTERVAL_MS == 0)
+			exchange();
+		while (!ends.empty() && ends.begin()->first <= now_ms) {
+			auto [entry, id] = ends.begin()->second;
+
+			lm_done(&entries[entry]->lm, id, now_ms);
+			ends.erase(ends.begin());
+		}
+		for (size_t i = 0; i < entries.size(); i++) {
+			for (int k = 0; k < arrivals[i]; k++) {
+				if (entries[i]
+					    ->admit(7, CM_NORMAL, now_ms, limit)
+					    .verdict == LM_RUN)
+					run(i, entries[i]->last_id, for_ms);
+			}
+			for (auto &next : entries[i]->drain(now_ms)) {
+				if (next.answer.verdict == LM_RUN)
+					run(i, next.id, for_ms);
+			}
+		}
+		most = std::max(most, running());
+	}
+};
+
+struct OvershootCase {
+	const char *what;
+	uint32_t limit;
+	bool is_mute, is_deaf;
+	int bursts;
+	uint32_t most, settled;
+};
+
+// One entry goes silent, deaf or both while all are under load: the limit is
+// exceeded by no more than stated, and what was lost is given out again.
+TEST(Share, OvershootIsBoundedWhenAPeerGoesSilent)
+{
+	const OvershootCase cases[] = {
+		{ "all well", 90, false, false, 9, 90, 90 },
+		{ "one entry has all the load", 90, false, false, 1, 90, 90 },
+		{ "mute", 90, true, false, 9, 100, 100 },
+		{ "deaf", 90, false, true, 9, 100, 100 },
+		{ "cut off", 90, true, true, 9, 100, 100 },
+		{ "cut off with all the load", 90, true, true, 1, 100, 100 },
+		{ "fewer than entries", 4, false, false, 9, 9, 9 },
+	};
+
+	for (const OvershootCase &c : cases) {
+		Cluster cluster(9);
+		std::vector<int> arrivals(9);
+
+		for (int i = 0; i < c.bursts; i++)
+			arrivals[i] = 3;
+		for (int i = 0; i < 200; i++)
+			cluster.step(arrivals, c.limit, 700);
+		cluster.is_mute[0] = c.is_mute;
+		cluster.is_deaf[0] = c.is_deaf;
+		for (int i = 0; i < 200; i++)
+			cluster.step(arrivals, c.limit, 700);
+		EXPECT_LE(cluster.most, c.most) << c.what;
+		EXPECT_LE(cluster.running(), c.settled) << c.what;
+		/* It is not met by running nearly nothing. */
+		EXPECT_GE(cluster.running(),
+			  c.bursts == 1 ? c.limit / 10 : c.limit * 8 / 10)
+			<< c.what;
+	}
+}
+
+// Demand that comes and goes at every entry, with requests that outlast many
+// reports: what runs above a part that has shrunk is not cut off.
+TEST(Share, ChangingDemandStaysWithinABound)
+{
+	struct {
+		uint32_t limit;
+		int64_t for_ms;
+		uint32_t most;
+	} loads[] = {
+		{ 4, 1500, 4 + 9 }, { 30, 1500, 37 },	{ 90, 300, 100 },
+		{ 90, 6000, 112 },  { 300, 1500, 330 },
+	};
+
+	for (auto &c : loads) {
+		std::mt19937 random(1);
+		Cluster cluster(9);
+		std::vector<int> arrivals(9);
+		uint64_t sum = 0;
+
+		for (int i = 0; i < 1500; i++) {
+			for (int &a : arrivals) {
+				uint32_t burst = random() % (c.limit / 8 + 2);
+
+				if (random() % 20 == 0)
+					a = random() % 2 ? (int)burst : 0;
+			}
+			cluster.step(arrivals, c.limit, c.for_ms);
+			sum += cluster.running();
+		}
+		EXPECT_LE(cluster.most, c.most) << c.limit;
+		EXPECT_GE(sum / 1500, c.limit * 8 / 10) << c.limit;
+	}
+}
+
+TEST(Share, AnIdleEntryGivesItsPartAwayAndGetsItBackAtOnce)
+{
+	Cluster cluster(9);
+	std::vector<int> one(9), all(9, 3);
+
+	one[4] = 9;
+	for (int i = 0; i < 100; i++)
+		cluster.step(one, 90, 500);
+	EXPECT_GE(cluster.entries[4]->lm.running, 45u);
+	cluster.step(all, 90, 500);
+	for (auto &e : cluster.entries)
+		EXPECT_GE(e->lm.running, 3u);
+	EXPECT_LE(cluster.running(), 90u);
+}
+
+} // namespace
