--- a/src/limits/lm.c
+++ b/src/limits/lm.c
@@ -201,6 +201,7 @@
 	struct lm_team *team = lm_team_of(limits, request);
 	enum lm_reason reason;
 
+	lm_done(limits, r.id, now_ms);
 	if (r.urgency == CM_AUTO)
 		r.urgency = CM_NORMAL;
 	if (limits->is_draining)
--- a/src/limits/lm.h
+++ b/src/limits/lm.h
@@ -75,7 +75,8 @@
 
 /**
  * struct lm_request - a request at admission.
- * @id: unique among those that wait or run here.
+ * @id: unique among those that wait or run here; a second one with the same
+ * id ends the first.
  * @team: px_id() of its name.
  * @team_weight: 0 means 1.
  * @team_max_running: over all entries; 0 is unlimited.
--- a/tests/unit/limits_test.cc
+++ b/tests/unit/limits_test.cc
@@ -221,6 +221,23 @@
 	EXPECT_EQ(l.lm.waiting_bytes, 0u);
 }
 
+// An id that is used twice by mistake must not leave a dangling request.
+TEST(Queue, ARepeatedIdReplacesTheFirst)
+{
+	Limits l;
+	struct lm_request r = {};
+
+	l.lm.desc.max_running = 1;
+	r.id = 5;
+	r.team = 1;
+	EXPECT_EQ(lm_admit(&l.lm, &r, 1000).verdict, LM_RUN);
+	EXPECT_EQ(lm_admit(&l.lm, &r, 1000).verdict, LM_RUN);
+	EXPECT_EQ(l.lm.running, 1u);
+	lm_done(&l.lm, 5, 1000);
+	EXPECT_EQ(l.lm.running, 0u);
+	EXPECT_TRUE(l.drain(1000).empty());
+}
+
 TEST(Queue, RetryAfterFollowsTheQueueAndIsSpreadOut)
 {
 	struct lm_desc desc = {};
