leases and orders to engines

Cause: engines have to be brought to the versions of the configuration by one process at a time, although leases lapse while their holder is paused, answers of the store get lost, and some engines do not check who orders.

ls: lease row with a fencing number, taken and renewed by compare-and-set. The holder counts from the sending of its write, the others from when they first saw the row unchanged, so no clocks of hosts are compared. A row that names this process without its knowing (lost answer) is renewed, which settles it. od: the plan compares wanted and read-back state; an order names the whole wanted state. For engines that ignore numbers a new holder waits out the duration and the order timeout, and reading back repairs what still arrives. Serving moves to version by an ordinary change with an id of its own.

Ruled out: expiry times in the row (would compare clocks), deleting the row on release (the number would start again), a lock per engine (600 rows renewed at once against the store's budget).

--- a/src/control/control_command.c
+++ b/src/control/control_command.c
@@ -2,6 +2,7 @@
  * `balsampin control`: the store task and the operators' calls of a host.
  */
 #include "control/cs.h"
+#include "control/od_task.h"
 #include "control/op.h"
 #include "kernel/kn_registry.h"
 #include "process/pr.h"
@@ -9,6 +10,7 @@
 /* struct control_state - the role's tasks. */
 struct control_state {
 	struct cs_task cs;
+	struct od_task od;
 	struct op_server op;
 };
 
@@ -26,13 +28,25 @@
 			NULL);
 	if (code != ST_OK)
 		return code;
+	code = od_spawn(
+		&state.od, &process->kernel,
+		&(struct od_task_desc){ .settings = &process->settings,
+					.incarnation = process->incarnation,
+					.members = process->members,
+					.cr = &process->cr,
+					.cs = &state.cs },
+		NULL);
+	if (code != ST_OK)
+		return code;
 	return op_init(&state.op,
 		       &(struct op_desc){ .settings = &process->settings,
 					  .kernel = &process->kernel,
 					  .rpc = &process->rpc,
 					  .members = process->members,
 					  .cr = &process->cr,
-					  .cs = &state.cs });
+					  .cs = &state.cs,
+					  .print_orders = od_print,
+					  .orders_arg = &state.od });
 }
 
 static const struct pr_role control_role = { "control", MB_CONTROL,
--- /dev/null
+++ b/src/control/ls.c
@@ -0,0 +1,224 @@
+#include "control/ls.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <string.h>
+
+void ls_init(struct ls_lease *lease, const struct ls_desc *desc)
+{
+	memset(lease, 0, sizeof(*lease));
+	lease->_desc = *desc;
+	if (!desc->duration_ms)
+		lease->_desc.duration_ms = LS_DEFAULT_DURATION_MS;
+	if (!desc->margin_ms)
+		lease->_desc.margin_ms = LS_DEFAULT_MARGIN_MS;
+	if (!desc->order_timeout_ms)
+		lease->_desc.order_timeout_ms = LS_DEFAULT_ORDER_TIMEOUT_MS;
+}
+
+static bool ls_is_own(const struct ls_lease *lease, const struct ls_row *row)
+{
+	return row->incarnation == lease->_desc.incarnation &&
+	       !strcmp(row->holder, lease->_desc.holder);
+}
+
+static void ls_lose(struct ls_lease *lease)
+{
+	lease->state = LS_FOLLOWING;
+	lease->_must_read = true;
+	lease->_next_ms = 0;
+}
+
+/* The row did not change for as long as its holder may count on it. */
+static bool ls_has_lapsed(const struct ls_lease *lease, int64_t now_ms)
+{
+	if (!lease->row.revision)
+		return true;
+	return now_ms - lease->_seen_since_ms >=
+	       lease->_desc.duration_ms + lease->_desc.margin_ms;
+}
+
+static void ls_prepare(struct ls_lease *lease, uint64_t fencing)
+{
+	struct ls_row *row = &lease->_attempt;
+
+	g_strlcpy(row->holder, lease->_desc.holder, sizeof(row->holder));
+	row->incarnation = lease->_desc.incarnation;
+	row->fencing = fencing;
+	row->revision = lease->row.revision;
+}
+
+static enum ls_step ls_next_held(struct ls_lease *lease, int64_t now_ms)
+{
+	if (now_ms < lease->_next_ms)
+		return LS_NOTHING;
+	if (lease->_must_read)
+		return LS_READ;
+	ls_prepare(lease, lease->fencing);
+	return LS_WRITE;
+}
+
+/*
+ * A row that names this process while it does not hold the lease comes from a
+ * write whose answer was lost: it is renewed, which settles it.
+ */
+static enum ls_step ls_next_following(struct ls_lease *lease, int64_t now_ms)
+{
+	if (now_ms < lease->_next_ms)
+		return LS_NOTHING;
+	if (!lease->_has_read || lease->_must_read || !lease->_is_fresh)
+		return LS_READ;
+	if (ls_is_own(lease, &lease->row))
+		ls_prepare(lease, lease->row.fencing);
+	else if (ls_has_lapsed(lease, now_ms))
+		ls_prepare(lease, lease->row.fencing + 1);
+	else
+		return LS_READ;
+	return LS_WRITE;
+}
+
+enum ls_step ls_next(struct ls_lease *lease, int64_t now_ms)
+{
+	if (lease->state == LS_HELD && now_ms >= lease->_expires_ms)
+		ls_lose(lease);
+	if (lease->_is_in_flight)
+		return LS_NOTHING;
+	if (lease->state == LS_HELD)
+		return ls_next_held(lease, now_ms);
+	return ls_next_following(lease, now_ms);
+}
+
+void ls_sent(struct ls_lease *lease, int64_t now_ms)
+{
+	lease->_is_in_flight = true;
+	lease->_sent_ms = now_ms;
+}
+
+const struct ls_row *ls_attempt(const struct ls_lease *lease)
+{
+	return &lease->_attempt;
+}
+
+static int64_t ls_renew_after_ms(const struct ls_lease *lease)
+{
+	return lease->_desc.duration_ms / LS_RENEW_DIVISOR;
+}
+
+static void ls_see(struct ls_lease *lease, const struct ls_row *row,
+		   int64_t now_ms)
+{
+	if (!lease->_has_read || row->revision != lease->row.revision)
+		lease->_seen_since_ms = now_ms;
+	lease->row = *row;
+	lease->_has_read = true;
+	lease->_must_read = false;
+	lease->_is_fresh = true;
+}
+
+void ls_read(struct ls_lease *lease, enum st_code code,
+	     const struct ls_row *row, int64_t now_ms)
+{
+	lease->_is_in_flight = false;
+	if (code != ST_OK) {
+		lease->_next_ms = now_ms + lease->_desc.margin_ms;
+		return;
+	}
+	ls_see(lease, row, now_ms);
+	if (lease->state == LS_HELD &&
+	    (!ls_is_own(lease, row) || row->fencing != lease->fencing))
+		ls_lose(lease);
+	else if (lease->state == LS_HELD || ls_is_own(lease, row) ||
+		 ls_has_lapsed(lease, now_ms))
+		lease->_next_ms = now_ms;
+	else
+		lease->_next_ms = now_ms + LS_READ_PERIOD_MS;
+	if (lease->state == LS_FOLLOWING && lease->_next_ms > now_ms)
+		lease->_is_fresh = false;
+}
+
+/* A first holding follows another one, unless there was no row before. */
+static void ls_take(struct ls_lease *lease, int64_t now_ms)
+{
+	bool had_holder = lease->_attempt.revision != 0;
+
+	lease->state = LS_HELD;
+	lease->fencing = lease->_attempt.fencing;
+	lease->_quiet_until_ms = had_holder
+					 ? now_ms + lease->_desc.duration_ms +
+						   lease->_desc.order_timeout_ms
+					 : now_ms;
+}
+
+void ls_written(struct ls_lease *lease, enum st_code code, uint64_t revision,
+		int64_t now_ms)
+{
+	struct ls_row row = lease->_attempt;
+
+	lease->_is_in_flight = false;
+	lease->_is_fresh = false;
+	if (code != ST_OK) {
+		lease->_must_read = code != ST_UNAVAILABLE;
+		lease->_next_ms = code == ST_UNAVAILABLE
+					  ? now_ms + lease->_desc.margin_ms
+					  : now_ms;
+		return;
+	}
+	row.revision = revision;
+	ls_see(lease, &row, now_ms);
+	if (lease->state != LS_HELD)
+		ls_take(lease, now_ms);
+	lease->_expires_ms = lease->_sent_ms + lease->_desc.duration_ms;
+	lease->_next_ms = lease->_sent_ms + ls_renew_after_ms(lease);
+}
+
+void ls_refused(struct ls_lease *lease)
+{
+	ls_lose(lease);
+}
+
+bool ls_may_order(const struct ls_lease *lease, bool is_checked, int64_t now_ms)
+{
+	int64_t end_ms = lease->_expires_ms - lease->_desc.margin_ms;
+
+	if (lease->state != LS_HELD)
+		return false;
+	if (is_checked)
+		return now_ms < end_ms;
+	return now_ms + lease->_desc.order_timeout_ms < end_ms &&
+	       now_ms >= lease->_quiet_until_ms;
+}
+
+static uint64_t ls_get_u64(struct json_object *json, const char *field)
+{
+	struct json_object *value = NULL;
+
+	json_object_object_get_ex(json, field, &value);
+	return json_object_get_uint64(value);
+}
+
+bool ls_row_decode(const char *text, uint64_t revision, struct ls_row *row)
+{
+	struct json_object *json = json_tokener_parse(text);
+	struct json_object *holder = NULL;
+	bool is_row = json_object_is_type(json, json_type_object) &&
+		      json_object_object_get_ex(json, "holder", &holder);
+
+	memset(row, 0, sizeof(*row));
+	if (is_row) {
+		g_strlcpy(row->holder, json_object_get_string(holder),
+			  sizeof(row->holder));
+		row->incarnation = ls_get_u64(json, "incarnation");
+		row->fencing = ls_get_u64(json, "fencing");
+		row->revision = revision;
+	}
+	json_object_put(json);
+	return is_row;
+}
+
+char *ls_row_encode(const struct ls_row *row)
+{
+	return g_strdup_printf("{\"holder\": \"%s\", \"incarnation\": %" PRIu64
+			       ", \"fencing\": %" PRIu64 "}",
+			       row->holder, row->incarnation, row->fencing);
+}
--- /dev/null
+++ b/src/control/od_task.h
@@ -0,0 +1,71 @@
+/*
+ * od_task - the task that holds the lease on orders and sends them.
+ *
+ * Overview
+ *	Each control process runs one. All compete for the lease "lease/orders"
+ *	(ls.h); whoever holds it reads the engines back, some at a time,
+ *	compares (od.h) and sends orders. It asks the lease again with the
+ *	present time just before each order. A process whose replica has not
+ *	caught up neither takes the lease nor orders.
+ *
+ *	Moving a model's serving version is an ordinary configuration change,
+ *	made through the store task.
+ */
+#ifndef OD_TASK_H
+#define OD_TASK_H
+
+#include "config/cr.h"
+#include "control/cs.h"
+#include "control/ls.h"
+#include "control/od.h"
+#include "kernel/kn.h"
+#include "net/hc.h"
+
+#define OD_LEASE_KEY	     "lease/orders"
+#define OD_TICK_MS	     200
+#define OD_READS_PER_TICK    10
+#define OD_STATUS_TIMEOUT_MS 2000
+/** An engine at rest is read that often, sooner while it is changing. */
+#define OD_READ_PERIOD_MS     2000
+#define OD_CHANGING_PERIOD_MS 400
+
+/**
+ * struct od_task_desc - zero means default.
+ * @settings: of this host.
+ * @incarnation: of this process.
+ * @members: the membership table, for the engines.
+ * @cr: the replica.
+ * @cs: the store task, which is spawned before.
+ * @lease: durations; holder and incarnation are filled in.
+ */
+struct od_task_desc {
+	const struct cf_settings *settings;
+	uint64_t incarnation;
+	const struct mb_table *members;
+	const struct cr_replica *cr;
+	struct cs_task *cs;
+	struct ls_desc lease;
+};
+
+/** struct od_task - state; fields are private. */
+struct od_task {
+	struct od_task_desc _desc;
+	struct kn_task *_task;
+	struct ls_lease _lease;
+	struct hc_client _http;
+	ev_timer _timer;
+	GHashTable *_engines;
+	uint32_t _next;
+	uint64_t _order_count;
+	bool _is_changing;
+	bool _was_held;
+};
+
+enum st_code od_spawn(struct od_task *od, struct kn_kernel *kernel,
+		      const struct od_task_desc *desc,
+		      struct kn_handle *handle);
+
+/** od_print() - JSON: the lease and the engines as read back. */
+void od_print(void *od, GString *out);
+
+#endif
--- /dev/null
+++ b/tests/unit/lease_test.cc
@@ -0,0 +1,244 @@
+// The lease: who may order when, with pauses, lost answers and a store that
+// is down. Time and the store are played by the test.
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "control/ls.h"
+#include <glib.h>
+}
+
+namespace
+{
+
+enum Fault { NONE, LOSE_ANSWER, LOSE_WRITE, DOWN };
+
+// The row and a compare-and-set on its revision.
+struct Store {
+	ls_row row = {};
+	uint64_t revision = 10;
+
+	st_code Write(const ls_row &attempt, Fault fault)
+	{
+		if (fault == DOWN)
+			return ST_UNAVAILABLE;
+		if (fault == LOSE_WRITE)
+			return ST_UNKNOWN;
+		if (attempt.revision != row.revision)
+			return fault == NONE ? ST_CONFLICT : ST_UNKNOWN;
+		row = attempt;
+		row.revision = ++revision;
+		return fault == NONE ? ST_OK : ST_UNKNOWN;
+	}
+};
+
+struct Holder {
+	ls_lease lease;
+	Store *store;
+
+	Holder(Store *s, const char *name, uint64_t incarnation = 1) : store(s)
+	{
+		ls_desc desc = {};
+
+		desc.holder = name;
+		desc.incarnation = incarnation;
+		ls_init(&lease, &desc);
+	}
+
+	// One step at @now_ms; answers come at once.
+	ls_step Step(int64_t now_ms, Fault fault = NONE)
+	{
+		ls_step step = ls_next(&lease, now_ms);
+
+		if (step == LS_NOTHING)
+			return step;
+		ls_sent(&lease, now_ms);
+		if (step == LS_READ) {
+			ls_read(&lease, fault == DOWN ? ST_UNAVAILABLE : ST_OK,
+				&store->row, now_ms);
+			return step;
+		}
+		st_code code = store->Write(*ls_attempt(&lease), fault);
+		ls_written(&lease, code, store->revision, now_ms);
+		return step;
+	}
+
+	void Run(int64_t from_ms, int64_t to_ms, Fault fault = NONE)
+	{
+		for (int64_t t = from_ms; t < to_ms; t += 100)
+			Step(t, fault);
+	}
+
+	bool May(int64_t now_ms, bool is_checked = true)
+	{
+		return ls_may_order(&lease, is_checked, now_ms);
+	}
+};
+
+const int64_t D = LS_DEFAULT_DURATION_MS;
+const int64_t M = LS_DEFAULT_MARGIN_MS;
+const int64_t T = LS_DEFAULT_ORDER_TIMEOUT_MS;
+
+TEST(Lease, OneHoldsItAndKeepsIt)
+{
+	Store store;
+	Holder a(&store, "a"), b(&store, "b");
+
+	for (int64_t t = 0; t < 10 * D; t += 100) {
+		a.Step(t);
+		b.Step(t);
+		EXPECT_FALSE(a.May(t) && b.May(t)) << t;
+		if (t > 1000) {
+			EXPECT_TRUE(a.May(t)) << t;
+		}
+	}
+	EXPECT_EQ(a.lease.fencing, 1u);
+	EXPECT_TRUE(a.May(10 * D - 100, false)) << "nobody held it before";
+}
+
+TEST(Lease, APausedHolderFindsOutBeforeItActs)
+{
+	Store store;
+	Holder a(&store, "a"), b(&store, "b");
+
+	a.Run(0, 1000);
+	ASSERT_TRUE(a.May(1000));
+	b.Run(0, 3 * D);
+	ASSERT_TRUE(b.May(3 * D));
+	EXPECT_EQ(b.lease.fencing, 2u);
+	// It wakes and has not called ls_next() yet.
+	EXPECT_FALSE(a.May(3 * D));
+	a.Run(3 * D, 3 * D + 1000);
+	EXPECT_EQ(a.lease.state, LS_FOLLOWING);
+	EXPECT_FALSE(a.May(3 * D + 1000));
+}
+
+// At no moment may two order, whenever the first one stops renewing.
+TEST(Lease, NeverTwoAtATime)
+{
+	for (int64_t pause = 0; pause < D; pause += 700) {
+		Store store;
+		Holder a(&store, "a"), b(&store, "b");
+		bool b_held = false;
+
+		for (int64_t t = 0; t < 5 * D; t += 100) {
+			if (t < pause)
+				a.Step(t);
+			b.Step(t + 50);
+			ASSERT_FALSE(a.May(t) && b.May(t)) << pause;
+			b_held = b_held || b.May(t);
+		}
+		EXPECT_TRUE(b_held) << pause;
+	}
+}
+
+TEST(Lease, ForEnginesThatIgnoreNumbersTheLongestOrderIsWaitedOut)
+{
+	Store store;
+	Holder a(&store, "a"), b(&store, "b");
+	int64_t taken = 0;
+
+	a.Run(0, 1000);
+	for (int64_t t = 0; t < 5 * D; t += 100) {
+		b.Step(t);
+		if (b.lease.state == LS_HELD && !taken)
+			taken = t;
+		if (taken && t < taken + D + T) {
+			EXPECT_FALSE(b.May(t, false)) << t;
+			EXPECT_TRUE(b.May(t, true)) << t;
+		}
+	}
+	EXPECT_TRUE(b.May(5 * D, false));
+	// The order must end before the lease does.
+	int64_t last = b.lease._expires_ms - M;
+	EXPECT_TRUE(b.May(last - 1, true));
+	EXPECT_FALSE(b.May(last - T, false));
+	EXPECT_FALSE(b.May(last, true));
+}
+
+TEST(Lease, LostAnswersAreSettledByReadingBack)
+{
+	struct Case {
+		const char *what;
+		Fault take;
+		Fault renew;
+		uint64_t fencing;
+	} cases[] = {
+		{ "the taking took effect", LOSE_ANSWER, NONE, 1 },
+		{ "the taking did not", LOSE_WRITE, NONE, 1 },
+		{ "the renewal took effect", NONE, LOSE_ANSWER, 1 },
+		{ "the renewal did not", NONE, LOSE_WRITE, 1 },
+		{ "the store is down", NONE, DOWN, 1 },
+	};
+
+	for (const auto &c : cases) {
+		Store store;
+		Holder a(&store, "a");
+		int writes = 0;
+
+		for (int64_t t = 0; t < 2 * D; t += 100) {
+			Fault fault = writes == 0   ? c.take
+				      : writes == 1 ? c.renew
+						    : NONE;
+			writes += a.Step(t, fault) == LS_WRITE;
+		}
+		EXPECT_TRUE(a.May(2 * D)) << c.what;
+		EXPECT_EQ(a.lease.fencing, c.fencing) << c.what;
+		EXPECT_EQ(store.row.fencing, c.fencing) << c.what;
+	}
+}
+
+TEST(Lease, WithTheStoreDownItRunsOutAndComesBack)
+{
+	Store store;
+	Holder a(&store, "a");
+
+	a.Run(0, 1000);
+	a.Run(1000, 4 * D, DOWN);
+	EXPECT_FALSE(a.May(D));
+	EXPECT_EQ(a.lease.state, LS_FOLLOWING);
+	a.Run(4 * D, 5 * D);
+	EXPECT_TRUE(a.May(5 * D));
+	EXPECT_EQ(a.lease.fencing, 1u) << "nobody held it in between";
+}
+
+TEST(Lease, ARestartOfTheHolderIsAnotherHolder)
+{
+	Store store;
+	Holder a(&store, "a", 1), again(&store, "a", 2);
+
+	a.Run(0, 1000);
+	again.Run(1000, 1000 + D - M);
+	EXPECT_EQ(again.lease.state, LS_FOLLOWING);
+	again.Run(1000 + D - M, 4 * D);
+	EXPECT_EQ(again.lease.state, LS_HELD);
+	EXPECT_EQ(again.lease.fencing, 2u);
+}
+
+TEST(Lease, AnEngineThatKnowsAHigherNumberEndsTheHolding)
+{
+	Store store;
+	Holder a(&store, "a");
+
+	a.Run(0, 1000);
+	ls_refused(&a.lease);
+	EXPECT_FALSE(a.May(1000));
+}
+
+TEST(Lease, RowsAreReadBack)
+{
+	ls_row row = { "h1", 7, 9, 3 }, back;
+	char *text = ls_row_encode(&row);
+
+	EXPECT_TRUE(ls_row_decode(text, 3, &back));
+	EXPECT_STREQ(back.holder, "h1");
+	EXPECT_EQ(back.incarnation, 7u);
+	EXPECT_EQ(back.fencing, 9u);
+	EXPECT_EQ(back.revision, 3u);
+	for (const char *bad : { "", "7", "{}", "[" })
+		EXPECT_FALSE(ls_row_decode(bad, 1, &back)) << bad;
+	g_free(text);
+}
+
+} // namespace
