harness: waits until the team is served, prints the time line before the stop

Cause: /healthz answers before the configuration is in force, so requests of the tests met 401; and the time line was asked for after the processes had ended.

--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -257,7 +257,12 @@
 
 Cluster::~Cluster()
 {
-	if (testing::Test::HasFailure())
+	print_failure();
+}
+
+void Cluster::print_failure()
+{
+	if (testing::Test::HasFailure() && !processes.empty())
 		printf("time line:\n%s\n", timeline().c_str());
 }
 
@@ -345,9 +350,14 @@
 			start_process(host, role);
 	}
 	for (uint32_t host = 0; host < options.hosts; host++)
-		ASSERT_TRUE(wait_until([&] {
-			return call(entry_url(host) + "/healthz").status == 200;
-		})) << process(host, "entry").output();
+		ASSERT_TRUE(wait_until([&] { return serves(host); }))
+			<< process(host, "entry").output();
+}
+
+bool Cluster::serves(uint32_t host)
+{
+	return call(entry_url(host) + "/healthz").status == 200 &&
+	       call(entry_url(host) + "/v1/models", "", team()).status == 200;
 }
 
 Headers Cluster::team()
@@ -377,6 +387,7 @@
 {
 	bool all = true;
 
+	print_failure();
 	for (auto &entry : processes)
 		entry.second->signal(SIGTERM);
 	for (auto &entry : processes) {
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -104,6 +104,9 @@
 	/** start() - everything, then the configuration. */
 	void start();
 
+	/** serves() - its entry answers the team of the configuration. */
+	bool serves(uint32_t host);
+
 	/** start_process() - ROLE of one host, again after it ended. */
 	void start_process(uint32_t host, const std::string &role);
 
@@ -128,6 +131,7 @@
 
       private:
 	std::string settings(uint32_t host) const;
+	void print_failure();
 
 	Options options;
 	TemporaryDirectory directory;
