entry: fingerprints take the salt, as ps.h has it now

Ruled out: a default salt, under which two teams' equal prompts would share their charges. Before: does not build.

--- a/src/entry/en_engine.c
+++ b/src/entry/en_engine.c
@@ -36,7 +36,7 @@
 	call->body = up_body_make(ask->json, ug_priority(call->urgency));
 	whole = (uint64_t)call->chain->count * PX_CHUNK_BYTES;
 	call->fingerprint = ps_fingerprint(
-		call->chain, prompt->str + MIN(whole, prompt->len),
+		salt, call->chain, prompt->str + MIN(whole, prompt->len),
 		prompt->len - MIN(whole, prompt->len), ask->name,
 		strlen(ask->name));
 	g_string_free(prompt, TRUE);
