rpc: offsets of clocks without overflow, idle time as an option

Cause: a wall clock of 2^63 in an authentic call overflowed (UBSan, the new case of ReplayIsBoundedByTheWallClock failed first); the closing of idle connections had no test; and both ends closed after the same time, so that a call could be sent into a connection which the peer was closing. After: unsigned difference; rp_desc.idle_ms; the called end waits twice as long.

--- a/src/rpc/rp.h
+++ b/src/rpc/rp.h
@@ -44,6 +44,7 @@
 #define RP_MAX_CALLS	      4096
 #define RP_MAX_CONNECTIONS    256
 #define RP_MAX_PROCEDURES     16
+#define RP_DEFAULT_IDLE_MS    60000
 
 struct rp_endpoint;
 struct rp_request;
@@ -129,6 +130,8 @@
  * @host: name of this host.
  * @role: of this process.
  * @incarnation: of this process, not 0; rp_new_incarnation() makes one.
+ * @idle_ms: an unused TCP connection is closed after it, by the peer that was
+ *	called after twice the time; default RP_DEFAULT_IDLE_MS.
  */
 struct rp_desc {
 	struct ev_loop *loop;
@@ -138,6 +141,7 @@
 	const char *host;
 	const char *role;
 	uint64_t incarnation;
+	int64_t idle_ms;
 };
 
 /** struct rp_endpoint - all state, behind one pointer. */
--- a/src/rpc/rp_endpoint.c
+++ b/src/rpc/rp_endpoint.c
@@ -85,6 +85,7 @@
 	s->incarnation = desc->incarnation;
 	s->ipv4 = ntohl(address.s_addr);
 	s->port = desc->port;
+	s->idle_ms = desc->idle_ms ? desc->idle_ms : RP_DEFAULT_IDLE_MS;
 	s->udp_fd = -1;
 	s->listen_fd = -1;
 	g_queue_init(&s->requests);
@@ -235,14 +236,16 @@
 static uint32_t rp_admit(struct _rp_state *s, const struct rp_message *m,
 			 const struct rp_request *request)
 {
-	int64_t offset_ms = (int64_t)m->sender.wall_ms - ck_wall_ms();
+	uint64_t own_ms = (uint64_t)ck_wall_ms();
+	uint64_t sent_ms = m->sender.wall_ms;
+	uint64_t offset_ms =
+		sent_ms > own_ms ? sent_ms - own_ms : own_ms - sent_ms;
 
 	if (m->sender.addressed && m->sender.addressed != s->incarnation) {
 		mt_add(&rp_requests_stale, 1);
 		return SYSTEM_ERR;
 	}
-	if (offset_ms > RP_MAX_CLOCK_OFFSET_MS ||
-	    offset_ms < -RP_MAX_CLOCK_OFFSET_MS) {
+	if (offset_ms > RP_MAX_CLOCK_OFFSET_MS) {
 		mt_add(&rp_requests_old, 1);
 		return SYSTEM_ERR;
 	}
--- a/src/rpc/rp_private.h
+++ b/src/rpc/rp_private.h
@@ -24,8 +24,8 @@
 
 #define RP_MAX_REQUESTS	       4096
 #define RP_MAX_CLOCK_OFFSET_MS 60000
-#define RP_IDLE_CLOSE_MS       60000
-#define RP_SWEEP_S	       5.0
+/* Looks for idle connections in the time after which one is idle. */
+#define RP_SWEEPS_EACH_IDLE 12
 /* Of records that are not whole, over all connections. */
 #define RP_MAX_BUFFERED_BYTES (48u << 20)
 /* Of records not yet sent on one connection. */
@@ -113,6 +113,7 @@
 	uint64_t incarnation;
 	uint32_t ipv4;
 	uint16_t port;
+	int64_t idle_ms;
 
 	int udp_fd;
 	int listen_fd;
--- a/src/rpc/rp_tcp.c
+++ b/src/rpc/rp_tcp.c
@@ -283,6 +283,13 @@
 	}
 }
 
+/* The caller's end closes first, so that no call meets a closing peer. */
+static int64_t rp_conn_idle_limit_ms(const struct _rp_conn *conn)
+{
+	return conn->is_outgoing ? conn->state->idle_ms
+				 : conn->state->idle_ms * 2;
+}
+
 static void rp_tcp_sweep(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct _rp_state *s = timer->data;
@@ -295,7 +302,7 @@
 		if (conn->pending)
 			continue;
 		if (conn->is_retired ||
-		    now_ms - conn->active_ms >= RP_IDLE_CLOSE_MS)
+		    now_ms - conn->active_ms >= rp_conn_idle_limit_ms(conn))
 			rp_conn_close(conn);
 	}
 }
@@ -325,6 +332,7 @@
 enum st_code rp_tcp_open(struct _rp_state *s)
 {
 	enum st_code code = rp_tcp_listen(s);
+	double sweep_s;
 
 	if (code != ST_OK) {
 		if (s->listen_fd >= 0)
@@ -336,7 +344,8 @@
 	ev_io_init(&s->listen_io, rp_tcp_accept, s->listen_fd, EV_READ);
 	s->listen_io.data = s;
 	ev_io_start(s->loop, &s->listen_io);
-	ev_timer_init(&s->sweep, rp_tcp_sweep, RP_SWEEP_S, RP_SWEEP_S);
+	sweep_s = (double)s->idle_ms / 1000. / RP_SWEEPS_EACH_IDLE;
+	ev_timer_init(&s->sweep, rp_tcp_sweep, sweep_s, sweep_s);
 	s->sweep.data = s;
 	ev_timer_start(s->loop, &s->sweep);
 	return ST_OK;
--- a/tests/unit/rpc_test.cc
+++ b/tests/unit/rpc_test.cc
@@ -72,6 +72,7 @@
 	int requests = 0;
 	std::string caller;
 	uint32_t keys_seen = 0;
+	int64_t idle_ms = 0;
 
 	void Open(struct rp_endpoint *ep, const char *host, uint64_t inc,
 		  uint16_t port = 0, const uint8_t *key = KEY)
@@ -85,6 +86,7 @@
 		desc.host = host;
 		desc.role = "index";
 		desc.incarnation = inc;
+		desc.idle_ms = idle_ms;
 		ASSERT_EQ(rp_init(ep, &desc), ST_OK) << st_message();
 	}
 
@@ -461,16 +463,20 @@
 
 TEST_F(Rpc, ReplayIsBoundedByTheWallClock)
 {
+	const uint64_t now_ms = (uint64_t)ck_wall_ms();
 	struct {
-		int64_t offset_ms;
+		uint64_t wall_ms;
 		bool is_served;
-	} cases[] = { { -70000, false },
-		      { -50000, true },
-		      { 50000, true },
-		      { 70000, false } };
+	} cases[] = { { now_ms - 70000, false },
+		      { now_ms - 50000, true },
+		      { now_ms + 50000, true },
+		      { now_ms + 70000, false },
+		      { 0, false },
+		      { UINT64_MAX, false },
+		      { 1ull << 63, false } };
 
 	for (const auto &c : cases) {
-		SCOPED_TRACE(c.offset_ms);
+		SCOPED_TRACE(c.wall_ms);
 		bp_ix_lookup args = {};
 		alignas(8) uint8_t data[RP_MAX_DATAGRAM_BYTES];
 		struct rp_message m = {};
@@ -482,7 +488,7 @@
 		m.version = BALSAMPIN_V1;
 		m.procedure = BP_IX_LOOKUP;
 		m.sender.incarnation = 7;
-		m.sender.wall_ms = (uint64_t)(ck_wall_ms() + c.offset_ms);
+		m.sender.wall_ms = c.wall_ms;
 		ASSERT_EQ(rp_message_write(&m, (xdrproc_t)xdr_bp_ix_lookup,
 					   &args, KEY, data, sizeof(data),
 					   &bytes),
@@ -589,6 +595,34 @@
 	EXPECT_EQ(open->value, before + 2) << "one seen from both ends";
 }
 
+TEST_F(Rpc, IdleConnectionsAreClosed)
+{
+	const struct mt_metric *open = mt_find("balsampin_rpc_connections");
+	int64_t before = open->value;
+	bp_ix_lookup args = {};
+	Outcome o[2];
+	auto d = Call(RP_TCP, &o[0], &args);
+
+	rp_finish(&client);
+	idle_ms = 60;
+	Open(&client, "client", 101);
+	manner = HOLD;
+	ASSERT_EQ(rp_call(&client, &d, nullptr), ST_OK);
+	Until([&] { return held.size() == 1; });
+	int64_t limit = ck_now_ms() + 3 * idle_ms;
+	Until([&] { return ck_now_ms() > limit; });
+	EXPECT_EQ(open->value, before + 2) << "a call is open";
+	Answer(held[0]);
+	held.clear();
+	Until([&] { return o[0].count == 1; });
+	Until([&] { return open->value == before; });
+	manner = AT_ONCE;
+	d.arg = &o[1];
+	ASSERT_EQ(rp_call(&client, &d, nullptr), ST_OK);
+	Until([&] { return o[1].count == 1; });
+	EXPECT_EQ(o[1].code, ST_OK);
+}
+
 TEST_F(Rpc, MoreTargetsThanConnections)
 {
 	struct rp_endpoint servers[2] = {};
