--- a/src/index/ix.h
+++ b/src/index/ix.h
@@ -49,8 +49,10 @@
 #define IX_REQUEST_EXPIRES_MS 60000
 /* Without its events an engine's entries lose all confidence in this time. */
 #define IX_BLIND_MS 20000
-/* Confidence while events are known to be missing. */
-#define IX_DOUBTFUL_PERMILLE	   500
+/* Lowest confidence while events are known to be missing ... */
+#define IX_DOUBTFUL_PERMILLE 500
+/* ... each of which may concern one of this many blocks of a chain. */
+#define IX_CHAIN_BLOCKS		   16
 #define IX_MIN_AGE_FACTOR_PERMILLE 100
 /* Share of blocks that are evicted younger than the learned age. */
 #define IX_EVICTION_QUANTILE 0.2
@@ -76,7 +78,8 @@
 	uint32_t _block_count;
 };
 
-enum ix_event_kind { IX_STORED = 0, IX_REMOVED, IX_CLEARED, IX_LOAD };
+/** enum ix_event_kind - IX_OTHER has a number and no effect. */
+enum ix_event_kind { IX_STORED = 0, IX_REMOVED, IX_CLEARED, IX_LOAD, IX_OTHER };
 
 /**
  * struct ix_load - a load report.
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -104,6 +104,9 @@
 	/** start() - everything, then the configuration. */
 	void start();
 
+	/** serves() - its entry answers the team of the configuration. */
+	bool serves(uint32_t host);
+
 	/** start_process() - ROLE of one host, again after it ended. */
 	void start_process(uint32_t host, const std::string &role);
 
@@ -128,11 +131,12 @@
 
       private:
 	std::string settings(uint32_t host) const;
+	void print_failure();
 
 	Options options;
 	TemporaryDirectory directory;
 	std::map<std::string, std::unique_ptr<Process>> processes;
-	uint64_t revision = 0;
+	uint64_t change_count = 0;
 };
 
 /** completion() - body of a request for a completion by the model "m". */
