--- a/src/entry/en_error.c
+++ b/src/entry/en_error.c
@@ -35,6 +35,8 @@
 			      false, 1 },
 	[EN_DRAINING] = { 503, EN_SERVER_TYPE, "draining",
 			  "this host is being stopped", false, 1 },
+	[EN_STARTING] = { 503, EN_SERVER_TYPE, "starting",
+			  "this host has no configuration yet", false, 1 },
 	[EN_OVERLOADED] = { 429, "rate_limit_error", "overloaded",
 			    "there is no room for the request now", false, 1 },
 	[EN_NO_UPSTREAM] = { 503, EN_SERVER_TYPE, "no_upstream",
--- a/src/entry/en_front.c
+++ b/src/entry/en_front.c
@@ -120,12 +120,23 @@
 	json_object_array_add(arg, one);
 }
 
+/* Without a configuration no key is known, which says nothing of the key. */
+static bool en_front_is_starting(const struct en_front *f)
+{
+	const struct pr_process *process = f->desc.process;
+
+	return !process->config->revision && !cr_is_trusted(&process->cr);
+}
+
 static void en_front_models(struct en_front *f, struct hs_exchange *x)
 {
 	const struct cm_config *config = f->desc.process->config;
 	const struct cm_team *team = NULL;
 	enum en_code code =
-		en_ask_team(config, hs_header(x, "Authorization"), &team);
+		en_front_is_starting(f)
+			? EN_STARTING
+			: en_ask_team(config, hs_header(x, "Authorization"),
+				      &team);
 	struct json_object *all = json_object_new_array();
 	struct json_object *seen = json_object_new_array();
 	struct json_object *out = json_object_new_object();
@@ -153,13 +164,28 @@
 	json_object_put(out);
 }
 
+/* Why no request is taken at all; EN_FINE if they are. */
+static enum en_code en_front_closed(const struct en_front *f)
+{
+	if (f->is_draining)
+		return EN_DRAINING;
+	return en_front_is_starting(f) ? EN_STARTING : EN_FINE;
+}
+
+static void en_front_health(struct en_front *f, struct hs_exchange *x)
+{
+	if (f->is_draining)
+		hs_respond(x, 503, NULL, "draining\n", 9);
+	else if (en_front_is_starting(f))
+		hs_respond(x, 503, NULL, "starting\n", 9);
+	else
+		hs_respond(x, 200, NULL, "ok\n", 3);
+}
+
 static bool en_front_answer_own(struct en_front *f, struct hs_exchange *x)
 {
 	if (!strcmp(x->path, "/healthz")) {
-		if (f->is_draining)
-			hs_respond(x, 503, NULL, "draining\n", 9);
-		else
-			hs_respond(x, 200, NULL, "ok\n", 3);
+		en_front_health(f, x);
 		return true;
 	}
 	if (!strcmp(x->path, "/metrics")) {
@@ -306,8 +332,9 @@
 	if (en_front_answer_own(f, x))
 		return;
 	mt_add(&en_requests, 1);
-	if (f->is_draining) {
-		en_front_refuse(f, x, EN_DRAINING, NULL, request_id);
+	code = en_front_closed(f);
+	if (code != EN_FINE) {
+		en_front_refuse(f, x, code, NULL, request_id);
 		return;
 	}
 	code = en_front_check(f, x, &ask, &why);
