kernel: a repeated SIGTERM at the end of the shutdown does not kill

Cause: libev restores the default of a signal when its watcher stops, so the last steps of kn_finish() could be killed by a second SIGTERM; the demo saw exit code 143 from one entry of three after a complete drain. Ruled out: sending SIGTERM once only (the script does so now, a supervisor may not). Before: KernelShutdown.SigtermAfterTheEndOfTheLoopDoesNotKill died of signal 15. After: it passes; kernel_test 7 of 7; scripts/demo.sh exit code 0.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -169,9 +169,14 @@
 
 # End one process by SIGTERM; fails if its exit code is not 0.
 cluster_end() {
+	local pid=${cluster_pids[$1]}
+	kill -TERM "$pid"
+	cluster_wait "$1"
+}
+
+cluster_wait() {
 	local pid=${cluster_pids[$1]}
 	unset "cluster_pids[$1]"
-	kill -TERM "$pid" 2>/dev/null
 	wait "$pid" || {
 		echo "$1 ended with $?"
 		tail -n 5 "$cluster_dir/$1.log"
@@ -187,7 +192,7 @@
 	done
 	for name in "${!cluster_pids[@]}"
 	do
-		[ "$name" = standin ] || cluster_end "$name" || code=1
+		[ "$name" = standin ] || cluster_wait "$name" || code=1
 	done
 	cluster_end standin || code=1
 	return $code
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -32,8 +32,8 @@
 # ask HOST TEAM STREAM QUESTION
 ask() {
 	local body
-	body=$(printf '{"model":"m","max_tokens":8,"stream":%s,"prompt":"%s"}' \
-		"$3" "$rulebook$4")
+	body=$(printf '{"model":"m","max_tokens":8,"stream":%s,%s"prompt":"%s"}' \
+		"$3" '"stream_options":{"include_usage":true},' "$rulebook$4")
 	curl -sS --max-time 20 -H "Authorization: Bearer key-of-team-$2" \
 		-H "Content-Type: application/json" -d "$body" \
 		"$(cluster_entry_url "$1")/v1/completions"
@@ -105,8 +105,9 @@
 show_dispatch
 show_hit_rate
 echo "== time line"
-"$build/balsampin" timeline --settings "$cluster_dir/host0.json" ||
-	fail "the time line is incomplete"
+"$build/balsampin" timeline --settings "$cluster_dir/host0.json" \
+	>"$cluster_dir/timeline" || fail "the time line is incomplete"
+grep -v member_up "$cluster_dir/timeline"
 cluster_stop || fail "a process did not end gracefully"
 [ "$failed" -eq 0 ] && echo "== complete"
 exit $failed
--- a/src/bench/bench_call.c
+++ b/src/bench/bench_call.c
@@ -205,7 +205,8 @@
 {
 	return g_strdup_printf(
 		"{\"model\":\"" BENCH_MODEL "\",\"max_tokens\":%u,"
-		"\"stream\":%s,\"prompt\":\"%s\"}",
+		"\"stream\":%s,\"stream_options\":{\"include_usage\":true},"
+		"\"prompt\":\"%s\"}",
 		request->tokens, request->is_stream ? "true" : "false",
 		request->prompt->str);
 }
--- a/src/kernel/kn.c
+++ b/src/kernel/kn.c
@@ -149,16 +149,34 @@
 		kn_deliver_one(kernel);
 }
 
+/*
+ * From here on the signals are ignored: libev would restore their default, and
+ * a repeated SIGTERM would kill the process on its last steps.
+ */
+static void kn_stop_signals(struct kn_kernel *kernel)
+{
+	sigset_t both;
+	sigset_t before;
+
+	sigemptyset(&both);
+	sigaddset(&both, SIGTERM);
+	sigaddset(&both, SIGINT);
+	sigprocmask(SIG_BLOCK, &both, &before);
+	ev_signal_stop(kernel->loop, &kernel->_on_term);
+	ev_signal_stop(kernel->loop, &kernel->_on_int);
+	signal(SIGTERM, SIG_IGN);
+	signal(SIGINT, SIG_IGN);
+	sigprocmask(SIG_SETMASK, &before, NULL);
+}
+
 void kn_finish(struct kn_kernel *kernel)
 {
 	kn_stop_all(kernel);
 	ev_prepare_stop(kernel->loop, &kernel->_deliver);
 	ev_idle_stop(kernel->loop, &kernel->_wake);
 	ev_timer_stop(kernel->loop, &kernel->_drain_check);
-	if (kernel->_has_signals) {
-		ev_signal_stop(kernel->loop, &kernel->_on_term);
-		ev_signal_stop(kernel->loop, &kernel->_on_int);
-	}
+	if (kernel->_has_signals)
+		kn_stop_signals(kernel);
 	if (kernel->_owns_loop)
 		ev_loop_destroy(kernel->loop);
 	free(kernel->_queue);
--- a/tests/unit/kernel_test.cc
+++ b/tests/unit/kernel_test.cc
@@ -1,5 +1,6 @@
 // The kernel: messages to living and stopped tasks, drain, clock, registry.
 #include <gtest/gtest.h>
+#include <signal.h>
 
 #include <string>
 #include <vector>
@@ -169,4 +170,24 @@
 		EXPECT_EQ(tl_kind_find(tl_kind_name(kind)), kind);
 }
 
+// A host's supervisor may repeat SIGTERM; the end is graceful all the same.
+TEST(KernelShutdown, SigtermAfterTheEndOfTheLoopDoesNotKill)
+{
+	auto run = [] {
+		struct kn_kernel kernel;
+		struct kn_desc desc = {};
+
+		desc.name = "test";
+		kn_init(&kernel, &desc);
+		kn_drain(&kernel);
+		kn_run(&kernel);
+		kn_finish(&kernel);
+		raise(SIGTERM);
+		raise(SIGINT);
+		exit(0);
+	};
+
+	EXPECT_EXIT(run(), testing::ExitedWithCode(0), "");
+}
+
 } // namespace
