golden sessions; stand-ins close their port before their connections

Cause: whole sessions are compared as text, so the same session has to give the same text. Ruled out: normalizing the order of the lines away. The reason of a placement and times are normalized: they depend on how soon the cache events come.

--- a/tests/harness/golden.cc
+++ b/tests/harness/golden.cc
@@ -45,8 +45,19 @@
 				     "[0-9]{4} [0-9:]{8} GMT");
 	static const std::regex time("\\b1[0-9]{12,19}\\b");
 	static const std::regex id("\\b[0-9a-f]{16,64}\\b");
+	static const std::regex stamp("[0-9]{4}-[0-9]{2}-[0-9]{2}T[0-9:.]+Z");
+	static const std::regex amount(
+		"\\b(ms|cost_us|new_tokens|tokens|index)=[0-9]+");
+	// Depends on how soon the cache events come.
+	static const std::regex reason("\\breason=(placement|cache)\\b");
+	static const std::regex engine("\\bengine[0-9]+\\b");
 	std::string out = std::regex_replace(text, date, "<date>");
 
+	out = std::regex_replace(out, stamp, "<time>");
+	out = std::regex_replace(out, amount, "$1=<n>");
+	out = std::regex_replace(out, reason, "reason=<reason>");
+	out = number_matches(out, engine, "engine");
+
 	out = number_matches(out, address, "address");
 	out = number_matches(out, time, "time");
 	return number_matches(out, id, "id");
--- a/tests/sessions/harness_test.cc
+++ b/tests/sessions/harness_test.cc
@@ -20,6 +20,8 @@
 		  "at <address 1> and <address 2>, <address 1>" },
 		{ "Date: Fri, 04 Dec 2026 02:25:10 GMT", "Date: <date>" },
 		{ "1796351109793:7 1796351109794", "<time 1>:7 <time 2>" },
+		{ "2026-12-04T02:41:00.069Z engine2 engine0 engine2 ms=12",
+		  "<time> <engine 1> <engine 2> <engine 1> ms=<n>" },
 		{ "block b5dd78bdb7ca466b", "block <id 1>" },
 		{ "tokens 100, text 2f9 513", "tokens 100, text 2f9 513" },
 	};
--- a/tests/standin/sa_engine.c
+++ b/tests/standin/sa_engine.c
@@ -121,6 +121,8 @@
 	engine->is_frozen = false;
 	ev_timer_stop(engine->world->loop, &engine->thaw);
 	sa_events_stop(engine);
+	/* Who comes back while connections close meets a closed port. */
+	hs_quiesce(&engine->server);
 	hs_finish(&engine->server);
 	sa_engine_drop_runs(engine);
 	sa_cache_clear(&engine->cache);
