entry: index, peers, poisoned requests and drain under test

Ruled out: asking the drain from outside by waiting for the exit of the loop; the tasks' own is_idle() is what the kernel asks.

--- a/src/entry/en_dispatch.h
+++ b/src/entry/en_dispatch.h
@@ -161,6 +161,9 @@
 /* en_peers.c */
 void en_peers_serve(struct en_dispatch *d);
 void en_peers_tick(struct en_dispatch *d, int64_t now_ms);
+/** en_peers_note_engine() - a new incarnation ends the one before it. */
+void en_peers_note_engine(struct en_dispatch *d, const struct mb_member *m,
+			  int64_t now_ms);
 void en_peers_record(struct en_call *call, bp_ix_phase phase);
 void en_peers_poison(struct en_dispatch *d, uint64_t fingerprint,
 		     uint64_t engine, uint64_t incarnation);
--- a/src/entry/en_engine.c
+++ b/src/entry/en_engine.c
@@ -411,6 +411,7 @@
 	en_call_next_id(call, id);
 	en_call_change(call, EN_SENT);
 	en_load_count(call);
+	en_peers_note_engine(d, engine, call->sent_ms);
 	ps_started(&d->poison, call->fingerprint, engine->id,
 		   engine->incarnation, call->sent_ms);
 	up_init(&call->attempt, &desc);
--- a/src/entry/en_peers.c
+++ b/src/entry/en_peers.c
@@ -178,20 +178,24 @@
 		en_peers_poison(d, charged[i], engine, incarnation);
 }
 
-/* A new incarnation means that the one before it has ended. */
+void en_peers_note_engine(struct en_dispatch *d, const struct mb_member *m,
+			  int64_t now_ms)
+{
+	struct en_load *load = en_load(d, m->id);
+	bool is_dead = m->state == MB_DEAD;
+
+	if (load->incarnation &&
+	    (is_dead || load->incarnation != m->incarnation))
+		en_engine_crashed(d, m->id, load->incarnation, now_ms);
+	load->incarnation = is_dead ? 0 : m->incarnation;
+}
+
 static void en_scan_engines(struct en_dispatch *d, int64_t now_ms)
 {
 	for (const struct mb_member *m =
 		     mb_next(d->process->members, MB_ENGINE, NULL, NULL);
-	     m; m = mb_next(d->process->members, MB_ENGINE, NULL, m)) {
-		struct en_load *load = en_load(d, m->id);
-		bool is_dead = m->state == MB_DEAD;
-
-		if (load->incarnation &&
-		    (is_dead || load->incarnation != m->incarnation))
-			en_engine_crashed(d, m->id, load->incarnation, now_ms);
-		load->incarnation = is_dead ? 0 : m->incarnation;
-	}
+	     m; m = mb_next(d->process->members, MB_ENGINE, NULL, m))
+		en_peers_note_engine(d, m, now_ms);
 }
 
 void en_peers_tick(struct en_dispatch *d, int64_t now_ms)
--- a/tests/unit/entry_host.h
+++ b/tests/unit/entry_host.h
@@ -175,6 +175,15 @@
 		return en_front_port(
 			static_cast<struct en_entry *>(p.role_state)->front);
 	}
+	// What the kernel asks before it ends the process.
+	bool is_idle()
+	{
+		for (auto &task : p.kernel._tasks)
+			if (task.ops && task.ops->is_idle &&
+			    !task.ops->is_idle(&task))
+				return false;
+		return true;
+	}
 	void list(const std::vector<Upstreams> &upstreams)
 	{
 		std::vector<struct mb_member> all;
--- /dev/null
+++ b/tests/unit/entry_rules_test.cc
@@ -0,0 +1,218 @@
+// The plain functions of the entry process: what follows a failed attempt,
+// which transitions are allowed, and what the caller gets of an event.
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "entry/en_recover.h"
+#include "entry/en_relay.h"
+#include "entry/en_state.h"
+}
+
+namespace
+{
+
+struct en_ended ended(enum up_end end, bool has_given)
+{
+	struct en_ended e = {};
+
+	e.end = end;
+	e.maybe_sent = end != UP_NOT_SENT;
+	e.can_resume = true;
+	e.rb.is_idempotent = true;
+	e.rb.has_answer_bytes = has_given;
+	e.rb.can_continue = true;
+	e.rb.attempts = 1;
+	e.rb.has_budget = true;
+	return e;
+}
+
+TEST(EntryRecover, WhatFollowsAnAttempt)
+{
+	const struct {
+		const char *name;
+		enum up_end end;
+		bool has_given;
+		void (*adjust)(struct en_ended *);
+		enum en_step step;
+	} cases[] = {
+		{ "whole", UP_COMPLETE, true, nullptr, EN_FINISH },
+		{ "silent", UP_SILENT, true, nullptr, EN_RESUME },
+		{ "broken", UP_BROKEN, false, nullptr, EN_RESUME },
+		{ "not sent", UP_NOT_SENT, false, nullptr, EN_RETRY },
+		{ "not sent, part given", UP_NOT_SENT, true, nullptr,
+		  EN_CONTINUE },
+		{ "failed a check", UP_FAULTY, false, nullptr, EN_RETRY },
+		{ "failed a check, part given", UP_FAULTY, true, nullptr,
+		  EN_CONTINUE },
+		{ "part is not text", UP_FAULTY, true,
+		  [](struct en_ended *e) { e->rb.can_continue = false; },
+		  EN_FAIL_UNCERTAIN },
+		{ "only the closing is missing", UP_SILENT, true,
+		  [](struct en_ended *e) { e->has_text_end = true; },
+		  EN_END_TEXT },
+		{ "no budget, sent", UP_FAULTY, false,
+		  [](struct en_ended *e) { e->rb.has_budget = false; },
+		  EN_FAIL_UNCERTAIN },
+		{ "no budget, not sent", UP_NOT_SENT, false,
+		  [](struct en_ended *e) { e->rb.has_budget = false; },
+		  EN_FAIL_NOT_RUN },
+		{ "no budget, not sent now, but before", UP_NOT_SENT, false,
+		  [](struct en_ended *e) {
+			  e->rb.has_budget = false;
+			  e->may_have_begun_before = true;
+		  },
+		  EN_FAIL_UNCERTAIN },
+		{ "the request's own fault", UP_REFUSED, false,
+		  [](struct en_ended *e) { e->http_status = 400; },
+		  EN_PASS_ON },
+		{ "wrong weights", UP_REFUSED, false,
+		  [](struct en_ended *e) { e->http_status = 409; }, EN_RETRY },
+		{ "refused, no budget", UP_REFUSED, false,
+		  [](struct en_ended *e) {
+			  e->http_status = 503;
+			  e->rb.has_budget = false;
+		  },
+		  EN_FAIL_NOT_RUN },
+		{ "failed within, no budget", UP_REFUSED, false,
+		  [](struct en_ended *e) {
+			  e->http_status = 500;
+			  e->rb.has_budget = false;
+		  },
+		  EN_FAIL_UNCERTAIN },
+		{ "stream unknown there", UP_REFUSED, true,
+		  [](struct en_ended *e) {
+			  e->http_status = 404;
+			  e->is_resuming = true;
+		  },
+		  EN_CONTINUE },
+		{ "does harm when repeated", UP_BROKEN, false,
+		  [](struct en_ended *e) {
+			  e->can_resume = false;
+			  e->rb.is_idempotent = false;
+		  },
+		  EN_FAIL_UNCERTAIN },
+		{ "does harm, not sent", UP_NOT_SENT, false,
+		  [](struct en_ended *e) { e->rb.is_idempotent = false; },
+		  EN_RETRY },
+		{ "deadline", UP_TIMEOUT, true, nullptr, EN_FAIL_DEADLINE },
+		{ "too large", UP_TOO_LARGE, false, nullptr,
+		  EN_FAIL_UNCERTAIN },
+	};
+
+	for (const auto &c : cases) {
+		struct en_ended e = ended(c.end, c.has_given);
+
+		if (c.adjust)
+			c.adjust(&e);
+		EXPECT_STREQ(en_step_name(en_recover(&e, 0)),
+			     en_step_name(c.step))
+			<< c.name;
+	}
+}
+
+TEST(EntryState, OnlyTheTableMovesARequest)
+{
+	EXPECT_EQ(en_state_next(EN_NEW, EN_ADMITTED), EN_PLACING);
+	EXPECT_EQ(en_state_next(EN_RUNNING, EN_SEND_ELSEWHERE), EN_PLACING);
+	EXPECT_EQ(en_state_next(EN_NEW, EN_SENT), EN_STATE_COUNT);
+	EXPECT_EQ(en_state_next(EN_CLAIMING, EN_SENT), EN_STATE_COUNT);
+	for (int change = 0; change < EN_CHANGE_COUNT; change++)
+		EXPECT_EQ(en_state_next(EN_ENDED, (enum en_change)change),
+			  EN_STATE_COUNT);
+}
+
+class EntryRelay : public testing::Test
+{
+      protected:
+	struct en_ask ask = {};
+	struct en_relay relay;
+
+	void start(enum en_kind kind, bool wants_usage)
+	{
+		ask.kind = kind;
+		ask.is_stream = true;
+		ask.wants_usage = wants_usage;
+		g_strlcpy(ask.request_id, "r", sizeof(ask.request_id));
+		en_relay_init(&relay, &ask);
+	}
+	std::string take(const char *event)
+	{
+		GString *out = g_string_new(nullptr);
+		struct json_object *json = up_parse_json(event, strlen(event));
+
+		en_relay_event(&relay, json, out);
+		std::string text(out->str, out->len);
+		json_object_put(json);
+		g_string_free(out, TRUE);
+		return text;
+	}
+};
+
+const char *const usage =
+	"{\"id\":\"x\",\"choices\":[],\"usage\":{\"prompt_tokens\":9,"
+	"\"completion_tokens\":2,\"prompt_tokens_details\":{"
+	"\"cached_tokens\":4,\"block_tokens\":2,"
+	"\"block_ids\":[\"00ff\",\"10\"]}}}";
+
+TEST_F(EntryRelay, UsageIsReadAndKeptBack)
+{
+	start(EN_COMPLETION, false);
+	EXPECT_EQ(take("{\"id\":\"x\",\"choices\":[{\"text\":\"a\"}]}"),
+		  "data: {\"id\":\"cmpl-r\",\"choices\":[{\"text\":\"a\"}]}"
+		  "\n\n");
+	EXPECT_EQ(take(usage), "");
+	EXPECT_EQ(relay.usage.prompt_tokens, 9u);
+	EXPECT_EQ(relay.usage.block_tokens, 2u);
+	ASSERT_EQ(relay.usage.block_count, 2u);
+	EXPECT_EQ(relay.usage.blocks[0], 0xffu);
+	en_relay_finish(&relay);
+}
+
+TEST_F(EntryRelay, UsageOfAContinuedStreamCountsAllTokens)
+{
+	start(EN_COMPLETION, true);
+	take("{\"id\":\"x\",\"choices\":[{\"text\":\"a\"}]}");
+	en_relay_continue(&relay);
+	EXPECT_EQ(take("{\"id\":\"y\",\"choices\":[{\"text\":\"\"}]}"), "");
+	std::string out = take(usage);
+	EXPECT_NE(out.find("\"completion_tokens\":3"), std::string::npos);
+	EXPECT_NE(out.find("\"cached_tokens\":4"), std::string::npos);
+	EXPECT_EQ(out.find("block"), std::string::npos);
+	en_relay_finish(&relay);
+}
+
+TEST_F(EntryRelay, TextIsKnownOrNotContinuable)
+{
+	const struct {
+		const char *event;
+		const char *text;
+		bool is_continuable;
+		bool has_text_end;
+	} cases[] = {
+		{ "{\"choices\":[{\"delta\":{\"content\":\"a\"}}]}", "a", true,
+		  false },
+		{ "{\"choices\":[{\"delta\":{\"content\":null},"
+		  "\"finish_reason\":\"stop\"}]}",
+		  "", true, true },
+		{ "{\"choices\":[{\"delta\":{\"tool_calls\":[]}}]}", "", false,
+		  false },
+		{ "{\"choices\":[{\"index\":1,\"delta\":{}}]}", "", false,
+		  false },
+		{ "{\"choices\":[{\"logprobs\":{},\"delta\":{}}]}", "", false,
+		  false },
+		{ "{\"choices\":3}", "", true, false },
+	};
+
+	for (const auto &c : cases) {
+		start(EN_CHAT, false);
+		take(c.event);
+		EXPECT_STREQ(relay.text->str, c.text) << c.event;
+		EXPECT_EQ(relay.is_continuable, c.is_continuable) << c.event;
+		EXPECT_EQ(relay.has_text_end, c.has_text_end) << c.event;
+		en_relay_finish(&relay);
+	}
+}
+
+} // namespace
--- a/tests/unit/entry_test.cc
+++ b/tests/unit/entry_test.cc
@@ -420,6 +420,7 @@
 	Answer open, late, health;
 	struct hs_exchange *held = nullptr;
 
+	host->p.settings.limits.idle_timeout_ms = 10000;
 	first_does([&](struct hs_exchange *x) {
 		held = x;
 		begin_stream(x);
@@ -437,6 +438,8 @@
 	EXPECT_EQ(late.retry_after, "1");
 	EXPECT_EQ(late.connection, "close");
 	EXPECT_EQ(health.status, 503u);
+	l.run_until([] { return false; }, 1200);
+	EXPECT_FALSE(host->is_idle());
 	send_event(held, 2, token(id_of(held), "b"));
 	send_event(held, 3, "[DONE]");
 	hs_end(held);
@@ -444,6 +447,7 @@
 	EXPECT_EQ(open.outcome, HC_DONE);
 	EXPECT_EQ(text_of(open.body), "ab");
 	EXPECT_TRUE(has(open.body, "[DONE]"));
+	EXPECT_TRUE(l.run_until([&] { return host->is_idle(); }));
 }
 
 TEST_F(Entry, ModelsAreThoseOfTheTeam)
--- a/tests/unit/service_test.cc
+++ b/tests/unit/service_test.cc
@@ -2,11 +2,69 @@
 // that must run at most once under every fault of platform and service.
 #include "entry_host.h"
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 namespace
 {
 
 const std::string fee = "/v1/services/letters/fee?x=1%202";
 
+// Answers the first request and keeps its connection; reads every other one
+// and closes without an answer.
+class CloseAfterFirst
+{
+      public:
+	int requests = 0;
+	uint16_t port = 0;
+
+	CloseAfterFirst()
+	{
+		struct sockaddr_in a = {};
+		socklen_t bytes = sizeof(a);
+
+		a.sin_family = AF_INET;
+		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		bind(listener, reinterpret_cast<sockaddr *>(&a), sizeof(a));
+		listen(listener, 8);
+		getsockname(listener, reinterpret_cast<sockaddr *>(&a), &bytes);
+		port = ntohs(a.sin_port);
+	}
+	~CloseAfterFirst()
+	{
+		for (int fd : fds)
+			close(fd);
+		close(listener);
+	}
+	void serve()
+	{
+		static const char ok[] = "HTTP/1.1 200 OK\r\n"
+					 "Content-Length: 0\r\n\r\n";
+		int fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+		char buffer[4096];
+
+		if (fd >= 0)
+			fds.push_back(fd);
+		for (int &one : fds) {
+			if (one < 0 ||
+			    recv(one, buffer, sizeof(buffer), 0) <= 0)
+				continue;
+			if (++requests == 1) {
+				::send(one, ok, sizeof(ok) - 1, 0);
+				continue;
+			}
+			close(one);
+			one = -1;
+		}
+	}
+
+      private:
+	int listener;
+	std::vector<int> fds;
+};
+
 class Service : public testing::Test
 {
       protected:
@@ -199,8 +257,6 @@
 // Nothing was sent, so the claim is taken back and a repeat runs.
 TEST_F(Service, ClaimOfACallThatWasNotSentIsTakenBack)
 {
-	std::vector<Upstreams> none, two = { { MB_SERVICE, "s2", s2.port() } };
-
 	s1.stop();
 	h1->list({ { MB_SERVICE, "s1", s1.port() },
 		   { MB_SERVICE, "s2", s1.port() } });
@@ -213,6 +269,28 @@
 	EXPECT_EQ(call(*h2, "POST", "k").body, "run 1");
 }
 
+// libcurl itself repeats a request whose reused connection was closed.
+TEST_F(Service, ReusedConnectionDoesNotRepeatACall)
+{
+	CloseAfterFirst server;
+	Answer get, post;
+
+	h1->list({ { MB_SERVICE, "s1", server.port },
+		   { MB_SERVICE, "s2", server.port } });
+	caller.send(&get, h1->port(), "GET", fee, "");
+	ASSERT_TRUE(l.run_until([&] {
+		server.serve();
+		return get.is_done;
+	}));
+	caller.send(&post, h1->port(), "POST", fee, "b");
+	ASSERT_TRUE(l.run_until([&] {
+		server.serve();
+		return post.is_done;
+	}));
+	EXPECT_EQ(post.status, 502u);
+	EXPECT_EQ(server.requests, 2);
+}
+
 // A caller that hangs up stops an idempotent call, never another one.
 TEST_F(Service, HangUpDoesNotStopACallThatMayHaveBegun)
 {
