--- a/src/index/ix_feed.c
+++ b/src/index/ix_feed.c
@@ -58,21 +58,29 @@
 	return delay_ms;
 }
 
+/* Returns whether the incarnation is a new one. */
+static bool ix_feed_saw_run(struct ix_feed *feed, uint64_t incarnation)
+{
+	bool is_restart = feed->incarnation != 0;
+
+	if (incarnation <= feed->incarnation)
+		return false;
+	feed->incarnation = incarnation;
+	feed->_is_leaving = false;
+	if (is_restart)
+		ix_feed_news(feed, IX_NEWS_RESTARTED);
+	return true;
+}
+
 static void ix_feed_report(struct ix_feed *feed, const struct ix_event *event,
 			   enum ix_effect effect)
 {
 	int64_t now_ms = ck_now_ms();
-	bool is_new_run = event->incarnation > feed->incarnation;
-	bool is_restart = is_new_run && feed->incarnation;
+	bool is_new_run = ix_feed_saw_run(feed, event->incarnation);
 
 	if (effect == IX_IGNORED && !is_new_run)
 		return;
-	feed->incarnation = event->incarnation;
 	feed->sequence = event->sequence;
-	if (is_new_run)
-		feed->_is_leaving = false;
-	if (is_restart)
-		ix_feed_news(feed, IX_NEWS_RESTARTED);
 	if (effect == IX_GAP) {
 		mt_add(&ix_events_gaps, 1);
 		ix_feed_news(feed, IX_NEWS_GAP);
@@ -203,6 +211,8 @@
 			     (const uint64_t *)(const void *)blocks->data,
 			     blocks->len, ck_now_ms()) == ST_OK;
 	g_array_unref(blocks);
+	if (ok)
+		ix_feed_saw_run(feed, incarnation);
 	return ok;
 }
 
@@ -211,6 +221,9 @@
 	struct ix_feed *feed = arg;
 
 	feed->_snapshot = (struct hc_call){ 0 };
+	feed->_snapshot_not_before_ms =
+		ck_now_ms() + (int64_t)(result->body_bytes * 1000 /
+					IX_FEED_SNAPSHOT_BYTES_PER_S);
 	if (ix_feed_take_snapshot(feed, result)) {
 		mt_add(&ix_snapshots_taken, 1);
 		feed->_snapshot_retry_ms = IX_FEED_MIN_RETRY_MS;
@@ -234,10 +247,16 @@
 		.on_done = ix_feed_on_snapshot_done,
 		.arg = feed,
 	};
+	int64_t wait_ms;
 
 	if (!ix_wants_snapshot(feed->_desc.index, feed->_desc.engine) ||
 	    ev_is_active(&feed->_snapshot_timer))
 		return;
+	wait_ms = feed->_snapshot_not_before_ms - ck_now_ms();
+	if (wait_ms > 0) {
+		ix_feed_timer_start(feed, &feed->_snapshot_timer, wait_ms);
+		return;
+	}
 	ix_feed_url(feed, "/v1/cache/blocks", url);
 	ix_snapshot_begin(feed->_desc.index, feed->_desc.engine);
 	if (hc_send(feed->_desc.http, &desc, &feed->_snapshot) == ST_OK)
--- a/src/limits/lm.h
+++ b/src/limits/lm.h
@@ -75,7 +75,8 @@
 
 /**
  * struct lm_request - a request at admission.
- * @id: unique among those that wait or run here.
+ * @id: unique among those that wait or run here; a second one with the same
+ * id ends the first.
  * @team: px_id() of its name.
  * @team_weight: 0 means 1.
  * @team_max_running: over all entries; 0 is unlimited.
@@ -184,6 +185,7 @@
  *
  * Pass those that the host list names, not only those that are heard of: a
  * host that is cut off goes on with its equal part, and so must be counted.
+ * Before the first call this entry takes itself for the only one.
  */
 void lm_entries(struct lm_limits *limits, const uint64_t *ids, uint32_t count,
 		int64_t now_ms);
--- a/tests/unit/routing_test.cc
+++ b/tests/unit/routing_test.cc
@@ -451,7 +451,8 @@
 	warm(r, weights, 7, 3);
 	for (auto &c : cases) {
 		struct px_chain chain = prompt(c.prefix, 10, 77, 12);
-		uint32_t n = rt_levels(&r.router.heat, &chain, 12, levels);
+		uint32_t n =
+			rt_levels(&r.router.heat, &chain, 12, 1250, levels);
 
 		ASSERT_GE(n, 1u) << c.what;
 		EXPECT_GE(levels[0].spread, c.spread_min) << c.what;
@@ -470,10 +471,27 @@
 
 	for (int i = 0; i < 2; i++)
 		place(r, chain, all);
-	ASSERT_GE(rt_levels(&r.router.heat, &chain, 61, levels), 1u);
+	ASSERT_GE(rt_levels(&r.router.heat, &chain, 61, 1250, levels), 1u);
 	EXPECT_LE(levels[0].spread, 2u);
 }
 
+// With thousands of teams each prefix has a tiny share, and is still known.
+TEST(Routing, APrefixOfASmallTeamIsKnownToItsEnd)
+{
+	Router r;
+	struct rt_level levels[RT_MAX_LEVELS];
+	auto all = engines(12);
+	struct px_chain chain;
+
+	for (uint64_t i = 0; i < 8 * 200; i++) {
+		chain = prompt(i % 200, 10, i, 12);
+		place(r, chain, all);
+	}
+	ASSERT_EQ(rt_levels(&r.router.heat, &chain, 12, 1250, levels), 1u);
+	EXPECT_EQ(levels[0].end, 10u);
+	EXPECT_EQ(levels[0].spread, 1u);
+}
+
 // The set of a longer prefix lies in the set of the shorter one, so that the
 // shared part is not computed on engines that do not have it.
 TEST(Routing, NestedPrefixesHaveNestedSets)
