entry: engines of another region are reached by an entry there

Cause: the near and far sides of the link stood alone; a request to the other region carried its whole body. Found on the way: with the far entry killed, the attempt was not sent, the engine was excluded for it, and with no other engine the request was refused (region_test, FarEntryThatRestartedGetsTheTextAgain, 503 no_upstream). A failure of the far entry now leads to one direct attempt, and only that counts against the engine. Ruled out: blaming both, which empties the candidates.

--- a/src/entry/en_dispatch.c
+++ b/src/entry/en_dispatch.c
@@ -250,6 +250,7 @@
 	d->policy = rt_policy_find(EN_POLICY);
 	if (!d->policy)
 		return st_fail(ST_INTERNAL, "no policy %s", EN_POLICY);
+	lk_near_init(&d->near, d->process->settings.rpc_key);
 	rt_router_init(&d->router, &(struct rt_desc){ 0 });
 	lm_init(&d->limits, &limits);
 	lm_engine_init(&d->engine_limits, &(struct lm_engine_desc){ 0 });
@@ -282,6 +283,7 @@
 	if (!d->is_started)
 		return;
 	d->is_started = false;
+	lk_near_finish(&d->near);
 	rt_router_finish(&d->router);
 	lm_finish(&d->limits);
 	lm_engine_finish(&d->engine_limits);
--- a/src/entry/en_dispatch.h
+++ b/src/entry/en_dispatch.h
@@ -19,6 +19,7 @@
 #include "kernel/lg.h"
 #include "kernel/mt.h"
 #include "kernel/tl.h"
+#include "link/lk_near.h"
 #include "limits/lm.h"
 #include "limits/lm_engine.h"
 #include "limits/ps.h"
@@ -54,6 +55,7 @@
 	struct kn_task *task;
 	struct pr_process *process;
 	struct hc_client client;
+	struct lk_near near;
 	struct rt_router router;
 	const struct rt_policy *policy;
 	struct lm_limits limits;
@@ -86,6 +88,8 @@
  * @may_have_run: an attempt may have run.
  * @is_resuming: the present attempt is a resumption.
  * @has_begun: the caller has the head of a stream.
+ * @via: the far entry of the present attempt; near is NULL without one.
+ * @goes_directly: a far entry could not forward it.
  * @upstream: name of the present one; its id, zone and incarnation follow.
  */
 struct en_call {
@@ -114,6 +118,9 @@
 	uint32_t attempts;
 	struct up_attempt attempt;
 	bool has_attempt;
+	struct up_via via;
+	bool goes_directly;
+	char far[MB_NAME_BYTES];
 	char upstream[MB_NAME_BYTES];
 	char upstream_zone[MB_NAME_BYTES];
 	uint64_t upstream_id;
@@ -126,6 +133,14 @@
 	struct en_relay relay;
 };
 
+/* en_via.c */
+/**
+ * en_via() - the far entry that forwards a request to an engine of another
+ * region; NULL if it goes directly.
+ */
+const struct up_via *en_via(struct en_call *call,
+			    const struct mb_member *engine);
+
 /* en_call.c */
 struct en_call *en_call_new(struct en_dispatch *d, struct en_ask *ask);
 void en_call_change(struct en_call *call, enum en_change change);
--- a/src/entry/en_engine.c
+++ b/src/entry/en_engine.c
@@ -315,11 +315,31 @@
 	return step;
 }
 
+/*
+ * Nothing says whether the far entry or the engine behind it failed. Only a
+ * direct attempt may count against the engine.
+ */
+static void en_send_directly(struct en_call *call)
+{
+	mb_report_failed(call->d->task->kernel, call->d->process->membership,
+			 MB_ENTRY, call->far);
+	ps_ended(&call->d->poison, call->fingerprint, call->upstream_id,
+		 call->incarnation, PS_CANCELLED, ck_now_ms());
+	en_call_drop_attempt(call);
+	call->goes_directly = true;
+	en_call_change(call, EN_SEND_ELSEWHERE);
+	en_place(call);
+}
+
 static void en_on_done(void *arg, const struct up_result *result)
 {
 	struct en_call *call = arg;
 	enum en_step step;
 
+	if (result->end == UP_NOT_SENT && call->via.near) {
+		en_send_directly(call);
+		return;
+	}
 	en_judge_engine(call, result);
 	step = en_after(call, result);
 	/* A run that is resumed has not ended. */
@@ -402,6 +422,7 @@
 	g_strlcpy(call->upstream, engine->name, sizeof(call->upstream));
 	g_strlcpy(call->upstream_zone, engine->zone,
 		  sizeof(call->upstream_zone));
+	desc.via = en_via(call, engine);
 	call->upstream_id = engine->id;
 	call->incarnation = engine->incarnation;
 	call->new_tokens = new_tokens;
--- a/src/entry/en_front.c
+++ b/src/entry/en_front.c
@@ -9,6 +9,7 @@
 #include "kernel/lg.h"
 #include "kernel/mt.h"
 #include "kernel/tl.h"
+#include "link/lk_relay.h"
 
 /** A caller that leaves more of its stream unread than this is dropped. */
 #define EN_MAX_UNSENT_BYTES (1u << 20)
@@ -32,6 +33,7 @@
 	struct en_front_desc desc;
 	struct kn_task *task;
 	struct hs_server server;
+	struct lk_relay relay;
 	bool has_server;
 	uint64_t last_id;
 	GHashTable *open;
@@ -329,6 +331,10 @@
 	const char *why = NULL;
 	enum en_code code;
 
+	if (!strcmp(x->path, LK_RELAY_PATH)) {
+		lk_relay_request(&f->relay, x);
+		return;
+	}
 	if (en_front_answer_own(f, x))
 		return;
 	mt_add(&en_requests, 1);
@@ -351,6 +357,10 @@
 	struct en_front *f = arg;
 	struct en_open *open = x->arg;
 
+	if (!strcmp(x->path, LK_RELAY_PATH)) {
+		lk_relay_closed(&f->relay, x);
+		return;
+	}
 	if (!open)
 		return;
 	x->arg = NULL;
@@ -428,7 +438,13 @@
 				   .on_closed = en_front_on_closed,
 				   .arg = f });
 	f->has_server = code == ST_OK;
-	return code;
+	if (code != ST_OK)
+		return code;
+	return lk_relay_init(
+		&f->relay,
+		&(struct lk_relay_desc){ .loop = task->kernel->loop,
+					 .secret = settings->rpc_key,
+					 .members = f->desc.process->members });
 }
 
 /* The listening socket stays open: who still comes is told to go elsewhere. */
@@ -454,8 +470,10 @@
 {
 	struct en_front *f = task->state;
 
-	if (f->has_server)
-		hs_finish(&f->server);
+	if (!f->has_server)
+		return;
+	hs_finish(&f->server);
+	lk_relay_finish(&f->relay);
 	f->has_server = false;
 }
 
--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -70,13 +70,23 @@
 
 std::string zone_of(const Options &options, uint32_t index)
 {
-	return options.zones[index % options.zones.size()];
+	std::string zone = options.zones[index % options.zones.size()];
+
+	return zone.substr(0, zone.find(':'));
+}
+
+std::string region_of(const Options &options, uint32_t index)
+{
+	std::string zone = options.zones[index % options.zones.size()];
+	size_t colon = zone.find(':');
+
+	return colon == std::string::npos ? "r1" : zone.substr(colon + 1);
 }
 
 std::string place(const Options &options, uint32_t index)
 {
 	return field("zone", zone_of(options, index)) + "," +
-	       field("region", "r1");
+	       field("region", region_of(options, index));
 }
 
 std::string host_name(uint32_t host)
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -36,6 +36,7 @@
 
 /**
  * Options - of a cluster. Hosts and engines are spread over the zones in turn.
+ * @zones: ZONE or ZONE:REGION; the region is r1 if left out.
  * @engine_defaults: JSON object, fields of sa.h.
  * @limits: JSON object, fields of cf_limits.
  * @services: names of plain services.
--- a/tests/unit/entry_peers_test.cc
+++ b/tests/unit/entry_peers_test.cc
@@ -166,9 +166,10 @@
 		struct px_chain chain;
 		std::string text(3 * PX_CHUNK_BYTES, 'p');
 
-		px_chain_make(&chain, px_salt("t1", "m", "v1", ""), text.data(),
-			      text.size());
-		return ps_fingerprint(&chain, "", 0, "m", 1);
+		uint64_t salt = px_salt("t1", "m", "v1", "");
+
+		px_chain_make(&chain, salt, text.data(), text.size());
+		return ps_fingerprint(salt, &chain, "", 0, "m", 1);
 	}
 	static struct en_dispatch *dispatch(Host &host)
 	{
