--- a/tests/unit/entry_peers_test.cc
+++ b/tests/unit/entry_peers_test.cc
@@ -168,7 +168,8 @@
 
 		px_chain_make(&chain, px_salt("t1", "m", "v1", ""), text.data(),
 			      text.size());
-		return ps_fingerprint(&chain, "", 0, "m", 1);
+		return ps_fingerprint(px_salt("t1", "m", "v1", ""), &chain, "",
+				      0, "m", 1);
 	}
 	static struct en_dispatch *dispatch(Host &host)
 	{
