entry: a deadline that passed sends nothing

Cause: a call whose deadline passed while it was claimed or placed was still sent, with a limit of 1 ms, and ended as uncertain.

Ruled out: the deadline as the store's time limit, which says nothing of the time in the queue before. Before: the new test of service_test fails (run: unknown). After: not run, the claim is taken back; service_test 12, entry_test 12 and entry_peers_test 5 pass.

--- a/src/entry/en.h
+++ b/src/entry/en.h
@@ -76,14 +76,12 @@
  * struct en_once_ask - a call that must run at most once.
  * @team, @service, @key: of the claim.
  * @hash: of the call.
- * @deadline_ms: of the claim, from now.
  */
 struct en_once_ask {
 	char team[CM_NAME_BYTES];
 	char service[CM_NAME_BYTES];
 	char key[EN_KEY_BYTES];
 	char hash[65];
-	int64_t deadline_ms;
 };
 
 /**
--- a/src/entry/en_call.c
+++ b/src/entry/en_call.c
@@ -57,6 +57,11 @@
 	call->state = next;
 }
 
+bool en_call_is_late(const struct en_call *call)
+{
+	return call->deadline_ms && ck_now_ms() >= call->deadline_ms;
+}
+
 int64_t en_call_time_left_ms(const struct en_call *call)
 {
 	if (!call->deadline_ms)
--- a/src/entry/en_dispatch.h
+++ b/src/entry/en_dispatch.h
@@ -138,6 +138,8 @@
 void en_call_drop_attempt(struct en_call *call);
 /** en_call_exclude() - this upstream is not to be met again. */
 void en_call_exclude(struct en_call *call, uint64_t upstream);
+/** en_call_is_late() - the deadline has passed; nothing more is sent. */
+bool en_call_is_late(const struct en_call *call);
 int64_t en_call_time_left_ms(const struct en_call *call);
 void en_call_next_id(struct en_call *call, char id[UP_ID_BYTES]);
 void en_call_free(void *call);
--- a/src/entry/en_place.c
+++ b/src/entry/en_place.c
@@ -322,6 +322,14 @@
 {
 	struct en_placing *p;
 
+	if (en_call_is_late(call)) {
+		en_call_fail(call,
+			     call->may_have_run ? EN_DEADLINE
+						: EN_DEADLINE_NOT_RUN,
+			     NULL, 0);
+		en_call_end(call);
+		return;
+	}
 	if (en_is_poisoned(call))
 		return;
 	p = g_new0(struct en_placing, 1);
--- a/src/entry/en_service.c
+++ b/src/entry/en_service.c
@@ -284,11 +284,21 @@
 	en_service_fail(call, EN_FAIL_NOT_RUN);
 }
 
+static void en_service_fail_no_upstream(struct en_call *call)
+{
+	en_call_fail(call, call->may_have_run ? EN_UNCERTAIN : EN_NO_UPSTREAM,
+		     NULL, 0);
+	en_call_end(call);
+}
+
 static void en_service_place(struct en_call *call)
 {
 	const struct mb_member *member = en_service_pick(call);
 
-	if (member && !(call->is_once && call->is_gone)) {
+	bool is_given_up =
+		(call->is_once && call->is_gone) || en_call_is_late(call);
+
+	if (member && !is_given_up) {
 		en_service_send(call, member);
 		return;
 	}
@@ -297,9 +307,10 @@
 		en_tell_once(call, EN_ONCE_NOWHERE, NULL, NULL);
 		return;
 	}
-	en_call_fail(call, call->may_have_run ? EN_UNCERTAIN : EN_NO_UPSTREAM,
-		     NULL, 0);
-	en_call_end(call);
+	if (is_given_up)
+		en_service_fail(call, EN_FAIL_DEADLINE);
+	else
+		en_service_fail_no_upstream(call);
 }
 
 void en_service_step(struct en_call *call, struct en_once_step *step)
--- a/tests/unit/entry_host.h
+++ b/tests/unit/entry_host.h
@@ -20,6 +20,17 @@
 	int lose_answers = 0; // of so many transactions that take effect
 	int drop_writes = 0;  // so many get no answer and no effect
 	int txns = 0;
+	int hold_answers = 0; // until release()
+	std::vector<std::function<void()>> held;
+
+	void release()
+	{
+		std::vector<std::function<void()>> now;
+
+		now.swap(held);
+		for (auto &answer : now)
+			answer();
+	}
 };
 
 inline PlatformFaults platform_faults;
@@ -76,6 +87,20 @@
 		call->code = ST_UNKNOWN;
 		return embedded()->range(impl, &nothing, faulty_rows, call);
 	}
+	if (platform_faults.hold_answers > 0) {
+		platform_faults.hold_answers--;
+		return embedded()->txn(
+			impl, txn,
+			[](void *a, enum st_code code, uint64_t revision) {
+				auto *c = static_cast<FaultyCall *>(a);
+
+				platform_faults.held.push_back([=] {
+					c->txn_fn(c->arg, code, revision);
+					delete c;
+				});
+			},
+			call);
+	}
 	if (platform_faults.lose_answers > 0) {
 		platform_faults.lose_answers--;
 		return embedded()->txn(
--- a/tests/unit/service_test.cc
+++ b/tests/unit/service_test.cc
@@ -310,6 +310,25 @@
 	EXPECT_EQ(runs, 1);
 }
 
+TEST_F(Service, DeadlineThatPassesDuringTheClaimIsNotRun)
+{
+	Answer a;
+	int64_t late_ms = ck_now_ms() + 30;
+
+	platform_faults.hold_answers = 1;
+	caller.send(&a, h1->port(), "POST", fee, "b",
+		    { "Idempotency-Key: k", "X-Deadline-Ms: 20" });
+	ASSERT_TRUE(l.run_until([&] {
+		return !platform_faults.held.empty() && ck_now_ms() > late_ms;
+	}));
+	platform_faults.release();
+	ASSERT_TRUE(l.run_until([&] { return a.is_done; }));
+	EXPECT_TRUE(has(a.body, "\"run\":\"not_run\"")) << a.body;
+	EXPECT_EQ(runs, 0);
+	ASSERT_TRUE(l.run_until([&] { return platform_faults.txns == 2; }));
+	EXPECT_EQ(call(*h2, "POST", "k").body, "run 1");
+}
+
 TEST_F(Service, KeepingGoesOnAfterALostAnswer)
 {
 	Answer one;
