routing: the policy is a setting; candidates above the bound are preselected

Cause: the entry always ran the policy cost, so nothing could be compared, and took the first 128 engines of the member table if more were known, which need not be the same ones at two entries.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -4,7 +4,10 @@
 #
 # Usage: scripts/bench.sh PROFILE [OPTION OF bench load...]
 #	PROFILE is kitami (12 engines) or pisarik (18 engines), in 3 zones.
-#	BALSAMPIN_POLICY in the environment names the routing policy.
+#	BALSAMPIN_POLICY in the environment names the routing policy,
+#	BALSAMPIN_CACHE_BLOCKS and BALSAMPIN_PREFILL the size of an engine's
+#	cache (120 blocks) and its speed (100000 tokens a second).
+#	BALSAMPIN_KEEP names a folder for the time line and the counters.
 set -u
 cd "$(dirname "$0")/.." || exit 2
 build=${BALSAMPIN_BUILD:-build}
@@ -30,12 +33,28 @@
 esac
 
 engine_defaults='{"models":[{"model":"m","version":"v1"}],
-	"cache_blocks":120,"prefill_tokens_per_s":100000,"token_ms":10,
+	"cache_blocks":${BALSAMPIN_CACHE_BLOCKS:-120},
+	"prefill_tokens_per_s":${BALSAMPIN_PREFILL:-100000},"token_ms":10,
 	"event_delay_ms":100,"load_period_ms":200}'
 
+# keep FOLDER: the time line and the entries' counters.
+keep() {
+	local i
+	mkdir -p "$1"
+	"$build/balsampin" timeline --settings "$cluster_dir/host0.json" \
+		>"$1/timeline" 2>&1
+	for ((i = 0; i < cluster_hosts; i++))
+	do
+		curl -s "$(cluster_entry_url "$i")/metrics" >"$1/entry$i"
+	done
+}
+
 cluster_init 9 "$engines" "$zones" "$engine_defaults"
 cluster_start || exit 1
-cluster_configure 8 "$objective" || exit 1
+cluster_configure 8 "$objective" >"$cluster_dir/configure.log" || {
+	cat "$cluster_dir/configure.log"
+	exit 1
+}
 entries=()
 for ((i = 0; i < cluster_hosts; i++))
 do
@@ -45,5 +64,6 @@
 	--label "${BALSAMPIN_POLICY:-default}" "${entries[@]}" \
 	--standin "http://$cluster_standin:7000" "$@"
 code=$?
+[ -n "${BALSAMPIN_KEEP:-}" ] && keep "$BALSAMPIN_KEEP"
 cluster_stop || code=1
 exit $code
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -88,6 +88,7 @@
 	printf '"index":{"http_port":8081,"rpc_port":7002},'
 	printf '"control":{"http_port":8082,"rpc_port":7003},'
 	printf '"peers":[%s],' "$(joined "$cluster_hosts" peer_json "$1")"
+	printf '"routing":{"policy":"%s"},' "${BALSAMPIN_POLICY:-cost}"
 	printf '"platform":{"kind":"http","tables_url":"%s",' "$platform"
 	printf '"objects_url":"%s/objects","hosts_url":"%s/hosts"},' \
 		"$platform" "$platform"
--- a/src/entry/en_dispatch.c
+++ b/src/entry/en_dispatch.c
@@ -7,7 +7,6 @@
 
 #define EN_TICK_S (LM_TICK_MS / 1000.0)
 #define EN_MS	  1000
-#define EN_POLICY "cost"
 
 MT_GAUGE(en_running, "balsampin_entry_running_requests",
 	 "requests that the limits let run")
@@ -247,9 +246,10 @@
 		       &(struct hc_desc){ .loop = task->kernel->loop });
 	if (code != ST_OK)
 		return code;
-	d->policy = rt_policy_find(EN_POLICY);
+	d->policy = rt_policy_find(settings->routing.policy);
 	if (!d->policy)
-		return st_fail(ST_INTERNAL, "no policy %s", EN_POLICY);
+		return st_fail(ST_INTERNAL, "no policy %s",
+			       settings->routing.policy);
 	rt_router_init(&d->router, &(struct rt_desc){ 0 });
 	lm_init(&d->limits, &limits);
 	lm_engine_init(&d->engine_limits, &(struct lm_engine_desc){ 0 });
--- a/src/entry/en_place.c
+++ b/src/entry/en_place.c
@@ -87,7 +87,30 @@
 	};
 }
 
-/* The nearest first, so that the bound leaves out the farthest. */
+/* Where the candidates of a request are chosen from. */
+struct en_pool {
+	struct rt_candidate engines[RT_MAX_ENGINES];
+	const struct mb_member *members[RT_MAX_ENGINES];
+	uint32_t count;
+};
+
+/* If there are more than can be weighed, routers agree on which. */
+static void en_add_all(struct en_placing *p, const struct en_pool *pool)
+{
+	uint32_t chosen[RT_MAX_CANDIDATES];
+	uint32_t count = pool->count;
+
+	if (count > RT_MAX_CANDIDATES)
+		count = rt_preselect(p->call->chain, pool->engines, count,
+				     chosen);
+	for (uint32_t i = 0; i < count; i++) {
+		uint32_t at = pool->count > RT_MAX_CANDIDATES ? chosen[i] : i;
+
+		en_add_candidate(p, pool->members[at],
+				 pool->engines[at].distance);
+	}
+}
+
 static void en_collect(struct en_placing *p)
 {
 	struct en_call *call = p->call;
@@ -95,21 +118,24 @@
 	const struct cm_model *model =
 		cm_model(d->process->config, call->ask->name);
 	const struct mb_table *members = d->process->members;
+	struct en_pool pool;
 
+	pool.count = 0;
 	if (!model)
 		return;
-	for (int distance = 0; distance <= RT_OTHER_REGION; distance++)
-		for (const struct mb_member *m =
-			     mb_next(members, MB_ENGINE, NULL, NULL);
-		     m && p->count < RT_MAX_CANDIDATES;
-		     m = mb_next(members, MB_ENGINE, NULL, m)) {
-			if ((int)en_distance(d, m) != distance ||
-			    !mb_may_get_work(m) ||
-			    !cm_names_has(&model->engines, m->name) ||
-			    en_has_wrong_weights(call, m->id))
-				continue;
-			en_add_candidate(p, m, (enum rt_distance)distance);
-		}
+	for (const struct mb_member *m =
+		     mb_next(members, MB_ENGINE, NULL, NULL);
+	     m && pool.count < RT_MAX_ENGINES;
+	     m = mb_next(members, MB_ENGINE, NULL, m)) {
+		if (!mb_may_get_work(m) ||
+		    !cm_names_has(&model->engines, m->name) ||
+		    en_has_wrong_weights(call, m->id))
+			continue;
+		pool.engines[pool.count].engine = m->id;
+		pool.engines[pool.count].distance = en_distance(d, m);
+		pool.members[pool.count++] = m;
+	}
+	en_add_all(p, &pool);
 }
 
 static struct rt_request en_rt_request(struct en_placing *p)
--- a/src/settings/cf.c
+++ b/src/settings/cf.c
@@ -9,9 +9,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "kernel/kn_registry.h"
+
 #define CF_MAX_FILE_BYTES (4u << 20)
 #define CF_MAX_DEPTH	  16
 #define CF_PLACE_BYTES	  160
+#define CF_DEFAULT_POLICY "cost"
 
 /** enum cf_type - how a setting is read and checked. */
 enum cf_type {
@@ -126,6 +129,12 @@
 	{ NULL, 0, 0, false, 0, 0, 0 },
 };
 
+static const struct cf_field cf_routing_fields[] = {
+	{ "policy", CF_NAME, offsetof(struct cf_routing, policy), false, 0, 0,
+	  0 },
+	{ NULL, 0, 0, false, 0, 0, 0 },
+};
+
 static void cf_place(char *out, const char *section, const char *key)
 {
 	snprintf(out, CF_PLACE_BYTES, "%s/%s", section, key);
@@ -359,6 +368,17 @@
 		fd_add(findings, "/platform/hosts_url", "is required");
 }
 
+static void cf_check_routing(struct cf_routing *routing,
+			     struct fd_list *findings)
+{
+	if (!*routing->policy)
+		g_strlcpy(routing->policy, CF_DEFAULT_POLICY,
+			  sizeof(routing->policy));
+	else if (!kn_plugin_find("policy", routing->policy))
+		fd_add(findings, "/routing/policy", "'%s' is no known policy",
+		       routing->policy);
+}
+
 static void cf_read_root(struct cf_settings *settings, struct json_object *root,
 			 struct fd_list *findings)
 {
@@ -370,6 +390,7 @@
 		{ "peers", 0, 0, false, 0, 0, 0 },
 		{ "platform", 0, 0, false, 0, 0, 0 },
 		{ "limits", 0, 0, false, 0, 0, 0 },
+		{ "routing", 0, 0, false, 0, 0, 0 },
 		{ "rpc_key", 0, 0, false, 0, 0, 0 },
 		{ "operator_key_sha256", 0, 0, false, 0, 0, 0 },
 		{ NULL, 0, 0, false, 0, 0, 0 },
@@ -391,6 +412,9 @@
 			cf_platform_fields, &settings->platform, findings);
 	cf_read_section(cf_get(root, "limits"), "/limits", cf_limits_fields,
 			&settings->limits, findings);
+	cf_read_section(cf_get(root, "routing"), "/routing", cf_routing_fields,
+			&settings->routing, findings);
+	cf_check_routing(&settings->routing, findings);
 	cf_check_platform(&settings->platform, findings);
 	cf_read_peers(settings, cf_get(root, "peers"), findings);
 	cf_read_hex(settings->rpc_key, root, "rpc_key", findings);
--- a/src/settings/cf.h
+++ b/src/settings/cf.h
@@ -81,6 +81,14 @@
 	int64_t lookup_timeout_ms;
 };
 
+/**
+ * struct cf_routing - how the entry places requests.
+ * @policy: name of a struct rt_policy, "cost" if left out.
+ */
+struct cf_routing {
+	char policy[CF_NAME_BYTES];
+};
+
 /**
  * struct cf_settings - all settings of a host.
  * @self: this host.
@@ -94,6 +102,7 @@
 	uint32_t peer_count;
 	struct cf_platform platform;
 	struct cf_limits limits;
+	struct cf_routing routing;
 	uint8_t rpc_key[CF_KEY_BYTES];
 	uint8_t operator_key_hash[CF_KEY_BYTES];
 };
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -53,6 +53,7 @@
 	EXPECT_EQ(settings.self.index_rpc_port, 7002);
 	EXPECT_EQ(settings.limits.lookup_timeout_ms, 3);
 	EXPECT_EQ(settings.platform.reads_per_s, 20u);
+	EXPECT_STREQ(settings.routing.policy, "cost");
 	EXPECT_EQ(settings.rpc_key[0], 0xaa);
 	fd_finish(&findings);
 	cf_finish(&settings);
@@ -73,6 +74,10 @@
 		{ good(", \"limits\": {\"max_running\": 0, \"max\": 1}"),
 		  { "/limits/max_running: is 0, allowed are 1 to 100000",
 		    "/limits/max: is not a known setting" } },
+		{ good(", \"routing\": {\"policy\": \"hash\"}"), {} },
+		{ good(", \"routing\": {\"policy\": \"best\", \"x\": 1}"),
+		  { "/routing/x: is not a known setting",
+		    "/routing/policy: 'best' is no known policy" } },
 		{ good(", \"limits\": {\"max_waiting\": \"many\"}"),
 		  { "/limits/max_waiting: is no whole number" } },
 		{ good(", \"peers\": [{\"name\": \"\"}, 3]"),
