index: records as the entries send them; datagrams of 1,452 bytes

Cause, found by reading en_peers.c: entries count their requests from 1, so requests of two entries were one to the index; a record whose entry does not know the incarnation was refused as stale; and the largest record with a long host name did not fit 1,400 bytes and was dropped. Ruled out: a wider request number in the schema (the sender's incarnation is in the authenticator already). After: the number is mixed with the sender's incarnation; incarnation 0 counts as in flight only; 1,452 bytes, with IP and UDP headers below 1,500.

--- a/src/index/index_task.c
+++ b/src/index/index_task.c
@@ -8,6 +8,7 @@
 #include "kernel/mt.h"
 #include "kernel/tl.h"
 #include "membership/mb_task.h"
+#include "prefix/px.h"
 #include "rpc/gen/balsampin.h"
 
 MT_GAUGE(index_engines, "balsampin_index_engines", "engines followed")
@@ -233,7 +234,9 @@
 	struct ix_record record = {
 		.engine = from->engine,
 		.incarnation = from->incarnation,
-		.request = from->request,
+		/* Each entry counts its own requests from 1. */
+		.request = px_rank(from->request,
+				   rp_peer_of(request)->incarnation),
 		.phase = (enum ix_phase)from->phase,
 		.new_tokens = from->new_tokens,
 		.block_tokens = from->block_tokens,
--- a/src/index/ix.c
+++ b/src/index/ix.c
@@ -148,7 +148,8 @@
 	uint32_t covered = 0;
 	uint32_t depth;
 
-	if (!r->block_tokens || !r->prompt_tokens || !r->prompt_bytes)
+	if (!r->incarnation || !r->block_tokens || !r->prompt_tokens ||
+	    !r->prompt_bytes)
 		return;
 	for (uint32_t i = 0; i < r->block_count; i++) {
 		depth = MAX(ix_depth_after(r, i), covered);
@@ -166,7 +167,7 @@
 
 	if (!e)
 		return ST_NOT_FOUND;
-	if (record->incarnation < e->incarnation)
+	if (record->incarnation && record->incarnation < e->incarnation)
 		return ST_STALE;
 	if (record->incarnation > e->incarnation) {
 		ix_reset(index, e, record->incarnation);
--- a/src/index/ix.h
+++ b/src/index/ix.h
@@ -123,6 +123,8 @@
 
 /**
  * struct ix_record - what an entry says of one request; see balsampin.x.
+ * @incarnation: 0 if the entry does not know it; its blocks then say nothing.
+ * @request: unique over all entries.
  */
 struct ix_record {
 	uint64_t engine;
--- a/src/rpc/rp.h
+++ b/src/rpc/rp.h
@@ -39,7 +39,7 @@
 
 #define RP_KEY_BYTES 32
 /* Below the usual path MTU of 1,500 bytes with the IP and UDP headers. */
-#define RP_MAX_DATAGRAM_BYTES 1400
+#define RP_MAX_DATAGRAM_BYTES 1452
 #define RP_MAX_RECORD_BYTES   (16u << 20)
 #define RP_MAX_CALLS	      4096
 #define RP_MAX_CONNECTIONS    256
--- a/tests/unit/index_test.cc
+++ b/tests/unit/index_test.cc
@@ -443,6 +443,20 @@
 	EXPECT_EQ(Look(b).sent_tokens, 0u);
 }
 
+TEST_F(Index, RecordOfAnEntryThatDoesNotKnowTheIncarnation)
+{
+	const Ids keys = Keys(0, 3, 1);
+
+	Event(IX_STORED, { 1, 2 });
+	inc = 0;
+	EXPECT_EQ(Record(IX_SENT, 1, keys, {}, 100), ST_OK);
+	EXPECT_EQ(Pending(keys), 3u);
+	EXPECT_EQ(Look(keys).sent_tokens, 100u);
+	EXPECT_EQ(Record(IX_ENDED, 1, keys, { 1, 2 }), ST_OK);
+	EXPECT_EQ(Pending(keys), 0u) << "blocks of which run?";
+	EXPECT_EQ(Look(keys).incarnation, 1u);
+}
+
 TEST_F(Index, LoadAndTokensSentSinceTheReport)
 {
 	EXPECT_FALSE(Look({}).has_load);
--- a/tests/unit/rpc_test.cc
+++ b/tests/unit/rpc_test.cc
@@ -701,6 +701,33 @@
 	EXPECT_EQ(rp_call(&client, &d, nullptr), ST_FULL);
 }
 
+TEST(RpMessage, LargestIndexMessagesFitADatagram)
+{
+	u_quad_t numbers[BP_MAX_KEYS] = {};
+	bp_ix_lookup lookup = { { BP_MAX_ENGINES, numbers },
+				{ BP_MAX_KEYS, numbers } };
+	bp_ix_record record = {};
+	struct {
+		xdrproc_t proc;
+		const void *value;
+	} cases[] = { { (xdrproc_t)xdr_bp_ix_lookup, &lookup },
+		      { (xdrproc_t)xdr_bp_ix_record, &record } };
+	struct rp_message m = {};
+
+	record.keys = { BP_MAX_KEYS, numbers };
+	record.blocks = { BP_MAX_BLOCKS, numbers };
+	memset(m.sender.host, 'h', sizeof(m.sender.host) - 1);
+	memset(m.sender.role, 'r', sizeof(m.sender.role) - 1);
+	for (const auto &c : cases) {
+		alignas(8) uint8_t data[RP_MAX_DATAGRAM_BYTES];
+		uint32_t bytes = 0;
+
+		EXPECT_EQ(rp_message_write(&m, c.proc, c.value, KEY, data,
+					   sizeof(data), &bytes),
+			  ST_OK);
+	}
+}
+
 TEST(RpMessage, DamagedMessagesNeverPass)
 {
 	bp_ix_lookup args = {};
