--- a/src/control/op_versions.c
+++ b/src/control/op_versions.c
@@ -5,12 +5,15 @@
 
 #include "control/op.h"
 
-/* Reached means that news of the process itself still comes in. */
+/*
+ * A suspect has missed some gossip, which happens to living processes too; one
+ * that has gone is called dead soon after.
+ */
 static void op_print_member(const struct mb_member *m, bool is_self,
 			    GString *out)
 {
-	bool is_reached =
-		is_self || m->state == MB_ALIVE || m->state == MB_LEAVING;
+	bool is_reached = is_self || m->state == MB_ALIVE ||
+			  m->state == MB_SUSPECT || m->state == MB_LEAVING;
 
 	g_string_append_printf(
 		out,
--- a/tests/unit/control_test.cc
+++ b/tests/unit/control_test.cc
@@ -321,6 +321,41 @@
 		  std::string::npos);
 }
 
+// A suspect counts: it may have missed gossip only.
+TEST(Versions, WhoIsReached)
+{
+	struct Case {
+		mb_state state;
+		const char *reached;
+	} cases[] = {
+		{ MB_UNKNOWN, "false" }, { MB_ALIVE, "true" },
+		{ MB_SUSPECT, "true" },	 { MB_LEAVING, "true" },
+		{ MB_DEAD, "false" },
+	};
+
+	for (const auto &c : cases) {
+		GString *out = g_string_new(nullptr);
+		mb_table table;
+		mb_desc desc = {};
+		mb_member m = {};
+
+		g_strlcpy(m.name, "h", sizeof(m.name));
+		m.role = MB_ENTRY;
+		mb_init(&table, &desc);
+		mb_hear(&table, &m, 1000);
+		const_cast<mb_member *>(mb_find(&table, MB_ENTRY, "h"))->state =
+			c.state;
+		op_print_versions(&table, 1, true, out);
+		EXPECT_NE(strstr(out->str,
+				 (std::string("\"reached\": ") + c.reached)
+					 .c_str()),
+			  nullptr)
+			<< out->str;
+		g_string_free(out, TRUE);
+		mb_finish(&table);
+	}
+}
+
 TEST_F(ControlTest, AHerdReadsTheStoreWithinItsBudget)
 {
 	const int kHosts = 50;
