--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -88,6 +88,7 @@
 	printf '"index":{"http_port":8081,"rpc_port":7002},'
 	printf '"control":{"http_port":8082,"rpc_port":7003},'
 	printf '"peers":[%s],' "$(joined "$cluster_hosts" peer_json "$1")"
+	printf '"routing":{"policy":"%s"},' "${BALSAMPIN_POLICY:-cost}"
 	printf '"platform":{"kind":"http","tables_url":"%s",' "$platform"
 	printf '"objects_url":"%s/objects","hosts_url":"%s/hosts"},' \
 		"$platform" "$platform"
@@ -169,9 +170,14 @@
 
 # End one process by SIGTERM; fails if its exit code is not 0.
 cluster_end() {
+	local pid=${cluster_pids[$1]}
+	kill -TERM "$pid"
+	cluster_wait "$1"
+}
+
+cluster_wait() {
 	local pid=${cluster_pids[$1]}
 	unset "cluster_pids[$1]"
-	kill -TERM "$pid" 2>/dev/null
 	wait "$pid" || {
 		echo "$1 ended with $?"
 		tail -n 5 "$cluster_dir/$1.log"
@@ -187,7 +193,7 @@
 	done
 	for name in "${!cluster_pids[@]}"
 	do
-		[ "$name" = standin ] || cluster_end "$name" || code=1
+		[ "$name" = standin ] || cluster_wait "$name" || code=1
 	done
 	cluster_end standin || code=1
 	return $code
--- a/src/entry/en_front.c
+++ b/src/entry/en_front.c
@@ -9,6 +9,7 @@
 #include "kernel/lg.h"
 #include "kernel/mt.h"
 #include "kernel/tl.h"
+#include "link/lk_relay.h"
 
 /** A caller that leaves more of its stream unread than this is dropped. */
 #define EN_MAX_UNSENT_BYTES (1u << 20)
@@ -32,6 +33,7 @@
 	struct en_front_desc desc;
 	struct kn_task *task;
 	struct hs_server server;
+	struct lk_relay relay;
 	bool has_server;
 	uint64_t last_id;
 	GHashTable *open;
@@ -120,12 +122,23 @@
 	json_object_array_add(arg, one);
 }
 
+/* Without a configuration no key is known, which says nothing of the key. */
+static bool en_front_is_starting(const struct en_front *f)
+{
+	const struct pr_process *process = f->desc.process;
+
+	return !process->config->revision && !cr_is_trusted(&process->cr);
+}
+
 static void en_front_models(struct en_front *f, struct hs_exchange *x)
 {
 	const struct cm_config *config = f->desc.process->config;
 	const struct cm_team *team = NULL;
 	enum en_code code =
-		en_ask_team(config, hs_header(x, "Authorization"), &team);
+		en_front_is_starting(f)
+			? EN_STARTING
+			: en_ask_team(config, hs_header(x, "Authorization"),
+				      &team);
 	struct json_object *all = json_object_new_array();
 	struct json_object *seen = json_object_new_array();
 	struct json_object *out = json_object_new_object();
@@ -153,13 +166,28 @@
 	json_object_put(out);
 }
 
+/* Why no request is taken at all; EN_FINE if they are. */
+static enum en_code en_front_closed(const struct en_front *f)
+{
+	if (f->is_draining)
+		return EN_DRAINING;
+	return en_front_is_starting(f) ? EN_STARTING : EN_FINE;
+}
+
+static void en_front_health(struct en_front *f, struct hs_exchange *x)
+{
+	if (f->is_draining)
+		hs_respond(x, 503, NULL, "draining\n", 9);
+	else if (en_front_is_starting(f))
+		hs_respond(x, 503, NULL, "starting\n", 9);
+	else
+		hs_respond(x, 200, NULL, "ok\n", 3);
+}
+
 static bool en_front_answer_own(struct en_front *f, struct hs_exchange *x)
 {
 	if (!strcmp(x->path, "/healthz")) {
-		if (f->is_draining)
-			hs_respond(x, 503, NULL, "draining\n", 9);
-		else
-			hs_respond(x, 200, NULL, "ok\n", 3);
+		en_front_health(f, x);
 		return true;
 	}
 	if (!strcmp(x->path, "/metrics")) {
@@ -303,11 +331,16 @@
 	const char *why = NULL;
 	enum en_code code;
 
+	if (!strcmp(x->path, LK_RELAY_PATH)) {
+		lk_relay_request(&f->relay, x);
+		return;
+	}
 	if (en_front_answer_own(f, x))
 		return;
 	mt_add(&en_requests, 1);
-	if (f->is_draining) {
-		en_front_refuse(f, x, EN_DRAINING, NULL, request_id);
+	code = en_front_closed(f);
+	if (code != EN_FINE) {
+		en_front_refuse(f, x, code, NULL, request_id);
 		return;
 	}
 	code = en_front_check(f, x, &ask, &why);
@@ -324,6 +357,10 @@
 	struct en_front *f = arg;
 	struct en_open *open = x->arg;
 
+	if (!strcmp(x->path, LK_RELAY_PATH)) {
+		lk_relay_closed(&f->relay, x);
+		return;
+	}
 	if (!open)
 		return;
 	x->arg = NULL;
@@ -401,7 +438,13 @@
 				   .on_closed = en_front_on_closed,
 				   .arg = f });
 	f->has_server = code == ST_OK;
-	return code;
+	if (code != ST_OK)
+		return code;
+	return lk_relay_init(
+		&f->relay,
+		&(struct lk_relay_desc){ .loop = task->kernel->loop,
+					 .secret = settings->rpc_key,
+					 .members = f->desc.process->members });
 }
 
 /* The listening socket stays open: who still comes is told to go elsewhere. */
@@ -427,8 +470,10 @@
 {
 	struct en_front *f = task->state;
 
-	if (f->has_server)
-		hs_finish(&f->server);
+	if (!f->has_server)
+		return;
+	hs_finish(&f->server);
+	lk_relay_finish(&f->relay);
 	f->has_server = false;
 }
 
