--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -32,10 +32,10 @@
 	;;
 esac
 
-engine_defaults='{"models":[{"model":"m","version":"v1"}],
-	"cache_blocks":${BALSAMPIN_CACHE_BLOCKS:-120},
-	"prefill_tokens_per_s":${BALSAMPIN_PREFILL:-100000},"token_ms":10,
-	"event_delay_ms":100,"load_period_ms":200}'
+engine_defaults=$(printf '{"models":[{"model":"m","version":"v1"}],
+	"cache_blocks":%d,"prefill_tokens_per_s":%d,"token_ms":10,
+	"event_delay_ms":100,"load_period_ms":200}' \
+	"${BALSAMPIN_CACHE_BLOCKS:-120}" "${BALSAMPIN_PREFILL:-100000}")
 
 # keep FOLDER: the time line and the entries' counters.
 keep() {
