entry: requests wait for room at the engines

It is parked now, in the order of arrival, for no longer than max_wait_ms, and placed when an engine has room. Ruled out: counting engine limits in lm_admit(), which does not know which engines may serve a model.

--- a/src/entry/en_dispatch.c
+++ b/src/entry/en_dispatch.c
@@ -94,6 +94,7 @@
 		else
 			en_refuse(call, &next.answer);
 	}
+	en_place_parked(d);
 	mt_set(&en_running, d->limits.running);
 	mt_set(&en_waiting, d->limits.waiting);
 }
--- a/src/entry/en_dispatch.h
+++ b/src/entry/en_dispatch.h
@@ -28,9 +28,11 @@
 #include "upstream/up.h"
 #include "upstream/up_body.h"
 
-#define EN_BYTES_PER_TOKEN    4
-#define EN_WRONG_WEIGHTS_MS   1000
-#define EN_MAX_WRONG_WEIGHTS  4096
+#define EN_BYTES_PER_TOKEN   4
+#define EN_WRONG_WEIGHTS_MS  1000
+#define EN_MAX_WRONG_WEIGHTS 4096
+/** Parked requests that are looked at in one turn. */
+#define EN_PARKED_TRIES	      64
 #define EN_CRASH_SCAN_MS      500
 #define EN_EXPIRE_MS	      60000
 #define EN_USAGE_FANOUT	      16
@@ -65,6 +67,7 @@
 	GHashTable *loads;
 	GHashTable *wrong_weights;
 	GArray *lost_replies;
+	GQueue parked;
 	ev_timer tick;
 	uint64_t attempts;
 	uint64_t usage_sequence;
@@ -81,6 +84,8 @@
  * struct en_call - one request.
  * @deadline_ms: on the monotonic clock; 0 for none.
  * @is_gone: the caller has hung up, but the call goes on.
+ * @parked: its place among those that wait for room at an engine, since
+ *	parked_ms.
  * @is_once: claimed by the once task.
  * @is_idempotent: running it twice does no harm.
  * @may_have_run: an attempt may have run.
@@ -109,6 +114,8 @@
 	struct px_chain *chain;
 	uint32_t prompt_tokens;
 	struct en_placing *placing;
+	GList *parked;
+	int64_t parked_ms;
 	uint64_t excluded[RB_MAX_ATTEMPTS + 1];
 	uint32_t excluded_count;
 	uint32_t attempts;
@@ -146,6 +153,8 @@
 
 /* en_place.c */
 void en_place(struct en_call *call);
+/** en_place_parked() - place those for which there is room now. */
+void en_place_parked(struct en_dispatch *d);
 /** en_place_cancel() - forget a placement under way. */
 void en_place_cancel(struct en_call *call);
 
--- a/src/entry/en_place.c
+++ b/src/entry/en_place.c
@@ -34,10 +34,18 @@
 	bool is_starting;
 };
 
+static void en_unpark(struct en_call *call)
+{
+	if (call->parked)
+		g_queue_delete_link(&call->d->parked, call->parked);
+	call->parked = NULL;
+}
+
 void en_place_cancel(struct en_call *call)
 {
 	struct en_placing *p = call->placing;
 
+	en_unpark(call);
 	if (!p)
 		return;
 	for (uint32_t i = 0; i < p->lookup_count; i++)
@@ -135,6 +143,31 @@
 	return mb_find(p->call->d->process->members, MB_ENGINE, p->names[i]);
 }
 
+/* Some engine could take the request, had it not reached its limit. */
+static bool en_is_full(struct en_placing *p)
+{
+	struct rt_request request = en_rt_request(p);
+	bool has_limited = false;
+
+	request.excluded_count = 0;
+	for (uint32_t i = 0; i < p->count; i++)
+		if (!rt_is_eligible(&request, i))
+			has_limited = true;
+	return has_limited;
+}
+
+/* It waits for room, no longer than in the queue of the limits. */
+static void en_park(struct en_call *call)
+{
+	struct en_dispatch *d = call->d;
+
+	en_place_cancel(call);
+	if (!call->parked_ms)
+		call->parked_ms = ck_now_ms();
+	g_queue_push_tail(&d->parked, call);
+	call->parked = d->parked.tail;
+}
+
 static void en_decide(struct en_placing *p)
 {
 	struct en_call *call = p->call;
@@ -151,6 +184,10 @@
 				 ck_now_ms());
 	if (code == ST_OK)
 		engine = en_engine_of(p, choice.candidate);
+	if (!engine && en_is_full(p)) {
+		en_park(call);
+		return;
+	}
 	if (!engine) {
 		en_place_cancel(call);
 		en_call_fail(call,
@@ -318,6 +355,48 @@
 	return true;
 }
 
+static bool en_has_room(struct en_call *call)
+{
+	struct en_placing *p = g_new0(struct en_placing, 1);
+	struct rt_request request;
+	bool has_room = false;
+
+	p->call = call;
+	en_collect(p);
+	request = en_rt_request(p);
+	for (uint32_t i = 0; i < p->count && !has_room; i++)
+		has_room = rt_is_eligible(&request, i);
+	/* Without any candidate the placement says so to the caller. */
+	has_room = has_room || !p->count;
+	g_free(p);
+	return has_room;
+}
+
+static void en_give_up_parked(struct en_call *call)
+{
+	en_call_fail(call, call->may_have_run ? EN_UNCERTAIN : EN_OVERLOADED,
+		     NULL, 0);
+	en_call_end(call);
+}
+
+void en_place_parked(struct en_dispatch *d)
+{
+	int64_t max_wait_ms = d->process->settings.limits.max_wait_ms;
+	GList *next = d->parked.head;
+
+	for (uint32_t i = 0; next && i < EN_PARKED_TRIES; i++) {
+		struct en_call *call = next->data;
+
+		next = next->next;
+		if (ck_now_ms() - call->parked_ms >= max_wait_ms) {
+			en_give_up_parked(call);
+		} else if (en_call_is_late(call) || en_has_room(call)) {
+			en_unpark(call);
+			en_place(call);
+		}
+	}
+}
+
 void en_place(struct en_call *call)
 {
 	struct en_placing *p;
--- a/tests/unit/entry_test.cc
+++ b/tests/unit/entry_test.cc
@@ -2,6 +2,10 @@
 // every way, limits, bad input, drain.
 #include "entry_host.h"
 
+extern "C" {
+#include "limits/lm_engine.h"
+}
+
 namespace
 {
 
@@ -284,6 +288,35 @@
 	EXPECT_EQ(a.retry_after, "1");
 }
 
+// Engines at their limit: the rest waits, and runs when there is room.
+TEST_F(Entry, RequestsWaitForRoomAtTheEngines)
+{
+	const size_t count = 2 * LM_ENGINE_DEFAULT_INITIAL + 5;
+	std::vector<Answer> answers(count);
+	std::vector<struct hs_exchange *> held;
+	auto hold = [&](struct hs_exchange *x) { held.push_back(x); };
+
+	e1.on_request = hold;
+	e2.on_request = hold;
+	for (Answer &a : answers)
+		caller.send(&a, host->port(), "POST", completions, plain);
+	ASSERT_TRUE(l.run_until([&] { return held.size() == count - 5; }));
+	l.run_until([] { return false; }, 100);
+	EXPECT_EQ(held.size(), count - 5);
+	e1.on_request = serve;
+	e2.on_request = serve;
+	for (struct hs_exchange *x : held)
+		serve(x);
+	ASSERT_TRUE(l.run_until([&] {
+		for (const Answer &a : answers)
+			if (!a.is_done)
+				return false;
+		return true;
+	}));
+	for (const Answer &a : answers)
+		EXPECT_EQ(a.status, 200u) << a.body;
+}
+
 TEST_F(Entry, HangUpIsCancelledAtTheEngine)
 {
 	Answer a;
