ctl: base a change on a process that has caught up

Cause: the session test failed with a conflict: `ctl set` right after the start of a host read revision 0 from its control process, which had not polled yet, and the change came back as a conflict with everything.

LIST of OP_BASIS answers ST_STALE until the replica has caught up, and ctl goes on to the next control process. Ruled out: reading the store for each LIST, which spends reads on a question that the replica can answer.

Before: AChangeIsInForceEverywhereOrRefusedWhole failed so in one run; AProcessThatHasNotCaughtUpNamesNoBasis is the unit test of it.

--- a/src/control/op.c
+++ b/src/control/op.c
@@ -92,6 +92,19 @@
 	g_array_unref(objects);
 }
 
+/*
+ * The revision that a change is to be based on. One that has just started
+ * would name revision 0, and the change would come back as a conflict.
+ */
+static void op_basis(struct op_server *op, struct rp_request *request)
+{
+	if (cr_is_trusted(op->_desc.cr))
+		op_reply_code(op, request, ST_OK, "");
+	else
+		op_reply_code(op, request, ST_STALE,
+			      "this process has not caught up yet");
+}
+
 static void op_list(struct op_server *op, struct rp_request *request,
 		    const bp_operate *call)
 {
@@ -322,7 +335,10 @@
 		op_show(op, request, call);
 		break;
 	case BP_OP_LIST:
-		op_list(op, request, call);
+		if (!strcmp(call->kind, OP_BASIS))
+			op_basis(op, request);
+		else
+			op_list(op, request, call);
 		break;
 	case BP_OP_APPLY:
 		op_apply(op, request, call);
--- a/src/control/op.h
+++ b/src/control/op.h
@@ -7,6 +7,8 @@
  *	counted if they differ. The key is never logged.
  *
  *	SHOW, LIST	objects of the configuration in force here
+ *			(LIST of OP_BASIS: the revision alone, ST_STALE from a
+ *			process that has not caught up)
  *	APPLY		a change, see cs.h; a conflict comes back with the
  *			objects that changed since the expected revision
  *	VERSIONS	the revision in force in each process, from gossip
@@ -25,6 +27,8 @@
 #include "rpc/gen/balsampin.h"
 
 #define OP_FORWARD_DEADLINE_MS 4000
+/** Stands for a kind; no kind has that name. */
+#define OP_BASIS "-"
 
 /**
  * struct op_desc - zero means default.
--- a/src/ctl/ctl_call.c
+++ b/src/ctl/ctl_call.c
@@ -88,6 +88,8 @@
 	wait->code = code;
 	if (code == ST_OK && answer->status == ST_UNKNOWN)
 		wait->is_unclear = true;
+	else if (code == ST_OK && answer->status == ST_STALE)
+		wait->code = ST_UNAVAILABLE;
 	else if (code == ST_OK)
 		wait->fn(wait->arg, answer);
 	ev_break(wait->session->loop, EVBREAK_ALL);
--- a/src/ctl/ctl_call.h
+++ b/src/ctl/ctl_call.h
@@ -6,7 +6,8 @@
  *	by the operator first. ctl_operate() runs the loop until an answer has
  *	come. A call whose outcome is uncertain is repeated with the same
  *	change id, at the next control process, so that it takes effect once;
- *	other calls go on to the next process when one cannot be reached.
+ *	other calls go on to the next process when one cannot be reached or
+ *	has not caught up.
  */
 #ifndef CTL_CALL_H
 #define CTL_CALL_H
--- a/src/ctl/ctl_command.c
+++ b/src/ctl/ctl_command.c
@@ -9,6 +9,7 @@
 #include <string.h>
 #include <sysexits.h>
 
+#include "control/op.h"
 #include "ctl/ctl_call.h"
 #include "ctl/ctl_file.h"
 #include "ctl/ctl_wait.h"
@@ -252,8 +253,7 @@
 
 static bool ctl_read_revision(struct ctl_run *run, uint64_t *revision)
 {
-	/* Kinds are never empty, so this reads the revision alone. */
-	bp_operate call = { .operation = BP_OP_LIST, .kind = "-" };
+	bp_operate call = { .operation = BP_OP_LIST, .kind = OP_BASIS };
 
 	if (run->options->expected >= 0) {
 		*revision = (uint64_t)run->options->expected;
--- a/tests/sessions/configuration_test.cc
+++ b/tests/sessions/configuration_test.cc
@@ -107,9 +107,12 @@
 	std::string output;
 
 	cluster.start();
-	ASSERT_EQ(Run(cluster, 0, { "list", "-" }, &output), 0);
-	std::string revision = output.substr(output.rfind("revision ") + 9);
-	revision.pop_back();
+	ASSERT_EQ(Run(cluster, 0,
+		      { "set", "model", "o", "{\"version\":\"v1\"}" }, &output),
+		  0)
+		<< output;
+	std::string revision = output.substr(output.find("revision ") + 9);
+	revision = revision.substr(0, revision.find(' '));
 	auto first = Ctl(cluster, 0,
 			 { "set", "model", "n", "{\"version\":\"v1\"}",
 			   "--revision=" + revision });
@@ -131,6 +134,9 @@
 	std::string first, again;
 
 	cluster.start();
+	EXPECT_TRUE(wait_until([&] {
+		return Run(cluster, 0, { "show", "team", "a" }) == 0;
+	}));
 	cluster.stand_ins->fault("platform", "{\"lose_answers\": 1}");
 	EXPECT_EQ(Run(cluster, 0,
 		      { "set", "model", "n", "{\"version\":\"v1\"}",
--- a/tests/unit/control_test.cc
+++ b/tests/unit/control_test.cc
@@ -105,7 +105,8 @@
 	void Call(Control &control, bp_operation operation, Answer *answer,
 		  const std::vector<Change> &changes = {},
 		  uint64_t expected = 0, const char *change_id = "",
-		  const char *key = OPERATOR_KEY, const char *name = "")
+		  const char *key = OPERATOR_KEY, const char *name = "",
+		  const char *kind = "")
 	{
 		std::vector<bp_object> objects;
 		bp_operate args = {};
@@ -121,7 +122,7 @@
 		args.operator_key = const_cast<char *>(key);
 		args.change_id = const_cast<char *>(change_id);
 		args.expected_revision = expected;
-		args.kind = const_cast<char *>("");
+		args.kind = const_cast<char *>(kind);
 		args.name = const_cast<char *>(name);
 		args.objects.objects_val = objects.data();
 		args.objects.objects_len = objects.size();
@@ -283,6 +284,23 @@
 	EXPECT_EQ(Rows("change/"), 1);
 }
 
+// A change based on what a process knows right after its start would come
+// back as a conflict.
+TEST_F(ControlTest, AProcessThatHasNotCaughtUpNamesNoBasis)
+{
+	Answer early, late;
+
+	FakeStore::Get().is_down = true;
+	Call(*a, BP_OP_LIST, &early, {}, 0, "", OPERATOR_KEY, "", OP_BASIS);
+	Until([&] { return early.is_done; });
+	EXPECT_EQ(early.status, ST_STALE);
+	FakeStore::Get().is_down = false;
+	Until([&] { return cr_is_trusted(&a->cr); });
+	Call(*a, BP_OP_LIST, &late, {}, 0, "", OPERATOR_KEY, "", OP_BASIS);
+	Until([&] { return late.is_done; });
+	EXPECT_EQ(late.status, ST_OK);
+}
+
 TEST_F(ControlTest, RowsOfOldChangesAreDeleted)
 {
 	char dropped[64];
