entry: an engine that lacks the model uses up no retry budget

Cause: while 32 engines loaded a model one after the other, each refused with 404 at once; ten such refusals used up the reserve of retries, and the requests after them got 503 though other engines were ready (a trial on loopback).

Such a refusal cost the engine nothing, so it is not charged, and the engine is left out for a second, as it was for 409 already; RB_MAX_ATTEMPTS still holds. Ruled out: a larger reserve, which would also let real failures multiply.

Before: 726 of 1,000 requests of that trial refused. After: entry_test 14 pass, the new one fails on a scratch copy in which 404 is charged. The trial was not repeated.

--- a/src/entry/en_dispatch.h
+++ b/src/entry/en_dispatch.h
@@ -91,6 +91,7 @@
  * @may_have_run: an attempt may have run.
  * @is_resuming: the present attempt is a resumption.
  * @has_begun: the caller has the head of a stream.
+ * @is_retry_free: the engine ran nothing, so the budget is not charged.
  * @upstream: name of the present one; its id, zone and incarnation follow.
  */
 struct en_call {
@@ -111,6 +112,7 @@
 	bool is_resuming;
 	bool has_begun;
 	bool is_counted;
+	bool is_retry_free;
 	struct px_chain *chain;
 	uint32_t prompt_tokens;
 	struct en_placing *placing;
--- a/src/entry/en_engine.c
+++ b/src/entry/en_engine.c
@@ -183,7 +183,8 @@
 
 static void en_send_elsewhere(struct en_call *call)
 {
-	rb_budget_take(&call->d->budget);
+	if (!call->is_retry_free)
+		rb_budget_take(&call->d->budget);
 	en_call_exclude(call, call->upstream_id);
 	en_abandon(call);
 	en_call_change(call, EN_SEND_ELSEWHERE);
@@ -249,6 +250,15 @@
 	g_hash_table_replace(call->d->wrong_weights, key, until_ms);
 }
 
+/* It ran nothing, and will not until it has loaded what is asked for. */
+static bool en_lacks_weights(const struct up_result *result)
+{
+	if (result->fault == SD_WRONG_WEIGHTS)
+		return true;
+	return result->end == UP_REFUSED &&
+	       (result->http_status == 404 || result->http_status == 409);
+}
+
 /* What the end says of the engine, whatever becomes of the request. */
 static void en_judge_engine(struct en_call *call,
 			    const struct up_result *result)
@@ -263,7 +273,7 @@
 	    result->end == UP_SILENT)
 		mb_report_failed(kernel, d->process->membership, MB_ENGINE,
 				 call->upstream);
-	if (result->http_status == 409 || result->fault == SD_WRONG_WEIGHTS)
+	if (en_lacks_weights(result))
 		en_note_wrong_weights(call);
 	if (result->http_status == 429 || result->http_status == 503)
 		lm_engine_overloaded(&d->engine_limits, call->upstream_id);
@@ -284,6 +294,13 @@
 		en_peers_poison(call->d, call->fingerprint, 0, 0);
 }
 
+/* The budget is of work that engines do again; a refusal cost them none. */
+static bool en_may_retry(struct en_call *call, const struct up_result *result)
+{
+	call->is_retry_free = en_lacks_weights(result) && !call->is_resuming;
+	return call->is_retry_free || rb_budget_has(&call->d->budget);
+}
+
 static enum en_step en_after(struct en_call *call,
 			     const struct up_result *result)
 {
@@ -301,7 +318,7 @@
 			.can_continue = call->relay.is_continuable,
 			.attempts = call->attempts,
 			.deadline_ms = call->deadline_ms,
-			.has_budget = rb_budget_has(&call->d->budget) },
+			.has_budget = en_may_retry(call, result) },
 	};
 	enum en_step step = en_recover(&ended, ck_now_ms());
 
--- a/tests/unit/entry_test.cc
+++ b/tests/unit/entry_test.cc
@@ -288,6 +288,33 @@
 	EXPECT_EQ(a.retry_after, "1");
 }
 
+// While an engine loads a model it refuses at once, which costs nothing.
+TEST_F(Entry, EnginesThatLackTheModelUseUpNoBudget)
+{
+	std::vector<Answer> answers(40);
+
+	for (uint32_t status : { 404, 409 }) {
+		restart();
+		e1.on_request = [=](struct hs_exchange *x) {
+			send_whole(x, status, "{\"error\":{}}");
+		};
+		for (Answer &a : answers) {
+			a = Answer();
+			caller.send(&a, host->port(), "POST", completions,
+				    plain);
+		}
+		ASSERT_TRUE(l.run_until([&] {
+			for (const Answer &a : answers)
+				if (!a.is_done)
+					return false;
+			return true;
+		}));
+		for (const Answer &a : answers)
+			EXPECT_EQ(a.status, 200u) << status << a.body;
+		EXPECT_GT(e1.count("POST"), 10);
+	}
+}
+
 // Engines at their limit: the rest waits, and runs when there is room.
 TEST_F(Entry, RequestsWaitForRoomAtTheEngines)
 {
