--- a/src/entry/en_dispatch.h
+++ b/src/entry/en_dispatch.h
@@ -95,6 +95,7 @@
  * @has_begun: the caller has the head of a stream.
  * @via: the far entry of the present attempt; near is NULL without one.
  * @goes_directly: a far entry could not forward it.
+ * @is_retry_free: the engine ran nothing, so the budget is not charged.
  * @upstream: name of the present one; its id, zone and incarnation follow.
  */
 struct en_call {
@@ -115,6 +116,7 @@
 	bool is_resuming;
 	bool has_begun;
 	bool is_counted;
+	bool is_retry_free;
 	struct px_chain *chain;
 	uint32_t prompt_tokens;
 	struct en_placing *placing;
