--- a/src/settings/cf.c
+++ b/src/settings/cf.c
@@ -14,7 +14,6 @@
 #define CF_MAX_FILE_BYTES (4u << 20)
 #define CF_MAX_DEPTH	  16
 #define CF_PLACE_BYTES	  160
-#define CF_DEFAULT_POLICY "cost"
 
 /** enum cf_type - how a setting is read and checked. */
 enum cf_type {
--- a/src/settings/cf.h
+++ b/src/settings/cf.h
@@ -32,6 +32,9 @@
 #define CF_KEY_BYTES  32
 #define CF_MAX_PEERS  1024
 
+/** The policy of entries whose settings name none. */
+#define CF_DEFAULT_POLICY "cost"
+
 /**
  * struct cf_peer - an entry host; this host and the others alike.
  * All of its processes have one address.
