--- a/tests/unit/fake_store.h
+++ b/tests/unit/fake_store.h
@@ -4,6 +4,8 @@
 #define FAKE_STORE_H
 
 #include <functional>
+#include <map>
+#include <memory>
 #include <memory>
 #include <string>
 #include <vector>
@@ -44,6 +46,7 @@
 };
 
 // A call that ends with a code of its own once the tables have answered.
+// Calls that a finished store never ends are freed at the end of the program.
 struct FakeCall {
 	st_code code;
 	pf_txn_fn txn;
@@ -63,7 +66,23 @@
 			call->hosts(call->arg, call->code,
 				    FakeStore::Get().hosts.data(),
 				    FakeStore::Get().hosts.size());
-		delete call;
+		InFlight().erase(call);
+	}
+
+	static std::map<FakeCall *, std::unique_ptr<FakeCall>> &InFlight()
+	{
+		static std::map<FakeCall *, std::unique_ptr<FakeCall>> calls;
+
+		return calls;
+	}
+
+	FakeCall *Keep() const
+	{
+		auto copy = std::make_unique<FakeCall>(*this);
+		FakeCall *raw = copy.get();
+
+		InFlight()[raw] = std::move(copy);
+		return raw;
 	}
 };
 
@@ -72,7 +91,7 @@
 	struct pf_txn nothing = {};
 
 	return FakeStore::Tables()->txn(impl, &nothing, FakeCall::End,
-					new FakeCall(call));
+					call.Keep());
 }
 
 // Copy of a transaction that takes effect after its caller has gone on.
