net: an open stream holds less memory

Ruled out: dropping the body at the first byte of any answer, which may come before the body is sent; it is dropped only when libcurl counts all of it sent.

--- a/src/entry/en_front.c
+++ b/src/entry/en_front.c
@@ -289,13 +289,6 @@
 	return open;
 }
 
-/* The body is held once: the request's own copy, not the exchange's. */
-static void en_front_drop_body(struct hs_exchange *x)
-{
-	g_string_free(x->body, TRUE);
-	x->body = g_string_new(NULL);
-}
-
 static void en_front_hand_over(struct en_front *f, struct hs_exchange *x,
 			       struct en_ask *ask)
 {
@@ -316,7 +309,8 @@
 					     .body = ask,
 					     .free_body = en_ask_free });
 	if (code == ST_OK) {
-		en_front_drop_body(x);
+		/* The request has its own copy. */
+		hs_drop_body(x);
 		return;
 	}
 	open->is_answered = true;
--- a/src/link/lk_relay.c
+++ b/src/link/lk_relay.c
@@ -159,6 +159,7 @@
 	f->relay = relay;
 	f->exchange = x;
 	x->arg = f;
+	hs_drop_body(x);
 	if (hc_send(&relay->_client,
 		    &(struct hc_call_desc){ .method = "POST",
 					    .url = url,
--- a/src/net/hc.c
+++ b/src/net/hc.c
@@ -9,6 +9,9 @@
 #define HC_FIRST_SLOTS	     64
 #define HC_KEEPALIVE_S	     10L
 #define HC_HEADER_NAME_BYTES 64
+/* Each open stream holds both; libcurl's own sizes are 16 and 64 KiB. */
+#define HC_BUFFER_BYTES	       2048L
+#define HC_UPLOAD_BUFFER_BYTES 16384L
 
 /*
  * One call. The two timers watch for silence: libcurl has no limit on the
@@ -246,6 +249,23 @@
 	hc_transfer_end(t, CURLE_OPERATION_TIMEDOUT);
 }
 
+/*
+ * An answer has begun, so the request is not sent again: libcurl repeats only
+ * requests that got no byte. A long stream need not hold its prompt, unless
+ * the answer came early and the rest is still being sent.
+ */
+static void hc_drop_sent_body(struct _hc_transfer *t)
+{
+	curl_off_t sent_bytes = 0;
+
+	curl_easy_getinfo(t->easy, CURLINFO_SIZE_UPLOAD_T, &sent_bytes);
+	if (!t->body || (uint64_t)sent_bytes < t->desc.body_bytes)
+		return;
+	curl_easy_setopt(t->easy, CURLOPT_POSTFIELDS, "");
+	g_free(t->body);
+	t->body = NULL;
+}
+
 static size_t hc_on_body(char *data, size_t size, size_t count, void *arg)
 {
 	struct _hc_transfer *t = arg;
@@ -255,6 +275,7 @@
 	t->last_byte_ms = ck_now_ms();
 	if (!t->got_body_byte) {
 		t->got_body_byte = true;
+		hc_drop_sent_body(t);
 		hc_watch_silence(t);
 	}
 	if (t->desc.on_data) {
@@ -396,6 +417,9 @@
 	curl_easy_setopt(t->easy, CURLOPT_PRIVATE, t);
 	curl_easy_setopt(t->easy, CURLOPT_ERRORBUFFER, t->error);
 	curl_easy_setopt(t->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(t->easy, CURLOPT_BUFFERSIZE, HC_BUFFER_BYTES);
+	curl_easy_setopt(t->easy, CURLOPT_UPLOAD_BUFFERSIZE,
+			 HC_UPLOAD_BUFFER_BYTES);
 	curl_easy_setopt(t->easy, CURLOPT_URL, desc->url);
 	curl_easy_setopt(t->easy, CURLOPT_PROTOCOLS_STR, "http,https");
 	curl_easy_setopt(t->easy, CURLOPT_PROXY, "");
--- a/src/net/hs.c
+++ b/src/net/hs.c
@@ -8,7 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define HS_STREAM_BLOCK_BYTES 16384
+#define HS_STREAM_BLOCK_BYTES 2048
 /* The sent part of a stream's buffer is cut off once it reaches this. */
 #define HS_COMPACT_BYTES 65536
 
@@ -449,6 +449,12 @@
 	hs_resume(x);
 }
 
+void hs_drop_body(struct hs_exchange *x)
+{
+	g_string_free(x->body, TRUE);
+	x->body = g_string_new(NULL);
+}
+
 uint64_t hs_unsent_bytes(const struct hs_exchange *x)
 {
 	return x->_out->len - x->_out_offset;
--- a/src/net/hs.h
+++ b/src/net/hs.h
@@ -41,7 +41,7 @@
 #define HS_DEFAULT_MAX_BODY_BYTES  (8u << 20)
 #define HS_DEFAULT_MAX_CONNECTIONS 4096
 #define HS_DEFAULT_IDLE_TIMEOUT_S  30
-#define HS_CONNECTION_MEMORY_BYTES (32u << 10)
+#define HS_CONNECTION_MEMORY_BYTES (16u << 10)
 
 struct hs_server;
 struct MHD_Connection;
@@ -175,6 +175,9 @@
 /** hs_abort() - the stream is incomplete and ends after what was written. */
 void hs_abort(struct hs_exchange *x);
 
+/** hs_drop_body() - free the request's body, which is not needed any more. */
+void hs_drop_body(struct hs_exchange *x);
+
 /** hs_unsent_bytes() - written to the stream and not yet taken by the net. */
 uint64_t hs_unsent_bytes(const struct hs_exchange *x);
 
--- a/tests/unit/fake_store.h
+++ b/tests/unit/fake_store.h
@@ -6,7 +6,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <memory>
 #include <string>
 #include <vector>
 
