--- a/src/index/index_task.c
+++ b/src/index/index_task.c
@@ -190,9 +190,7 @@
 		.pending = answer->pending,
 		.confidence_permille = answer->confidence_permille,
 		.running = answer->running,
-		.waiting_tokens =
-			answer->queued_tokens -
-			MIN(answer->sent_tokens, answer->queued_tokens),
+		.waiting_tokens = answer->waiting_tokens,
 		.load_age_ms = answer->load_age_ms,
 		.sent_tokens = answer->sent_tokens,
 		.prefill_tokens_per_s = answer->prefill_tokens_per_s,
--- a/src/index/ix.c
+++ b/src/index/ix.c
@@ -99,7 +99,6 @@
 	e->is_complete = true;
 	e->lost_events = 0;
 	e->has_load = false;
-	e->foreign_tokens = 0;
 	e->load_sequence = 0;
 }
 
@@ -268,19 +267,10 @@
 		   IX_MIN_AGE_FACTOR_PERMILLE);
 }
 
-static uint32_t ix_queued_tokens(const struct _ix_engine *e, int64_t now_ms)
-{
-	uint64_t tokens = ix_pending_open_tokens(
-		&e->pending, e->load.prefill_tokens_per_s, now_ms);
-
-	return (uint32_t)MIN(tokens + e->foreign_tokens, UINT32_MAX);
-}
-
 static void ix_answer_load(const struct _ix_engine *e, int64_t now_ms,
 			   struct ix_answer *answer)
 {
 	answer->sent_tokens = ix_pending_sent_tokens(&e->pending);
-	answer->queued_tokens = ix_queued_tokens(e, now_ms);
 	answer->has_load = e->has_load;
 	if (!e->has_load)
 		return;
--- a/src/index/ix.h
+++ b/src/index/ix.h
@@ -148,10 +148,6 @@
  * @confidence_permille: that @held is still right.
  * @load_age_ms: of the report, now.
  * @sent_tokens: prompt tokens sent since the report and not computed yet.
- * @queued_tokens: prompt tokens left to compute there now: those of the
- *	requests in flight, and the reported ones of requests that no record
- *	names. A report alone counts a prefix once for each request that waits
- *	with it, and leaves out the prompt that is being computed.
  */
 struct ix_answer {
 	uint64_t incarnation;
@@ -164,7 +160,6 @@
 	uint32_t waiting_tokens;
 	uint32_t load_age_ms;
 	uint32_t sent_tokens;
-	uint32_t queued_tokens;
 	uint32_t prefill_tokens_per_s;
 };
 
--- a/src/index/ix_engine.h
+++ b/src/index/ix_engine.h
@@ -34,7 +34,6 @@
  * @blind_since_ms: when the stream broke; 0 while it is open.
  * @load_sequence: of the event with the load report.
  * @reported_ms: time that the load report shows.
- * @foreign_tokens: reported to wait, of requests that no record names.
  * @eviction_ms: learned quantile of the age of blocks at their removal.
  * @journal: struct _ix_change, NULL while no snapshot is fetched.
  * @journal_from: sequence after which the journal is whole.
@@ -51,7 +50,6 @@
 	struct ix_load load;
 	uint64_t load_sequence;
 	int64_t reported_ms;
-	uint32_t foreign_tokens;
 	double eviction_ms;
 	GArray *journal;
 	uint64_t journal_from;
--- a/src/index/ix_events.c
+++ b/src/index/ix_events.c
@@ -99,17 +99,6 @@
 	e->journal_from = sequence;
 }
 
-/* Of requests that were not sent by the entries, or whose record was lost. */
-static uint32_t ix_foreign_tokens(const struct _ix_engine *e)
-{
-	uint32_t known = ix_pending_count(&e->pending);
-
-	if (e->load.waiting <= known)
-		return 0;
-	return (uint32_t)((uint64_t)e->load.waiting_tokens *
-			  (e->load.waiting - known) / e->load.waiting);
-}
-
 static void ix_take_load(struct _ix_engine *e, const struct ix_event *event,
 			 int64_t now_ms)
 {
@@ -118,7 +107,6 @@
 	e->load_sequence = event->sequence;
 	e->reported_ms = now_ms - event->load.age_ms;
 	ix_pending_report(&e->pending, e->reported_ms);
-	e->foreign_tokens = ix_foreign_tokens(e);
 }
 
 static void ix_apply(struct ix_index *index, struct _ix_engine *e,
--- a/src/index/ix_pending.c
+++ b/src/index/ix_pending.c
@@ -7,14 +7,12 @@
  * @sent_ms: when the record of it came.
  * @heard_ms: last record of it.
  * @tokens: still to be computed.
- * @is_open: its prompt is not computed yet.
  */
 struct ix_flight {
 	uint64_t request;
 	int64_t sent_ms;
 	int64_t heard_ms;
 	uint32_t tokens;
-	bool is_open;
 	GList link;
 	uint32_t count;
 	uint64_t keys[];
@@ -45,11 +43,6 @@
 {
 	if (ix_pending_counts(pending, flight))
 		pending->_sent_tokens -= flight->tokens;
-	if (flight->is_open) {
-		pending->_open_tokens -= flight->tokens;
-		pending->_open_count--;
-	}
-	flight->is_open = false;
 	flight->tokens = 0;
 }
 
@@ -93,11 +86,6 @@
 	flight->sent_ms = now_ms;
 	flight->heard_ms = now_ms;
 	flight->tokens = new_tokens;
-	flight->is_open = true;
-	if (!pending->_open_count)
-		pending->_busy_since_ms = now_ms;
-	pending->_open_count++;
-	pending->_open_tokens += new_tokens;
 	flight->count = count;
 	if (count)
 		memcpy(flight->keys, keys, count * sizeof(*keys));
@@ -123,8 +111,6 @@
 
 	if (!flight)
 		return;
-	if (flight->is_open)
-		pending->_busy_since_ms = now_ms;
 	ix_pending_settle(pending, flight);
 	flight->heard_ms = now_ms;
 	g_queue_unlink(&pending->_order, &flight->link);
@@ -173,24 +159,6 @@
 	return (uint32_t)MIN(pending->_sent_tokens, UINT32_MAX);
 }
 
-uint64_t ix_pending_open_tokens(const struct ix_pending *pending,
-				uint32_t tokens_per_s, int64_t now_ms)
-{
-	int64_t busy_ms = MAX(now_ms - pending->_busy_since_ms, 0);
-	uint64_t done = (uint64_t)busy_ms * tokens_per_s / 1000;
-	uint64_t present = 0;
-
-	for (const GList *l = pending->_order.head; l; l = l->next) {
-		const struct ix_flight *flight = l->data;
-
-		if (!flight->is_open)
-			continue;
-		present = flight->tokens;
-		break;
-	}
-	return pending->_open_tokens - MIN(done, present);
-}
-
 uint32_t ix_pending_count(const struct ix_pending *pending)
 {
 	return pending->_order.length;
--- a/src/index/ix_pending.h
+++ b/src/index/ix_pending.h
@@ -23,9 +23,6 @@
 	uint32_t _max_requests;
 	uint64_t _sent_tokens;
 	int64_t _report_ms;
-	uint64_t _open_tokens;
-	uint32_t _open_count;
-	int64_t _busy_since_ms;
 };
 
 void ix_pending_init(struct ix_pending *pending, uint32_t max_requests);
@@ -58,14 +55,6 @@
 /** ix_pending_sent_tokens() - sent since the report, not yet computed. */
 uint32_t ix_pending_sent_tokens(const struct ix_pending *pending);
 
-/**
- * ix_pending_open_tokens() - what the requests in flight have left to compute.
- * @tokens_per_s: speed of the engine; it computes one prompt after the other,
- *	so what it did since it began the present one is taken off.
- */
-uint64_t ix_pending_open_tokens(const struct ix_pending *pending,
-				uint32_t tokens_per_s, int64_t now_ms);
-
 /** ix_pending_count() - requests in flight. */
 uint32_t ix_pending_count(const struct ix_pending *pending);
 
--- a/src/routing/rt.h
+++ b/src/routing/rt.h
@@ -49,7 +49,7 @@
  * @pending: the same, counting blocks that a request in flight computes.
  * @confidence_permille: that @held is still right.
  * @running: requests that it runs.
- * @waiting_tokens: prompt tokens that wait there, but for @sent_tokens.
+ * @waiting_tokens: prompt tokens that wait there, as last reported.
  * @sent_tokens: prompt tokens sent to it since that report, by all entries.
  * @load_age_ms: age of the report.
  * @prefill_tokens_per_s: learned speed; 0 if not known.
--- a/src/rpc/balsampin.x
+++ b/src/rpc/balsampin.x
@@ -52,8 +52,7 @@
 /*
  * What the index knows of one engine. @held and @pending count keys of the
  * look-up from its first on: blocks that are there, and blocks that a request
- * in flight is computing. @waiting_tokens and @sent_tokens together are what the
- * engine has left to compute; the latter were sent since its last report.
+ * in flight is computing.
  */
 struct bp_ix_engine {
 	unsigned hyper engine;
--- a/tests/unit/index_test.cc
+++ b/tests/unit/index_test.cc
@@ -79,7 +79,7 @@
 	}
 
 	ix_effect Load(uint32_t age_ms, uint32_t waiting_tokens = 0,
-		       bool leaving = false, uint32_t waiting = 0)
+		       bool leaving = false)
 	{
 		struct ix_event e = {};
 
@@ -87,7 +87,6 @@
 		e.sequence = ++seq;
 		e.kind = IX_LOAD;
 		e.load.age_ms = age_ms;
-		e.load.waiting = waiting;
 		e.load.waiting_tokens = waiting_tokens;
 		e.load.running = 3;
 		e.load.prefill_tokens_per_s = 9000;
@@ -469,35 +468,6 @@
 	EXPECT_EQ(Look({}).sent_tokens, 0u);
 }
 
-// The engine computes 9000 tokens a second in these tests.
-TEST_F(Index, QueueIsWhatIsLeftToCompute)
-{
-	const Ids a = Keys(5, 9, 1);
-
-	Load(0);
-	Record(IX_SENT, 1, a, {}, 9000);
-	now += 10;
-	Record(IX_SENT, 2, a, {}, 100);
-	EXPECT_EQ(Look(a).queued_tokens, 9010u);
-	now += 490;
-	Load(0, 9000, false, 1);
-	EXPECT_EQ(Look(a).queued_tokens, 4600u)
-		<< "a prefix is computed once, whatever the report counts";
-	now += 10000;
-	EXPECT_EQ(Look(a).queued_tokens, 100u);
-	Record(IX_PREFILLED, 1, a);
-	Record(IX_PREFILLED, 2, a);
-	EXPECT_EQ(Look(a).queued_tokens, 0u);
-	Record(IX_ENDED, 1, a);
-	Record(IX_ENDED, 2, a);
-	Load(0, 9000, false, 3);
-	EXPECT_EQ(Look(a).queued_tokens, 9000u) << "not sent by an entry";
-	Record(IX_SENT, 3, a, {}, 500);
-	EXPECT_EQ(Look(a).queued_tokens, 9500u);
-	Load(0, 9000, false, 3);
-	EXPECT_EQ(Look(a).queued_tokens, 6500u);
-}
-
 TEST_F(Index, LoadReportThatASnapshotCovers)
 {
 	ix_snapshot_begin(&ix, E);
