rpc: count the bytes sent and received, UDP and TCP apart

docs/CAPACITY.md needs the bytes a second of each process; there were only counts of calls and datagrams. Reading them from /proc/net was ruled out: it does not tell processes apart. Test: rpc_test, BytesAreCountedAtBothEnds for both transports; it cannot run without the counters.

--- a/src/rpc/rp_tcp.c
+++ b/src/rpc/rp_tcp.c
@@ -19,6 +19,10 @@
 	   "connections closed for a bad or oversized record")
 MT_GAUGE(rp_connections, "balsampin_rpc_connections",
 	 "open TCP connections of the endpoint")
+MT_COUNTER(rp_tcp_received, "balsampin_rpc_tcp_received_bytes_total",
+	   "bytes read from connections, record marks included")
+MT_COUNTER(rp_tcp_sent, "balsampin_rpc_tcp_sent_bytes_total",
+	   "bytes written to connections, record marks included")
 
 static void rp_conn_close(struct _rp_conn *conn)
 {
@@ -81,6 +85,8 @@
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
+	if (n > 0)
+		mt_add(&rp_tcp_received, n);
 	conn->is_reading = true;
 	ok = n > 0 && rp_conn_feed(conn, data, (uint32_t)n);
 	conn->is_reading = false;
@@ -113,6 +119,7 @@
 			 out->bytes - out->written, MSG_NOSIGNAL);
 		if (n < 0)
 			return errno == EAGAIN || errno == EINTR;
+		mt_add(&rp_tcp_sent, n);
 		conn->active_ms = ck_now_ms();
 		out->written += (uint32_t)n;
 		if (out->call)
--- a/src/rpc/rp_udp.c
+++ b/src/rpc/rp_udp.c
@@ -14,6 +14,10 @@
 	   "datagrams longer than any that a process sends")
 MT_COUNTER(rp_datagrams_unsent, "balsampin_rpc_datagrams_unsent_total",
 	   "datagrams that the socket did not take")
+MT_COUNTER(rp_udp_received, "balsampin_rpc_udp_received_bytes_total",
+	   "payload of the datagrams read")
+MT_COUNTER(rp_udp_sent, "balsampin_rpc_udp_sent_bytes_total",
+	   "payload of the datagrams sent")
 
 static void rp_udp_read(struct ev_loop *loop, ev_io *io, int events)
 {
@@ -29,6 +33,7 @@
 			     (struct sockaddr *)&from, &length);
 		if (n < 0)
 			return;
+		mt_add(&rp_udp_received, n);
 		if (n > RP_MAX_DATAGRAM_BYTES) {
 			mt_add(&rp_datagrams_oversized, 1);
 			continue;
@@ -82,8 +87,10 @@
 	to.sin_port = htons(port);
 	n = sendto(s->udp_fd, data, bytes, 0, (struct sockaddr *)&to,
 		   sizeof(to));
-	if (n == (ssize_t)bytes)
+	if (n == (ssize_t)bytes) {
+		mt_add(&rp_udp_sent, n);
 		return ST_OK;
+	}
 	mt_add(&rp_datagrams_unsent, 1);
 	return st_fail(ST_UNAVAILABLE, "sendto: %s", strerror(errno));
 }
--- a/tests/unit/rpc_test.cc
+++ b/tests/unit/rpc_test.cc
@@ -223,6 +223,39 @@
 	EXPECT_EQ(keys_seen, 100u);
 }
 
+TEST_P(RpcBoth, BytesAreCountedAtBothEnds)
+{
+	bool is_udp = GetParam() == RP_UDP;
+	std::string used = is_udp ? "udp" : "tcp";
+	std::string other = is_udp ? "tcp" : "udp";
+	u_quad_t keys[BP_MAX_KEYS] = {};
+	int64_t bytes[2] = {};
+
+	// Both ends are in this process: what is sent is received.
+	for (u_int count : { 0u, (u_int)BP_MAX_KEYS }) {
+		bp_ix_lookup args = {};
+		Outcome o;
+		auto d = Call(GetParam(), &o, &args);
+		int64_t sent = Metric(used + "_sent_bytes");
+		int64_t received = Metric(used + "_received_bytes");
+		int64_t others = Metric(other + "_sent_bytes") +
+				 Metric(other + "_received_bytes");
+
+		args.keys.keys_len = count;
+		args.keys.keys_val = keys;
+		ASSERT_EQ(rp_call(&client, &d, nullptr), ST_OK);
+		Until([&] { return o.count > 0; });
+		sent = Metric(used + "_sent_bytes") - sent;
+		received = Metric(used + "_received_bytes") - received;
+		EXPECT_EQ(sent, received);
+		EXPECT_EQ(others, Metric(other + "_sent_bytes") +
+					  Metric(other + "_received_bytes"));
+		bytes[count > 0] = sent;
+	}
+	EXPECT_GT(bytes[0], 0);
+	EXPECT_EQ(bytes[1] - bytes[0], BP_MAX_KEYS * 8);
+}
+
 TEST_P(RpcBoth, DeadlinePassesAndTheLateReplyIsDropped)
 {
 	bp_ix_lookup args = {};
