--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -15,9 +15,10 @@
 	read -r -a cluster_zones <<<"$3"
 	cluster_defaults=$4
 	cluster_dir=$(mktemp -d)
-	cluster_net=127.$((64 + ($$ >> 12) % 64)).$((($$ >> 4) & 255))
-	cluster_base=$((($$ & 15) << 4))
-	cluster_standin=$cluster_net.$((cluster_base + 15))
+	# 64 addresses a run: 63 hosts at most, and the stand-ins.
+	cluster_net=127.$((64 + ($$ >> 10) % 64)).$((($$ >> 2) & 255))
+	cluster_base=$((($$ & 3) << 6))
+	cluster_standin=$cluster_net.$((cluster_base + 63))
 	declare -gA cluster_pids=()
 	trap cluster_kill EXIT
 }
