membership: how old news gets, by the number of processes; a red test

Seen: mean age of news 0.55 s at 27 processes of one zone, 1.3 s at 54, 3.1 s at 108, 6.2 s at 216; 2.5%, 16% and 37% of the views from 54 on say dead. Cause: 12 records a datagram and four datagrams a second, while every record is news all the time; mb_select() also prefers the first names. Conclusion: the room in the datagrams is what is short; not mended here.

--- /dev/null
+++ b/tests/unit/gossip_dead_test.cc
@@ -0,0 +1,19 @@
+// At the size of today gossip alone must not take a living process for dead.
+#include <gtest/gtest.h>
+
+#include "gossip_swarm.h"
+
+namespace
+{
+
+TEST(GossipDead, NobodyIsTakenForDeadAtNineHosts)
+{
+	for (uint32_t zones : { 1u, 3u }) {
+		Swarm swarm(27, zones);
+
+		Print(&swarm, zones, 27);
+		EXPECT_EQ(swarm.ShareDead(), 0);
+	}
+}
+
+} // namespace
