config: the host list that was pulled is equal to the one that was read

Seen while measuring: with the hosts grew what every process pulls at rest (0.5, 1.1 and 2.4 KB/s received by an entry at 9, 18 and 36 hosts). A listing has the HTTP port of an entry, the wire carries one port for each member. So a reader of the list that had pulled it took the next reading for a change, gave it a new revision, and everybody pulled the whole list again. Compared is now what the wire carries. Before: replica_test, Listing, failed.

--- a/src/config/cr_wire.c
+++ b/src/config/cr_wire.c
@@ -45,6 +45,12 @@
 	return role == MB_ENGINE || role == MB_SERVICE;
 }
 
+/* The one port of a member that the wire carries. */
+static uint16_t cr_wire_port(const struct mb_member *m)
+{
+	return cr_is_upstream(m->role) ? m->http_port : m->rpc_port;
+}
+
 GArray *cr_listing_to_wire(struct mb_listing *listing)
 {
 	GArray *out = g_array_new(false, true, sizeof(bp_upstream));
@@ -58,8 +64,7 @@
 			.zone = m->zone,
 			.region = m->region,
 			.ipv4 = m->ipv4,
-			.port = cr_is_upstream(m->role) ? m->http_port
-							: m->rpc_port,
+			.port = cr_wire_port(m),
 			.leaving = m->is_listed_leaving,
 		};
 
@@ -129,7 +134,7 @@
 			    const struct mb_member *b)
 {
 	return a->role == b->role && a->ipv4 == b->ipv4 &&
-	       a->http_port == b->http_port && a->rpc_port == b->rpc_port &&
+	       cr_wire_port(a) == cr_wire_port(b) &&
 	       a->is_listed_leaving == b->is_listed_leaving &&
 	       !strcmp(a->name, b->name) && !strcmp(a->zone, b->zone) &&
 	       !strcmp(a->region, b->region) && !strcmp(a->service, b->service);
--- a/tests/unit/replica_test.cc
+++ b/tests/unit/replica_test.cc
@@ -9,6 +9,7 @@
 
 extern "C" {
 #include "config/cr.h"
+#include "config/cr_wire.h"
 #include "config/cr_source.h"
 #include "kernel/ck.h"
 #include "kernel/mt.h"
@@ -391,4 +392,31 @@
 	}
 }
 
+// Else each reader of the list takes what it pulled from another for a change.
+TEST(Listing, IsEqualToWhatArrivesElsewhere)
+{
+	for (uint32_t role = MB_ENTRY; role < MB_ROLE_COUNT; role++) {
+		auto *sent = static_cast<mb_listing *>(
+			g_malloc0(sizeof(mb_listing) + sizeof(mb_member)));
+		GArray *wire;
+
+		sent->count = 1;
+		sent->members[0].role = role;
+		sent->members[0].is_listed = true;
+		sent->members[0].http_port = 8080;
+		sent->members[0].rpc_port = role < MB_ENGINE ? 7001 : 0;
+		wire = cr_listing_to_wire(sent);
+
+		auto *arrived = cr_listing_from_wire(
+			(const bp_upstream *)wire->data, wire->len);
+		EXPECT_TRUE(cr_listing_equal(sent, arrived)) << role;
+		arrived->members[0].rpc_port++;
+		arrived->members[0].http_port++;
+		EXPECT_FALSE(cr_listing_equal(sent, arrived)) << role;
+		g_free(arrived);
+		g_array_unref(wire);
+		g_free(sent);
+	}
+}
+
 } // namespace
