--- a/src/membership/mb.c
+++ b/src/membership/mb.c
@@ -98,6 +98,8 @@
 	g_ptr_array_insert(table->_order, (gint)at, m);
 	mb_renumber(table, at);
 	g_hash_table_add(table->_members, m);
+	m->_beat_id = px_rank(m->id, (uint64_t)m->role + 1);
+	g_hash_table_insert(table->_by_beat, &m->_beat_id, m);
 	return m;
 }
 
@@ -106,6 +108,7 @@
 	memset(table, 0, sizeof(*table));
 	table->_members =
 		g_hash_table_new_full(mb_hash, mb_equal, NULL, g_free);
+	table->_by_beat = g_hash_table_new(g_int64_hash, g_int64_equal);
 	table->_order = g_ptr_array_new();
 	if (!desc->self)
 		return;
@@ -117,6 +120,7 @@
 void mb_finish(struct mb_table *table)
 {
 	g_ptr_array_free(table->_order, TRUE);
+	g_hash_table_destroy(table->_by_beat);
 	g_hash_table_destroy(table->_members);
 	memset(table, 0, sizeof(*table));
 }
@@ -129,7 +133,7 @@
 static void mb_set_alive(struct mb_member *m, int64_t now_ms)
 {
 	m->heard_ms = now_ms;
-	m->_relays = 0;
+	m->_beat_relays = 0;
 	if (m->state != MB_LEAVING)
 		m->state = MB_ALIVE;
 }
@@ -142,6 +146,7 @@
 	m->failures = 0;
 	m->config_revision = 0;
 	m->state = MB_ALIVE;
+	m->_relays = 0;
 }
 
 /* Processes say themselves where they are; upstreams are listed. */
@@ -156,6 +161,22 @@
 	m->rpc_port = record->rpc_port;
 }
 
+static void mb_set_leaving(struct mb_member *m)
+{
+	if (m->state != MB_LEAVING)
+		m->_relays = 0;
+	m->state = MB_LEAVING;
+}
+
+/* Within an incarnation a revision never goes back. */
+static void mb_take_revision(struct mb_member *m, uint64_t revision)
+{
+	if (revision <= m->config_revision)
+		return;
+	m->config_revision = revision;
+	m->_relays = 0;
+}
+
 enum st_code mb_hear(struct mb_table *table, const struct mb_member *record,
 		     int64_t now_ms)
 {
@@ -173,14 +194,30 @@
 		mb_restart(m, record->incarnation);
 	} else if (record->heartbeat <= m->heartbeat) {
 		if (record->state == MB_LEAVING)
-			m->state = MB_LEAVING;
+			mb_set_leaving(m);
+		/* A beat may have come before the record that it belongs to. */
+		mb_take_revision(m, record->config_revision);
 		return ST_STALE;
 	}
 	mb_take_place(m, record);
 	m->heartbeat = record->heartbeat;
-	m->config_revision = record->config_revision;
+	mb_take_revision(m, record->config_revision);
 	if (record->state == MB_LEAVING)
-		m->state = MB_LEAVING;
+		mb_set_leaving(m);
+	mb_set_alive(m, now_ms);
+	return ST_OK;
+}
+
+enum st_code mb_hear_beat(struct mb_table *table, const struct mb_beat *beat,
+			  int64_t now_ms)
+{
+	struct mb_member *m =
+		g_hash_table_lookup(table->_by_beat, &beat->member);
+
+	if (!m || m == table->_self || beat->incarnation != m->incarnation ||
+	    beat->heartbeat <= m->heartbeat)
+		return ST_STALE;
+	m->heartbeat = beat->heartbeat;
 	mb_set_alive(m, now_ms);
 	return ST_OK;
 }
@@ -247,15 +284,24 @@
 
 	if (!m || incarnation != m->incarnation)
 		return;
-	m->state = MB_LEAVING;
+	mb_set_leaving(m);
 	m->heartbeat++;
-	m->_relays = 0;
+	m->_beat_relays = 0;
+}
+
+static bool mb_is_far(const struct mb_table *table, const struct mb_member *m)
+{
+	return table->_self && strcmp(m->zone, table->_self->zone);
 }
 
-static void mb_age(struct mb_member *m, int64_t now_ms)
+static void mb_age(const struct mb_table *table, struct mb_member *m,
+		   int64_t now_ms)
 {
 	int64_t silent_ms = now_ms - m->heard_ms;
 
+	if (mb_is_far(table, m))
+		silent_ms /= MB_FAR_FACTOR;
+
 	/* One more failure after the pause shuts it out again. */
 	if (m->failures >= MB_MAX_DIRECT_FAILURES &&
 	    now_ms - m->failed_ms >= MB_RETRY_FAILED_AFTER_MS)
@@ -280,6 +326,7 @@
 	struct mb_member *m = g_ptr_array_index(table->_order, at);
 
 	g_ptr_array_remove_index(table->_order, at);
+	g_hash_table_remove(table->_by_beat, &m->_beat_id);
 	mb_renumber(table, at);
 	g_hash_table_remove(table->_members, m);
 }
@@ -307,7 +354,7 @@
 		if (mb_is_forgotten(table, m, now_ms))
 			mb_remove_at(table, i);
 		else
-			mb_age(m, now_ms);
+			mb_age(table, m, now_ms);
 	}
 }
 
@@ -359,7 +406,6 @@
 		table->_self->heartbeat++;
 		out[count++] = *table->_self;
 	}
-	/* What was passed on least is the newest here. */
 	for (uint32_t relays = 0; relays < MB_MAX_RELAYS; relays++) {
 		for (uint32_t i = 0; i < table->_order->len; i++) {
 			struct mb_member *m =
@@ -375,6 +421,58 @@
 	return count;
 }
 
+static void mb_add_beats(const struct mb_table *table, bool is_far,
+			 uint32_t relays, struct mb_beat *out,
+			 uint32_t capacity, uint32_t *count)
+{
+	uint32_t len = table->_order->len;
+	/* Processes that know the same pass on different members. */
+	uint32_t start =
+		table->_self ? (uint32_t)(table->_self->_beat_id +
+					  table->_self->heartbeat * capacity) %
+				       len
+			     : 0;
+
+	for (uint32_t i = 0; i < len; i++) {
+		const struct mb_member *m =
+			g_ptr_array_index(table->_order, (start + i) % len);
+
+		if (*count == capacity)
+			return;
+		if (m == table->_self || !m->incarnation ||
+		    m->state == MB_DEAD || m->_beat_relays != relays ||
+		    mb_is_far(table, m) != is_far)
+			continue;
+		out[(*count)++] = (struct mb_beat){ m->_beat_id, m->incarnation,
+						    m->heartbeat };
+	}
+}
+
+/* What was passed on least is the newest here. */
+uint32_t mb_select_beats(const struct mb_table *table, struct mb_beat *out,
+			 uint32_t capacity)
+{
+	uint32_t count = 0;
+
+	for (uint32_t relays = 0; relays < MB_MAX_RELAYS; relays++)
+		mb_add_beats(table, false, relays, out, capacity, &count);
+	for (uint32_t relays = 0; relays < MB_MAX_RELAYS; relays++)
+		mb_add_beats(table, true, relays, out, capacity, &count);
+	return count;
+}
+
+void mb_sent_beats(struct mb_table *table, const struct mb_beat *beats,
+		   uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		struct mb_member *m =
+			g_hash_table_lookup(table->_by_beat, &beats[i].member);
+
+		if (m)
+			m->_beat_relays++;
+	}
+}
+
 void mb_sent(struct mb_table *table, const struct mb_member *records,
 	     uint32_t count)
 {
--- a/src/membership/mb.h
+++ b/src/membership/mb.h
@@ -52,11 +52,13 @@
 /** A dead member that the host list does not name is forgotten after it. */
 #define MB_FORGET_AFTER_MS 600000
 #define MB_MAX_MEMBERS	   8192
+/** News of other zones takes longer, and may be older by this factor. */
+#define MB_FAR_FACTOR 4
 /** After so many direct failures in a row a member gets no work ... */
 #define MB_MAX_DIRECT_FAILURES 3
 /** ... until this time has passed since the last; then one more try. */
 #define MB_RETRY_FAILED_AFTER_MS 2000
-/** A record is passed on so many times after it was news. */
+/** A record or a beat is passed on so many times after it was news. */
 #define MB_MAX_RELAYS 6
 
 enum mb_role {
@@ -108,8 +110,22 @@
 	uint32_t failures;
 	int64_t failed_ms;
 
+	uint64_t _beat_id;
 	uint32_t _position;
 	uint32_t _relays;
+	uint32_t _beat_relays;
+};
+
+/**
+ * struct mb_beat - a sign of life, short enough to name a whole zone.
+ * @member: hash of role and name.
+ * @incarnation: a beat of another incarnation than the known one says nothing.
+ * @heartbeat: as in struct mb_member.
+ */
+struct mb_beat {
+	uint64_t member;
+	uint64_t incarnation;
+	uint64_t heartbeat;
 };
 
 /**
@@ -123,6 +139,7 @@
 /** struct mb_table - state; fields are private. */
 struct mb_table {
 	GHashTable *_members;
+	GHashTable *_by_beat;
 	GPtrArray *_order;
 	struct mb_member *_self;
 	int64_t _last_tick_ms;
@@ -181,14 +198,31 @@
 /** mb_may_get_work() - alive, suspect or unknown; not leaving, not dead. */
 bool mb_may_get_work(const struct mb_member *member);
 
+/** mb_hear_beat() - a beat from gossip; codes as for mb_hear(). */
+enum st_code mb_hear_beat(struct mb_table *table, const struct mb_beat *beat,
+			  int64_t now_ms);
+
 /**
- * mb_select() - records to gossip: the own one, then the newest others.
+ * mb_select() - records to gossip: the own one, then those in which something
+ * else than the heartbeat is news.
  *
  * Return: how many were copied to @out.
  */
 uint32_t mb_select(struct mb_table *table, struct mb_member *out,
 		   uint32_t capacity);
 
+/**
+ * mb_select_beats() - beats to gossip, the newest first, own zone first.
+ *
+ * Return: how many were copied to @out.
+ */
+uint32_t mb_select_beats(const struct mb_table *table, struct mb_beat *out,
+			 uint32_t capacity);
+
+/** mb_sent_beats() - the beats went out to a peer; counts their relays. */
+void mb_sent_beats(struct mb_table *table, const struct mb_beat *beats,
+		   uint32_t count);
+
 /** mb_sent() - the records went out to a peer; counts their relays. */
 void mb_sent(struct mb_table *table, const struct mb_member *records,
 	     uint32_t count);
--- a/src/membership/mb_task.c
+++ b/src/membership/mb_task.c
@@ -15,6 +15,7 @@
 #define MB_CALL_DEADLINE_MS 1000
 /* Room for the headers of the call and its authenticator. */
 #define MB_DATAGRAM_OVERHEAD_BYTES 340
+#define MB_BEAT_WIRE_BYTES	   24
 
 MT_COUNTER(mb_sent_total, "balsampin_gossip_sent_total",
 	   "gossip datagrams sent")
@@ -106,33 +107,52 @@
 	return m;
 }
 
-/* How many of the records fit into one datagram. */
-static uint32_t mb_fitting(bp_member *wire, uint32_t count)
+/* How many of the records fit; leaves in @room what is left for beats. */
+static uint32_t mb_fitting(bp_member *wire, uint32_t count, uint32_t *room)
 {
-	uint32_t bytes = MB_DATAGRAM_OVERHEAD_BYTES;
 	uint32_t fitting = 0;
 
 	while (fitting < count) {
-		bytes += (uint32_t)xdr_sizeof((xdrproc_t)xdr_bp_member,
-					      &wire[fitting]);
-		if (bytes > RP_MAX_DATAGRAM_BYTES)
+		uint32_t bytes = (uint32_t)xdr_sizeof((xdrproc_t)xdr_bp_member,
+						      &wire[fitting]);
+
+		if (bytes > *room)
 			break;
+		*room -= bytes;
 		fitting++;
 	}
 	return fitting;
 }
 
+static uint32_t mb_add_beats_to_wire(struct mb_task *mb, uint32_t room,
+				     struct mb_beat *beats, bp_beat *wire)
+{
+	uint32_t capacity = MIN(room / MB_BEAT_WIRE_BYTES, BP_MAX_BEATS);
+	uint32_t count = mb_select_beats(&mb->_table, beats, capacity);
+
+	for (uint32_t i = 0; i < count; i++)
+		wire[i] = (bp_beat){ beats[i].member, beats[i].incarnation,
+				     beats[i].heartbeat };
+	return count;
+}
+
 static void mb_send_to(struct mb_task *mb, const struct mb_member *target)
 {
 	struct mb_member records[BP_MAX_GOSSIP];
 	bp_member wire[BP_MAX_GOSSIP];
-	bp_gossip gossip = { .members.members_val = wire };
+	struct mb_beat beats[BP_MAX_BEATS];
+	bp_beat wire_beats[BP_MAX_BEATS];
+	bp_gossip gossip = { .members.members_val = wire,
+			     .beats.beats_val = wire_beats };
+	uint32_t room = RP_MAX_DATAGRAM_BYTES - MB_DATAGRAM_OVERHEAD_BYTES;
 	uint32_t count = mb_select(&mb->_table, records, BP_MAX_GOSSIP);
 
 	for (uint32_t i = 0; i < count; i++)
 		wire[i] = mb_to_wire(&records[i]);
-	count = mb_fitting(wire, count);
+	count = mb_fitting(wire, count, &room);
 	gossip.members.members_len = count;
+	gossip.beats.beats_len =
+		mb_add_beats_to_wire(mb, room, beats, wire_beats);
 	if (rp_call(mb->_desc.rpc,
 		    &(struct rp_call_desc){ .to = { .ipv4 = target->ipv4,
 						    .port = target->rpc_port },
@@ -144,6 +164,7 @@
 		    NULL) != ST_OK)
 		return;
 	mb_sent(&mb->_table, records, count);
+	mb_sent_beats(&mb->_table, beats, gossip.beats.beats_len);
 	mt_add(&mb_sent_total, 1);
 }
 
@@ -259,6 +280,14 @@
 		if (m)
 			mb_record_change(m, state, incarnation);
 	}
+	for (uint32_t i = 0; i < gossip->beats.beats_len; i++) {
+		const bp_beat *beat = &gossip->beats.beats_val[i];
+
+		mb_hear_beat(&mb->_table,
+			     &(struct mb_beat){ beat->member, beat->incarnation,
+						beat->heartbeat },
+			     now_ms);
+	}
 	rp_drop(request);
 }
 
--- a/src/membership/mb_task.h
+++ b/src/membership/mb_task.h
@@ -21,7 +21,7 @@
 #include "settings/cf.h"
 
 #define MB_GOSSIP_PERIOD_MS 500
-#define MB_GOSSIP_FANOUT    2
+#define MB_GOSSIP_FANOUT    4
 /** One datagram in this many goes to another zone. */
 #define MB_GOSSIP_FAR_EVERY 4
 
--- a/src/rpc/balsampin.x
+++ b/src/rpc/balsampin.x
@@ -8,6 +8,7 @@
 
 const BP_NAME_BYTES = 64;
 const BP_MAX_GOSSIP = 16;
+const BP_MAX_BEATS = 64;
 const BP_MAX_KEYS = 100;
 const BP_MAX_BLOCKS = 48;
 const BP_MAX_ENGINES = 12;
@@ -38,8 +39,16 @@
 	unsigned hyper config_revision;
 };
 
+/* A sign of life of a member whose record the receiver has; see mb.h. */
+struct bp_beat {
+	unsigned hyper member;
+	unsigned hyper incarnation;
+	unsigned hyper heartbeat;
+};
+
 struct bp_gossip {
 	bp_member members<BP_MAX_GOSSIP>;
+	bp_beat beats<BP_MAX_BEATS>;
 };
 
 /* --- prefix index (U, I) --- */
--- a/src/rpc/gen/balsampin.h
+++ b/src/rpc/gen/balsampin.h
@@ -16,6 +16,7 @@
 
 #define BP_NAME_BYTES 64
 #define BP_MAX_GOSSIP 16
+#define BP_MAX_BEATS 64
 #define BP_MAX_KEYS 100
 #define BP_MAX_BLOCKS 48
 #define BP_MAX_ENGINES 12
@@ -46,11 +47,22 @@
 };
 typedef struct bp_member bp_member;
 
+struct bp_beat {
+	u_quad_t member;
+	u_quad_t incarnation;
+	u_quad_t heartbeat;
+};
+typedef struct bp_beat bp_beat;
+
 struct bp_gossip {
 	struct {
 		u_int members_len;
 		bp_member *members_val;
 	} members;
+	struct {
+		u_int beats_len;
+		bp_beat *beats_val;
+	} beats;
 };
 typedef struct bp_gossip bp_gossip;
 
@@ -357,6 +369,7 @@
 extern  bool_t xdr_bp_text (XDR *, bp_text*);
 extern  bool_t xdr_bp_json (XDR *, bp_json*);
 extern  bool_t xdr_bp_member (XDR *, bp_member*);
+extern  bool_t xdr_bp_beat (XDR *, bp_beat*);
 extern  bool_t xdr_bp_gossip (XDR *, bp_gossip*);
 extern  bool_t xdr_bp_ix_lookup (XDR *, bp_ix_lookup*);
 extern  bool_t xdr_bp_ix_engine (XDR *, bp_ix_engine*);
@@ -386,6 +399,7 @@
 extern bool_t xdr_bp_text ();
 extern bool_t xdr_bp_json ();
 extern bool_t xdr_bp_member ();
+extern bool_t xdr_bp_beat ();
 extern bool_t xdr_bp_gossip ();
 extern bool_t xdr_bp_ix_lookup ();
 extern bool_t xdr_bp_ix_engine ();
--- a/src/rpc/gen/balsampin_xdr.c
+++ b/src/rpc/gen/balsampin_xdr.c
@@ -136,6 +136,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bp_beat (XDR *xdrs, bp_beat *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->member))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->heartbeat))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bp_gossip (XDR *xdrs, bp_gossip *objp)
 {
@@ -144,6 +158,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, BP_MAX_GOSSIP,
 		sizeof (bp_member), (xdrproc_t) xdr_bp_member))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->beats.beats_val, (u_int *) &objp->beats.beats_len, BP_MAX_BEATS,
+		sizeof (bp_beat), (xdrproc_t) xdr_bp_beat))
+		 return FALSE;
 	return TRUE;
 }
 
