entry: the index hears of attempts that failed

Cause: BP_IX_ENDED was sent only for answers that were complete, so an attempt that failed or was cancelled counted as computing its prefix for 60 s and drew requests that would wait for it. Ruled out: a shorter expiry in the index, which long prompts on a busy engine would outlive. Before: entry_peers_test's new case times out after 10 s (three records instead of five). After: it passes, with the other five.

--- a/src/entry/en_call.c
+++ b/src/entry/en_call.c
@@ -155,6 +155,9 @@
 void en_call_drop_attempt(struct en_call *call)
 {
 	en_load_uncount(call);
+	/* One that failed computes nothing any more. */
+	if (call->is_recorded)
+		en_peers_record(call, BP_IX_ENDED);
 	if (call->has_attempt)
 		up_finish(&call->attempt);
 	call->has_attempt = false;
--- a/src/entry/en_dispatch.h
+++ b/src/entry/en_dispatch.h
@@ -93,6 +93,7 @@
  * @may_have_run: an attempt may have run.
  * @is_resuming: the present attempt is a resumption.
  * @has_begun: the caller has the head of a stream.
+ * @is_recorded: the index takes the present attempt to be running.
  * @via: the far entry of the present attempt; near is NULL without one.
  * @goes_directly: a far entry could not forward it.
  * @is_retry_free: the engine ran nothing, so the budget is not charged.
@@ -116,6 +117,7 @@
 	bool is_resuming;
 	bool has_begun;
 	bool is_counted;
+	bool is_recorded;
 	bool is_retry_free;
 	struct px_chain *chain;
 	uint32_t prompt_tokens;
--- a/src/entry/en_peers.c
+++ b/src/entry/en_peers.c
@@ -43,6 +43,7 @@
 		.blocks = { usage->block_count, usage->blocks },
 	};
 
+	call->is_recorded = phase != BP_IX_ENDED;
 	if (!owner)
 		return;
 	en_send_datagram(d, owner, BP_IX_RECORD, (xdrproc_t)xdr_bp_ix_record,
--- a/tests/unit/entry_peers_test.cc
+++ b/tests/unit/entry_peers_test.cc
@@ -203,6 +203,22 @@
 	EXPECT_EQ(index.record_engines[0], px_id("e2"));
 }
 
+// An attempt that failed no longer counts as computing its prefix.
+TEST_F(Peers, TheIndexIsToldOfAnAttemptThatFailed)
+{
+	index.holder = "e2";
+	e2.on_request = [](struct hs_exchange *x) {
+		send_whole(x, 503, "{\"error\":{\"message\":\"busy\"}}");
+	};
+	ask(*h1, long_prompt);
+	ASSERT_TRUE(l.run_until([&] { return index.phases.size() == 5; }));
+	EXPECT_EQ(index.phases, (std::vector<bp_ix_phase>{
+					BP_IX_SENT, BP_IX_ENDED, BP_IX_SENT,
+					BP_IX_PREFILLED, BP_IX_ENDED }));
+	EXPECT_EQ(index.record_engines[1], px_id("e2"));
+	EXPECT_EQ(index.record_engines[2], px_id("e1"));
+}
+
 TEST_F(Peers, WithoutTheIndexPlacementNeedsNoState)
 {
 	int64_t before_ms = ck_now_ms();
