--- a/tests/unit/fake_store.h
+++ b/tests/unit/fake_store.h
@@ -140,7 +140,7 @@
 		return FakeStore::Tables()->txn(impl, txn, fn, arg);
 	if (write == WRITE_LOSE_ANSWER)
 		return FakeStore::Tables()->txn(impl, txn, FakeCall::End,
-						new FakeCall(lost));
+						lost.Keep());
 	if (write == WRITE_LATE) {
 		auto copy = std::make_shared<FakeLate>(txn);
 		fake.late = [impl, copy] {
