--- a/src/membership/mb.h
+++ b/src/membership/mb.h
@@ -7,8 +7,9 @@
  *
  *	- the platform's host list, which lags: it makes a member known and
  *	  says that it is leaving;
- *	- gossip: each process sends its own record, with a heartbeat that
- *	  grows, and some of the records it knows, to random peers;
+ *	- gossip: each process sends to random peers its own record, with a
+ *	  heartbeat that grows, the records that changed, and beats, which
+ *	  only say that a member lives;
  *	- direct evidence: an answer or a failure that this process saw.
  *
  *	An incarnation orders all news of one member: what concerns a lower
