one function for the URL of an address and port; dead fields dropped

Cause: a read of the whole change. up.c, lk_relay.c and ix_feed.c each spelled an address in host byte order into a URL; hc_make_url() does it once. Fields that nothing read are gone: hc_client._finish_later, hs_exchange._is_stream, and hs_server._listen_fd, which was -1 outside one function. Ruled out for now: the pairs in pf_http.c and pf_embedded.c, tables of functions of one shape; the repeated set-up of table tests in poison_test.cc. Before: three copies.

--- a/src/index/ix_feed.c
+++ b/src/index/ix_feed.c
@@ -33,10 +33,7 @@
 static void ix_feed_url(const struct ix_feed *feed, const char *path,
 			char out[IX_FEED_URL_BYTES])
 {
-	uint32_t ip = feed->ipv4;
-
-	g_snprintf(out, IX_FEED_URL_BYTES, "http://%u.%u.%u.%u:%u%s", ip >> 24,
-		   ip >> 16 & 255, ip >> 8 & 255, ip & 255, feed->port, path);
+	hc_make_url(out, IX_FEED_URL_BYTES, feed->ipv4, feed->port, path);
 }
 
 static void ix_feed_timer_start(struct ix_feed *feed, ev_timer *timer,
--- a/src/link/lk_relay.c
+++ b/src/link/lk_relay.c
@@ -152,10 +152,8 @@
 
 	for (uint32_t i = 0; i < wire->headers.headers_len; i++)
 		headers[i] = wire->headers.headers_val[i];
-	g_snprintf(url, sizeof(url), "http://%u.%u.%u.%u:%u%s",
-		   engine->ipv4 >> 24, engine->ipv4 >> 16 & 255,
-		   engine->ipv4 >> 8 & 255, engine->ipv4 & 255,
-		   engine->http_port, wire->path);
+	hc_make_url(url, sizeof(url), engine->ipv4, engine->http_port,
+		    wire->path);
 	f->relay = relay;
 	f->exchange = x;
 	x->arg = f;
--- a/src/net/hc.c
+++ b/src/net/hc.c
@@ -45,6 +45,13 @@
 	[HC_TIMEOUT] = "timeout", [HC_TOO_LARGE] = "too_large",
 };
 
+void hc_make_url(char *out, uint32_t room, uint32_t ipv4, uint16_t port,
+		 const char *path)
+{
+	g_snprintf(out, room, "http://%u.%u.%u.%u:%u%s", ipv4 >> 24,
+		   ipv4 >> 16 & 255, ipv4 >> 8 & 255, ipv4 & 255, port, path);
+}
+
 const char *hc_outcome_name(enum hc_outcome outcome)
 {
 	return hc_outcome_names[outcome];
--- a/src/net/hc.h
+++ b/src/net/hc.h
@@ -141,7 +141,6 @@
 	struct ev_loop *_loop;
 	void *_multi;
 	ev_timer _timer;
-	ev_prepare _finish_later;
 	struct _hc_transfer **_slots;
 	uint32_t *_generations;
 	uint32_t _slot_count;
@@ -172,6 +171,10 @@
 	return client->_in_flight;
 }
 
+/** hc_make_url() - http URL of an address in host byte order and a port. */
+void hc_make_url(char *out, uint32_t room, uint32_t ipv4, uint16_t port,
+		 const char *path);
+
 /** hc_outcome_name() - such as "no_connection". */
 const char *hc_outcome_name(enum hc_outcome outcome);
 
--- a/src/net/hs.c
+++ b/src/net/hs.c
@@ -255,7 +255,6 @@
 		server->_desc.max_connections = HS_DEFAULT_MAX_CONNECTIONS;
 	if (!server->_desc.idle_timeout_s)
 		server->_desc.idle_timeout_s = HS_DEFAULT_IDLE_TIMEOUT_S;
-	server->_listen_fd = -1;
 	if (inet_pton(AF_INET, desc->address, &address.sin_addr) != 1)
 		return st_fail(ST_INVALID, "%s is no IP number", desc->address);
 	server->_daemon = MHD_start_daemon(
@@ -303,21 +302,20 @@
 	ev_timer_stop(loop, &server->_timer);
 	ev_prepare_stop(loop, &server->_prepare);
 	MHD_stop_daemon(server->_daemon);
-	if (server->_listen_fd >= 0)
-		close(server->_listen_fd);
 	memset(server, 0, sizeof(*server));
 }
 
 void hs_quiesce(struct hs_server *server)
 {
+	int listen_fd;
+
 	if (server->_is_quiesced)
 		return;
 	server->_is_quiesced = true;
-	server->_listen_fd = MHD_quiesce_daemon(server->_daemon);
+	listen_fd = MHD_quiesce_daemon(server->_daemon);
 	/* Closed at once, so that new callers are refused and not left. */
-	if (server->_listen_fd >= 0)
-		close(server->_listen_fd);
-	server->_listen_fd = -1;
+	if (listen_fd >= 0)
+		close(listen_fd);
 }
 
 uint16_t hs_port(const struct hs_server *server)
@@ -418,7 +416,6 @@
 {
 	if (x->_has_answer || x->_is_gone)
 		return;
-	x->_is_stream = true;
 	hs_queue(x, status, headers,
 		 MHD_create_response_from_callback(MHD_SIZE_UNKNOWN,
 						   HS_STREAM_BLOCK_BYTES,
--- a/src/net/hs.h
+++ b/src/net/hs.h
@@ -71,7 +71,6 @@
 	bool _was_handed_over;
 	bool _is_suspended;
 	bool _has_answer;
-	bool _is_stream;
 	bool _is_ended;
 	bool _is_aborted;
 	bool _is_gone;
@@ -123,7 +122,6 @@
 	ev_prepare _prepare;
 	uint32_t _open;
 	bool _is_quiesced;
-	int _listen_fd;
 };
 
 enum st_code hs_init(struct hs_server *server, const struct hs_desc *desc);
--- a/src/upstream/up.c
+++ b/src/upstream/up.c
@@ -200,14 +200,6 @@
 	memset(a, 0, sizeof(*a));
 }
 
-static void up_make_url(uint32_t ipv4, uint16_t port, const char *path,
-			char url[UP_URL_BYTES])
-{
-	g_snprintf(url, UP_URL_BYTES, "http://%u.%u.%u.%u:%u%s", ipv4 >> 24,
-		   ipv4 >> 16 & 0xff, ipv4 >> 8 & 0xff, ipv4 & 0xff, port,
-		   path);
-}
-
 enum st_code up_send(struct up_attempt *a, const struct hc_call_desc *desc,
 		     const char *path, const char *const *headers)
 {
@@ -222,7 +214,7 @@
 	char url[UP_URL_BYTES];
 	enum st_code code;
 
-	up_make_url(ipv4, port, path, url);
+	hc_make_url(url, sizeof(url), ipv4, port, path);
 	call.url = url;
 	call.headers = headers;
 	call.on_header = up_on_header;
@@ -247,7 +239,7 @@
 				     .fresh_connection = true,
 				     .on_done = up_ignore };
 
-	up_make_url(a->_desc.ipv4, a->_desc.port, path, url);
+	hc_make_url(url, sizeof(url), a->_desc.ipv4, a->_desc.port, path);
 	hc_send(a->_desc.client, &call, NULL);
 }
 
