roll-out: half of a region's engines at once, oldest weights first

Cause: an order waits for the runs of its engine, up to two seconds, during which two of twelve engines stood still and the others kept old weights; the roll-out of one version took longer than the time to the next. Ruled out: slow entries (they follow the load within 100 ms).

--- a/src/fleet/fl.h
+++ b/src/fleet/fl.h
@@ -16,7 +16,7 @@
  *
  * Use
  *	fl_init(&fleet, loop);
- *	fl_put(&fleet, &entry, now_ms);
+ *	fl_put(&fleet, &entry);
  *	fl_for_each(&fleet, e) ...
  *	fl_missing(&fleet, "i-7", keep_until_ms);
  *	fl_expire(&fleet, now_ms);
@@ -36,8 +36,8 @@
  * @running_tokens: prompt tokens of theirs that may still have to be read.
  * @failures: in a row.
  * @avoid_until_ms: it gets no request before, unless there is no other.
- * @loading_until_ms: new weights are being loaded, as far as is known.
- * @weights_since_ms: when the present weights were first seen.
+ * @region: of its availability zone; set by the owner of the fleet.
+ * @is_next: it is about to load new weights or does; see gw_plan.h.
  * @is_gone: no new requests; kept for those that still refer to it.
  */
 struct fl_engine {
@@ -48,8 +48,8 @@
 	uint64_t running_tokens;
 	uint32_t failures;
 	int64_t avoid_until_ms;
-	int64_t loading_until_ms;
-	int64_t weights_since_ms;
+	const char *region;
+	bool is_next;
 	bool is_gone;
 
 	uint32_t _references;
@@ -65,8 +65,7 @@
 void fl_finish(struct fl_fleet *fleet);
 
 /** fl_put() - an entry was read; returns the upstream. */
-struct fl_engine *fl_put(struct fl_fleet *fleet, const struct dl_engine *entry,
-			 int64_t now_ms);
+struct fl_engine *fl_put(struct fl_fleet *fleet, const struct dl_engine *entry);
 
 /**
  * fl_missing() - an entry is not in the store any more.
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -164,10 +164,11 @@
 	    known->entry.weights != entry.weights ||
 	    known->entry.started_ms != entry.started_ms)
 		lg_info("engine entry", "event", "engine_entry", "engine",
-			entry.id, "service", entry.service, "zone", entry.zone,
-			"state", entry.is_draining ? "draining" : "ready",
+			entry.id, "service", entry.service, "engine_zone",
+			entry.zone, "state", entry.is_draining ? "draining" : "ready",
 			"weights", weights, NULL);
-	fl_put(&g->fleet, &entry, ck_now_ms());
+	known = fl_put(&g->fleet, &entry);
+	known->region = gw_region_of(&g->settings, entry.zone);
 }
 
 /* The whole table was read: what is not in it is missing. */
@@ -237,9 +238,11 @@
 	struct gw_knowledge *k = w->data;
 
 	k->gateway->config_fresh_ms = k->operator_rows.fresh_ms;
-	if (fl_expire(&k->gateway->fleet, ck_now_ms()))
-		lg_info("engines dropped", "event", "engines_dropped", "reason",
-			"entry still missing after the store came back", NULL);
+	if (!fl_expire(&k->gateway->fleet, ck_now_ms()))
+		return;
+	gw_rollout_changed(k->gateway);
+	lg_info("engines dropped", "event", "engines_dropped", "reason",
+		"entry still missing after the store came back", NULL);
 }
 
 const struct gw_wanted *gw_wanted_of(const struct gw_gateway *g,
--- a/src/gateway/gw_place.c
+++ b/src/gateway/gw_place.c
@@ -2,8 +2,6 @@
 
 #include <string.h>
 
-#include "gateway/gw_plan.h"
-
 #define GW_MAX_CANDIDATES 1024
 /*
  * Kept free of the bound for new weights: a request may wait at the engine
@@ -75,8 +73,7 @@
 			.hash = e->hash,
 			.running = e->running,
 			.distance = gw_distance(g, e->entry.zone),
-			.is_avoided = now_ms < e->avoid_until_ms ||
-				      gw_plan_is_next(&g->fleet, wanted, e),
+			.is_avoided = now_ms < e->avoid_until_ms || e->is_next,
 			.is_tried = gw_is_tried(request, e->hash),
 			.is_current =
 				!wanted || e->entry.weights >= wanted->version,
--- a/src/gateway/gw_plan.c
+++ b/src/gateway/gw_plan.c
@@ -2,25 +2,16 @@
 
 #include <string.h>
 
-/* One engine in so many may load at a time; but two at least. */
-#define GW_PLAN_SHARE	 6
-#define GW_PLAN_AT_LEAST 2
-
-uint32_t gw_plan_at_once(uint32_t count)
-{
-	uint32_t share = count / GW_PLAN_SHARE;
-
-	return share > GW_PLAN_AT_LEAST ? share : GW_PLAN_AT_LEAST;
-}
+/* Of the engines of a region, one in so many goes first, rounded up. */
+#define GW_PLAN_SHARE 2
 
 static bool gw_plan_lacks(const struct fl_engine *e,
 			  const struct gw_wanted *wanted)
 {
-	return !e->entry.is_draining &&
-	       !strcmp(e->entry.model, wanted->model) &&
-	       e->entry.weights < wanted->version;
+	return e->entry.weights < wanted->version;
 }
 
+/* A fixed order among engines with the same weights. */
 static uint64_t gw_plan_rank(const struct fl_engine *e,
 			     const struct gw_wanted *wanted)
 {
@@ -28,23 +19,44 @@
 	       0xff51afd7ed558ccdULL;
 }
 
-bool gw_plan_is_next(const struct fl_fleet *fleet,
-		     const struct gw_wanted *wanted,
-		     const struct fl_engine *engine)
+static bool gw_plan_is_before(const struct fl_engine *a,
+			      const struct fl_engine *b,
+			      const struct gw_wanted *wanted)
+{
+	if (a->entry.weights != b->entry.weights)
+		return a->entry.weights < b->entry.weights;
+	return gw_plan_rank(a, wanted) < gw_plan_rank(b, wanted);
+}
+
+static bool gw_plan_is_next(const struct fl_fleet *fleet,
+			    const struct gw_wanted *wanted,
+			    const struct fl_engine *engine)
 {
-	uint64_t rank;
-	uint32_t before = 0, all = 0;
-
-	if (!wanted || !gw_plan_lacks(engine, wanted))
-		return false;
-	rank = gw_plan_rank(engine, wanted);
-	fl_for_each(fleet, e)
-	{
-		if (strcmp(e->entry.model, wanted->model) != 0)
+	uint32_t all = 0, current = 0, before = 0, first;
+
+	fl_for_each (fleet, e) {
+		if (strcmp(e->entry.model, wanted->model) != 0 ||
+		    strcmp(e->region, engine->region) != 0 ||
+		    e->entry.is_draining)
 			continue;
 		all++;
-		if (gw_plan_lacks(e, wanted) && gw_plan_rank(e, wanted) < rank)
+		if (!gw_plan_lacks(e, wanted))
+			current++;
+		else if (gw_plan_is_before(e, engine, wanted))
 			before++;
 	}
-	return before < gw_plan_at_once(all);
+	first = (all + GW_PLAN_SHARE - 1) / GW_PLAN_SHARE;
+	return current >= first || current + before < first;
+}
+
+void gw_plan_update(const struct gw_gateway *g)
+{
+	fl_for_each (&g->fleet, e) {
+		const struct gw_wanted *wanted =
+			gw_wanted_of(g, e->entry.model);
+
+		e->is_next = wanted && !e->entry.is_draining &&
+			     gw_plan_lacks(e, wanted) &&
+			     gw_plan_is_next(&g->fleet, wanted, e);
+	}
 }
--- a/src/gateway/gw_plan.h
+++ b/src/gateway/gw_plan.h
@@ -1,16 +1,21 @@
 /*
- * gw_plan - the order in which engines get new weights.
+ * gw_plan - which engines get new weights next.
  *
  * Load pattern
  *	New weights are named every few seconds under full load. An engine
- *	serves nothing while it loads, and loading gets slower when several
- *	engines do so at once.
+ *	that is to load them first finishes the streams that it runs, for up
+ *	to two seconds, and takes no new request meanwhile. Loading gets
+ *	slower when several engines do so at once.
  *
  * Overview
- *	Engines that lack the wanted version are brought to it a few at a time,
- *	in the order of a hash of engine and version. Every host works out the
- *	same order, so all of them keep new requests away from the engines that
- *	come next, and the holder of the lease orders just those.
+ *	In each region, half of the engines go first: they get no new request
+ *	from the moment the version is named, and their order at once. The
+ *	other half serves until the first half has the new weights, then runs
+ *	empty and follows. Engines with the oldest weights go first: in a quick
+ *	succession of versions they are those that already run empty.
+ *
+ *	Every host works out the same plan from the entries, so all of them
+ *	keep away from the same engines without a message.
  *
  *	Plain functions, no clock.
  */
@@ -20,12 +25,7 @@
 #include "fleet/fl.h"
 #include "gateway/gw.h"
 
-/** gw_plan_at_once() - how many of @count engines may load at a time. */
-uint32_t gw_plan_at_once(uint32_t count);
-
-/** gw_plan_is_next() - it is among the engines that load next or now. */
-bool gw_plan_is_next(const struct fl_fleet *fleet,
-		     const struct gw_wanted *wanted,
-		     const struct fl_engine *engine);
+/** gw_plan_update() - set is_next of every engine. */
+void gw_plan_update(const struct gw_gateway *g);
 
 #endif
--- a/src/gateway/gw_rollout.c
+++ b/src/gateway/gw_rollout.c
@@ -198,8 +198,10 @@
 	job->orders = report.orders;
 	job->knows_orders = !report.is_busy;
 	job->next_ms = report.is_busy ? ck_now_ms() + GW_ORDER_RETRY_MS : 0;
-	if (!report.is_busy && report.weights > e->entry.weights)
+	if (!report.is_busy && report.weights > e->entry.weights) {
 		e->entry.weights = report.weights;
+		gw_plan_update(job->rollout->gateway);
+	}
 }
 
 static void gw_job_ordered(struct gw_job *job)
@@ -214,6 +216,7 @@
 		return;
 	case 200:
 		job->engine->entry.weights = job->version;
+		gw_plan_update(job->rollout->gateway);
 		gw_job_log(job, "order", "already_there");
 		return;
 	case 412:
@@ -288,7 +291,7 @@
 		const struct gw_wanted *wanted =
 			gw_wanted_of(g, e->entry.model);
 
-		if (wanted && gw_plan_is_next(&g->fleet, wanted, e))
+		if (wanted && e->is_next)
 			gw_advance_job(gw_job_of(ro, e), wanted, now_ms);
 	}
 }
@@ -380,6 +383,7 @@
 
 void gw_rollout_changed(struct gw_gateway *g)
 {
+	gw_plan_update(g);
 	if (g->rollout)
 		gw_give_orders(g->rollout, ck_now_ms());
 }
