--- a/src/fleet/fl.h
+++ b/src/fleet/fl.h
@@ -16,7 +16,7 @@
  *
  * Use
  *	fl_init(&fleet, loop);
- *	fl_put(&fleet, &entry);
+ *	fl_put(&fleet, &entry, now_ms);
  *	fl_for_each(&fleet, e) ...
  *	fl_missing(&fleet, "i-7", keep_until_ms);
  *	fl_expire(&fleet, now_ms);
@@ -36,6 +36,7 @@
  * @running_tokens: prompt tokens of theirs that may still have to be read.
  * @failures: in a row.
  * @avoid_until_ms: it gets no request before, unless there is no other.
+ * @joined_ms: when it was first seen with its present weights.
  * @region: of its availability zone; set by the owner of the fleet.
  * @is_next: it is about to load new weights or does; see gw_plan.h.
  * @is_gone: no new requests; kept for those that still refer to it.
@@ -48,6 +49,7 @@
 	uint64_t running_tokens;
 	uint32_t failures;
 	int64_t avoid_until_ms;
+	int64_t joined_ms;
 	const char *region;
 	bool is_next;
 	bool is_gone;
@@ -65,7 +67,12 @@
 void fl_finish(struct fl_fleet *fleet);
 
 /** fl_put() - an entry was read; returns the upstream. */
-struct fl_engine *fl_put(struct fl_fleet *fleet, const struct dl_engine *entry);
+struct fl_engine *fl_put(struct fl_fleet *fleet, const struct dl_engine *entry,
+			 int64_t now_ms);
+
+/** fl_learn_weights() - it was seen to have them before its entry told. */
+void fl_learn_weights(struct fl_engine *engine, uint64_t weights,
+		      int64_t now_ms);
 
 /**
  * fl_missing() - an entry is not in the store any more.
--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -161,6 +161,7 @@
 	if (code != ST_OK)
 		return code;
 	g->wanted = g_array_new(FALSE, TRUE, sizeof(struct gw_wanted));
+	gw_roots_init(&g->roots);
 	fl_init(&g->fleet, g->kernel.loop);
 	rb_budget_init(&g->retries,
 		       &(struct rb_desc){ .ratio_permille =
@@ -179,6 +180,7 @@
 {
 	kn_stop_all(&g->kernel);
 	fl_finish(&g->fleet);
+	gw_roots_finish(&g->roots);
 	rw_finish(&g->store);
 	ca_catalog_unref(g->catalog);
 	g_array_free(g->wanted, TRUE);
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -24,6 +24,7 @@
 #include "catalog/ca.h"
 #include "dialect/dl.h"
 #include "fleet/fl.h"
+#include "gateway/gw_roots.h"
 #include "gateway/gw_settings.h"
 #include "http1/h1_server.h"
 #include "kernel/kn.h"
@@ -53,6 +54,7 @@
  * @fleet: upstreams.
  * @has_fleet: the table of upstreams has been read.
  * @wanted: list of struct gw_wanted.
+ * @roots: of prompts, read under the newest weights.
  * @config_fresh_ms: nothing newer than @catalog existed then.
  * @retries: budget of this host for second sends.
  * @stop_ms: when SIGTERM came, 0 before.
@@ -67,6 +69,7 @@
 	struct fl_fleet fleet;
 	bool has_fleet;
 	GArray *wanted;
+	struct gw_roots roots;
 	int64_t config_fresh_ms;
 	struct rb_budget retries;
 	int64_t stop_ms;
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -167,7 +167,7 @@
 			entry.id, "service", entry.service, "engine_zone",
 			entry.zone, "state", entry.is_draining ? "draining" : "ready",
 			"weights", weights, NULL);
-	known = fl_put(&g->fleet, &entry);
+	known = fl_put(&g->fleet, &entry, ck_now_ms());
 	known->region = gw_region_of(&g->settings, entry.zone);
 }
 
--- a/src/gateway/gw_place.c
+++ b/src/gateway/gw_place.c
@@ -61,17 +61,22 @@
 	const struct gw_wanted *wanted =
 		request->model ? gw_wanted_of(g, request->model) : NULL;
 	struct pc_answer answer;
+	struct pc_request prefix = request->prefix;
 	uint32_t count = 0;
+	bool has_current = false;
 
 	fl_for_each(&g->fleet, e)
 	{
 		if (count == GW_MAX_CANDIDATES ||
 		    !gw_can_run(g, request, e, wanted, now_ms))
 			continue;
+		if (!e->is_next && (!wanted || e->entry.weights >= wanted->version))
+			has_current = true;
 		engines[count] = e;
 		candidates[count++] = (struct pc_candidate){
 			.hash = e->hash,
 			.running = e->running,
+			.joined_ms = e->joined_ms,
 			.distance = gw_distance(g, e->entry.zone),
 			.is_avoided = now_ms < e->avoid_until_ms || e->is_next,
 			.is_tried = gw_is_tried(request, e->hash),
@@ -79,8 +84,9 @@
 				!wanted || e->entry.weights >= wanted->version,
 		};
 	}
-	answer = pc_place(&(struct pc_request){ .subject = request->subject },
-			  candidates, count);
+	/* Older weights are on their way out: nothing is worth gathering. */
+	prefix.is_root_read |= !has_current;
+	answer = pc_place(&prefix, candidates, count);
 	return (struct gw_place_answer){
 		answer.chosen < 0 ? NULL : engines[answer.chosen],
 		answer.source < 0 ? NULL : engines[answer.source],
--- a/src/gateway/gw_place.h
+++ b/src/gateway/gw_place.h
@@ -20,13 +20,13 @@
  * struct gw_place_request
  * @service: required.
  * @model: NULL for plain requests.
- * @subject: see pc.h.
+ * @prefix: the shared prefix, see pc.h.
  * @tried: hashes of upstreams that this request has been at.
  */
 struct gw_place_request {
 	const struct ca_service *service;
 	const char *model;
-	uint64_t subject;
+	struct pc_request prefix;
 	const uint64_t *tried;
 	uint32_t tried_count;
 };
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -178,13 +178,18 @@
 	struct gw_place_request request = {
 		.service = r->service,
 		.model = r->in.model,
-		.subject = r->subject,
+		.prefix = r->prefix,
 		.tried = r->tried,
 		.tried_count = r->tried_count,
 	};
-	struct gw_place_answer answer =
-		gw_place(r->gateway, &request, ck_now_ms());
-
+	const struct gw_wanted *wanted =
+		r->in.model ? gw_wanted_of(r->gateway, r->in.model) : NULL;
+	struct gw_place_answer answer;
+
+	request.prefix.is_root_read =
+		!wanted ||
+		gw_roots_has(&r->gateway->roots, wanted->version, r->prefix.root);
+	answer = gw_place(r->gateway, &request, ck_now_ms());
 	if (!answer.engine || r->failed_connects >= GW_MAX_FAILED_CONNECTS)
 		gw_give_up(r, "no_engine");
 	else
@@ -198,23 +203,24 @@
 	return value ? value : "";
 }
 
-/* The last shared part names the subject; the last part is the request's. */
-static void gw_find_subject(struct gw_request *r)
+/* All parts but the last one are shared. Isolated teams share with nobody. */
+static void gw_find_prefix(struct gw_request *r)
 {
 	const struct dl_request *in = &r->in;
-	const char *isolated = r->terms.team && r->terms.team->is_isolated
-				       ? r->terms.team->name
-				       : "";
-	uint64_t id = 0;
-
-	if (in->part_count > 1)
-		id = in->parts[in->part_count - 2].id;
-	else if (in->part_count)
-		id = in->parts[0].id;
-	if (id)
-		r->subject =
-			XXH3_64bits_withSeed(isolated, strlen(isolated), id) |
+	const char *isolated = r->terms.team && r->terms.team->is_isolated ?
+				       r->terms.team->name :
+				       "";
+	uint32_t shared = in->part_count > 1 ? in->part_count - 1 : 0;
+
+	for (uint32_t i = 0; i < shared; i++) {
+		r->prefix.shared_tokens += in->parts[i].tokens;
+		r->prefix.subject =
+			XXH3_64bits_withSeed(isolated, strlen(isolated),
+					     in->parts[i].id) |
 			1;
+		if (!i)
+			r->prefix.root = r->prefix.subject;
+	}
 }
 
 static void gw_set_times(struct gw_request *r)
@@ -293,7 +299,7 @@
 		return;
 	}
 	rb_budget_earn(&g->retries);
-	gw_find_subject(r);
+	gw_find_prefix(r);
 	gw_set_times(r);
 	gw_start_timer(r);
 	gw_request_place(r);
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -33,7 +33,7 @@
  * @terms: of its admission.
  * @end_ms: its time is over then.
  * @caller_end_ms: the caller leaves then.
- * @subject: of its shared prefix.
+ * @prefix: what it shares with other prompts, see src/placement/pc.h.
  * @scope: cached prompts are shared under it.
  * @sends: upstreams it was sent to.
  * @failed_connects: upstreams that took no connection.
@@ -51,7 +51,7 @@
 	int64_t arrived_ms;
 	int64_t end_ms;
 	int64_t caller_end_ms;
-	uint64_t subject;
+	struct pc_request prefix;
 	char scope[2 * DL_ID_BYTES];
 	ev_timer timer;
 
--- a/src/gateway/gw_rollout.c
+++ b/src/gateway/gw_rollout.c
@@ -199,7 +199,7 @@
 	job->knows_orders = !report.is_busy;
 	job->next_ms = report.is_busy ? ck_now_ms() + GW_ORDER_RETRY_MS : 0;
 	if (!report.is_busy && report.weights > e->entry.weights) {
-		e->entry.weights = report.weights;
+		fl_learn_weights(e, report.weights, ck_now_ms());
 		gw_plan_update(job->rollout->gateway);
 	}
 }
@@ -215,7 +215,7 @@
 		job->knows_orders = false;
 		return;
 	case 200:
-		job->engine->entry.weights = job->version;
+		fl_learn_weights(job->engine, job->version, ck_now_ms());
 		gw_plan_update(job->rollout->gateway);
 		gw_job_log(job, "order", "already_there");
 		return;
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -108,6 +108,9 @@
 	if (!r->has_begun) {
 		r->has_begun = true;
 		r->first_ms = ck_now_ms();
+		if (r->prefix.root)
+			gw_roots_add(&r->gateway->roots,
+				     r->engine->entry.weights, r->prefix.root);
 		h1_begin(r->exchange, r->status, &r->answer_headers, -1);
 	}
 	if (event->id >= 0)
