stop: late requests refused; a timeout after sending is never 'not run'

Cause: a request that was under way when its time ended counted as never sent, so 503 was said of requests that had run (REFUSED); after SIGTERM requests on kept connections were taken to the last moment and cut (LOST).

--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -13,8 +13,8 @@
 /* Where the platform puts the settings, and the variable that names the file.
  */
 #define GW_SETTINGS_ENV "BALSAMPIN_BOOT"
-/* After SIGTERM the balancer still sends new connections for two seconds. */
-#define GW_STOP_MIN_MS 3000
+/* After SIGTERM the balancer still sends new connections for two seconds and more. */
+#define GW_STOP_MIN_MS 2600
 /* The process ends by itself so long before it would be killed. */
 #define GW_STOP_MARGIN_MS 500
 /* Each host's part of the repeats that are always allowed. */
--- a/src/gateway/gw_front.c
+++ b/src/gateway/gw_front.c
@@ -97,6 +97,7 @@
 void gw_front_drain(struct gw_gateway *g)
 {
 	h1_server_drain(&g->front->callers);
+	h1_server_close_idle(&g->front->callers);
 }
 
 uint32_t gw_front_busy(const struct gw_gateway *g)
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -17,6 +17,8 @@
  * some work, spread so that callers do not return as one wave. */
 #define GW_RETRY_AFTER_MIN_S 0.3
 #define GW_RETRY_AFTER_MAX_S 0.9
+/* After SIGTERM requests are taken that long: their streams can still end. */
+#define GW_STOP_TAKES_MS 2500
 /* Limit for callers who do not say how long they wait. */
 #define GW_DEFAULT_BUDGET_MS 60000
 
@@ -129,6 +131,8 @@
 {
 	struct gw_request *r = w->data;
 
+	if (h1_call_was_sent(&r->call))
+		r->may_have_begun = true;
 	gw_send_cancel(r);
 	gw_give_up(r, "timeout");
 }
@@ -287,6 +291,10 @@
 	gw_events_init(&r->events);
 	g->dialect->read_request(exchange->headers, &r->in);
 	r->last_event = r->in.resume_after;
+	if (g->stop_ms && r->arrived_ms - g->stop_ms > GW_STOP_TAKES_MS) {
+		gw_request_refuse(r, 503, "stopping");
+		return;
+	}
 	verdict = gw_admit_request(r, ck_now_ms());
 	if (verdict != GW_ADMITTED) {
 		gw_answer_unadmitted(r, verdict);
