--- a/src/fleet/fl.h
+++ b/src/fleet/fl.h
@@ -33,11 +33,12 @@
  * @hash: of the id, for rendezvous hashing.
  * @peer: connections to it.
  * @running: requests of this host there.
- * @running_tokens: prompt tokens of theirs that may still have to be read.
+ * @waiting_tokens: prompt tokens of theirs that are not read yet.
  * @failures: in a row.
  * @avoid_until_ms: it gets no request before, unless there is no other.
  * @joined_ms: when it was first seen with its present weights.
  * @region: of its availability zone; set by the owner of the fleet.
+ * @zone_number, @region_number: of their names, equal for equal names.
  * @is_next: it is about to load new weights or does; see gw_plan.h.
  * @is_gone: no new requests; kept for those that still refer to it.
  */
@@ -46,11 +47,13 @@
 	uint64_t hash;
 	struct h1_peer peer;
 	uint32_t running;
-	uint64_t running_tokens;
+	uint32_t waiting_tokens;
 	uint32_t failures;
 	int64_t avoid_until_ms;
 	int64_t joined_ms;
 	const char *region;
+	uint32_t zone_number;
+	uint32_t region_number;
 	bool is_next;
 	bool is_gone;
 
--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -2,6 +2,7 @@
  * The command "gateway": settings, parts, signals, and the graceful shutdown.
  */
 #include <argp.h>
+#include <sodium.h>
 #include <stdio.h>
 #include <sysexits.h>
 
@@ -13,10 +14,13 @@
 /* Where the platform puts the settings, and the variable that names the file.
  */
 #define GW_SETTINGS_ENV "BALSAMPIN_BOOT"
-/* After SIGTERM the balancer still sends new connections for two seconds and more. */
+/* After SIGTERM the balancer still sends new connections for two seconds and
+ * more. */
 #define GW_STOP_MIN_MS 2600
 /* The process ends by itself so long before it would be killed. */
 #define GW_STOP_MARGIN_MS 500
+/* Log lines are written that often; a crash loses no more. */
+#define GW_LOG_PERIOD_S 0.1
 /* Each host's part of the repeats that are always allowed. */
 #define GW_RETRY_RESERVE 2
 #define GW_PERMILLE	 1000
@@ -104,13 +108,23 @@
 		NULL);
 }
 
+static void gw_write_logs(struct ev_loop *loop, ev_timer *w, int events)
+{
+	lg_flush();
+}
+
 static enum st_code gw_task_start(struct kn_task *task)
 {
 	struct gw_gateway *g = task->state;
 	enum st_code code = gw_knowledge_start(g);
 
+	ev_timer_init(&g->log_timer, gw_write_logs, GW_LOG_PERIOD_S,
+		      GW_LOG_PERIOD_S);
+	ev_timer_start(g->kernel.loop, &g->log_timer);
 	if (code == ST_OK)
 		code = gw_rollout_start(g);
+	if (code == ST_OK)
+		code = gw_peers_start(g);
 	if (code == ST_OK)
 		code = gw_front_start(g);
 	return code;
@@ -139,7 +153,9 @@
 {
 	struct gw_gateway *g = task->state;
 
+	ev_timer_stop(g->kernel.loop, &g->log_timer);
 	gw_front_stop(g);
+	gw_peers_stop(g);
 	gw_rollout_stop(g);
 	gw_knowledge_stop(g);
 }
@@ -161,7 +177,8 @@
 	if (code != ST_OK)
 		return code;
 	g->wanted = g_array_new(FALSE, TRUE, sizeof(struct gw_wanted));
-	gw_roots_init(&g->roots);
+	pe_held_init(&g->held);
+	pe_load_init(&g->others);
 	fl_init(&g->fleet, g->kernel.loop);
 	rb_budget_init(&g->retries,
 		       &(struct rb_desc){ .ratio_permille =
@@ -180,7 +197,8 @@
 {
 	kn_stop_all(&g->kernel);
 	fl_finish(&g->fleet);
-	gw_roots_finish(&g->roots);
+	pe_held_finish(&g->held);
+	pe_load_finish(&g->others);
 	rw_finish(&g->store);
 	ca_catalog_unref(g->catalog);
 	g_array_free(g->wanted, TRUE);
@@ -196,6 +214,7 @@
 	    kn_spawn(&g->kernel, &gw_task_ops, g, NULL) != ST_OK) {
 		lg_error("cannot start", "event", "start", "reason",
 			 st_message(), NULL);
+		lg_flush();
 		return EX_UNAVAILABLE;
 	}
 	ev_signal_init(&hangup, gw_reload, SIGHUP);
@@ -209,6 +228,7 @@
 	ev_ref(g->kernel.loop);
 	ev_signal_stop(g->kernel.loop, &hangup);
 	gw_finish(g);
+	lg_flush();
 	return 0;
 }
 
@@ -223,9 +243,12 @@
 		return EX_CONFIG;
 	if (arguments.only_check)
 		return 0;
+	if (sodium_init() < 0)
+		return EX_SOFTWARE;
 	lg_init(&(struct lg_desc){ .role = "gateway",
 				   .host = gateway.settings.host,
-				   .zone = gateway.settings.zone });
+				   .zone = gateway.settings.zone,
+				   .defers = TRUE });
 	return gw_run(&gateway);
 }
 
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -13,6 +13,7 @@
  *	gw_watch.c	follows one table of the store
  *	gw_knowledge.c	configuration, wanted weights and upstreams from it
  *	gw_rollout.c	brings engines to the wanted weights
+ *	gw_peers.c	load and held prefixes, shared with the other hosts
  *	gw_place.c	candidates for src/placement
  *
  *	The platform's spelling comes from a dialect (src/dialect/dl.h) and its
@@ -24,16 +25,18 @@
 #include "catalog/ca.h"
 #include "dialect/dl.h"
 #include "fleet/fl.h"
-#include "gateway/gw_roots.h"
 #include "gateway/gw_settings.h"
 #include "http1/h1_server.h"
 #include "kernel/kn.h"
 #include "limits/rb.h"
+#include "peers/pe_held.h"
+#include "peers/pe_load.h"
 #include "rows/rw.h"
 
 struct gw_knowledge;
 struct gw_rollout;
 struct gw_front;
+struct gw_peers;
 
 /** struct gw_wanted - the version that engines of a model are to have. */
 struct gw_wanted {
@@ -54,7 +57,8 @@
  * @fleet: upstreams.
  * @has_fleet: the table of upstreams has been read.
  * @wanted: list of struct gw_wanted.
- * @roots: of prompts, read under the newest weights.
+ * @held: prefixes that engines have read.
+ * @others: what the other hosts have running.
  * @config_fresh_ms: nothing newer than @catalog existed then.
  * @retries: budget of this host for second sends.
  * @stop_ms: when SIGTERM came, 0 before.
@@ -69,14 +73,17 @@
 	struct fl_fleet fleet;
 	bool has_fleet;
 	GArray *wanted;
-	struct gw_roots roots;
+	struct pe_held held;
+	struct pe_load others;
 	int64_t config_fresh_ms;
 	struct rb_budget retries;
 	int64_t stop_ms;
+	ev_timer log_timer;
 
 	struct gw_knowledge *knowledge;
 	struct gw_rollout *rollout;
 	struct gw_front *front;
+	struct gw_peers *peers;
 };
 
 /** gw_wanted_of() - of a model, NULL if none was named. */
@@ -97,6 +104,16 @@
 /** gw_rollout_changed() - an engine's or a wanted version changed. */
 void gw_rollout_changed(struct gw_gateway *g);
 
+/** gw_peers_start() - share load and prefixes with the other hosts. */
+enum st_code gw_peers_start(struct gw_gateway *g);
+void gw_peers_stop(struct gw_gateway *g);
+
+/** gw_peers_rows() - the gateway's own rows were read. */
+void gw_peers_rows(struct gw_gateway *g, const struct rw_rows *rows);
+
+/** gw_peers_tell_held() - an engine has read a prefix. */
+void gw_peers_tell_held(struct gw_gateway *g, uint64_t key, uint64_t engine);
+
 /** gw_front_start() - listen for callers. */
 enum st_code gw_front_start(struct gw_gateway *g);
 void gw_front_stop(struct gw_gateway *g);
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -165,10 +165,13 @@
 	    known->entry.started_ms != entry.started_ms)
 		lg_info("engine entry", "event", "engine_entry", "engine",
 			entry.id, "service", entry.service, "engine_zone",
-			entry.zone, "state", entry.is_draining ? "draining" : "ready",
-			"weights", weights, NULL);
+			entry.zone, "state",
+			entry.is_draining ? "draining" : "ready", "weights",
+			weights, NULL);
 	known = fl_put(&g->fleet, &entry, ck_now_ms());
 	known->region = gw_region_of(&g->settings, entry.zone);
+	known->zone_number = g_quark_from_string(entry.zone);
+	known->region_number = g_quark_from_string(known->region);
 }
 
 /* The whole table was read: what is not in it is missing. */
--- /dev/null
+++ b/src/gateway/gw_peers.c
@@ -0,0 +1,414 @@
+/*
+ * Load and held prefixes, shared with the other hosts by datagrams.
+ *
+ * Hosts find each other in the gateway's own rows: "host/NAME" holds an
+ * address, "key" the key that authenticates the datagrams. A host that was
+ * replaced leaves its row behind; it is then only tried once in a while.
+ */
+#include <arpa/inet.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gateway/gw.h"
+#include "kernel/ck.h"
+#include "kernel/lg.h"
+#include "kernel/mt.h"
+#include "rpc/gen/balsampin.h"
+#include "rpc/rp.h"
+
+#define GW_KEY_ROW	"key"
+#define GW_HOST_PREFIX	"host/"
+#define GW_PEERS_TICK_S 0.02
+/* Between two messages to a peer: the time in which a request or two of ten
+ * hosts are placed; more when there are many peers, to bound the bytes. */
+#define GW_NEAR_MS	   60
+#define GW_FAR_MS	   200
+#define GW_PER_PEER_MS	   6
+#define GW_SILENT_MS	   3000
+#define GW_TRY_SILENT_MS   2000
+#define GW_FORGET_LOAD_MS  1500
+#define GW_FORGET_HELD_MS  30000
+#define GW_ROWS_PERIOD_MS  5000
+#define GW_ROWS_RETRY_MS   500
+#define GW_ROWS_TIMEOUT_MS 1000
+#define GW_SWEEP_MS	   1000
+/* Held prefixes that wait to be told; older ones are left out. */
+#define GW_MAX_NEWS 1024
+
+MT_COUNTER(gw_peer_sent, "balsampin_gateway_peer_messages_sent_total",
+	   "load messages to other hosts")
+MT_COUNTER(gw_peer_heard, "balsampin_gateway_peer_messages_heard_total",
+	   "load messages of other hosts")
+
+struct gw_peer {
+	char name[DL_ID_BYTES];
+	uint32_t ipv4;
+	uint16_t port;
+	bool is_far;
+	int64_t heard_ms;
+	int64_t sent_ms;
+	uint64_t told;
+};
+
+struct gw_peers {
+	struct gw_gateway *gateway;
+	struct rp_endpoint rpc;
+	bool is_open;
+	bool is_writing;
+	ev_timer tick;
+	struct rw_call read_call;
+	struct rw_call write_call;
+	GPtrArray *peers;
+	GArray *news;
+	uint64_t news_end;
+	uint64_t sequence;
+	int64_t next_read_ms;
+	int64_t next_sweep_ms;
+	char key[2 * RP_KEY_BYTES + 1];
+	char address[64];
+};
+
+static void gw_on_load(void *arg, struct rp_request *request, const void *args)
+{
+	struct gw_peers *p = arg;
+	const bp_gateway_load *message = args;
+	const struct rp_peer *from = rp_peer_of(request);
+	struct pe_share shares[BP_MAX_SHARES];
+	int64_t now_ms = ck_now_ms();
+
+	mt_add(&gw_peer_heard, 1);
+	for (uint32_t i = 0; i < message->shares.shares_len; i++) {
+		const bp_share *share = &message->shares.shares_val[i];
+
+		shares[i] = (struct pe_share){ share->engine, share->running,
+					       share->tokens };
+	}
+	pe_load_hear(&p->gateway->others, from->incarnation, message->sequence,
+		     shares, message->shares.shares_len, now_ms);
+	for (uint32_t i = 0; i < message->held.held_len; i++)
+		pe_held_add(&p->gateway->held, message->held.held_val[i].key,
+			    message->held.held_val[i].engine, now_ms);
+	for (uint32_t i = 0; i < p->peers->len; i++) {
+		struct gw_peer *peer = p->peers->pdata[i];
+
+		if (peer->ipv4 == from->ipv4 && peer->port == from->port)
+			peer->heard_ms = now_ms;
+	}
+	rp_drop(request);
+}
+
+static uint32_t gw_fill_shares(const struct gw_gateway *g, bp_share *shares)
+{
+	uint32_t count = 0;
+
+	fl_for_each(&g->fleet, e)
+	{
+		if (count == BP_MAX_SHARES ||
+		    (!e->running && !e->waiting_tokens))
+			continue;
+		shares[count++] =
+			(bp_share){ e->hash, e->running, e->waiting_tokens };
+	}
+	return count;
+}
+
+/* The newest that the peer has not been told; the oldest may be left out. */
+static uint32_t gw_fill_held(struct gw_peers *p, struct gw_peer *peer,
+			     bp_held *held)
+{
+	uint64_t first = p->news_end - p->news->len;
+	uint32_t count = 0;
+
+	if (peer->told < first)
+		peer->told = first;
+	while (peer->told < p->news_end && count < BP_MAX_HELD) {
+		held[count++] =
+			g_array_index(p->news, bp_held, peer->told - first);
+		peer->told++;
+	}
+	return count;
+}
+
+static void gw_send_load(struct gw_peers *p, struct gw_peer *peer,
+			 int64_t now_ms)
+{
+	bp_share shares[BP_MAX_SHARES];
+	bp_held held[BP_MAX_HELD];
+	bp_gateway_load message = { .sequence = p->sequence++ };
+
+	message.shares.shares_val = shares;
+	message.shares.shares_len = gw_fill_shares(p->gateway, shares);
+	message.held.held_val = held;
+	message.held.held_len = gw_fill_held(p, peer, held);
+	peer->sent_ms = now_ms;
+	mt_add(&gw_peer_sent, 1);
+	rp_call(&p->rpc,
+		&(struct rp_call_desc){
+			.to = { .ipv4 = peer->ipv4, .port = peer->port },
+			.number = BP_GATEWAY_LOAD,
+			.args = (xdrproc_t)xdr_bp_gateway_load,
+			.args_value = &message,
+			.deadline_ms = GW_NEAR_MS },
+		NULL);
+}
+
+static int64_t gw_send_period_ms(const struct gw_peers *p,
+				 const struct gw_peer *peer, int64_t now_ms)
+{
+	int64_t period_ms = peer->is_far ? GW_FAR_MS : GW_NEAR_MS;
+
+	if (now_ms - peer->heard_ms > GW_SILENT_MS)
+		return GW_TRY_SILENT_MS;
+	return MAX(period_ms, (int64_t)p->peers->len * GW_PER_PEER_MS);
+}
+
+static void gw_sweep_peers(struct gw_peers *p, int64_t now_ms)
+{
+	p->next_sweep_ms = now_ms + GW_SWEEP_MS;
+	pe_load_expire(&p->gateway->others, now_ms - GW_FORGET_LOAD_MS);
+	pe_held_expire(&p->gateway->held, now_ms - GW_FORGET_HELD_MS);
+}
+
+static void gw_on_own_rows(void *arg, enum st_code code,
+			   const struct rw_rows *rows)
+{
+	struct gw_peers *p = arg;
+
+	if (code == ST_OK)
+		gw_peers_rows(p->gateway, rows);
+	else
+		p->next_read_ms = ck_now_ms() + GW_ROWS_RETRY_MS;
+}
+
+static void gw_read_own_rows(struct gw_peers *p, int64_t now_ms)
+{
+	p->next_read_ms = now_ms + GW_ROWS_PERIOD_MS;
+	rw_get(&p->gateway->store,
+	       &(struct rw_query){ .table = p->gateway->dialect->own_table,
+				   .timeout_ms = GW_ROWS_TIMEOUT_MS },
+	       gw_on_own_rows, p, &p->read_call);
+}
+
+static void gw_on_peers_tick(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct gw_peers *p = w->data;
+	int64_t now_ms = ck_now_ms();
+
+	if (now_ms >= p->next_read_ms && !p->read_call._call)
+		gw_read_own_rows(p, now_ms);
+	if (now_ms >= p->next_sweep_ms)
+		gw_sweep_peers(p, now_ms);
+	for (uint32_t i = 0; p->is_open && i < p->peers->len; i++) {
+		struct gw_peer *peer = p->peers->pdata[i];
+
+		if (now_ms - peer->sent_ms >=
+		    gw_send_period_ms(p, peer, now_ms))
+			gw_send_load(p, peer, now_ms);
+	}
+}
+
+static void gw_on_row_written(void *arg, enum st_code code, uint64_t version)
+{
+	struct gw_peers *p = arg;
+
+	p->is_writing = false;
+	p->next_read_ms =
+		ck_now_ms() +
+		(code == ST_OK || code == ST_CONFLICT ? 0 : GW_ROWS_RETRY_MS);
+}
+
+static void gw_write_row(struct gw_peers *p, const char *key, const char *value,
+			 uint64_t version)
+{
+	if (p->is_writing)
+		return;
+	p->is_writing = true;
+	rw_write(&p->gateway->store,
+		 &(struct rw_write){ .table = p->gateway->dialect->own_table,
+				     .key = key,
+				     .value = value,
+				     .version = version,
+				     .timeout_ms = GW_ROWS_TIMEOUT_MS },
+		 gw_on_row_written, p, &p->write_call);
+}
+
+static void gw_make_key(struct gw_peers *p)
+{
+	uint8_t bytes[RP_KEY_BYTES];
+	char text[2 * RP_KEY_BYTES + 1];
+
+	randombytes_buf(bytes, sizeof(bytes));
+	sodium_bin2hex(text, sizeof(text), bytes, sizeof(bytes));
+	gw_write_row(p, GW_KEY_ROW, text, 0);
+}
+
+static void gw_open_endpoint(struct gw_peers *p, const char *key)
+{
+	const struct gw_settings *s = &p->gateway->settings;
+	uint8_t bytes[RP_KEY_BYTES];
+	size_t got = 0;
+	enum st_code code;
+
+	if (sodium_hex2bin(bytes, sizeof(bytes), key, strlen(key), NULL, &got,
+			   NULL) ||
+	    got != sizeof(bytes)) {
+		lg_warn("row ignored", "event", "row_ignored", "key",
+			GW_KEY_ROW, NULL);
+		return;
+	}
+	g_strlcpy(p->key, key, sizeof(p->key));
+	code = rp_init(&p->rpc, &(struct rp_desc){
+					.loop = p->gateway->kernel.loop,
+					.address = s->peers.address,
+					.port = s->peers.port,
+					.key = bytes,
+					.host = s->host,
+					.role = "gateway",
+					.incarnation = rp_new_incarnation() });
+	if (code == ST_OK)
+		code = rp_serve(&p->rpc,
+				&(struct rp_procedure){
+					.number = BP_GATEWAY_LOAD,
+					.args = (xdrproc_t)xdr_bp_gateway_load,
+					.args_bytes = sizeof(bp_gateway_load),
+					.handler = gw_on_load,
+					.arg = p });
+	p->is_open = code == ST_OK;
+	if (!p->is_open)
+		lg_warn("no messages to other hosts", "event", "peers_closed",
+			"reason", st_message(), NULL);
+}
+
+static struct gw_peer *gw_find_peer(const struct gw_peers *p, const char *name)
+{
+	for (uint32_t i = 0; i < p->peers->len; i++) {
+		struct gw_peer *peer = p->peers->pdata[i];
+
+		if (!strcmp(peer->name, name))
+			return peer;
+	}
+	return NULL;
+}
+
+/* "IP:PORT REGION" */
+static bool gw_read_peer(const struct gw_gateway *g, const char *value,
+			 struct gw_peer *peer)
+{
+	char ip[16], region[DL_ID_BYTES];
+	struct in_addr address;
+	unsigned int port;
+
+	if (sscanf(value, "%15[0-9.]:%u %71s", ip, &port, region) != 3 ||
+	    inet_pton(AF_INET, ip, &address) != 1 || port > UINT16_MAX)
+		return false;
+	peer->ipv4 = ntohl(address.s_addr);
+	peer->port = port;
+	peer->is_far = strcmp(region, g->settings.region) != 0;
+	return true;
+}
+
+static void gw_take_peer(struct gw_peers *p, const struct rw_row *row)
+{
+	const char *name = row->key + strlen(GW_HOST_PREFIX);
+	struct gw_peer read = { 0 };
+	struct gw_peer *peer = gw_find_peer(p, name);
+
+	if (!row->value || !gw_read_peer(p->gateway, row->value, &read)) {
+		lg_warn("row ignored", "event", "row_ignored", "key", row->key,
+			NULL);
+		return;
+	}
+	if (!peer) {
+		peer = g_new0(struct gw_peer, 1);
+		g_strlcpy(peer->name, name, sizeof(peer->name));
+		peer->heard_ms = ck_now_ms();
+		g_ptr_array_add(p->peers, peer);
+		lg_info("peer found", "event", "peer_found", "peer", name,
+			"address", row->value, NULL);
+	}
+	peer->ipv4 = read.ipv4;
+	peer->port = read.port;
+	peer->is_far = read.is_far;
+}
+
+void gw_peers_rows(struct gw_gateway *g, const struct rw_rows *rows)
+{
+	struct gw_peers *p = g->peers;
+	char own[DL_ID_BYTES + sizeof(GW_HOST_PREFIX)];
+	uint64_t own_version = 0;
+	bool has_key = false, has_own = false;
+
+	if (!p || !g->settings.peers.address[0])
+		return;
+	p->next_read_ms = ck_now_ms() + GW_ROWS_PERIOD_MS;
+	snprintf(own, sizeof(own), GW_HOST_PREFIX "%s", g->settings.host);
+	for (uint32_t i = 0; i < rows->count; i++) {
+		const struct rw_row *row = &rows->rows[i];
+
+		if (!strcmp(row->key, GW_KEY_ROW) && row->value) {
+			has_key = true;
+			if (!p->is_open)
+				gw_open_endpoint(p, row->value);
+		} else if (!strcmp(row->key, own)) {
+			own_version = row->version;
+			has_own = row->value && !strcmp(row->value, p->address);
+		} else if (g_str_has_prefix(row->key, GW_HOST_PREFIX)) {
+			gw_take_peer(p, row);
+		}
+	}
+	if (!has_key)
+		gw_make_key(p);
+	else if (!has_own)
+		gw_write_row(p, own, p->address, own_version);
+}
+
+void gw_peers_tell_held(struct gw_gateway *g, uint64_t key, uint64_t engine)
+{
+	struct gw_peers *p = g->peers;
+	bp_held held = { key, engine };
+
+	if (!p)
+		return;
+	if (p->news->len >= GW_MAX_NEWS)
+		g_array_remove_range(p->news, 0, GW_MAX_NEWS / 2);
+	g_array_append_val(p->news, held);
+	p->news_end++;
+}
+
+enum st_code gw_peers_start(struct gw_gateway *g)
+{
+	struct gw_peers *p = g_new0(struct gw_peers, 1);
+
+	g->peers = p;
+	p->gateway = g;
+	p->peers = g_ptr_array_new_with_free_func(g_free);
+	p->news = g_array_new(FALSE, FALSE, sizeof(bp_held));
+	snprintf(p->address, sizeof(p->address), "%s:%u %s",
+		 g->settings.peers.address, g->settings.peers.port,
+		 g->settings.region);
+	ev_timer_init(&p->tick, gw_on_peers_tick, GW_PEERS_TICK_S,
+		      GW_PEERS_TICK_S);
+	p->tick.data = p;
+	if (g->settings.peers.address[0])
+		ev_timer_start(g->kernel.loop, &p->tick);
+	return ST_OK;
+}
+
+void gw_peers_stop(struct gw_gateway *g)
+{
+	struct gw_peers *p = g->peers;
+
+	if (!p)
+		return;
+	ev_timer_stop(g->kernel.loop, &p->tick);
+	rw_cancel(&g->store, &p->read_call);
+	rw_cancel(&g->store, &p->write_call);
+	if (p->is_open)
+		rp_finish(&p->rpc);
+	g_ptr_array_free(p->peers, TRUE);
+	g_array_free(p->news, TRUE);
+	g_free(p);
+	g->peers = NULL;
+}
--- a/src/gateway/gw_place.c
+++ b/src/gateway/gw_place.c
@@ -52,6 +52,41 @@
 	       gw_has_usable_weights(g, e, wanted, now_ms);
 }
 
+static struct pc_candidate gw_candidate(const struct gw_gateway *g,
+					const struct gw_place_request *request,
+					const struct fl_engine *e,
+					const struct gw_wanted *wanted,
+					int64_t now_ms)
+{
+	const struct pc_request *prefix = &request->prefix;
+	struct pe_share others = pe_load_of(&g->others, e->hash);
+	uint64_t weights = e->entry.weights;
+	struct pc_candidate c = {
+		.hash = e->hash,
+		.running = e->running + others.running,
+		.waiting_tokens = e->waiting_tokens + others.tokens,
+		.slots = e->entry.slots,
+		.zone = e->zone_number,
+		.region = e->region_number,
+		.distance = gw_distance(g, e->entry.zone),
+		.is_avoided = now_ms < e->avoid_until_ms || e->is_next,
+		.is_tried = gw_is_tried(request, e->hash),
+	};
+
+	if (wanted && weights < wanted->version)
+		c.age_ms = MAX(now_ms - wanted->since_ms, 1);
+	if (prefix->subject) {
+		c.holds_subject = pe_held_has(
+			&g->held, pe_held_key(prefix->subject, weights),
+			e->hash);
+		c.holds_root = c.holds_subject ||
+			       pe_held_has(&g->held,
+					   pe_held_key(prefix->root, weights),
+					   e->hash);
+	}
+	return c;
+}
+
 struct gw_place_answer gw_place(const struct gw_gateway *g,
 				const struct gw_place_request *request,
 				int64_t now_ms)
@@ -61,34 +96,22 @@
 	const struct gw_wanted *wanted =
 		request->model ? gw_wanted_of(g, request->model) : NULL;
 	struct pc_answer answer;
-	struct pc_request prefix = request->prefix;
 	uint32_t count = 0;
-	bool has_current = false;
 
 	fl_for_each(&g->fleet, e)
 	{
 		if (count == GW_MAX_CANDIDATES ||
 		    !gw_can_run(g, request, e, wanted, now_ms))
 			continue;
-		if (!e->is_next && (!wanted || e->entry.weights >= wanted->version))
-			has_current = true;
 		engines[count] = e;
-		candidates[count++] = (struct pc_candidate){
-			.hash = e->hash,
-			.running = e->running,
-			.joined_ms = e->joined_ms,
-			.distance = gw_distance(g, e->entry.zone),
-			.is_avoided = now_ms < e->avoid_until_ms || e->is_next,
-			.is_tried = gw_is_tried(request, e->hash),
-			.is_current =
-				!wanted || e->entry.weights >= wanted->version,
-		};
+		candidates[count++] =
+			gw_candidate(g, request, e, wanted, now_ms);
 	}
-	/* Older weights are on their way out: nothing is worth gathering. */
-	prefix.is_root_read |= !has_current;
-	answer = pc_place(&prefix, candidates, count);
+	answer = pc_place(&request->prefix, candidates, count);
 	return (struct gw_place_answer){
 		answer.chosen < 0 ? NULL : engines[answer.chosen],
 		answer.source < 0 ? NULL : engines[answer.source],
+		answer.read_tokens,
+		answer.cost_ms,
 	};
 }
--- a/src/gateway/gw_place.h
+++ b/src/gateway/gw_place.h
@@ -31,10 +31,15 @@
 	uint32_t tried_count;
 };
 
-/** struct gw_place_answer - NULL where there is none. */
+/**
+ * struct gw_place_answer - NULL where there is none.
+ * @read_tokens, @cost_ms: see pc.h.
+ */
 struct gw_place_answer {
 	struct fl_engine *engine;
 	struct fl_engine *source;
+	uint32_t read_tokens;
+	double cost_ms;
 };
 
 struct gw_place_answer gw_place(const struct gw_gateway *g,
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -186,13 +186,8 @@
 		.tried = r->tried,
 		.tried_count = r->tried_count,
 	};
-	const struct gw_wanted *wanted =
-		r->in.model ? gw_wanted_of(r->gateway, r->in.model) : NULL;
 	struct gw_place_answer answer;
 
-	request.prefix.is_root_read =
-		!wanted ||
-		gw_roots_has(&r->gateway->roots, wanted->version, r->prefix.root);
 	answer = gw_place(r->gateway, &request, ck_now_ms());
 	if (!answer.engine || r->failed_connects >= GW_MAX_FAILED_CONNECTS)
 		gw_give_up(r, "no_engine");
@@ -211,9 +206,9 @@
 static void gw_find_prefix(struct gw_request *r)
 {
 	const struct dl_request *in = &r->in;
-	const char *isolated = r->terms.team && r->terms.team->is_isolated ?
-				       r->terms.team->name :
-				       "";
+	const char *isolated = r->terms.team && r->terms.team->is_isolated
+				       ? r->terms.team->name
+				       : "";
 	uint32_t shared = in->part_count > 1 ? in->part_count - 1 : 0;
 
 	for (uint32_t i = 0; i < shared; i++) {
@@ -222,9 +217,15 @@
 			XXH3_64bits_withSeed(isolated, strlen(isolated),
 					     in->parts[i].id) |
 			1;
-		if (!i)
-			r->prefix.root = r->prefix.subject;
+		if (i)
+			continue;
+		r->prefix.root = r->prefix.subject;
+		r->prefix.root_tokens = in->parts[i].tokens;
 	}
+	r->prefix.own_tokens =
+		in->prompt_tokens > r->prefix.shared_tokens
+			? in->prompt_tokens - r->prefix.shared_tokens
+			: 0;
 }
 
 static void gw_set_times(struct gw_request *r)
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -35,6 +35,7 @@
  * @caller_end_ms: the caller leaves then.
  * @prefix: what it shares with other prompts, see src/placement/pc.h.
  * @scope: cached prompts are shared under it.
+ * @read_tokens: counted as waiting at the engine; 0 after its first token.
  * @sends: upstreams it was sent to.
  * @failed_connects: upstreams that took no connection.
  * @may_have_begun: some upstream may have run it.
@@ -56,6 +57,7 @@
 	ev_timer timer;
 
 	struct fl_engine *engine;
+	uint32_t read_tokens;
 	struct h1_call call;
 	uint32_t sends;
 	uint32_t failed_connects;
--- a/src/gateway/gw_rollout.c
+++ b/src/gateway/gw_rollout.c
@@ -309,6 +309,8 @@
 				   &row))
 			lg_warn("lease row unreadable", "event", "row_ignored",
 				"key", GW_LEASE_KEY, NULL);
+	if (code == ST_OK)
+		gw_peers_rows(ro->gateway, rows);
 	ls_read(&ro->lease, code, &row, ck_now_ms());
 }
 
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -32,6 +32,34 @@
 		ms, NULL);
 }
 
+/* The decision and what it rests on. */
+static void gw_log_sent(const struct gw_request *r,
+			const struct gw_place_answer *to)
+{
+	char weights[24], running[12], subject[20], root[20], left[24];
+	char cost[24], reads[12], shared[12];
+
+	g_snprintf(weights, sizeof(weights), "%" G_GUINT64_FORMAT,
+		   to->engine->entry.weights);
+	g_snprintf(running, sizeof(running), "%u", to->engine->running);
+	g_snprintf(subject, sizeof(subject), "%" G_GINT64_MODIFIER "x",
+		   r->prefix.subject);
+	g_snprintf(root, sizeof(root), "%" G_GINT64_MODIFIER "x",
+		   r->prefix.root);
+	g_snprintf(left, sizeof(left), "%" G_GINT64_FORMAT,
+		   r->end_ms - r->sent_ms);
+	g_snprintf(cost, sizeof(cost), "%.0f", to->cost_ms);
+	g_snprintf(reads, sizeof(reads), "%u", to->read_tokens);
+	g_snprintf(shared, sizeof(shared), "%u", r->prefix.shared_tokens);
+	lg_info("request sent", "event", "request_sent", "request",
+		r->in.attempt ? r->in.attempt : "", "engine",
+		to->engine->entry.id, "source",
+		to->source ? to->source->entry.id : "", "subject", subject,
+		"root", root, "weights", weights, "running", running, "left_ms",
+		left, "predicted_ms", cost, "read_tokens", reads,
+		"shared_tokens", shared, NULL);
+}
+
 static void gw_leave_engine(struct gw_request *r)
 {
 	struct fl_engine *e = r->engine;
@@ -39,7 +67,8 @@
 	if (!e)
 		return;
 	e->running--;
-	e->running_tokens -= r->in.prompt_tokens;
+	e->waiting_tokens -= r->read_tokens;
+	r->read_tokens = 0;
 	r->engine = NULL;
 	fl_unref(e);
 }
@@ -101,16 +130,36 @@
 	return true;
 }
 
+static void gw_tell_held(struct gw_request *r, uint64_t prefix)
+{
+	struct gw_gateway *g = r->gateway;
+	uint64_t key = pe_held_key(prefix, r->engine->entry.weights);
+
+	if (pe_held_add(&g->held, key, r->engine->hash, ck_now_ms()))
+		gw_peers_tell_held(g, key, r->engine->hash);
+}
+
+/* The first token has come: the prompt has been read there. */
+static void gw_prompt_read(struct gw_request *r)
+{
+	r->engine->waiting_tokens -= r->read_tokens;
+	r->read_tokens = 0;
+	if (!r->prefix.subject)
+		return;
+	gw_tell_held(r, r->prefix.subject);
+	if (r->prefix.root != r->prefix.subject)
+		gw_tell_held(r, r->prefix.root);
+}
+
 static void gw_pass_event(struct gw_request *r, const struct gw_event *event)
 {
+	if (r->read_tokens)
+		gw_prompt_read(r);
 	if (event->id >= 0 && event->id <= r->last_event)
 		return;
 	if (!r->has_begun) {
 		r->has_begun = true;
 		r->first_ms = ck_now_ms();
-		if (r->prefix.root)
-			gw_roots_add(&r->gateway->roots,
-				     r->engine->entry.weights, r->prefix.root);
 		h1_begin(r->exchange, r->status, &r->answer_headers, -1);
 	}
 	if (event->id >= 0)
@@ -221,12 +270,15 @@
 	gw_request_failed(r, "engine_broke_off");
 }
 
-static void gw_prepare(struct gw_request *r, struct fl_engine *engine)
+static void gw_prepare(struct gw_request *r, const struct gw_place_answer *to)
 {
+	struct fl_engine *engine = to->engine;
+
 	r->engine = engine;
+	r->read_tokens = to->read_tokens;
 	fl_ref(engine);
 	engine->running++;
-	engine->running_tokens += r->in.prompt_tokens;
+	engine->waiting_tokens += r->read_tokens;
 	r->sends++;
 	r->sent_ms = ck_now_ms();
 	r->mode = GW_NO_ANSWER;
@@ -254,7 +306,8 @@
 				.resume_after = r->last_event };
 	struct h1_headers headers;
 
-	gw_prepare(r, to->engine);
+	gw_prepare(r, to);
+	gw_log_sent(r, to);
 	send.team = r->terms.team ? r->terms.team->name : NULL;
 	send.budget_ms = r->end_ms - r->sent_ms;
 	if (send.budget_ms < 1)
--- a/src/gateway/gw_settings.h
+++ b/src/gateway/gw_settings.h
@@ -31,6 +31,7 @@
  * @host: name of this host.
  * @callers: where callers connect.
  * @readiness: where the balancer asks whether this host takes connections.
+ * @peers: where the other hosts' messages arrive; none: this host is alone.
  * @metrics: counters; on the readiness address if it has none.
  * @dialect: plug-in of the platform.
  * @store_address: "IP:PORT" of the row store.
@@ -53,6 +54,7 @@
 	struct gw_listen callers;
 	struct gw_listen readiness;
 	struct gw_listen metrics;
+	struct gw_listen peers;
 	char *dialect;
 	char *store_address;
 	GHashTable *regions;
--- a/src/kernel/lg.c
+++ b/src/kernel/lg.c
@@ -1,17 +1,33 @@
 #include "kernel/lg.h"
 
 #include <json-c/json.h>
+#include <errno.h>
+#include <fcntl.h>
 #include <stdarg.h>
-#include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
-#define LG_MAX_FIELDS 16
+#include "kernel/mt.h"
+
+#define LG_MAX_FIELDS 20
+/* Lines that wait for a reader of standard output; more are dropped. */
+#define LG_MAX_WAITING_BYTES (512u << 10)
+/* A deferring writer writes by itself above that. */
+#define LG_WRITE_BYTES (8u << 10)
+
+MT_COUNTER(lg_lines, "balsampin_log_lines_total", "log lines written")
+MT_COUNTER(lg_dropped_total, "balsampin_log_lines_dropped_total",
+	   "log lines dropped, as standard output was not read")
 
 static struct {
 	char *role;
 	char *host;
 	char *zone;
 	gboolean debug;
+	gboolean defers;
+	GString *waiting;
+	gsize written;
+	guint64 dropped;
 } lg_state;
 
 static const char *lg_level_name(GLogLevelFlags level)
@@ -43,6 +59,59 @@
 	       !strncmp(key, "CODE_", 5);
 }
 
+static void lg_append_dropped(void)
+{
+	if (!lg_state.dropped)
+		return;
+	g_string_append_printf(
+		lg_state.waiting,
+		"{\"level\":\"warning\",\"event\":"
+		"\"log_lines_dropped\",\"count\":\"%" G_GUINT64_FORMAT "\"}\n",
+		lg_state.dropped);
+	lg_state.dropped = 0;
+}
+
+void lg_flush(void)
+{
+	GString *w = lg_state.waiting;
+
+	while (w && lg_state.written < w->len) {
+		ssize_t n = write(STDOUT_FILENO, w->str + lg_state.written,
+				  w->len - lg_state.written);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n <= 0)
+			return;
+		lg_state.written += n;
+	}
+	if (!w)
+		return;
+	g_string_truncate(w, 0);
+	lg_state.written = 0;
+	lg_append_dropped();
+}
+
+static void lg_put(const char *line)
+{
+	gsize waiting = lg_state.waiting->len - lg_state.written;
+
+	if (waiting + strlen(line) > LG_MAX_WAITING_BYTES) {
+		lg_state.dropped++;
+		mt_add(&lg_dropped_total, 1);
+		return;
+	}
+	if (lg_state.written) {
+		g_string_erase(lg_state.waiting, 0, lg_state.written);
+		lg_state.written = 0;
+	}
+	mt_add(&lg_lines, 1);
+	g_string_append(lg_state.waiting, line);
+	g_string_append_c(lg_state.waiting, '\n');
+	if (!lg_state.defers || lg_state.waiting->len >= LG_WRITE_BYTES)
+		lg_flush();
+}
+
 static GLogWriterOutput lg_writer(GLogLevelFlags level, const GLogField *fields,
 				  gsize count, gpointer data)
 {
@@ -68,8 +137,7 @@
 		lg_add(line, strcmp(key, "MESSAGE") ? key : "message",
 		       fields[i].value);
 	}
-	fprintf(stdout, "%s\n",
-		json_object_to_json_string_ext(line, JSON_C_TO_STRING_PLAIN));
+	lg_put(json_object_to_json_string_ext(line, JSON_C_TO_STRING_PLAIN));
 	json_object_put(line);
 	g_free(time_text);
 	g_date_time_unref(now);
@@ -86,6 +154,12 @@
 	lg_state.role = g_strdup(desc->role);
 	lg_state.host = g_strdup(desc->host);
 	lg_state.zone = g_strdup(desc->zone);
+	if (!lg_state.waiting)
+		lg_state.waiting = g_string_new(NULL);
+	lg_state.defers = desc->defers;
+	/* A reader that does not read must not stop the process. */
+	(void)fcntl(STDOUT_FILENO, F_SETFL,
+		    fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
 	lg_state.debug = debug && !strcmp(debug, "all");
 	g_log_set_writer_func(lg_writer, NULL, NULL);
 }
--- /dev/null
+++ b/src/peers/pe_load.c
@@ -0,0 +1,119 @@
+#include "peers/pe_load.h"
+
+#include <string.h>
+
+struct pe_peer {
+	uint64_t id;
+	uint64_t sequence;
+	int64_t heard_ms;
+	uint32_t count;
+	struct pe_share *shares;
+};
+
+static void pe_peer_free(void *data)
+{
+	struct pe_peer *peer = data;
+
+	g_free(peer->shares);
+	g_free(peer);
+}
+
+void pe_load_init(struct pe_load *load)
+{
+	load->_peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					     pe_peer_free);
+	load->_sums = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					    g_free);
+}
+
+void pe_load_finish(struct pe_load *load)
+{
+	if (!load->_peers)
+		return;
+	g_hash_table_destroy(load->_peers);
+	g_hash_table_destroy(load->_sums);
+	load->_peers = NULL;
+}
+
+static void pe_add(struct pe_load *load, const struct pe_share *share)
+{
+	struct pe_share *sum = g_hash_table_lookup(load->_sums, &share->engine);
+
+	if (!sum) {
+		sum = g_new0(struct pe_share, 1);
+		sum->engine = share->engine;
+		g_hash_table_insert(load->_sums, &sum->engine, sum);
+	}
+	sum->running += share->running;
+	sum->tokens += share->tokens;
+}
+
+static void pe_subtract(struct pe_load *load, const struct pe_share *share)
+{
+	struct pe_share *sum = g_hash_table_lookup(load->_sums, &share->engine);
+
+	if (!sum)
+		return;
+	sum->running -= share->running;
+	sum->tokens -= share->tokens;
+	if (!sum->running && !sum->tokens)
+		g_hash_table_remove(load->_sums, &share->engine);
+}
+
+static void pe_forget(struct pe_load *load, struct pe_peer *peer)
+{
+	for (uint32_t i = 0; i < peer->count; i++)
+		pe_subtract(load, &peer->shares[i]);
+	peer->count = 0;
+}
+
+void pe_load_hear(struct pe_load *load, uint64_t id, uint64_t sequence,
+		  const struct pe_share *shares, uint32_t count, int64_t now_ms)
+{
+	struct pe_peer *peer = g_hash_table_lookup(load->_peers, &id);
+
+	if (!peer) {
+		peer = g_new0(struct pe_peer, 1);
+		peer->id = id;
+		g_hash_table_insert(load->_peers, &peer->id, peer);
+	} else if (sequence <= peer->sequence) {
+		return;
+	}
+	pe_forget(load, peer);
+	peer->sequence = sequence;
+	peer->heard_ms = now_ms;
+	peer->count = count;
+	peer->shares = g_renew(struct pe_share, peer->shares, count);
+	for (uint32_t i = 0; i < count; i++) {
+		peer->shares[i] = shares[i];
+		pe_add(load, &shares[i]);
+	}
+}
+
+void pe_load_expire(struct pe_load *load, int64_t before_ms)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, load->_peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pe_peer *peer = value;
+
+		if (peer->heard_ms >= before_ms)
+			continue;
+		pe_forget(load, peer);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+struct pe_share pe_load_of(const struct pe_load *load, uint64_t engine)
+{
+	const struct pe_share *sum = g_hash_table_lookup(load->_sums, &engine);
+
+	return sum ? *sum : (struct pe_share){ .engine = engine };
+}
+
+uint32_t pe_load_peers(const struct pe_load *load)
+{
+	return g_hash_table_size(load->_peers);
+}
--- a/src/placement/pc.c
+++ b/src/placement/pc.c
@@ -2,22 +2,29 @@
 
 #include <stddef.h>
 
-/*
- * An engine is passed over above this multiple of the average number of
- * requests, plus a constant for small averages (consistent hashing with
- * bounded loads, Mirrokni et al., 2017).
- */
-#define PC_BOUND_NUMERATOR   3
-#define PC_BOUND_DENOMINATOR 2
-#define PC_BOUND_EXTRA	     2
-/*
- * A prefix this long costs more to read twice than the bytes of a request and
- * its answer cost on the way to the other region and back.
- */
-#define PC_LONG_TOKENS 1000
-/* Engines that got their weights within that time of each other joined
- * together. */
-#define PC_JOIN_SPAN_MS 150
+/* Prompt tokens that an engine reads in a ms; engines of one pool are alike,
+ * so it only weighs reading against the other terms. */
+#define PC_TOKENS_PER_MS 40.0
+/* Copying a token within a zone, between zones and between regions: 262 KB
+ * over a link of about 1 Tbit/s, twice and ten times as long. */
+#define PC_COPY_MS	  0.002
+#define PC_COPY_ZONE_MS	  0.004
+#define PC_COPY_REGION_MS 0.02
+/* What a copy takes from other prefixes that its engine must evict for it. */
+#define PC_EVICT_MS 0.004
+/* One way to another zone and back, and to another region and back. The bytes
+ * of a request between regions cost, too: the term is twice the delay. */
+#define PC_ZONE_MS   4.0
+#define PC_REGION_MS 120.0
+/* Each running request makes the steps of an engine a little longer. */
+#define PC_RUNNING_MS 1.0
+/* A request that must wait for a slot. */
+#define PC_SLOT_MS 100.0
+/* Older weights cost nothing for so long, then this much. */
+#define PC_OLD_FREE_MS	  1200
+#define PC_OLD_PENALTY_MS 400.0
+/* Last resort. */
+#define PC_AVOIDED_MS 100000.0
 
 static uint64_t pc_mix(uint64_t x)
 {
@@ -28,76 +35,36 @@
 	return x ^ x >> 33;
 }
 
-static uint64_t pc_rank(uint64_t key, const struct pc_candidate *c)
-{
-	return pc_mix(key ^ c->hash);
-}
-
-/* Which candidates may be chosen, from the best class to the last resort. */
-enum pc_class { PC_GOOD = 0, PC_OLD_WEIGHTS, PC_AVOIDED, PC_CLASSES };
-
 /**
- * struct pc_pool - the candidates that are looked at in one go.
- * @class: of those.
- * @reach: PC_OTHER_REGION takes in all, PC_SAME_REGION the near ones.
- * @except: index that is left out, -1 for none.
- * @joined_before_ms: only those that joined earlier.
- * @max_running: only those with no more requests.
+ * struct pc_view - the request and the table, and what follows from both.
+ * @home: candidate that reads the prefix first, -1 for none.
+ * @is_held: a usable candidate holds the subject.
+ * @is_root_held: one holds the root.
  */
-struct pc_pool {
+struct pc_view {
+	const struct pc_request *request;
 	const struct pc_candidate *candidates;
 	uint32_t count;
-	enum pc_class class;
-	enum pc_distance reach;
-	int32_t except;
-	int64_t joined_before_ms;
-	uint32_t max_running;
+	int32_t home;
+	bool is_held;
+	bool is_root_held;
 };
 
-static enum pc_class pc_class_of(const struct pc_candidate *c)
+static bool pc_is_usable(const struct pc_candidate *c)
 {
-	if (c->is_avoided)
-		return PC_AVOIDED;
-	return c->is_current ? PC_GOOD : PC_OLD_WEIGHTS;
-}
-
-static bool pc_is_in(const struct pc_pool *pool, uint32_t i)
-{
-	const struct pc_candidate *c = &pool->candidates[i];
-
-	return !c->is_tried && pc_class_of(c) == pool->class &&
-	       c->distance <= pool->reach && (int32_t)i != pool->except &&
-	       c->joined_ms < pool->joined_before_ms &&
-	       c->running <= pool->max_running;
+	return !c->is_tried && !c->is_avoided && !c->age_ms;
 }
 
-static uint32_t pc_bound(const struct pc_pool *pool)
-{
-	uint64_t sum = 0, n = 0;
-
-	for (uint32_t i = 0; i < pool->count; i++) {
-		if (!pc_is_in(pool, i))
-			continue;
-		sum += pool->candidates[i].running;
-		n++;
-	}
-	if (!n)
-		return 0;
-	return sum * PC_BOUND_NUMERATOR / (n * PC_BOUND_DENOMINATOR) +
-	       PC_BOUND_EXTRA;
-}
-
-static int32_t pc_home(const struct pc_pool *pool, uint64_t key)
+static int32_t pc_first_in_rank(const struct pc_view *view, uint64_t key)
 {
 	int32_t best = -1;
 	uint64_t best_rank = 0;
 
-	for (uint32_t i = 0; i < pool->count; i++) {
-		uint64_t rank;
+	for (uint32_t i = 0; i < view->count; i++) {
+		uint64_t rank = pc_mix(key ^ view->candidates[i].hash);
 
-		if (!pc_is_in(pool, i))
+		if (!pc_is_usable(&view->candidates[i]))
 			continue;
-		rank = pc_rank(key, &pool->candidates[i]);
 		if (best < 0 || rank > best_rank) {
 			best = i;
 			best_rank = rank;
@@ -106,89 +73,139 @@
 	return best;
 }
 
-static int32_t pc_least_loaded(const struct pc_pool *pool)
+static struct pc_view pc_look(const struct pc_request *request,
+			      const struct pc_candidate *candidates,
+			      uint32_t count)
+{
+	struct pc_view view = { request, candidates, count, -1, false, false };
+
+	if (!request->subject)
+		return view;
+	for (uint32_t i = 0; i < count; i++) {
+		const struct pc_candidate *c = &candidates[i];
+
+		if (!pc_is_usable(c))
+			continue;
+		view.is_held |= c->holds_subject;
+		view.is_root_held |= c->holds_root;
+	}
+	if (!view.is_held)
+		view.home = pc_first_in_rank(&view, view.is_root_held
+							    ? request->subject
+							    : request->root);
+	return view;
+}
+
+static double pc_copy_ms(const struct pc_candidate *from,
+			 const struct pc_candidate *to)
+{
+	if (from->region != to->region)
+		return PC_COPY_REGION_MS;
+	return from->zone != to->zone ? PC_COPY_ZONE_MS : PC_COPY_MS;
+}
+
+/* The nearest holder of the subject, else of the root; -1 for none. */
+static int32_t pc_source(const struct pc_view *view, uint32_t chosen)
 {
 	int32_t best = -1;
+	double best_ms = 0;
 
-	for (uint32_t i = 0; i < pool->count; i++) {
-		const struct pc_candidate *c = &pool->candidates[i];
-		const struct pc_candidate *b =
-			best < 0 ? NULL : &pool->candidates[best];
+	for (uint32_t i = 0; i < view->count; i++) {
+		const struct pc_candidate *c = &view->candidates[i];
+		bool has = view->is_held ? c->holds_subject : c->holds_root;
+		double ms = pc_copy_ms(c, &view->candidates[chosen]);
 
-		if (!pc_is_in(pool, i))
+		if (i == chosen || !has || !pc_is_usable(c))
 			continue;
-		if (!b || c->running < b->running ||
-		    (c->running == b->running && c->distance < b->distance))
+		if (best < 0 || ms < best_ms) {
 			best = i;
+			best_ms = ms;
+		}
 	}
 	return best;
 }
 
-static int32_t pc_choose(const struct pc_pool *pool,
-			 const struct pc_request *request)
-{
-	struct pc_pool bounded = *pool;
-	bool is_gathered = request->shared_tokens >= PC_LONG_TOKENS &&
-			   !request->is_root_read;
+/**
+ * struct pc_reading - how a candidate gets the prompt.
+ * @read_tokens: read there.
+ * @copy_tokens: copied from elsewhere.
+ */
+struct pc_reading {
+	uint32_t read_tokens;
+	uint32_t copy_tokens;
+};
 
-	if (!request->subject)
-		return pc_least_loaded(pool);
-	bounded.max_running = pc_bound(pool);
-	return pc_home(&bounded,
-		       is_gathered ? request->root : request->subject);
+static struct pc_reading pc_reading(const struct pc_view *view,
+				    const struct pc_candidate *c)
+{
+	const struct pc_request *r = view->request;
+	struct pc_reading reading = { r->own_tokens, 0 };
+
+	if (c->holds_subject || !r->subject)
+		return reading;
+	if (view->is_held && !c->age_ms) {
+		reading.copy_tokens = r->shared_tokens;
+		return reading;
+	}
+	reading.read_tokens += r->shared_tokens;
+	if (c->holds_root || (view->is_root_held && !c->age_ms))
+		reading.read_tokens -= r->root_tokens;
+	if (!c->holds_root && view->is_root_held && !c->age_ms)
+		reading.copy_tokens = r->root_tokens;
+	return reading;
 }
 
-static enum pc_distance pc_reach(const struct pc_request *request)
+static double pc_way_ms(const struct pc_candidate *c)
 {
-	return request->shared_tokens >= PC_LONG_TOKENS ? PC_OTHER_REGION :
-							  PC_SAME_REGION;
+	if (c->distance == PC_OTHER_REGION)
+		return PC_REGION_MS;
+	return c->distance == PC_SAME_REGION ? PC_ZONE_MS : 0.0;
 }
 
-/* Who has probably read the prefix, or its root, other than the chosen one. */
-static int32_t pc_source(const struct pc_pool *all,
-			 const struct pc_request *request, int32_t chosen)
+static double pc_cost_ms(const struct pc_view *view, uint32_t i)
 {
-	const struct pc_candidate *c = &all->candidates[chosen];
-	struct pc_pool pool = *all;
-	int32_t source;
-
-	pool.class = PC_GOOD;
-	pool.reach = pc_reach(request);
-	source = pc_home(&pool, request->subject);
-	if (source >= 0 && source != chosen)
-		return source;
-	pool.reach = PC_OTHER_REGION;
-	pool.except = chosen;
-	pool.joined_before_ms = c->joined_ms - PC_JOIN_SPAN_MS;
-	source = pc_home(&pool, request->subject);
-	if (source >= 0)
-		return source;
-	pool.joined_before_ms = INT64_MAX;
-	return pc_home(&pool, request->root);
+	const struct pc_candidate *c = &view->candidates[i];
+	struct pc_reading reading = pc_reading(view, c);
+	double ms = pc_way_ms(c);
+
+	ms += (c->waiting_tokens + reading.read_tokens) / PC_TOKENS_PER_MS;
+	ms += reading.copy_tokens * (PC_COPY_ZONE_MS + PC_EVICT_MS);
+	ms += c->running * PC_RUNNING_MS;
+	if (c->slots && c->running >= c->slots)
+		ms += PC_SLOT_MS * (c->running - c->slots + 1) / c->slots;
+	/* Another host may have sent the prefix to its home just now. */
+	if (view->home >= 0 && (int32_t)i != view->home && !c->age_ms)
+		ms += view->request->shared_tokens / PC_TOKENS_PER_MS;
+	if (c->age_ms > PC_OLD_FREE_MS)
+		ms += PC_OLD_PENALTY_MS;
+	if (c->is_avoided)
+		ms += PC_AVOIDED_MS;
+	return ms;
 }
 
 struct pc_answer pc_place(const struct pc_request *request,
 			  const struct pc_candidate *candidates, uint32_t count)
 {
-	struct pc_answer answer = { -1, -1 };
-	struct pc_pool pool = {
-		.candidates = candidates,
-		.count = count,
-		.except = -1,
-		.joined_before_ms = INT64_MAX,
-		.max_running = UINT32_MAX,
-	};
-
-	for (uint32_t class = 0; class < PC_CLASSES && answer.chosen < 0;
-	     class++) {
-		pool.class = class;
-		pool.reach = pc_reach(request);
-		answer.chosen = pc_choose(&pool, request);
-		pool.reach = PC_OTHER_REGION;
-		if (answer.chosen < 0)
-			answer.chosen = pc_choose(&pool, request);
+	struct pc_view view = pc_look(request, candidates, count);
+	struct pc_answer answer = { -1, -1, 0, 0 };
+
+	for (uint32_t i = 0; i < count; i++) {
+		double ms;
+
+		if (candidates[i].is_tried)
+			continue;
+		ms = pc_cost_ms(&view, i);
+		if (answer.chosen >= 0 && ms >= answer.cost_ms)
+			continue;
+		answer.chosen = i;
+		answer.cost_ms = ms;
 	}
-	if (answer.chosen >= 0 && request->subject)
-		answer.source = pc_source(&pool, request, answer.chosen);
+	if (answer.chosen < 0)
+		return answer;
+	answer.read_tokens =
+		pc_reading(&view, &candidates[answer.chosen]).read_tokens;
+	if (request->subject && !candidates[answer.chosen].holds_subject &&
+	    !candidates[answer.chosen].age_ms)
+		answer.source = pc_source(&view, answer.chosen);
 	return answer;
 }
--- a/src/placement/pc.h
+++ b/src/placement/pc.h
@@ -9,26 +9,22 @@
  *	seconds, while engines join one after the other.
  *
  * Overview
- *	Every subject has a home: the engine that rendezvous hashing of subject
- *	and engine ranks first. All hosts agree on it without a message, and
- *	the loss of an engine moves only its own subjects. Long prefixes have
- *	one home among all engines, short ones one in each region, as the way
- *	to the other region costs more than they do.
+ *	Each candidate gets a predicted time until the first token: the prompt
+ *	tokens that wait there already, the request's own, its shared prefix
+ *	unless it is held there or can be copied, and the way. The lowest sum
+ *	wins.
  *
- *	A root that this host has not yet seen read goes to the root's own
- *	home, so that only one engine reads it first. Afterwards its subjects
- *	go to their homes, which copy the root from there.
+ *	A prefix that nobody is known to hold has a home: the candidate that
+ *	rendezvous hashing ranks first. All hosts agree on it without
+ *	a message, so that only one engine reads a prefix that several hosts
+ *	ask for at the same time.
  *
- *	When engines join, some subjects move to a new home. It copies from the
- *	engine that ranks first among those that were there before.
+ *	Engines with older weights than the newest wanted stay in use for
+ *	a short while without a penalty, then with one. Avoided ones are the
+ *	last resort.
  *
- *	An engine that already has clearly more requests of this host than the
- *	average is passed over for the next in rank, which copies from the home.
- *
- *	Plain upstreams: the least loaded, the nearest among equals.
- *
- *	Engines whose weights are older than the newest wanted are used only
- *	while none has the newest.
+ *	Plain upstreams: the least loaded for its slots, the nearest among
+ *	equals.
  *
  *	A plain function over a table of candidates: no clock, no sockets.
  *
@@ -48,44 +44,60 @@
 /**
  * struct pc_candidate - an upstream that could run the request.
  * @hash: of its id.
- * @running: requests of this host there.
- * @joined_ms: since when it has its weights.
+ * @running: requests of all hosts there, as far as is known.
+ * @waiting_tokens: of their prompts, not read yet.
+ * @slots: requests that it runs at once; 0: unknown.
+ * @zone, @region: any numbers that differ between places.
+ * @distance: from this host.
+ * @holds_subject: it has read the whole shared prefix.
+ * @holds_root: it has read the first part of it.
  * @is_avoided: it failed lately, is loading or is about to.
  * @is_tried: this request has been there.
- * @is_current: it has the newest wanted weights.
+ * @age_ms: of its weights: since newer ones were wanted; 0: the newest.
  */
 struct pc_candidate {
 	uint64_t hash;
 	uint32_t running;
-	int64_t joined_ms;
+	uint32_t waiting_tokens;
+	uint32_t slots;
+	uint32_t zone;
+	uint32_t region;
 	enum pc_distance distance;
+	bool holds_subject;
+	bool holds_root;
 	bool is_avoided;
 	bool is_tried;
-	bool is_current;
+	int64_t age_ms;
 };
 
 /**
  * struct pc_request
- * @subject: of the whole shared prefix; 0: none, the least loaded is chosen.
+ * @subject: of the whole shared prefix; 0: none.
  * @root: of the first shared part; equal to @subject if there is one part.
  * @shared_tokens: of the shared prefix.
- * @is_root_read: this host has seen the root read under these weights.
+ * @root_tokens: of its first part.
+ * @own_tokens: of the rest of the prompt; 0 for plain requests.
  */
 struct pc_request {
 	uint64_t subject;
 	uint64_t root;
 	uint32_t shared_tokens;
-	bool is_root_read;
+	uint32_t root_tokens;
+	uint32_t own_tokens;
 };
 
 /**
  * struct pc_answer - indices into the table, -1 for none.
  * @chosen: where to send it.
- * @source: which engine probably holds the shared prefix.
+ * @source: from which engine it may copy the shared prefix.
+ * @read_tokens: that the chosen one probably has to read.
+ * @cost_ms: predicted time until the first token.
  */
 struct pc_answer {
 	int32_t chosen;
 	int32_t source;
+	uint32_t read_tokens;
+	double cost_ms;
 };
 
 struct pc_answer pc_place(const struct pc_request *request,
--- a/src/rpc/balsampin.x
+++ b/src/rpc/balsampin.x
@@ -125,6 +125,30 @@
 	unsigned int age_ms;
 };
 
+/* --- load and held prefixes over all gateways (U, gateway) --- */
+
+const BP_MAX_SHARES = 40;
+const BP_MAX_HELD = 32;
+
+/* Of the sender at one upstream; see src/peers/pe_load.h. */
+struct bp_share {
+	unsigned hyper engine;
+	unsigned int running;
+	unsigned int tokens;
+};
+
+/* An engine has read a prefix; see src/peers/pe_held.h. */
+struct bp_held {
+	unsigned hyper key;
+	unsigned hyper engine;
+};
+
+struct bp_gateway_load {
+	unsigned hyper sequence;
+	bp_share shares<BP_MAX_SHARES>;
+	bp_held held<BP_MAX_HELD>;
+};
+
 /* --- configuration (T, C) --- */
 
 struct bp_object {
@@ -266,5 +290,6 @@
 		bp_pulled BP_PULL(bp_pull) = 6;
 		bp_operated BP_OPERATE(bp_operate) = 7;
 		bp_timeline_part BP_TIMELINE(bp_timeline_from) = 8;
+		void BP_GATEWAY_LOAD(bp_gateway_load) = 9;
 	} = 1;
 } = 0x20426d70;
--- a/src/rpc/gen/balsampin.h
+++ b/src/rpc/gen/balsampin.h
@@ -151,6 +151,34 @@
 	u_int age_ms;
 };
 typedef struct bp_poison bp_poison;
+#define BP_MAX_SHARES 40
+#define BP_MAX_HELD 32
+
+struct bp_share {
+	u_quad_t engine;
+	u_int running;
+	u_int tokens;
+};
+typedef struct bp_share bp_share;
+
+struct bp_held {
+	u_quad_t key;
+	u_quad_t engine;
+};
+typedef struct bp_held bp_held;
+
+struct bp_gateway_load {
+	u_quad_t sequence;
+	struct {
+		u_int shares_len;
+		bp_share *shares_val;
+	} shares;
+	struct {
+		u_int held_len;
+		bp_held *held_val;
+	} held;
+};
+typedef struct bp_gateway_load bp_gateway_load;
 
 struct bp_object {
 	bp_name kind;
@@ -332,6 +360,9 @@
 #define BP_TIMELINE 8
 extern  enum clnt_stat bp_timeline_1(bp_timeline_from *, bp_timeline_part *, CLIENT *);
 extern  bool_t bp_timeline_1_svc(bp_timeline_from *, bp_timeline_part *, struct svc_req *);
+#define BP_GATEWAY_LOAD 9
+extern  enum clnt_stat bp_gateway_load_1(bp_gateway_load *, void *, CLIENT *);
+extern  bool_t bp_gateway_load_1_svc(bp_gateway_load *, void *, struct svc_req *);
 extern int balsampin_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -359,6 +390,9 @@
 #define BP_TIMELINE 8
 extern  enum clnt_stat bp_timeline_1();
 extern  bool_t bp_timeline_1_svc();
+#define BP_GATEWAY_LOAD 9
+extern  enum clnt_stat bp_gateway_load_1();
+extern  bool_t bp_gateway_load_1_svc();
 extern int balsampin_1_freeresult ();
 #endif /* K&R C */
 
@@ -379,6 +413,9 @@
 extern  bool_t xdr_bp_usage_team (XDR *, bp_usage_team*);
 extern  bool_t xdr_bp_usage (XDR *, bp_usage*);
 extern  bool_t xdr_bp_poison (XDR *, bp_poison*);
+extern  bool_t xdr_bp_share (XDR *, bp_share*);
+extern  bool_t xdr_bp_held (XDR *, bp_held*);
+extern  bool_t xdr_bp_gateway_load (XDR *, bp_gateway_load*);
 extern  bool_t xdr_bp_object (XDR *, bp_object*);
 extern  bool_t xdr_bp_upstream (XDR *, bp_upstream*);
 extern  bool_t xdr_bp_pull (XDR *, bp_pull*);
@@ -409,6 +446,9 @@
 extern bool_t xdr_bp_usage_team ();
 extern bool_t xdr_bp_usage ();
 extern bool_t xdr_bp_poison ();
+extern bool_t xdr_bp_share ();
+extern bool_t xdr_bp_held ();
+extern bool_t xdr_bp_gateway_load ();
 extern bool_t xdr_bp_object ();
 extern bool_t xdr_bp_upstream ();
 extern bool_t xdr_bp_pull ();
--- a/src/rpc/gen/balsampin_xdr.c
+++ b/src/rpc/gen/balsampin_xdr.c
@@ -448,6 +448,48 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bp_share (XDR *xdrs, bp_share *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->engine))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tokens))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bp_held (XDR *xdrs, bp_held *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->engine))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bp_gateway_load (XDR *xdrs, bp_gateway_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->shares.shares_val, (u_int *) &objp->shares.shares_len, BP_MAX_SHARES,
+		sizeof (bp_share), (xdrproc_t) xdr_bp_share))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, BP_MAX_HELD,
+		sizeof (bp_held), (xdrproc_t) xdr_bp_held))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bp_object (XDR *xdrs, bp_object *objp)
 {
