--- a/src/placement/pc.c
+++ b/src/placement/pc.c
@@ -11,7 +11,7 @@
 #define PC_COPY_ZONE_MS	  0.004
 #define PC_COPY_REGION_MS 0.02
 /* What a copy takes from other prefixes that its engine must evict for it. */
-#define PC_EVICT_MS 0.004
+#define PC_EVICT_MS 0.04
 /* One way to another zone and back, and to another region and back. The bytes
  * of a request between regions cost, too: the term is twice the delay. */
 #define PC_ZONE_MS   4.0
