placement: subjects stay in the group of their root

Cause: seventeen roots (four, for each isolated team again) on every engine took half of its memory.

--- a/src/placement/pc.c
+++ b/src/placement/pc.c
@@ -23,6 +23,10 @@
 /* Older weights cost nothing for so long, then this much. */
 #define PC_OLD_FREE_MS	  1200
 #define PC_OLD_PENALTY_MS 400.0
+/* Engines that work with one root: so few that an engine's memory is not taken
+ * up by roots, so many that one root's requests do not queue. */
+#define PC_GROUP_SHARE 4
+#define PC_MAX_GROUP   16
 /* Last resort. */
 #define PC_AVOIDED_MS 100000.0
 
@@ -55,20 +59,74 @@
 	return !c->is_tried && !c->is_avoided && !c->age_ms;
 }
 
-static int32_t pc_first_in_rank(const struct pc_view *view, uint64_t key)
+/**
+ * struct pc_ranked - an engine's place in the order of a key.
+ */
+struct pc_ranked {
+	uint64_t rank;
+	int32_t index;
+};
+
+/* The first engines in the order of the root, at most PC_MAX_GROUP. */
+static uint32_t pc_root_group(const struct pc_view *view,
+			      struct pc_ranked *group, uint32_t size)
 {
-	int32_t best = -1;
-	uint64_t best_rank = 0;
+	uint32_t count = 0;
 
 	for (uint32_t i = 0; i < view->count; i++) {
-		uint64_t rank = pc_mix(key ^ view->candidates[i].hash);
+		uint64_t rank = pc_mix(view->request->root ^
+				       view->candidates[i].hash);
+		uint32_t at = count;
 
 		if (!pc_is_usable(&view->candidates[i]))
 			continue;
-		if (best < 0 || rank > best_rank) {
-			best = i;
-			best_rank = rank;
-		}
+		while (at && group[at - 1].rank < rank)
+			at--;
+		if (at >= size)
+			continue;
+		if (count < size)
+			count++;
+		for (uint32_t j = count - 1; j > at; j--)
+			group[j] = group[j - 1];
+		group[at] = (struct pc_ranked){ rank, i };
+	}
+	return count;
+}
+
+/* One in PC_GROUP_SHARE of the engines works with a root, two at least. */
+static uint32_t pc_group_size(const struct pc_view *view)
+{
+	uint32_t usable = 0, size;
+
+	for (uint32_t i = 0; i < view->count; i++)
+		usable += pc_is_usable(&view->candidates[i]);
+	size = usable / PC_GROUP_SHARE;
+	if (size < 2)
+		return 2;
+	return size < PC_MAX_GROUP ? size : PC_MAX_GROUP;
+}
+
+/* The root's first engine reads it; then its group shares the subjects. */
+static int32_t pc_find_home(const struct pc_view *view)
+{
+	struct pc_ranked group[PC_MAX_GROUP];
+	uint32_t count = pc_root_group(view, group, pc_group_size(view));
+	int32_t best = -1;
+	uint64_t best_rank = 0;
+
+	if (!count)
+		return -1;
+	if (!view->is_root_held)
+		return group[0].index;
+	for (uint32_t i = 0; i < count; i++) {
+		uint64_t rank =
+			pc_mix(view->request->subject ^
+			       view->candidates[group[i].index].hash);
+
+		if (best >= 0 && rank <= best_rank)
+			continue;
+		best = group[i].index;
+		best_rank = rank;
 	}
 	return best;
 }
@@ -90,9 +148,7 @@
 		view.is_root_held |= c->holds_root;
 	}
 	if (!view.is_held)
-		view.home = pc_first_in_rank(&view, view.is_root_held
-							    ? request->subject
-							    : request->root);
+		view.home = pc_find_home(&view);
 	return view;
 }
 
--- a/src/placement/pc.h
+++ b/src/placement/pc.h
@@ -14,8 +14,10 @@
  *	unless it is held there or can be copied, and the way. The lowest sum
  *	wins.
  *
- *	A prefix that nobody is known to hold has a home: the candidate that
- *	rendezvous hashing ranks first. All hosts agree on it without
+ *	Every root has a group of engines, those that rendezvous hashing ranks
+ *	first; if every engine kept every root, roots would take up half of the
+ *	memory. A prefix that nobody is known to hold has a home in the group of
+ *	its root, ranked by the subject. All hosts agree on it without
  *	a message, so that only one engine reads a prefix that several hosts
  *	ask for at the same time.
  *
