session tests of the gateway against a stand-in of the platform

Readiness now means that requests with a key are served. Also: each host's part of the allowed repeats follows the number of hosts.

--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -21,7 +21,8 @@
 #define GW_STOP_MARGIN_MS 500
 /* Log lines are written that often; a crash loses no more. */
 #define GW_LOG_PERIOD_S 0.1
-/* Each host's part of the repeats that are always allowed. */
+/* A host alone may spend so many of the repeats that are always allowed, until
+ * it has heard how many others there are; see gw_peers.c. */
 #define GW_RETRY_RESERVE 2
 #define GW_PERMILLE	 1000
 /* Half of the allowed share, as requests are counted by completion there. */
--- a/src/gateway/gw_front.c
+++ b/src/gateway/gw_front.c
@@ -43,7 +43,10 @@
 
 bool gw_is_ready(const struct gw_gateway *g, int64_t now_ms)
 {
-	return g->catalog && g->has_fleet && !g->stop_ms;
+	int64_t age_ms = now_ms - g->config_fresh_ms;
+
+	return g->catalog && g->has_fleet && !g->stop_ms &&
+	       age_ms <= gw_max_key_age_ms(g->settings.revoke_ms);
 }
 
 static enum st_code gw_listen(struct gw_gateway *g, struct h1_server *server,
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -151,6 +151,7 @@
 		else if (g_str_has_prefix(row->key, g->dialect->weights_prefix))
 			gw_take_weights(g, row);
 	}
+	g->config_fresh_ms = k->operator_rows.fresh_ms;
 	gw_rollout_changed(g);
 }
 
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -42,6 +42,9 @@
 #define GW_ROWS_RETRY_MS	500
 #define GW_ROWS_TIMEOUT_MS	1000
 #define GW_SWEEP_MS		1000
+/* Of the repeats that are always allowed; the rest is for hosts that come and
+ * go within the time over which repeats are counted. */
+#define GW_RETRY_PART 0.6
 /* Held prefixes that wait to be told; older ones are left out. */
 #define GW_MAX_NEWS 1024
 
@@ -180,11 +183,22 @@
 			    : MAX(GW_NEAR_MS, alike * GW_NEAR_PER_PEER_MS);
 }
 
+/* The repeats that are always allowed are for all hosts together. */
+static void gw_share_retries(struct gw_peers *p)
+{
+	uint32_t hosts = p->peers->len + 1;
+	int64_t share =
+		p->gateway->settings.retry_floor * GW_RETRY_PART / hosts;
+
+	p->gateway->retries.desc.max = MAX(share, 1);
+}
+
 static void gw_sweep_peers(struct gw_peers *p, int64_t now_ms)
 {
 	p->next_sweep_ms = now_ms + GW_SWEEP_MS;
 	pe_load_expire(&p->gateway->others, now_ms - GW_FORGET_LOAD_MS);
 	pe_held_expire(&p->gateway->held, now_ms - GW_FORGET_HELD_MS);
+	gw_share_retries(p);
 }
 
 static void gw_on_own_rows(void *arg, enum st_code code,
--- a/src/gateway/gw_rollout.c
+++ b/src/gateway/gw_rollout.c
@@ -20,9 +20,10 @@
 #define GW_ORDER_TIMEOUT_MS   400
 #define GW_CONNECT_TIMEOUT_MS 300
 /* Other hosts look at the lease that often, with up to half of it more. */
-#define GW_LEASE_READ_MS    2000
-#define GW_STORE_TIMEOUT_MS 1000
-#define GW_TICK_S	    0.05
+#define GW_LEASE_READ_MS	  2000
+#define GW_LEASE_READ_PER_PEER_MS 200
+#define GW_STORE_TIMEOUT_MS	  1000
+#define GW_TICK_S		  0.05
 /* The engine's entry tells of the end of an order; if it does not, ask. */
 #define GW_ORDER_LIMIT_MS 2500
 /* An engine that gets no new requests reads those that wait there first. An
@@ -61,6 +62,7 @@
 	GPtrArray *jobs;
 	bool was_holder;
 	int64_t last_order_ms;
+	int64_t read_period_ms;
 };
 
 static void gw_job_free(void *data)
@@ -401,6 +403,11 @@
 	struct gw_rollout *ro = w->data;
 	int64_t now_ms = ck_now_ms();
 
+	/* With many hosts each of them looks at the lease less often. */
+	ls_set_read_period(&ro->lease,
+			   MAX(ro->read_period_ms,
+			       (int64_t)pe_load_peers(&ro->gateway->others) *
+				       GW_LEASE_READ_PER_PEER_MS));
 	if (!ro->gateway->stop_ms)
 		gw_step_lease(ro, now_ms);
 	else
@@ -423,18 +430,17 @@
 	g->rollout = ro;
 	ro->gateway = g;
 	ro->jobs = g_ptr_array_new_with_free_func(gw_job_free);
+	ro->read_period_ms =
+		GW_LEASE_READ_MS + g_random_int_range(0, GW_LEASE_READ_MS / 2);
 	ls_init(&ro->lease,
-		&(struct ls_desc){
-			.holder = g->settings.host,
-			.incarnation = ((uint64_t)g_random_int() << 32) |
-				       g_random_int(),
-			.duration_ms = GW_LEASE_MS,
-			.margin_ms = GW_LEASE_MARGIN_MS,
-			.order_timeout_ms = GW_ORDER_TIMEOUT_MS,
-			.quiet_ms = g->settings.lease_ms,
-			.read_period_ms =
-				GW_LEASE_READ_MS +
-				g_random_int_range(0, GW_LEASE_READ_MS / 2) });
+		&(struct ls_desc){ .holder = g->settings.host,
+				   .incarnation =
+					   ((uint64_t)g_random_int() << 32) |
+					   g_random_int(),
+				   .duration_ms = GW_LEASE_MS,
+				   .margin_ms = GW_LEASE_MARGIN_MS,
+				   .order_timeout_ms = GW_ORDER_TIMEOUT_MS,
+				   .quiet_ms = g->settings.lease_ms });
 	ev_timer_init(&ro->tick, gw_on_tick, GW_TICK_S, GW_TICK_S);
 	ro->tick.data = ro;
 	ev_timer_start(g->kernel.loop, &ro->tick);
--- /dev/null
+++ b/tests/harness/fleet.cc
@@ -0,0 +1,582 @@
+#include "fleet.h"
+
+#include <gtest/gtest.h>
+#include <json-c/json.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <list>
+
+#include "process.h"
+
+extern "C" {
+#include <ev.h>
+
+#include "http1/h1_server.h"
+#include "kernel/ck.h"
+}
+
+namespace harness
+{
+
+namespace
+{
+
+constexpr int events_of_an_answer = 8;
+constexpr int load_ms = 50;
+
+std::string event(int id)
+{
+	return "id: " + std::to_string(id) + "\ndata: token " +
+	       std::to_string(id) + "\n\n";
+}
+
+std::string query(const std::string &target, const std::string &name)
+{
+	size_t at = target.find(name + "=");
+
+	if (at == std::string::npos)
+		return "";
+	at += name.size() + 1;
+	return target.substr(at, target.find('&', at) - at);
+}
+
+std::string base64(const std::string &text)
+{
+	char *encoded = g_base64_encode(
+		reinterpret_cast<const guchar *>(text.data()), text.size());
+	std::string result = encoded;
+
+	g_free(encoded);
+	return result;
+}
+
+std::string unbase64(const char *text)
+{
+	gsize bytes = 0;
+	guchar *decoded = g_base64_decode(text, &bytes);
+	std::string result(reinterpret_cast<char *>(decoded), bytes);
+
+	g_free(decoded);
+	return result;
+}
+
+std::string own_ip()
+{
+	int pid = getpid();
+
+	return "127." + std::to_string(128 + (pid >> 12) % 64) + "." +
+	       std::to_string((pid >> 4) % 256) + "." +
+	       std::to_string((pid % 16) * 15 + 1);
+}
+
+std::string ip_of(const std::string &host)
+{
+	std::string ip = own_ip();
+	size_t dot = ip.rfind('.');
+	int last = std::stoi(ip.substr(dot + 1));
+
+	return ip.substr(0, dot + 1) +
+	       std::to_string(last + std::stoi(host.substr(1)));
+}
+
+struct Row {
+	std::string value;
+	uint64_t version;
+	bool is_deleted;
+};
+
+struct Waiter {
+	struct h1_exchange *x;
+	std::string table;
+	uint64_t after;
+	int64_t until_ms;
+};
+
+} // namespace
+
+struct Engine {
+	Fleet::State *state;
+	std::string id;
+	std::string service;
+	std::string model;
+	int weights = 0;
+	int orders = 0;
+	int64_t busy_until_ms = 0;
+	Behaviour behaviour = Behaviour::answer;
+	struct h1_server server = {};
+};
+
+struct Fleet::State {
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct h1_server store = {};
+	struct ev_async wake = {};
+	struct ev_timer tick = {};
+	std::mutex mutex;
+	std::condition_variable ran;
+	std::deque<std::function<void()>> work;
+	uint64_t done = 0, posted = 0;
+	bool is_over = false;
+
+	bool is_down = false;
+	uint64_t version = 0;
+	int calls = 0;
+	std::map<std::string, std::map<std::string, Row>> tables;
+	std::list<Waiter> waiters;
+	std::map<std::string, std::unique_ptr<Engine>> engines;
+	std::vector<Arrival> arrivals;
+	std::vector<Order> orders;
+
+	std::string rows_json(const std::string &table, uint64_t after,
+			      bool is_feed, int *count);
+	void answer_rows(struct h1_exchange *x, const std::string &table,
+			 uint64_t after, bool is_feed);
+	void put(const std::string &table, const std::string &key,
+		 const std::string &value);
+	void write_entry(const Engine &e);
+	void on_store(struct h1_exchange *x);
+	void on_transaction(struct h1_exchange *x);
+	void on_engine(Engine *e, struct h1_exchange *x);
+	void on_order(Engine *e, struct h1_exchange *x);
+	void on_tick();
+};
+
+std::string stream_answer(int after)
+{
+	std::string text;
+
+	for (int id = after + 1; id <= events_of_an_answer; id++)
+		text += event(id);
+	return text;
+}
+
+static void respond(struct h1_exchange *x, uint32_t status,
+		    const std::string &body,
+		    const std::map<std::string, std::string> &fields = {})
+{
+	struct h1_headers headers;
+
+	h1_headers_init(&headers);
+	for (const auto &field : fields)
+		h1_headers_add(&headers, field.first.c_str(),
+			       field.second.c_str());
+	h1_respond(x, status, &headers, body.data(), body.size());
+	h1_headers_finish(&headers);
+}
+
+std::string Fleet::State::rows_json(const std::string &table, uint64_t after,
+				    bool is_feed, int *count)
+{
+	std::string rows;
+
+	*count = 0;
+	for (const auto &entry : tables[table]) {
+		const Row &row = entry.second;
+
+		if (row.version <= after || (row.is_deleted && !is_feed))
+			continue;
+		rows += (*count)++ ? "," : "";
+		rows += "{\"table\":\"" + table +
+			"\",\"part\":\"\",\"key\":\"" + entry.first +
+			"\",\"ver\":" + std::to_string(row.version);
+		rows += row.is_deleted
+				? ",\"deleted\":true}"
+				: ",\"value\":\"" + base64(row.value) + "\"}";
+	}
+	return "{\"rows\":[" + rows +
+	       "],\"has_more\":false,\"ver\":" + std::to_string(version) +
+	       ",\"now_ms\":" + std::to_string(ck_now_ms()) + "}";
+}
+
+void Fleet::State::answer_rows(struct h1_exchange *x, const std::string &table,
+			       uint64_t after, bool is_feed)
+{
+	int count;
+	std::string text = rows_json(table, after, is_feed, &count);
+
+	respond(x, 200, text);
+}
+
+void Fleet::State::put(const std::string &table, const std::string &key,
+		       const std::string &value)
+{
+	tables[table][key] = { value, ++version, value.empty() };
+	for (auto it = waiters.begin(); it != waiters.end();) {
+		if (it->table != table) {
+			++it;
+			continue;
+		}
+		answer_rows(it->x, table, it->after, true);
+		it = waiters.erase(it);
+	}
+}
+
+void Fleet::State::on_transaction(struct h1_exchange *x)
+{
+	struct json_object *root = json_tokener_parse(x->body->str);
+	struct json_object *checks, *puts;
+	bool holds = true;
+
+	auto text = [](struct json_object *o, const char *name) {
+		struct json_object *v;
+
+		return json_object_object_get_ex(o, name, &v)
+			       ? std::string(json_object_get_string(v))
+			       : std::string();
+	};
+	json_object_object_get_ex(root, "precondition", &checks);
+	json_object_object_get_ex(root, "upserts", &puts);
+	for (size_t i = 0; i < json_object_array_length(checks); i++) {
+		struct json_object *c = json_object_array_get_idx(checks, i);
+		auto &rows = tables[text(c, "table")];
+		auto it = rows.find(text(c, "key"));
+		uint64_t have = it == rows.end() || it->second.is_deleted
+					? 0
+					: it->second.version;
+
+		holds &= have == std::stoull(text(c, "ver"));
+	}
+	for (size_t i = 0; holds && i < json_object_array_length(puts); i++) {
+		struct json_object *p = json_object_array_get_idx(puts, i);
+
+		put(text(p, "table"), text(p, "key"),
+		    unbase64(text(p, "value").c_str()));
+	}
+	json_object_put(root);
+	respond(x, holds ? 200 : 412,
+		"{\"ver\":" + std::to_string(version) + ",\"now_ms\":1}");
+}
+
+void Fleet::State::on_store(struct h1_exchange *x)
+{
+	std::string target = x->target;
+
+	calls++;
+	if (is_down) {
+		respond(x, 503, "");
+	} else if (target.rfind("/rows-tx", 0) == 0) {
+		on_transaction(x);
+	} else if (target.rfind("/rows-get", 0) == 0) {
+		answer_rows(x, query(target, "table"), 0, false);
+	} else if (target.rfind("/rows-feed", 0) == 0) {
+		std::string table = query(target, "table");
+		uint64_t after = std::stoull(query(target, "after"));
+		int count;
+
+		rows_json(table, after, true, &count);
+		if (count)
+			answer_rows(x, table, after, true);
+		else
+			waiters.push_back(
+				{ x, table, after,
+				  ck_now_ms() + std::stoll(query(target,
+								 "wait_ms")) });
+	} else {
+		respond(x, 404, "");
+	}
+}
+
+void Fleet::State::write_entry(const Engine &e)
+{
+	std::string models = e.model.empty()
+				     ? "[]"
+				     : "[{\"name\":\"" + e.model +
+					       "\",\"version\":" +
+					       std::to_string(e.weights) + "}]";
+
+	put("servers", e.id,
+	    "{\"service\":\"" + e.service + "\",\"address\":\"" + own_ip() +
+		    ":" + std::to_string(h1_server_port(&e.server)) +
+		    "\",\"zone\":\"z1\",\"slots\":8,\"state\":\"ready\","
+		    "\"born\":1,\"models\":" +
+		    models + ",\"seq\":1}");
+}
+
+void Fleet::State::on_order(Engine *e, struct h1_exchange *x)
+{
+	struct json_object *root = json_tokener_parse(x->body->str);
+	struct json_object *value;
+
+	orders.push_back({ e->id, x->body->str });
+	json_object_object_get_ex(root, "precondition", &value);
+	if (json_object_get_int(value) != e->orders || e->busy_until_ms) {
+		respond(x, 409, "{}");
+	} else {
+		json_object_object_get_ex(root, "version", &value);
+		e->weights = json_object_get_int(value);
+		e->orders++;
+		e->busy_until_ms = ck_now_ms() + load_ms;
+		respond(x, 202, "{}");
+	}
+	json_object_put(root);
+}
+
+void Fleet::State::on_engine(Engine *e, struct h1_exchange *x)
+{
+	std::string target = x->target;
+	std::map<std::string, std::string> fields;
+	Arrival arrival = { e->id, x->method, target, x->body->str, {} };
+	int after = 0;
+
+	if (target == "/order") {
+		on_order(e, x);
+		return;
+	}
+	if (target == "/report") {
+		respond(x, 200,
+			"{\"busy\":" +
+				std::string(e->busy_until_ms ? "true"
+							     : "false") +
+				",\"seq\":" + std::to_string(e->orders) +
+				",\"born\":1,\"models\":[{\"name\":\"" +
+				e->model + "\",\"version\":" +
+				std::to_string(e->weights) + "}]}");
+		return;
+	}
+	for (uint32_t i = 0; i < h1_headers_count(x->headers); i++)
+		arrival.headers[h1_headers_name(x->headers, i)] =
+			h1_headers_value(x->headers, i);
+	arrivals.push_back(arrival);
+	fields["X-Attempt-Id"] = arrival.headers["X-Attempt-Id"];
+	if (arrival.headers.count("Last-Event-Id"))
+		after = std::stoi(arrival.headers["Last-Event-Id"]);
+	switch (e->behaviour) {
+	case Behaviour::refuse:
+		fields["X-Not-Executed"] = "1";
+		respond(x, 503, "", fields);
+		return;
+	case Behaviour::close:
+		h1_abort(x);
+		return;
+	case Behaviour::hang:
+		return;
+	case Behaviour::fail:
+		fields["X-Response-Stamp"] = "stamp-" + e->id;
+		respond(x, 500, "failed", fields);
+		return;
+	case Behaviour::unsigned_:
+		respond(x, 200, "no signature", fields);
+		return;
+	default:
+		break;
+	}
+	fields["X-Response-Stamp"] = "stamp-" + e->id;
+	if (e->model.empty()) {
+		respond(x, 200, "recorded", fields);
+		return;
+	}
+	struct h1_headers headers;
+	h1_headers_init(&headers);
+	h1_headers_add(&headers, "Content-Type", "text/event-stream");
+	for (const auto &field : fields)
+		h1_headers_add(&headers, field.first.c_str(),
+			       field.second.c_str());
+	h1_begin(x, 200, &headers, -1);
+	h1_headers_finish(&headers);
+	std::string text = stream_answer(after);
+	if (e->behaviour == Behaviour::break_off) {
+		text = event(1) + event(2) + event(3) + "id: 4\ndata: tok";
+		h1_write(x, text.data(), text.size());
+		h1_abort(x);
+		return;
+	}
+	h1_write(x, text.data(), text.size());
+	h1_end(x);
+}
+
+void Fleet::State::on_tick()
+{
+	int64_t now_ms = ck_now_ms();
+
+	for (auto it = waiters.begin(); it != waiters.end();) {
+		if (now_ms < it->until_ms) {
+			++it;
+			continue;
+		}
+		answer_rows(it->x, it->table, it->after, true);
+		it = waiters.erase(it);
+	}
+	for (auto &entry : engines) {
+		Engine &e = *entry.second;
+
+		if (!e.busy_until_ms || now_ms < e.busy_until_ms)
+			continue;
+		e.busy_until_ms = 0;
+		write_entry(e);
+	}
+}
+
+static void on_wake(struct ev_loop *loop, ev_async *w, int events)
+{
+}
+
+Fleet::Fleet() : state(std::make_unique<State>())
+{
+	State *s = state.get();
+	struct h1_server_desc desc = {};
+	static std::string ip;
+
+	ip = own_ip();
+	desc.loop = s->loop;
+	desc.address = ip.c_str();
+	desc.limits.header_timeout_ms = 60000;
+	desc.on_request = [](void *arg, struct h1_exchange *x) {
+		static_cast<State *>(arg)->on_store(x);
+	};
+	desc.on_gone = [](void *arg, struct h1_exchange *x) {
+		static_cast<State *>(arg)->waiters.remove_if(
+			[x](const Waiter &w) { return w.x == x; });
+	};
+	desc.arg = s;
+	EXPECT_EQ(h1_server_init(&s->store, &desc), ST_OK);
+	ev_async_init(&s->wake, on_wake);
+	ev_async_start(s->loop, &s->wake);
+	ev_timer_init(
+		&s->tick,
+		[](struct ev_loop *, ev_timer *w, int) {
+			static_cast<State *>(w->data)->on_tick();
+		},
+		0.01, 0.01);
+	s->tick.data = s;
+	ev_timer_start(s->loop, &s->tick);
+	thread = std::thread([s] {
+		for (;;) {
+			ev_run(s->loop, EVRUN_ONCE);
+			std::unique_lock<std::mutex> lock(s->mutex);
+			while (!s->work.empty()) {
+				auto fn = s->work.front();
+
+				s->work.pop_front();
+				fn();
+				s->done++;
+			}
+			s->ran.notify_all();
+			if (s->is_over)
+				return;
+		}
+	});
+}
+
+Fleet::~Fleet()
+{
+	run([this] { state->is_over = true; });
+	thread.join();
+	for (auto &entry : state->engines)
+		h1_server_finish(&entry.second->server);
+	h1_server_finish(&state->store);
+	ev_loop_destroy(state->loop);
+}
+
+void Fleet::run(const std::function<void()> &fn)
+{
+	std::unique_lock<std::mutex> lock(state->mutex);
+	uint64_t mine = ++state->posted;
+
+	state->work.push_back(fn);
+	ev_async_send(state->loop, &state->wake);
+	state->ran.wait(lock, [&] { return state->done >= mine; });
+}
+
+void Fleet::put(const std::string &table, const std::string &key,
+		const std::string &value)
+{
+	run([&] { state->put(table, key, value); });
+}
+
+void Fleet::add_engine(const std::string &id, const std::string &service,
+		       const std::string &model, int weights)
+{
+	run([&] {
+		auto e = std::make_unique<Engine>();
+		struct h1_server_desc desc = {};
+		static std::string ip;
+
+		ip = own_ip();
+		e->state = state.get();
+		e->id = id;
+		e->service = service;
+		e->model = model;
+		e->weights = weights;
+		desc.loop = state->loop;
+		desc.address = ip.c_str();
+		desc.on_request = [](void *arg, struct h1_exchange *x) {
+			auto *engine = static_cast<Engine *>(arg);
+
+			engine->state->on_engine(engine, x);
+		};
+		desc.arg = e.get();
+		EXPECT_EQ(h1_server_init(&e->server, &desc), ST_OK);
+		state->write_entry(*e);
+		state->engines[id] = std::move(e);
+	});
+}
+
+void Fleet::behave(const std::string &id, Behaviour behaviour)
+{
+	run([&] { state->engines[id]->behaviour = behaviour; });
+}
+
+void Fleet::set_store_down(bool is_down)
+{
+	run([&] { state->is_down = is_down; });
+}
+
+std::vector<Arrival> Fleet::arrivals()
+{
+	std::vector<Arrival> copy;
+
+	run([&] { copy = state->arrivals; });
+	return copy;
+}
+
+std::vector<Order> Fleet::orders()
+{
+	std::vector<Order> copy;
+
+	run([&] { copy = state->orders; });
+	return copy;
+}
+
+int Fleet::store_calls()
+{
+	int calls = 0;
+
+	run([&] { calls = state->calls; });
+	return calls;
+}
+
+std::string Fleet::settings(const std::string &directory,
+			    const std::string &host)
+{
+	std::string path = directory + "/" + host + ".json";
+	std::string ip = ip_of(host);
+
+	write_file(path,
+		   "// one host\n{\"host\":{\"name\":\"" + host +
+			   "\",\"zone\":\"z1\",\"region\":\"r1\"},"
+			   "\"dialect\":\"fleet\",\"store\":{\"address\":\"" +
+			   own_ip() + ":" +
+			   std::to_string(h1_server_port(&state->store)) +
+			   "\"},\"listen\":{\"callers\":\"" + ip +
+			   ":8080\",\"readiness\":\"" + ip +
+			   ":8081\",\"metrics\":\"" + ip +
+			   ":8082\",\"peers\":\"" + ip +
+			   ":8083\"},\"zones\":{\"z1\":\"r1\"},"
+			   "\"bounds\":{\"grace_s\":8,\"revoke_ms\":3200,"
+			   "\"lease_ms\":500}}");
+	return path;
+}
+
+std::string Fleet::url(const std::string &host, const std::string &target)
+{
+	return "http://" + ip_of(host) + ":8080" + target;
+}
+
+std::string Fleet::readiness(const std::string &host)
+{
+	return "http://" + ip_of(host) + ":8081/ready";
+}
+
+} // namespace harness
--- /dev/null
+++ b/tests/harness/fleet.h
@@ -0,0 +1,103 @@
+/*
+ * fleet - a stand-in for the users' platform: row store and engines.
+ *
+ * Overview
+ *	Runs on a loop of its own in a thread of the test's process. Speaks the
+ *	protocol that platform/ translates: rows with transactions and a feed,
+ *	engines that answer, refuse, break off or hang as the test says, and
+ *	orders for new weights. It keeps what reached the engines.
+ *
+ * Use
+ *	Fleet fleet;
+ *	fleet.add_engine("i-1", "svc", "m", 1);
+ *	fleet.put("op", "config", text);
+ *	Process gateway = ... with fleet.settings(directory, "h1");
+ */
+#ifndef HARNESS_FLEET_H
+#define HARNESS_FLEET_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace harness
+{
+
+/** Behaviour - how an engine treats requests. */
+enum class Behaviour {
+	answer,	   /* in full */
+	refuse,	   /* 503, not run */
+	fail,	   /* 500, run */
+	close,	   /* reads the request and closes */
+	hang,	   /* reads the request and says nothing */
+	break_off, /* tears the stream in the middle of its fourth event */
+	unsigned_, /* 200 without a signature */
+};
+
+/** Arrival - a request as an engine saw it. */
+struct Arrival {
+	std::string engine;
+	std::string method;
+	std::string target;
+	std::string body;
+	std::map<std::string, std::string> headers;
+};
+
+/** Order - of new weights, as an engine saw it. */
+struct Order {
+	std::string engine;
+	std::string body;
+};
+
+class Fleet
+{
+      public:
+	struct State;
+
+	Fleet();
+	~Fleet();
+	Fleet(const Fleet &) = delete;
+	Fleet &operator=(const Fleet &) = delete;
+
+	/** put() - a row; a value of "" deletes it. */
+	void put(const std::string &table, const std::string &key,
+		 const std::string &value);
+
+	/** add_engine() - and its entry; @model "" makes a plain one. */
+	void add_engine(const std::string &id, const std::string &service,
+			const std::string &model = "", int weights = 0);
+	void behave(const std::string &id, Behaviour behaviour);
+
+	/** set_store_down() - calls are refused with 503. */
+	void set_store_down(bool is_down);
+
+	std::vector<Arrival> arrivals();
+	std::vector<Order> orders();
+	int store_calls();
+
+	/** settings() - writes a host's file; returns its path. */
+	std::string settings(const std::string &directory,
+			     const std::string &host);
+
+	/** url() - of a host's callers' server, with @target. */
+	static std::string url(const std::string &host,
+			       const std::string &target);
+	static std::string readiness(const std::string &host);
+
+      private:
+	std::unique_ptr<State> state;
+	std::thread thread;
+
+	void run(const std::function<void()> &fn);
+};
+
+/** stream_answer() - the events that an engine sends, from @after on. */
+std::string stream_answer(int after);
+
+} // namespace harness
+
+#endif
--- /dev/null
+++ b/tests/sessions/gateway_test.cc
@@ -0,0 +1,325 @@
+// The gateway as a real process against a stand-in for the users' platform.
+#include <gtest/gtest.h>
+
+#include <fcntl.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include "cluster.h"
+#include "fleet.h"
+#include "http.h"
+#include "process.h"
+
+using namespace harness;
+
+namespace
+{
+
+// Two model engines, one plain one; routes for a stream that may be resumed,
+// one that may not, a call that runs once at most and one that may be repeated.
+std::string config(int version, const std::string &keys = "\"k1\",\"k2\"")
+{
+	auto route = [](const char *name, const char *kind, const char *service,
+			int sends, bool is_resumable) {
+		return std::string("{\"name\":\"") + name +
+		       "\",\"host\":\"h\",\"prefix\":\"/" + name +
+		       "/\",\"kind\":\"" + kind +
+		       "\",\"timeout_ms\":1500,\"service\":\"" + service +
+		       "\",\"max_attempts\":" + std::to_string(sends) +
+		       ",\"resumable\":" + (is_resumable ? "true" : "false") +
+		       "}";
+	};
+
+	return "{\"version\":" + std::to_string(version) + ",\"routes\":[" +
+	       route("grade", "streaming", "llm", 2, true) + "," +
+	       route("draft", "streaming", "llm", 1, false) + "," +
+	       route("record", "non_idempotent", "app", 2, false) + "," +
+	       route("look", "idempotent", "app", 2, false) +
+	       "],\"services\":[{\"name\":\"llm\",\"engine\":{\"slots\":8}},"
+	       "{\"name\":\"app\"}],\"tenants\":[{\"name\":\"t1\","
+	       "\"api_keys\":[" +
+	       keys + "]}]}";
+}
+
+class Gateway : public testing::Test
+{
+      protected:
+	TemporaryDirectory directory;
+	Fleet fleet;
+	std::unique_ptr<Process> process;
+
+	void SetUp() override
+	{
+		fleet.add_engine("e1", "llm", "m", 1);
+		fleet.add_engine("e2", "llm", "m", 1);
+		fleet.add_engine("a1", "app");
+		fleet.add_engine("a2", "app");
+		fleet.put("op", "config", config(1));
+		start();
+	}
+
+	void start()
+	{
+		process = std::make_unique<Process>(
+			std::vector<std::string>{
+				BALSAMPIN_PROGRAM, "gateway", "--settings",
+				fleet.settings(directory.path, "h1") },
+			directory.path + "/log");
+		ASSERT_TRUE(wait_until([] { return is_ready(); }));
+	}
+
+	static bool is_ready()
+	{
+		return call(Fleet::readiness("h1")).status == 200;
+	}
+
+	static Reply ask(const std::string &route, const std::string &id,
+			 const std::string &key = "k1",
+			 const Headers &more = {})
+	{
+		Headers headers = { "Host: h", "Authorization: Bearer " + key,
+				    "X-Attempt-Id: " + id,
+				    "X-Deadline-Ms: 4000" };
+
+		if (route == "grade" || route == "draft") {
+			headers.push_back("X-Model: m");
+			headers.push_back("X-Token-Usage: 100,8");
+			headers.push_back("X-Prefix-Hash: aa:50,bb:30,cc:20");
+		}
+		headers.insert(headers.end(), more.begin(), more.end());
+		return call(Fleet::url("h1", "/" + route + "/x?q=1"), "body",
+			    headers, "POST");
+	}
+
+	std::vector<Arrival> arrived(const std::string &id)
+	{
+		std::vector<Arrival> mine;
+
+		for (const Arrival &a : fleet.arrivals())
+			if (a.headers.at("X-Attempt-Id") == id)
+				mine.push_back(a);
+		return mine;
+	}
+
+	void both(const char *first, const char *second, Behaviour behaviour)
+	{
+		fleet.behave(first, behaviour);
+		fleet.behave(second, behaviour);
+	}
+};
+
+TEST_F(Gateway, PassesARequestOnUnchanged)
+{
+	Reply r = ask("grade", "r1", "k1", { "X-Tenant: forged" });
+	auto seen = arrived("r1");
+
+	EXPECT_EQ(r.status, 200);
+	EXPECT_TRUE(r.complete);
+	EXPECT_EQ(r.body, stream_answer(0));
+	ASSERT_EQ(seen.size(), 1u);
+	EXPECT_EQ(r.headers["x-response-stamp"], "stamp-" + seen[0].engine);
+	EXPECT_EQ(seen[0].method, "POST");
+	EXPECT_EQ(seen[0].target, "/grade/x?q=1");
+	EXPECT_EQ(seen[0].body, "body");
+	EXPECT_EQ(seen[0].headers["X-Tenant"], "t1");
+	EXPECT_EQ(seen[0].headers["X-Expect-Instance"], seen[0].engine);
+	EXPECT_EQ(seen[0].headers["X-Expect-Version"], "1");
+	EXPECT_EQ(seen[0].headers.count("Authorization"), 0u);
+	EXPECT_LE(std::stoi(seen[0].headers["X-Deadline-Ms"]), 1500);
+}
+
+TEST_F(Gateway, RunsOnceAtMost)
+{
+	static const struct {
+		Behaviour behaviour;
+		long status;
+	} cases[] = {
+		{ Behaviour::close, 502 },
+		{ Behaviour::hang, 504 },
+		{ Behaviour::unsigned_, 502 },
+		{ Behaviour::fail, 500 },
+	};
+	int n = 0;
+
+	for (const auto &c : cases) {
+		std::string id = "once" + std::to_string(n++);
+
+		both("a1", "a2", c.behaviour);
+		EXPECT_EQ(ask("record", id).status, c.status) << n;
+		EXPECT_EQ(arrived(id).size(), 1u) << n;
+	}
+}
+
+TEST_F(Gateway, RefusalSaysNotRunAndWhenToComeBack)
+{
+	both("a1", "a2", Behaviour::refuse);
+	Reply r = ask("record", "refused");
+	EXPECT_EQ(r.status, 503);
+	EXPECT_GT(std::stod(r.headers["retry-after"]), 0.0);
+	EXPECT_EQ(arrived("refused").size(), 2u);
+}
+
+TEST_F(Gateway, WhatMayBeRepeatedGoesToAnotherUpstream)
+{
+	for (Behaviour b :
+	     { Behaviour::close, Behaviour::fail, Behaviour::unsigned_ }) {
+		std::string id = "again" + std::to_string(int(b));
+
+		fleet.behave("a1", b);
+		fleet.behave("a2", Behaviour::answer);
+		/* Whichever is asked first, one of two is right. */
+		for (int i = 0; i < 2; i++) {
+			Reply r = ask("look", id + std::to_string(i));
+			EXPECT_EQ(r.status, 200);
+			EXPECT_EQ(r.body, "recorded");
+		}
+	}
+}
+
+TEST_F(Gateway, BrokenStreamGoesOnAtAnotherEngine)
+{
+	Reply first = ask("grade", "probe");
+	std::string engine = arrived("probe")[0].engine;
+
+	ASSERT_EQ(first.status, 200);
+	fleet.behave(engine, Behaviour::break_off);
+	Reply r = ask("grade", "resumed");
+	auto seen = arrived("resumed");
+	ASSERT_EQ(seen.size(), 2u);
+	EXPECT_EQ(seen[1].headers["Last-Event-Id"], "3");
+	EXPECT_NE(seen[0].engine, seen[1].engine);
+	EXPECT_EQ(r.body, stream_answer(0));
+	EXPECT_TRUE(r.complete);
+	EXPECT_EQ(r.headers["x-response-stamp"], "stamp-" + seen[0].engine);
+}
+
+TEST_F(Gateway, BrokenStreamThatCannotGoOnIsSeenToBeBroken)
+{
+	both("e1", "e2", Behaviour::break_off);
+	Reply r = ask("draft", "torn");
+	EXPECT_FALSE(r.complete);
+	EXPECT_EQ(r.body.find("id: 4"), std::string::npos);
+	EXPECT_EQ(arrived("torn").size(), 1u);
+}
+
+TEST_F(Gateway, KeysAndRoutesFollowTheConfiguration)
+{
+	EXPECT_EQ(ask("look", "c1", "k2").status, 200);
+	EXPECT_EQ(ask("look", "c2", "k3").status, 401);
+	EXPECT_EQ(ask("none", "c3").status, 404);
+	fleet.put("op", "config", config(5, "\"k1\",\"k3\""));
+	EXPECT_TRUE(wait_until(
+		[&] { return ask("look", "c4", "k2").status == 401; }, 2000));
+	EXPECT_EQ(ask("look", "c5", "k3").status, 200);
+	/* An older version changes nothing. */
+	fleet.put("op", "config", config(4, "\"k2\""));
+	usleep(300000);
+	EXPECT_EQ(ask("look", "c6", "k2").status, 401);
+	/* Nor does one that can't be read. */
+	fleet.put("op", "config", "{broken");
+	usleep(300000);
+	EXPECT_EQ(ask("look", "c7", "k1").status, 200);
+}
+
+// A key may have been taken away while the store was out of reach.
+TEST_F(Gateway, StaleKnowledgeServesNoKeyAndRecovers)
+{
+	fleet.set_store_down(true);
+	EXPECT_TRUE(wait_until([&] { return ask("look", "s1").status == 503; },
+			       6000));
+	EXPECT_EQ(arrived("s1").empty(), false);
+	fleet.set_store_down(false);
+	EXPECT_TRUE(wait_until([&] { return ask("look", "s2").status == 200; },
+			       4000));
+}
+
+TEST_F(Gateway, EnginesAreBroughtToTheWeightsThatAreNamed)
+{
+	fleet.put("op", "version/m", "{\"model\":\"m\",\"version\":2}");
+	EXPECT_TRUE(wait_until([&] { return fleet.orders().size() >= 2; }));
+	EXPECT_TRUE(wait_until([&] {
+		static int n = 0;
+		std::string id = "w" + std::to_string(n++);
+
+		ask("grade", id);
+		auto seen = arrived(id);
+		return !seen.empty() &&
+		       seen.back().headers["X-Expect-Version"] == "2";
+	}));
+	EXPECT_EQ(fleet.orders().size(), 2u);
+}
+
+TEST_F(Gateway, EntryThatIsRemovedGetsNoRequest)
+{
+	fleet.put("servers", "a1", "");
+	usleep(500000);
+	for (int i = 0; i < 5; i++) {
+		std::string id = "gone" + std::to_string(i);
+
+		EXPECT_EQ(ask("record", id).status, 200);
+		EXPECT_EQ(arrived(id)[0].engine, "a2");
+	}
+}
+
+TEST_F(Gateway, StopsGracefully)
+{
+	fleet.behave("a1", Behaviour::hang);
+	fleet.behave("a2", Behaviour::hang);
+	Stream open(Fleet::url("h1", "/record/x"), "body",
+		    { "Host: h", "Authorization: Bearer k1",
+		      "X-Attempt-Id: open", "X-Deadline-Ms: 4000" });
+	EXPECT_TRUE(wait_until([&] { return !arrived("open").empty(); }));
+	process->signal(SIGTERM);
+	EXPECT_TRUE(wait_until([] { return !is_ready(); }, 1000));
+	/* The one under way gets its answer. */
+	EXPECT_EQ(open.finish().status, 504);
+	EXPECT_EQ(process->wait(9000), 0);
+}
+
+TEST_F(Gateway, HangupReadsTheSettingsAgain)
+{
+	process->signal(SIGHUP);
+	EXPECT_TRUE(wait_until([&] {
+		return process->output().find("\"event\":\"reload\"") !=
+		       std::string::npos;
+	}));
+	EXPECT_EQ(ask("look", "h1").status, 200);
+}
+
+// From the id of a failed request to its cause, by the logs alone.
+TEST_F(Gateway, LogsLeadFromAnIdToTheCause)
+{
+	both("a1", "a2", Behaviour::close);
+	EXPECT_EQ(ask("record", "lost1").status, 502);
+	EXPECT_TRUE(wait_until([&] {
+		std::string log = process->output();
+
+		return log.find("\"request_ended\",\"request\":\"lost1\"") !=
+			       std::string::npos &&
+		       log.find("\"attempt_failed\",\"request\":\"lost1\"") !=
+			       std::string::npos &&
+		       log.find("engine_broke_off") != std::string::npos;
+	}));
+}
+
+// Nobody reads standard output: requests go on, lines are dropped and counted.
+TEST_F(Gateway, UnreadLogsStopNoRequest)
+{
+	std::string fifo = directory.path + "/fifo";
+
+	process->signal(SIGKILL);
+	process->wait();
+	ASSERT_EQ(mkfifo(fifo.c_str(), 0600), 0);
+	int fd = open(fifo.c_str(), O_RDWR | O_NONBLOCK);
+	process = std::make_unique<Process>(
+		std::vector<std::string>{
+			BALSAMPIN_PROGRAM, "gateway", "--settings",
+			fleet.settings(directory.path, "h1") },
+		fifo);
+	ASSERT_TRUE(wait_until([] { return is_ready(); }));
+	for (int i = 0; i < 300; i++)
+		ASSERT_EQ(ask("look", "u" + std::to_string(i)).status, 200);
+	close(fd);
+}
+
+} // namespace
