--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -28,7 +28,8 @@
 }
 
 check_tidy() {
-	git ls-files -co --exclude-standard 'src/*.c' 'tests/standin/*.c' |
+	git ls-files -co --exclude-standard 'src/*.c' 'platform/*.c' \
+		'tests/standin/*.c' |
 		grep -v '^src/rpc/gen/' |
 		xargs -P "$jobs" -n 4 clang-tidy -p build --quiet 2>/dev/null
 }
@@ -59,6 +60,7 @@
 }
 
 step "format" check_format
+step "names and events" scripts/check-names.sh
 step "build" build build
 step "lint" check_tidy
 step "tests" run_tests build
