placement: a random term keeps hosts from rushing to one engine

Cause: dozens of hosts see the same table for a tenth of a second and all choose the engine that looks best.

--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -345,6 +345,7 @@
 	}
 	rb_budget_earn(&g->retries);
 	gw_find_prefix(r);
+	r->prefix.seed = gw_split_hash(r);
 	gw_set_times(r);
 	gw_start_timer(r);
 	gw_request_place(r);
--- a/src/placement/pc.c
+++ b/src/placement/pc.c
@@ -27,6 +27,8 @@
  * up by roots, so many that one root's requests do not queue. */
 #define PC_GROUP_SHARE 4
 #define PC_MAX_GROUP   16
+/* The random term is at most the work of a few short requests. */
+#define PC_NOISE_MS 40.0
 /* Last resort. */
 #define PC_AVOIDED_MS 100000.0
 
@@ -218,6 +220,14 @@
 	return c->distance == PC_SAME_REGION ? PC_ZONE_MS : 0.0;
 }
 
+static double pc_noise_ms(const struct pc_request *request,
+			  const struct pc_candidate *c)
+{
+	uint64_t x = pc_mix(request->seed ^ pc_mix(c->hash));
+
+	return PC_NOISE_MS * (double)(x >> 11) / (double)(1ULL << 53);
+}
+
 static double pc_cost_ms(const struct pc_view *view, uint32_t i)
 {
 	const struct pc_candidate *c = &view->candidates[i];
@@ -227,6 +237,8 @@
 	ms += (c->waiting_tokens + reading.read_tokens) / PC_TOKENS_PER_MS;
 	ms += reading.copy_tokens * (PC_COPY_ZONE_MS + PC_EVICT_MS);
 	ms += c->running * PC_RUNNING_MS;
+	if (view->request->own_tokens)
+		ms += pc_noise_ms(view->request, c);
 	if (c->slots && c->running >= c->slots)
 		ms += PC_SLOT_MS * (c->running - c->slots + 1) / c->slots;
 	/* Another host may have sent the prefix to its home just now. */
--- a/src/placement/pc.h
+++ b/src/placement/pc.h
@@ -25,6 +25,10 @@
  *	a short while without a penalty, then with one. Avoided ones are the
  *	last resort.
  *
+ *	Dozens of hosts see the same table for a tenth of a second. A random
+ *	term keeps them from sending all their requests to the one engine that
+ *	looks best meanwhile.
+ *
  *	Plain upstreams: the least loaded for its slots, the nearest among
  *	equals.
  *
@@ -79,6 +83,7 @@
  * @shared_tokens: of the shared prefix.
  * @root_tokens: of its first part.
  * @own_tokens: of the rest of the prompt; 0 for plain requests.
+ * @seed: any number that differs between requests.
  */
 struct pc_request {
 	uint64_t subject;
@@ -86,6 +91,7 @@
 	uint32_t shared_tokens;
 	uint32_t root_tokens;
 	uint32_t own_tokens;
+	uint64_t seed;
 };
 
 /**
