--- a/src/placement/pc.c
+++ b/src/placement/pc.c
@@ -11,7 +11,7 @@
 #define PC_COPY_ZONE_MS	  0.004
 #define PC_COPY_REGION_MS 0.02
 /* What a copy takes from other prefixes that its engine must evict for it. */
-#define PC_EVICT_MS 0.04
+#define PC_EVICT_MS 0.07
 /* One way to another zone and back, and to another region and back. The bytes
  * of a request between regions cost, too: the term is twice the delay. */
 #define PC_ZONE_MS   4.0
@@ -27,6 +27,8 @@
  * up by roots, so many that one root's requests do not queue. */
 #define PC_GROUP_SHARE 4
 #define PC_MAX_GROUP   16
+/* What a second copy costs, as a part of reading the prefix. */
+#define PC_AWAY_PART 0.4
 /* The random term is at most the work of a few short requests. */
 #define PC_NOISE_MS 40.0
 /* Last resort. */
@@ -149,8 +151,7 @@
 		view.is_held |= c->holds_subject;
 		view.is_root_held |= c->holds_root;
 	}
-	if (!view.is_held)
-		view.home = pc_find_home(&view);
+	view.home = pc_find_home(&view);
 	return view;
 }
 
@@ -220,6 +221,18 @@
 	return c->distance == PC_SAME_REGION ? PC_ZONE_MS : 0.0;
 }
 
+/*
+ * Away from home. If nobody holds the prefix, another host may have sent it to
+ * its home just now. If several do, those away from home keep a second copy
+ * alive, which takes memory from other prefixes.
+ */
+static double pc_away_ms(const struct pc_view *view)
+{
+	double read_ms = view->request->shared_tokens / PC_TOKENS_PER_MS;
+
+	return view->is_held ? read_ms * PC_AWAY_PART : read_ms;
+}
+
 static double pc_noise_ms(const struct pc_request *request,
 			  const struct pc_candidate *c)
 {
@@ -241,9 +254,8 @@
 		ms += pc_noise_ms(view->request, c);
 	if (c->slots && c->running >= c->slots)
 		ms += PC_SLOT_MS * (c->running - c->slots + 1) / c->slots;
-	/* Another host may have sent the prefix to its home just now. */
 	if (view->home >= 0 && (int32_t)i != view->home && !c->age_ms)
-		ms += view->request->shared_tokens / PC_TOKENS_PER_MS;
+		ms += pc_away_ms(view);
 	if (c->age_ms > PC_OLD_FREE_MS)
 		ms += PC_OLD_PENALTY_MS;
 	if (c->is_avoided)
