--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -70,6 +70,8 @@
  * @has_fleet: the table of upstreams has been read.
  * @wanted: list of struct gw_wanted.
  * @held: prefixes that engines have read.
+ * @kept_ms: an engine probably keeps a prefix that long after its last use.
+ * @sent_tokens: of prompts, since the last look at them; see gw_peers.c.
  * @others: what the other hosts have running.
  * @requests: of callers, not over yet.
  * @config_fresh_ms: nothing newer than @catalog existed then.
@@ -88,6 +90,8 @@
 	GArray *wanted;
 	GQueue requests;
 	struct pe_held held;
+	int64_t kept_ms;
+	uint64_t sent_tokens;
 	struct pe_load others;
 	int64_t config_fresh_ms;
 	struct rb_budget retries;
@@ -132,6 +136,9 @@
 /** gw_peers_rows() - the gateway's own rows were read. */
 void gw_peers_rows(struct gw_gateway *g, const struct rw_rows *rows);
 
+/** gw_peers_rank() - how many hosts that speak come before this one. */
+uint32_t gw_peers_rank(const struct gw_gateway *g);
+
 /** gw_peers_tell_held() - an engine has read a prefix. */
 void gw_peers_tell_held(struct gw_gateway *g, uint64_t key, uint64_t engine);
 
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -27,7 +27,7 @@
  * which those between regions are dear. */
 #define GW_NEAR_MS	    60
 #define GW_FAR_MS	    200
-#define GW_NEAR_PER_PEER_MS 4
+#define GW_NEAR_PER_PEER_MS 6
 #define GW_FAR_PER_PEER_MS  60
 #define GW_SILENT_MS	    6000
 #define GW_TRY_SILENT_MS    4000
@@ -42,6 +42,12 @@
 #define GW_ROWS_RETRY_MS	500
 #define GW_ROWS_TIMEOUT_MS	1000
 #define GW_SWEEP_MS		1000
+/* Of the engines' memory, for prefixes that no request uses just now. */
+#define GW_KEPT_PART   0.7
+#define GW_KEPT_MIN_MS 2000.0
+#define GW_KEPT_MAX_MS 30000.0
+/* Seconds over which the rate of tokens is averaged. */
+#define GW_KEPT_SMOOTHING 3.0
 /* Of the repeats that are always allowed; the rest is for hosts that come and
  * go within the time over which repeats are counted. */
 #define GW_RETRY_PART 0.6
@@ -62,6 +68,7 @@
 	bool has_spoken;
 	int64_t heard_ms;
 	int64_t sent_ms;
+	int64_t period_ms;
 	uint64_t told;
 };
 
@@ -77,6 +84,7 @@
 	GArray *news;
 	uint64_t news_end;
 	uint64_t sequence;
+	double tokens_per_ms;
 	int64_t started_ms;
 	int64_t next_read_ms;
 	int64_t next_sweep_ms;
@@ -183,6 +191,42 @@
 			    : MAX(GW_NEAR_MS, alike * GW_NEAR_PER_PEER_MS);
 }
 
+/* Memory of all engines, as the configuration has it. */
+static uint64_t gw_engine_memory(const struct gw_gateway *g)
+{
+	uint64_t sum = 0;
+
+	if (!g->catalog)
+		return 0;
+	fl_for_each (&g->fleet, e) {
+		const struct ca_service *service =
+			ca_find_service(g->catalog, e->entry.service);
+
+		sum += service ? service->memory_tokens : 0;
+	}
+	return sum;
+}
+
+/*
+ * Engines evict what was used the longest ago. What they keep is as old as it
+ * takes to fill their memory with the tokens that all hosts send; this host's
+ * share of them is taken as the mean.
+ */
+static void gw_estimate_kept(struct gw_peers *p, int64_t now_ms)
+{
+	struct gw_gateway *g = p->gateway;
+	double hosts = p->peers->len + 1;
+	double per_ms = g->sent_tokens * hosts / GW_SWEEP_MS;
+
+	g->sent_tokens = 0;
+	p->tokens_per_ms += (per_ms - p->tokens_per_ms) / GW_KEPT_SMOOTHING;
+	g->kept_ms = GW_KEPT_MAX_MS;
+	if (p->tokens_per_ms > 0)
+		g->kept_ms = CLAMP(GW_KEPT_PART * gw_engine_memory(g) /
+					   p->tokens_per_ms,
+				   GW_KEPT_MIN_MS, GW_KEPT_MAX_MS);
+}
+
 /* The repeats that are always allowed are for all hosts together. */
 static void gw_share_retries(struct gw_peers *p)
 {
@@ -199,6 +243,7 @@
 	pe_load_expire(&p->gateway->others, now_ms - GW_FORGET_LOAD_MS);
 	pe_held_expire(&p->gateway->held, now_ms - GW_FORGET_HELD_MS);
 	gw_share_retries(p);
+	gw_estimate_kept(p, now_ms);
 }
 
 static void gw_on_own_rows(void *arg, enum st_code code,
@@ -240,8 +285,8 @@
 	for (uint32_t i = 0; p->is_open && i < p->peers->len; i++) {
 		struct gw_peer *peer = p->peers->pdata[i];
 
-		if (now_ms - peer->sent_ms >=
-		    gw_send_period_ms(p, peer, now_ms))
+		peer->period_ms = gw_send_period_ms(p, peer, now_ms);
+		if (now_ms - peer->sent_ms >= peer->period_ms)
 			gw_send_load(p, peer, now_ms);
 	}
 }
@@ -424,23 +469,35 @@
 	return XXH3_64bits(name, strlen(name));
 }
 
-bool gw_peers_is_reader(const struct gw_gateway *g)
+/* Hosts that speak and whose names come first in the order of a hash. */
+static uint32_t gw_count_before(const struct gw_gateway *g, bool in_zone_only)
 {
 	const struct gw_peers *p = g->peers;
 	uint64_t own = gw_name_hash(g->settings.host);
 	int64_t now_ms = ck_now_ms();
+	uint32_t count = 0;
 
-	if (!p || !p->is_open)
-		return true;
-	for (uint32_t i = 0; i < p->peers->len; i++) {
+	for (uint32_t i = 0; p && p->is_open && i < p->peers->len; i++) {
 		const struct gw_peer *peer = p->peers->pdata[i];
 
-		if (peer->is_in_zone && peer->has_spoken &&
-		    now_ms - peer->heard_ms < GW_READER_SILENT_MS &&
-		    gw_name_hash(peer->name) < own)
-			return false;
+		if (in_zone_only && !peer->is_in_zone)
+			continue;
+		count += peer->has_spoken &&
+			 now_ms - peer->heard_ms <
+				 GW_READER_SILENT_MS + 2 * peer->period_ms &&
+			 gw_name_hash(peer->name) < own;
 	}
-	return true;
+	return count;
+}
+
+bool gw_peers_is_reader(const struct gw_gateway *g)
+{
+	return !gw_count_before(g, true);
+}
+
+uint32_t gw_peers_rank(const struct gw_gateway *g)
+{
+	return gw_count_before(g, false);
 }
 
 void gw_peers_call_zone(struct gw_gateway *g, uint32_t number, xdrproc_t args,
@@ -471,6 +528,7 @@
 	g->peers = p;
 	p->gateway = g;
 	p->started_ms = ck_now_ms();
+	g->kept_ms = GW_KEPT_MAX_MS;
 	p->peers = g_ptr_array_new_with_free_func(g_free);
 	p->news = g_array_new(FALSE, FALSE, sizeof(bp_held));
 	snprintf(p->address, sizeof(p->address), "%s:%u %s %s",
--- a/src/gateway/gw_place.c
+++ b/src/gateway/gw_place.c
@@ -42,6 +42,19 @@
 		       g->settings.weights_ms - GW_WEIGHTS_MARGIN_MS;
 }
 
+/* Since an engine last used a prefix under its present weights; -1: never. */
+static int64_t gw_used_age_ms(const struct gw_gateway *g, uint64_t prefix,
+			      const struct fl_engine *e, int64_t now_ms)
+{
+	int64_t used_ms;
+
+	if (!prefix)
+		return -1;
+	used_ms = pe_held_used_ms(
+		&g->held, pe_held_key(prefix, e->entry.weights), e->hash);
+	return used_ms ? now_ms - used_ms : -1;
+}
+
 static struct pc_candidate gw_candidate(const struct gw_gateway *g,
 					const struct gw_place_request *request,
 					const struct fl_engine *e,
@@ -64,15 +77,11 @@
 	};
 
 	c.age_ms = gw_weights_age_ms(wanted, weights, now_ms);
-	if (prefix->subject) {
-		c.holds_subject = pe_held_has(
-			&g->held, pe_held_key(prefix->subject, weights),
-			e->hash);
-		c.holds_root = c.holds_subject ||
-			       pe_held_has(&g->held,
-					   pe_held_key(prefix->root, weights),
-					   e->hash);
-	}
+	c.subject_age_ms = gw_used_age_ms(g, prefix->subject, e, now_ms);
+	c.root_age_ms = gw_used_age_ms(g, prefix->root, e, now_ms);
+	c.holds_subject =
+		c.subject_age_ms >= 0 && c.subject_age_ms < g->kept_ms;
+	c.holds_root = c.root_age_ms >= 0 && c.root_age_ms < g->kept_ms;
 	return c;
 }
 
--- a/src/gateway/gw_rollout.c
+++ b/src/gateway/gw_rollout.c
@@ -20,10 +20,11 @@
 #define GW_ORDER_TIMEOUT_MS   400
 #define GW_CONNECT_TIMEOUT_MS 300
 /* Other hosts look at the lease that often, with up to half of it more. */
-#define GW_LEASE_READ_MS	  2000
-#define GW_LEASE_READ_PER_PEER_MS 200
-#define GW_STORE_TIMEOUT_MS	  1000
-#define GW_TICK_S		  0.05
+#define GW_LEASE_READ_MS    2000
+#define GW_LEASE_WATCHERS   6
+#define GW_LEASE_SELDOM	    6
+#define GW_STORE_TIMEOUT_MS 1000
+#define GW_TICK_S	    0.05
 /* The engine's entry tells of the end of an order; if it does not, ask. */
 #define GW_ORDER_LIMIT_MS 2500
 /* An engine that gets no new requests reads those that wait there first. An
@@ -403,11 +404,12 @@
 	struct gw_rollout *ro = w->data;
 	int64_t now_ms = ck_now_ms();
 
-	/* With many hosts each of them looks at the lease less often. */
+	/* A few hosts look at the lease often, so that it is soon taken over;
+	 * the others seldom, so that the calls do not grow with the hosts. */
 	ls_set_read_period(&ro->lease,
-			   MAX(ro->read_period_ms,
-			       (int64_t)pe_load_peers(&ro->gateway->others) *
-				       GW_LEASE_READ_PER_PEER_MS));
+			   gw_peers_rank(ro->gateway) < GW_LEASE_WATCHERS
+				   ? ro->read_period_ms
+				   : ro->read_period_ms * GW_LEASE_SELDOM);
 	if (!ro->gateway->stop_ms)
 		gw_step_lease(ro, now_ms);
 	else
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -281,6 +281,7 @@
 	fl_ref(engine);
 	engine->running++;
 	engine->waiting_tokens += r->read_tokens;
+	r->gateway->sent_tokens += r->read_tokens + r->in.max_output_tokens;
 	r->weights = engine->entry.weights;
 	r->is_awaiting = true;
 	r->sends++;
--- a/src/peers/pe_held.c
+++ b/src/peers/pe_held.c
@@ -3,11 +3,16 @@
 /* Far above the prefixes in use; a table that reaches it starts anew. */
 #define PE_MAX_PREFIXES 65536
 
+struct pe_holder {
+	uint64_t engine;
+	int64_t used_ms;
+	int64_t told_ms;
+};
+
 struct pe_prefix {
 	uint64_t key;
-	uint64_t engines[PE_MAX_HOLDERS];
+	struct pe_holder holders[PE_MAX_HOLDERS];
 	uint32_t count;
-	uint32_t next;
 	int64_t added_ms;
 };
 
@@ -33,20 +38,41 @@
 	return x ^ x >> 32;
 }
 
-bool pe_held_has(const struct pe_held *held, uint64_t key, uint64_t engine)
+static struct pe_holder *pe_find(struct pe_prefix *p, uint64_t engine)
 {
-	const struct pe_prefix *p = g_hash_table_lookup(held->_prefixes, &key);
+	for (uint32_t i = 0; i < p->count; i++)
+		if (p->holders[i].engine == engine)
+			return &p->holders[i];
+	return NULL;
+}
 
-	for (uint32_t i = 0; p && i < p->count; i++)
-		if (p->engines[i] == engine)
-			return true;
-	return false;
+/* The one that was used the longest ago gives way. */
+static struct pe_holder *pe_new_holder(struct pe_prefix *p)
+{
+	struct pe_holder *oldest = &p->holders[0];
+
+	if (p->count < PE_MAX_HOLDERS)
+		return &p->holders[p->count++];
+	for (uint32_t i = 1; i < p->count; i++)
+		if (p->holders[i].used_ms < oldest->used_ms)
+			oldest = &p->holders[i];
+	return oldest;
+}
+
+int64_t pe_held_used_ms(const struct pe_held *held, uint64_t key,
+			uint64_t engine)
+{
+	struct pe_prefix *p = g_hash_table_lookup(held->_prefixes, &key);
+	const struct pe_holder *holder = p ? pe_find(p, engine) : NULL;
+
+	return holder ? holder->used_ms : 0;
 }
 
 bool pe_held_add(struct pe_held *held, uint64_t key, uint64_t engine,
 		 int64_t now_ms)
 {
 	struct pe_prefix *p = g_hash_table_lookup(held->_prefixes, &key);
+	struct pe_holder *holder;
 
 	if (!p) {
 		if (g_hash_table_size(held->_prefixes) >= PE_MAX_PREFIXES)
@@ -56,12 +82,15 @@
 		g_hash_table_insert(held->_prefixes, &p->key, p);
 	}
 	p->added_ms = now_ms;
-	if (pe_held_has(held, key, engine))
+	holder = pe_find(p, engine);
+	if (!holder) {
+		holder = pe_new_holder(p);
+		*holder = (struct pe_holder){ engine, 0, 0 };
+	}
+	holder->used_ms = now_ms;
+	if (holder->told_ms && now_ms - holder->told_ms < PE_TELL_AGAIN_MS)
 		return false;
-	p->engines[p->next] = engine;
-	p->next = (p->next + 1) % PE_MAX_HOLDERS;
-	if (p->count < PE_MAX_HOLDERS)
-		p->count++;
+	holder->told_ms = now_ms;
 	return true;
 }
 
--- a/src/peers/pe_held.h
+++ b/src/peers/pe_held.h
@@ -14,7 +14,7 @@
  * Use
  *	key = pe_held_key(prefix, weights);
  *	pe_held_add(&held, key, engine, now_ms);
- *	if (pe_held_has(&held, key, engine)) ...
+ *	if (pe_held_used_ms(&held, key, engine) > since_ms) ...
  */
 #ifndef PE_HELD_H
 #define PE_HELD_H
@@ -35,10 +35,21 @@
 
 uint64_t pe_held_key(uint64_t prefix, uint64_t weights);
 
-/** pe_held_add() - returns false if it was known. */
+/** How long other hosts go by what they were told of a prefix in use. */
+#define PE_TELL_AGAIN_MS 1000
+
+/**
+ * pe_held_add() - an engine has read the prefix, or read on from it.
+ *
+ * Return: whether other hosts should be told: it was not known, or last told
+ * PE_TELL_AGAIN_MS ago.
+ */
 bool pe_held_add(struct pe_held *held, uint64_t key, uint64_t engine,
 		 int64_t now_ms);
-bool pe_held_has(const struct pe_held *held, uint64_t key, uint64_t engine);
+
+/** pe_held_used_ms() - when it was last used there; 0: never. */
+int64_t pe_held_used_ms(const struct pe_held *held, uint64_t key,
+			uint64_t engine);
 
 /** pe_held_expire() - forget prefixes not added since @before_ms. */
 void pe_held_expire(struct pe_held *held, int64_t before_ms);
--- a/src/placement/pc.c
+++ b/src/placement/pc.c
@@ -5,11 +5,9 @@
 /* Prompt tokens that an engine reads in a ms; engines of one pool are alike,
  * so it only weighs reading against the other terms. */
 #define PC_TOKENS_PER_MS 40.0
-/* Copying a token within a zone, between zones and between regions: 262 KB
- * over a link of about 1 Tbit/s, twice and ten times as long. */
-#define PC_COPY_MS	  0.002
-#define PC_COPY_ZONE_MS	  0.004
-#define PC_COPY_REGION_MS 0.02
+/* Copying a token between zones: 262 KB over a link of about 1 Tbit/s takes
+ * twice as long as within a zone. */
+#define PC_COPY_ZONE_MS 0.004
 /* What a copy takes from other prefixes that its engine must evict for it. */
 #define PC_EVICT_MS 0.07
 /* One way to another zone and back, and to another region and back. The bytes
@@ -78,8 +76,8 @@
 	uint32_t count = 0;
 
 	for (uint32_t i = 0; i < view->count; i++) {
-		uint64_t rank = pc_mix(view->request->root ^
-				       view->candidates[i].hash);
+		uint64_t rank =
+			pc_mix(view->request->root ^ view->candidates[i].hash);
 		uint32_t at = count;
 
 		if (!pc_is_usable(&view->candidates[i]))
@@ -123,9 +121,8 @@
 	if (!view->is_root_held)
 		return group[0].index;
 	for (uint32_t i = 0; i < count; i++) {
-		uint64_t rank =
-			pc_mix(view->request->subject ^
-			       view->candidates[group[i].index].hash);
+		uint64_t rank = pc_mix(view->request->subject ^
+				       view->candidates[group[i].index].hash);
 
 		if (best >= 0 && rank <= best_rank)
 			continue;
@@ -155,35 +152,38 @@
 	return view;
 }
 
-static double pc_copy_ms(const struct pc_candidate *from,
-			 const struct pc_candidate *to)
-{
-	if (from->region != to->region)
-		return PC_COPY_REGION_MS;
-	return from->zone != to->zone ? PC_COPY_ZONE_MS : PC_COPY_MS;
-}
-
-/* The nearest holder of the subject, else of the root; -1 for none. */
-static int32_t pc_source(const struct pc_view *view, uint32_t chosen)
+/* Whoever used it last has most likely not evicted it; -1 for none. */
+static int32_t pc_last_user(const struct pc_view *view, int32_t except,
+			    bool is_root)
 {
 	int32_t best = -1;
-	double best_ms = 0;
+	int64_t best_ms = 0;
 
 	for (uint32_t i = 0; i < view->count; i++) {
 		const struct pc_candidate *c = &view->candidates[i];
-		bool has = view->is_held ? c->holds_subject : c->holds_root;
-		double ms = pc_copy_ms(c, &view->candidates[chosen]);
+		int64_t age_ms = is_root ? c->root_age_ms : c->subject_age_ms;
 
-		if (i == chosen || !has || !pc_is_usable(c))
+		if ((int32_t)i == except || age_ms < 0 || !pc_is_usable(c))
 			continue;
-		if (best < 0 || ms < best_ms) {
+		if (best < 0 || age_ms < best_ms) {
 			best = i;
-			best_ms = ms;
+			best_ms = age_ms;
 		}
 	}
 	return best;
 }
 
+static int32_t pc_source(const struct pc_view *view, int32_t chosen)
+{
+	const struct pc_candidate *c = &view->candidates[chosen];
+	int32_t source = pc_last_user(view, chosen, false);
+
+	if (source >= 0 &&
+	    !(c->holds_root && !view->candidates[source].holds_subject))
+		return source;
+	return pc_last_user(view, chosen, true);
+}
+
 /**
  * struct pc_reading - how a candidate gets the prompt.
  * @read_tokens: read there.
@@ -284,8 +284,7 @@
 		return answer;
 	answer.read_tokens =
 		pc_reading(&view, &candidates[answer.chosen]).read_tokens;
-	if (request->subject && !candidates[answer.chosen].holds_subject &&
-	    !candidates[answer.chosen].age_ms)
+	if (request->subject && !candidates[answer.chosen].age_ms)
 		answer.source = pc_source(&view, answer.chosen);
 	return answer;
 }
--- a/src/placement/pc.h
+++ b/src/placement/pc.h
@@ -55,8 +55,9 @@
  * @slots: requests that it runs at once; 0: unknown.
  * @zone, @region: any numbers that differ between places.
  * @distance: from this host.
- * @holds_subject: it has read the whole shared prefix.
- * @holds_root: it has read the first part of it.
+ * @subject_age_ms: since it last used the whole shared prefix; -1: never.
+ * @root_age_ms: the same of the first part.
+ * @holds_subject, @holds_root: and it has probably not evicted it since.
  * @is_avoided: it failed lately, is loading or is about to.
  * @is_tried: this request has been there.
  * @age_ms: of its weights: since newer ones were wanted; 0: the newest.
@@ -69,6 +70,8 @@
 	uint32_t zone;
 	uint32_t region;
 	enum pc_distance distance;
+	int64_t subject_age_ms;
+	int64_t root_age_ms;
 	bool holds_subject;
 	bool holds_root;
 	bool is_avoided;
@@ -97,7 +100,8 @@
 /**
  * struct pc_answer - indices into the table, -1 for none.
  * @chosen: where to send it.
- * @source: from which engine it may copy the shared prefix.
+ * @source: from which engine it may copy what it lacks of the shared prefix;
+ *	given also if it should lack nothing, as it may have evicted it.
  * @read_tokens: that the chosen one probably has to read.
  * @cost_ms: predicted time until the first token.
  */
--- a/tests/unit/peers_test.cc
+++ b/tests/unit/peers_test.cc
@@ -67,16 +67,17 @@
 	uint64_t key = pe_held_key(11, 3);
 
 	pe_held_init(&held);
-	EXPECT_TRUE(pe_held_add(&held, key, 1, 0));
-	EXPECT_FALSE(pe_held_add(&held, key, 1, 0));
-	EXPECT_TRUE(pe_held_has(&held, key, 1));
-	EXPECT_FALSE(pe_held_has(&held, pe_held_key(11, 4), 1));
+	EXPECT_TRUE(pe_held_add(&held, key, 1, 100));
+	EXPECT_FALSE(pe_held_add(&held, key, 1, 200));
+	EXPECT_EQ(pe_held_used_ms(&held, key, 1), 200);
+	EXPECT_TRUE(pe_held_add(&held, key, 1, 100 + PE_TELL_AGAIN_MS));
+	EXPECT_EQ(pe_held_used_ms(&held, pe_held_key(11, 4), 1), 0);
 	for (uint64_t engine = 2; engine <= PE_MAX_HOLDERS + 1; engine++)
-		pe_held_add(&held, key, engine, 0);
-	EXPECT_FALSE(pe_held_has(&held, key, 1));
-	EXPECT_TRUE(pe_held_has(&held, key, PE_MAX_HOLDERS + 1));
-	pe_held_expire(&held, 1);
-	EXPECT_FALSE(pe_held_has(&held, key, 2));
+		pe_held_add(&held, key, engine, 2000 + engine);
+	EXPECT_EQ(pe_held_used_ms(&held, key, 1), 0);
+	EXPECT_GT(pe_held_used_ms(&held, key, PE_MAX_HOLDERS + 1), 0);
+	pe_held_expire(&held, 5000);
+	EXPECT_EQ(pe_held_used_ms(&held, key, 2), 0);
 	pe_held_finish(&held);
 }
 
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -23,9 +23,16 @@
 	c.slots = 100;
 	c.zone = distance;
 	c.region = distance == PC_OTHER_REGION;
+	c.subject_age_ms = c.root_age_ms = -1;
 	return c;
 }
 
+void hold(pc_candidate *c)
+{
+	c->holds_subject = c->holds_root = true;
+	c->subject_age_ms = c->root_age_ms = 100;
+}
+
 pc_request tone(uint64_t subject, uint64_t root)
 {
 	pc_request r = {};
@@ -88,7 +95,7 @@
 	std::vector<pc_candidate> table = { engine(1), engine(2), engine(3) };
 	pc_request r = tone(7, 3);
 
-	table[1].holds_subject = table[1].holds_root = true;
+	hold(&table[1]);
 	EXPECT_EQ(pc_place(&r, table.data(), 3).chosen, 1);
 	table[1].waiting_tokens = 40000;
 	pc_answer answer = pc_place(&r, table.data(), 3);
@@ -103,7 +110,7 @@
 	pc_request r = tone(7, 3);
 
 	table[0].age_ms = 500;
-	table[0].holds_subject = table[0].holds_root = true;
+	hold(&table[0]);
 	EXPECT_EQ(pc_place(&r, table.data(), 2).chosen, 0);
 	table[0].age_ms = 3000;
 	EXPECT_EQ(pc_place(&r, table.data(), 2).chosen, 1);
@@ -140,7 +147,10 @@
 		for (int i = 0; i < 12; i++) {
 			table.push_back(engine(i + 1));
 			/* Each root has been read somewhere. */
-			table.back().holds_root = i == int(subject % 4);
+			if (i == int(subject % 4)) {
+				table.back().holds_root = true;
+				table.back().root_age_ms = 100;
+			}
 		}
 		engines_of[r.root].insert(
 			pc_place(&r, table.data(), 12).chosen);
@@ -178,7 +188,8 @@
 		r.own_tokens = 628;
 		for (int i = 0; i < engines; i++) {
 			table.push_back(engine(i + 1));
-			table.back().holds_subject = r.subject == 42 && i == 5;
+			if (r.subject == 42 && i == 5)
+				hold(&table.back());
 			table.back().waiting_tokens =
 				knows_all ? uint32_t(queued[i] * 40)
 					  : own[host][i];
