placement: the store of kept prompts serves the engines of its region

Cause: engines forget a prefix within six seconds, half of its uses come later. Weighed: all engines (a transfer to the other region takes ten times as long and would fill the store's link), long prompts in its region only.

--- a/src/gateway/gw_place.c
+++ b/src/gateway/gw_place.c
@@ -1,6 +1,7 @@
 #include "gateway/gw_place.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #define GW_MAX_CANDIDATES 1024
 /*
@@ -85,6 +86,32 @@
 	return c;
 }
 
+uint64_t gw_store_hash(const struct ca_service *store)
+{
+	return XXH3_64bits(store->store_address, strlen(store->store_address));
+}
+
+/* What the store holds under the newest weights. */
+static struct pc_store gw_look_at_store(const struct gw_gateway *g,
+					const struct gw_place_request *request,
+					const struct ca_service *store,
+					const struct gw_wanted *wanted)
+{
+	uint64_t weights = wanted ? wanted->version : 0;
+	uint64_t hash = gw_store_hash(store);
+	const char *region = gw_region_of(&g->settings, store->store_zone);
+
+	return (struct pc_store){
+		.region = g_quark_from_string(region),
+		.holds_subject = pe_held_used_ms(
+			&g->held, pe_held_key(request->prefix.subject, weights),
+			hash),
+		.holds_root = pe_held_used_ms(
+			&g->held, pe_held_key(request->prefix.root, weights),
+			hash),
+	};
+}
+
 struct gw_place_answer gw_place(const struct gw_gateway *g,
 				const struct gw_place_request *request,
 				int64_t now_ms)
@@ -93,6 +120,10 @@
 	struct fl_engine *engines[GW_MAX_CANDIDATES];
 	const struct gw_wanted *wanted =
 		request->model ? gw_wanted_of(g, request->model) : NULL;
+	const struct ca_service *store =
+		request->prefix.subject ? ca_store(g->catalog) : NULL;
+	struct pc_request prefix = request->prefix;
+	struct pc_store look;
 	struct pc_answer answer;
 	uint32_t count = 0;
 
@@ -104,11 +135,18 @@
 		candidates[count++] =
 			gw_candidate(g, request, e, wanted, now_ms);
 	}
-	answer = pc_place(&request->prefix, candidates, count);
+	if (store) {
+		look = gw_look_at_store(g, request, store, wanted);
+		prefix.store = &look;
+	}
+	answer = pc_place(&prefix, candidates, count);
 	return (struct gw_place_answer){
-		answer.chosen < 0 ? NULL : engines[answer.chosen],
-		answer.source < 0 ? NULL : engines[answer.source],
-		answer.read_tokens,
-		answer.cost_ms,
+		.engine = answer.chosen < 0 ? NULL : engines[answer.chosen],
+		.source = answer.source < 0 ? NULL : engines[answer.source],
+		.store = store,
+		.is_from_store = answer.is_from_store,
+		.is_to_store = answer.is_to_store,
+		.read_tokens = answer.read_tokens,
+		.cost_ms = answer.cost_ms,
 	};
 }
--- a/src/gateway/gw_place.h
+++ b/src/gateway/gw_place.h
@@ -33,15 +33,22 @@
 
 /**
  * struct gw_place_answer - NULL where there is none.
- * @read_tokens, @cost_ms: see pc.h.
+ * @store: of kept prompts; NULL if it is not used.
+ * @is_from_store, @is_to_store, @read_tokens, @cost_ms: see pc.h.
  */
 struct gw_place_answer {
 	struct fl_engine *engine;
 	struct fl_engine *source;
+	const struct ca_service *store;
+	bool is_from_store;
+	bool is_to_store;
 	uint32_t read_tokens;
 	double cost_ms;
 };
 
+/** gw_store_hash() - a store among the holders of prefixes. */
+uint64_t gw_store_hash(const struct ca_service *store);
+
 struct gw_place_answer gw_place(const struct gw_gateway *g,
 				const struct gw_place_request *request,
 				int64_t now_ms);
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -54,10 +54,12 @@
 	lg_info("request sent", "event", "request_sent", "request",
 		r->in.attempt ? r->in.attempt : "", "engine",
 		to->engine->entry.id, "source",
-		to->source ? to->source->entry.id : "", "subject", subject,
-		"root", root, "weights", weights, "running", running, "left_ms",
-		left, "predicted_ms", cost, "read_tokens", reads,
-		"shared_tokens", shared, NULL);
+		to->is_from_store ? "store"
+		: to->source	  ? to->source->entry.id
+				  : "",
+		"subject", subject, "root", root, "weights", weights, "running",
+		running, "left_ms", left, "predicted_ms", cost, "read_tokens",
+		reads, "shared_tokens", shared, NULL);
 }
 
 static void gw_leave_engine(struct gw_request *r)
@@ -132,13 +134,20 @@
 	return true;
 }
 
-static void gw_tell_held(struct gw_request *r, uint64_t prefix)
+static void gw_tell_held(struct gw_request *r, uint64_t prefix, uint64_t holder)
 {
 	struct gw_gateway *g = r->gateway;
 	uint64_t key = pe_held_key(prefix, r->engine->entry.weights);
 
-	if (pe_held_add(&g->held, key, r->engine->hash, ck_now_ms()))
-		gw_peers_tell_held(g, key, r->engine->hash);
+	if (pe_held_add(&g->held, key, holder, ck_now_ms()))
+		gw_peers_tell_held(g, key, holder);
+}
+
+static void gw_tell_prefix(struct gw_request *r, uint64_t holder)
+{
+	gw_tell_held(r, r->prefix.subject, holder);
+	if (r->prefix.root != r->prefix.subject)
+		gw_tell_held(r, r->prefix.root, holder);
 }
 
 /* The first token has come: the prompt has been read there. */
@@ -148,9 +157,9 @@
 	r->read_tokens = 0;
 	if (!r->prefix.subject)
 		return;
-	gw_tell_held(r, r->prefix.subject);
-	if (r->prefix.root != r->prefix.subject)
-		gw_tell_held(r, r->prefix.root);
+	gw_tell_prefix(r, r->engine->hash);
+	if (r->store_hash)
+		gw_tell_prefix(r, r->store_hash);
 }
 
 static void gw_pass_event(struct gw_request *r, const struct gw_event *event)
@@ -323,6 +332,14 @@
 		send.weights = to->engine->entry.weights;
 		send.priority = r->terms.priority < 9 ? r->terms.priority : 9;
 		send.fetch_from = to->source ? to->source->entry.address : NULL;
+		if (to->is_from_store)
+			send.fetch_from = to->store->store_address;
+		if (to->is_to_store)
+			send.save_to = to->store->store_address;
+		/* Used or saved there now. */
+		r->store_hash = to->is_from_store || to->is_to_store
+					? gw_store_hash(to->store)
+					: 0;
 	}
 	h1_headers_init(&headers);
 	g->dialect->write_request(r->exchange->headers, &send, &headers);
--- a/src/placement/pc.c
+++ b/src/placement/pc.c
@@ -8,6 +8,10 @@
 /* Copying a token between zones: 262 KB over a link of about 1 Tbit/s takes
  * twice as long as within a zone. */
 #define PC_COPY_ZONE_MS 0.004
+/* From the store, whose link is narrower and shared by all engines. */
+#define PC_STORE_MS 0.012
+/* Shorter prefixes are read again sooner than copied from the store. */
+#define PC_STORE_MIN_TOKENS 1000
 /* What a copy takes from other prefixes that its engine must evict for it. */
 #define PC_EVICT_MS 0.07
 /* One way to another zone and back, and to another region and back. The bytes
@@ -187,18 +191,27 @@
 /**
  * struct pc_reading - how a candidate gets the prompt.
  * @read_tokens: read there.
- * @copy_tokens: copied from elsewhere.
+ * @copy_tokens: copied from another engine.
+ * @store_tokens: copied from the store.
  */
 struct pc_reading {
 	uint32_t read_tokens;
 	uint32_t copy_tokens;
+	uint32_t store_tokens;
 };
 
+static bool pc_is_near_store(const struct pc_request *r,
+			     const struct pc_candidate *c)
+{
+	return r->store && r->shared_tokens >= PC_STORE_MIN_TOKENS &&
+	       !c->age_ms && c->region == r->store->region;
+}
+
 static struct pc_reading pc_reading(const struct pc_view *view,
 				    const struct pc_candidate *c)
 {
 	const struct pc_request *r = view->request;
-	struct pc_reading reading = { r->own_tokens, 0 };
+	struct pc_reading reading = { r->own_tokens, 0, 0 };
 
 	if (c->holds_subject || !r->subject)
 		return reading;
@@ -206,6 +219,10 @@
 		reading.copy_tokens = r->shared_tokens;
 		return reading;
 	}
+	if (pc_is_near_store(r, c) && r->store->holds_subject) {
+		reading.store_tokens = r->shared_tokens;
+		return reading;
+	}
 	reading.read_tokens += r->shared_tokens;
 	if (c->holds_root || (view->is_root_held && !c->age_ms))
 		reading.read_tokens -= r->root_tokens;
@@ -249,6 +266,7 @@
 
 	ms += (c->waiting_tokens + reading.read_tokens) / PC_TOKENS_PER_MS;
 	ms += reading.copy_tokens * (PC_COPY_ZONE_MS + PC_EVICT_MS);
+	ms += reading.store_tokens * PC_STORE_MS;
 	ms += c->running * PC_RUNNING_MS;
 	if (view->request->own_tokens)
 		ms += pc_noise_ms(view->request, c);
@@ -267,7 +285,7 @@
 			  const struct pc_candidate *candidates, uint32_t count)
 {
 	struct pc_view view = pc_look(request, candidates, count);
-	struct pc_answer answer = { -1, -1, 0, 0 };
+	struct pc_answer answer = { .chosen = -1, .source = -1 };
 
 	for (uint32_t i = 0; i < count; i++) {
 		double ms;
@@ -284,7 +302,15 @@
 		return answer;
 	answer.read_tokens =
 		pc_reading(&view, &candidates[answer.chosen]).read_tokens;
-	if (request->subject && !candidates[answer.chosen].age_ms)
-		answer.source = pc_source(&view, answer.chosen);
+	if (!request->subject || candidates[answer.chosen].age_ms)
+		return answer;
+	answer.source = pc_source(&view, answer.chosen);
+	if (!pc_is_near_store(request, &candidates[answer.chosen]))
+		return answer;
+	answer.is_to_store = !request->store->holds_subject;
+	/* An engine that surely holds it is nearer than the store. */
+	answer.is_from_store = request->store->holds_subject &&
+			       !(answer.source >= 0 &&
+				 candidates[answer.source].holds_subject);
 	return answer;
 }
--- a/src/placement/pc.h
+++ b/src/placement/pc.h
@@ -25,6 +25,9 @@
  *	a short while without a penalty, then with one. Avoided ones are the
  *	last resort.
  *
+ *	Engines forget a prefix within seconds. Those in the region of a store
+ *	save long prompts there and copy them back.
+ *
  *	Dozens of hosts see the same table for a tenth of a second. A random
  *	term keeps them from sending all their requests to the one engine that
  *	looks best meanwhile.
@@ -79,6 +82,18 @@
 	int64_t age_ms;
 };
 
+/**
+ * struct pc_store - a store of kept prompts, used by engines of its region: the
+ * way to the other one is ten times as long.
+ * @region: as of the candidates.
+ * @holds_subject, @holds_root: the same was saved there not long ago.
+ */
+struct pc_store {
+	uint32_t region;
+	bool holds_subject;
+	bool holds_root;
+};
+
 /**
  * struct pc_request
  * @subject: of the whole shared prefix; 0: none.
@@ -87,6 +102,7 @@
  * @root_tokens: of its first part.
  * @own_tokens: of the rest of the prompt; 0 for plain requests.
  * @seed: any number that differs between requests.
+ * @store: NULL if there is none.
  */
 struct pc_request {
 	uint64_t subject;
@@ -95,6 +111,7 @@
 	uint32_t root_tokens;
 	uint32_t own_tokens;
 	uint64_t seed;
+	const struct pc_store *store;
 };
 
 /**
@@ -102,12 +119,16 @@
  * @chosen: where to send it.
  * @source: from which engine it may copy what it lacks of the shared prefix;
  *	given also if it should lack nothing, as it may have evicted it.
+ * @is_from_store: the store is to be copied from, not the source.
+ * @is_to_store: the chosen one is to save the prompt there.
  * @read_tokens: that the chosen one probably has to read.
  * @cost_ms: predicted time until the first token.
  */
 struct pc_answer {
 	int32_t chosen;
 	int32_t source;
+	bool is_from_store;
+	bool is_to_store;
 	uint32_t read_tokens;
 	double cost_ms;
 };
