engines that fall silent are found out by a connection of their own

Weighed: silence alone (a busy engine is silent, too); a new connection after 0.8 s, trusted for two seconds.

--- a/src/fleet/fl.h
+++ b/src/fleet/fl.h
@@ -36,6 +36,7 @@
  * @waiting_tokens: prompt tokens of theirs that are not read yet.
  * @failures: in a row.
  * @avoid_until_ms: it gets no request before, unless there is no other.
+ * @checked_ms, @failed_checks, @is_checking: see gw_silence.h.
  * @joined_ms: when it was first seen with its present weights.
  * @region: of its availability zone; set by the owner of the fleet.
  * @zone_number, @region_number: of their names, equal for equal names.
@@ -51,6 +52,9 @@
 	uint32_t waiting_tokens;
 	uint32_t failures;
 	int64_t avoid_until_ms;
+	int64_t checked_ms;
+	uint32_t failed_checks;
+	bool is_checking;
 	int64_t joined_ms;
 	const char *region;
 	uint32_t zone_number;
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -13,6 +13,8 @@
  *	gw_watch.c	follows one table of the store
  *	gw_knowledge.c	configuration, wanted weights and upstreams from it
  *	gw_rollout.c	brings engines to the wanted weights
+ *	gw_silence.c	engines that fall silent
+ *	gw_relay.c	one reader of the store for a zone
  *	gw_peers.c	load and held prefixes, shared with the other hosts
  *	gw_place.c	candidates for src/placement
  *
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -5,6 +5,7 @@
 
 #include "gateway/gw.h"
 #include "gateway/gw_relay.h"
+#include "gateway/gw_silence.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt.h"
@@ -307,6 +308,7 @@
 
 	k->gateway->config_fresh_ms = k->operator_rows.fresh_ms;
 	gw_requests_sweep(k->gateway, ck_now_ms());
+	gw_silence_sweep(k->gateway, ck_now_ms());
 	if (!fl_expire(&k->gateway->fleet, ck_now_ms()))
 		return;
 	gw_rollout_changed(k->gateway);
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -42,6 +42,7 @@
  * @sends: upstreams it was sent to.
  * @failed_connects: upstreams that took no connection.
  * @may_have_begun: some upstream may have run it.
+ * @heard_ms: when it was sent, or the last byte of the answer came.
  * @answer: signs of the upstream's answer.
  * @last_event: last one that the caller has.
  */
@@ -72,6 +73,7 @@
 	uint32_t tried_count;
 	bool may_have_begun;
 	int64_t sent_ms;
+	int64_t heard_ms;
 
 	enum gw_answer_mode mode;
 	uint32_t status;
@@ -110,4 +112,7 @@
 /** gw_send_cancel() - give the attempt up; the upstream learns of it. */
 void gw_send_cancel(struct gw_request *r);
 
+/** gw_send_log_failure() - the attempt under way has failed. */
+void gw_send_log_failure(const struct gw_request *r, const char *outcome);
+
 #endif
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -19,7 +19,7 @@
 /* Answers above that are handed on as they come. */
 #define GW_MAX_COLLECTED_BYTES (1u << 20)
 
-static void gw_log_attempt(const struct gw_request *r, const char *outcome)
+void gw_send_log_failure(const struct gw_request *r, const char *outcome)
 {
 	char ms[24], status[12];
 
@@ -184,6 +184,7 @@
 	struct gw_request *r = arg;
 	struct gw_event event;
 
+	r->heard_ms = ck_now_ms();
 	if (r->mode == GW_COLLECT) {
 		g_string_append_len(r->answer_body, data, bytes);
 		return;
@@ -217,7 +218,7 @@
 {
 	int64_t until_ms = ck_now_ms() + GW_BUSY_MS;
 
-	gw_log_attempt(r, "not_run");
+	gw_send_log_failure(r, "not_run");
 	if (r->engine->avoid_until_ms < until_ms)
 		r->engine->avoid_until_ms = until_ms;
 	gw_leave_engine(r);
@@ -232,7 +233,7 @@
 	}
 	r->may_have_begun = true;
 	if (!r->answer.is_signed) {
-		gw_log_attempt(r, "unsigned_answer");
+		gw_send_log_failure(r, "unsigned_answer");
 		gw_engine_failed(r->engine, ck_now_ms());
 		gw_leave_engine(r);
 		gw_request_failed(r, "unsigned_answer");
@@ -244,7 +245,7 @@
 		return;
 	}
 	if (gw_is_worth_another(r)) {
-		gw_log_attempt(r, "engine_error");
+		gw_send_log_failure(r, "engine_error");
 		gw_leave_engine(r);
 		gw_request_failed(r, "engine_error");
 		return;
@@ -268,7 +269,8 @@
 		gw_answered(r);
 		return;
 	}
-	gw_log_attempt(r, was_torn ? "torn_event" : h1_outcome_name(outcome));
+	gw_send_log_failure(r,
+			    was_torn ? "torn_event" : h1_outcome_name(outcome));
 	gw_engine_failed(r->engine, ck_now_ms());
 	gw_leave_engine(r);
 	if (outcome == H1_NOT_SENT) {
@@ -295,6 +297,7 @@
 	r->is_awaiting = true;
 	r->sends++;
 	r->sent_ms = ck_now_ms();
+	r->heard_ms = r->sent_ms;
 	r->mode = GW_NO_ANSWER;
 	r->status = 0;
 	g_string_truncate(r->answer_body, 0);
--- a/src/http1/h1_client.c
+++ b/src/http1/h1_client.c
@@ -41,6 +41,8 @@
 	bool in_callback;
 	bool is_cancelled;
 	uint32_t status;
+	void (*on_checked)(void *arg, bool is_there);
+	void *check_arg;
 };
 
 static void h1_link_free(struct _h1_link *l)
@@ -207,9 +209,27 @@
 	return true;
 }
 
+/* The end of a check; the link is freed or kept. */
+static void h1_link_checked(struct _h1_link *l, bool is_there)
+{
+	void (*on_checked)(void *, bool) = l->on_checked;
+	void *arg = l->check_arg;
+
+	l->on_checked = NULL;
+	ev_timer_stop(l->peer->_loop, &l->timer);
+	ev_io_stop(l->peer->_loop, &l->write);
+	if (is_there)
+		h1_link_keep(l);
+	else
+		h1_link_free(l);
+	on_checked(arg, is_there);
+}
+
 static void h1_link_fail(struct _h1_link *l)
 {
-	if (!l->call)
+	if (l->on_checked)
+		h1_link_checked(l, false);
+	else if (!l->call)
 		h1_link_free(l);
 	else
 		h1_link_end(l, l->was_sent ? H1_BROKEN : H1_NOT_SENT);
@@ -274,6 +294,10 @@
 		l->is_connected = true;
 		ev_timer_stop(loop, &l->timer);
 		ev_io_start(loop, &l->read);
+		if (l->on_checked) {
+			h1_link_checked(l, true);
+			return;
+		}
 	}
 	h1_link_flush(l);
 }
@@ -303,7 +327,7 @@
 	return l;
 }
 
-static void h1_link_connect(struct _h1_link *l)
+static void h1_link_connect(struct _h1_link *l, int64_t timeout_ms)
 {
 	struct h1_peer *peer = l->peer;
 	struct sockaddr_in to = { .sin_family = AF_INET };
@@ -314,7 +338,7 @@
 		h1_set_options(l->fd);
 		(void)connect(l->fd, (struct sockaddr *)&to, sizeof(to));
 		ev_io_start(peer->_loop, &l->write);
-		ev_timer_set(&l->timer, l->desc.connect_timeout_ms / 1000.0, 0);
+		ev_timer_set(&l->timer, timeout_ms / 1000.0, 0.0);
 	} else {
 		/* No descriptor: fail from the loop, as other failures do. */
 		ev_timer_set(&l->timer, 0.0, 0.0);
@@ -377,7 +401,7 @@
 	l->parser.data = l;
 	h1_link_fill(l, desc);
 	if (is_new)
-		h1_link_connect(l);
+		h1_link_connect(l, desc->connect_timeout_ms);
 	else
 		h1_link_flush(l);
 }
@@ -396,6 +420,16 @@
 		h1_link_free(l);
 }
 
+void h1_peer_check(struct h1_peer *peer, int64_t timeout_ms,
+		   void (*on_checked)(void *arg, bool is_there), void *arg)
+{
+	struct _h1_link *l = h1_link_new(peer);
+
+	l->on_checked = on_checked;
+	l->check_arg = arg;
+	h1_link_connect(l, timeout_ms);
+}
+
 bool h1_call_was_sent(const struct h1_call *call)
 {
 	return call->_link && call->_link->was_sent;
--- a/src/http1/h1_client.h
+++ b/src/http1/h1_client.h
@@ -106,6 +106,13 @@
 /** h1_peer_close_idle() - close what is not in use. */
 void h1_peer_close_idle(struct h1_peer *peer);
 
+/**
+ * h1_peer_check() - does the peer take a connection?
+ * @on_checked: called from the loop, once. The connection is kept for calls.
+ */
+void h1_peer_check(struct h1_peer *peer, int64_t timeout_ms,
+		   void (*on_checked)(void *arg, bool is_there), void *arg);
+
 /** h1_call_start() - returns at once; the callbacks come from the loop. */
 void h1_call_start(struct h1_call *call, const struct h1_call_desc *desc);
 
