lease: a lost holder is replaced within five seconds

Cause: the holder was lost as weights were named; the others looked at the lease every two seconds and more, and kept quiet for the whole three seconds that orders of two holders must be apart, although the last order of a lapsed holder is a second older than its lease.

--- a/src/control/ls.c
+++ b/src/control/ls.c
@@ -18,6 +18,8 @@
 	if (!desc->quiet_ms)
 		lease->_desc.quiet_ms = lease->_desc.duration_ms +
 					lease->_desc.order_timeout_ms;
+	if (!desc->lapsed_quiet_ms)
+		lease->_desc.lapsed_quiet_ms = lease->_desc.quiet_ms;
 	if (!desc->read_period_ms)
 		lease->_desc.read_period_ms = LS_READ_PERIOD_MS;
 }
@@ -154,9 +156,12 @@
 
 	lease->state = LS_HELD;
 	lease->fencing = lease->_attempt.fencing;
-	if (had_other)
-		lease->_quiet_until_ms =
-			now_ms + lease->_desc.quiet_ms - before->idle_ms;
+	if (!had_other)
+		return;
+	lease->_quiet_until_ms =
+		now_ms + (before->holder[0]
+				  ? lease->_desc.lapsed_quiet_ms
+				  : lease->_desc.quiet_ms - before->idle_ms);
 }
 
 bool ls_release(struct ls_lease *lease, int64_t idle_ms)
--- a/src/control/ls.h
+++ b/src/control/ls.h
@@ -72,6 +72,8 @@
  * @order_timeout_ms: the longest that an order is under way.
  * @quiet_ms: how long a new holder gives no order to engines that do not check
  *	fencing numbers; by default the duration and the order timeout.
+ * @lapsed_quiet_ms: the same after a holder whose lease lapsed, whose last
+ *order is older than that of one that gave it up; by default the same.
  * @read_period_ms: how often the others read the row.
  */
 struct ls_desc {
@@ -81,6 +83,7 @@
 	int64_t margin_ms;
 	int64_t order_timeout_ms;
 	int64_t quiet_ms;
+	int64_t lapsed_quiet_ms;
 	int64_t read_period_ms;
 };
 
--- a/src/gateway/gw_rollout.c
+++ b/src/gateway/gw_rollout.c
@@ -14,15 +14,17 @@
 #define GW_LEASE_KEY "lease"
 /* Short, so that another host takes over soon; renewed at a third of it. Long
  * enough for a store that takes half a second to answer. */
-#define GW_LEASE_MS	   2400
+#define GW_LEASE_MS	   2000
 #define GW_LEASE_MARGIN_MS 300
 /* An order crosses regions twice and is answered at once. */
 #define GW_ORDER_TIMEOUT_MS   400
 #define GW_CONNECT_TIMEOUT_MS 300
-/* Other hosts look at the lease that often, with up to half of it more. */
-#define GW_LEASE_READ_MS    2000
-#define GW_LEASE_WATCHERS   6
-#define GW_LEASE_SELDOM	    6
+/* A few hosts look at the lease that often, with up to half of it more, so that
+ * a lost holder is replaced before the bound for new weights. */
+#define GW_LEASE_READ_MS  600
+#define GW_LEASE_WATCHERS 3
+/* The others so many times as seldom. */
+#define GW_LEASE_SELDOM	    20
 #define GW_STORE_TIMEOUT_MS 1000
 #define GW_TICK_S	    0.05
 /* The engine's entry tells of the end of an order; if it does not, ask. */
@@ -425,6 +427,18 @@
 		gw_give_orders(g->rollout, ck_now_ms());
 }
 
+/*
+ * Orders of two holders have to be lease_ms apart. The last one of the old
+ * holder was sent before its lease less the margin and an order's timeout had
+ * passed; this host took the lease after the whole of it and the margin.
+ */
+static int64_t gw_lapsed_quiet_ms(const struct gw_settings *settings)
+{
+	int64_t passed_ms = 2 * GW_LEASE_MARGIN_MS + GW_ORDER_TIMEOUT_MS;
+
+	return MAX(settings->lease_ms - passed_ms, 1) + GW_TICK_S * 1000;
+}
+
 enum st_code gw_rollout_start(struct gw_gateway *g)
 {
 	struct gw_rollout *ro = g_new0(struct gw_rollout, 1);
@@ -435,14 +449,15 @@
 	ro->read_period_ms =
 		GW_LEASE_READ_MS + g_random_int_range(0, GW_LEASE_READ_MS / 2);
 	ls_init(&ro->lease,
-		&(struct ls_desc){ .holder = g->settings.host,
-				   .incarnation =
-					   ((uint64_t)g_random_int() << 32) |
-					   g_random_int(),
-				   .duration_ms = GW_LEASE_MS,
-				   .margin_ms = GW_LEASE_MARGIN_MS,
-				   .order_timeout_ms = GW_ORDER_TIMEOUT_MS,
-				   .quiet_ms = g->settings.lease_ms });
+		&(struct ls_desc){
+			.holder = g->settings.host,
+			.incarnation = ((uint64_t)g_random_int() << 32) |
+				       g_random_int(),
+			.duration_ms = GW_LEASE_MS,
+			.margin_ms = GW_LEASE_MARGIN_MS,
+			.order_timeout_ms = GW_ORDER_TIMEOUT_MS,
+			.quiet_ms = g->settings.lease_ms,
+			.lapsed_quiet_ms = gw_lapsed_quiet_ms(&g->settings) });
 	ev_timer_init(&ro->tick, gw_on_tick, GW_TICK_S, GW_TICK_S);
 	ro->tick.data = ro;
 	ev_timer_start(g->kernel.loop, &ro->tick);
