placement: urgent before late at overloaded engines

Cause: with a quarter of the engines lost, or after a change of weights, all requests waited in the order of arrival and nearly all were late. Weighed: refusing what would be late (its caller comes back to the same queue); a lower priority for it, so that it makes no other request late. The test of root groups replayed an idle system, where since copies are dearer all subjects stay at the engine that read the root; it replays the load now and keeps both bounds.

--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -36,6 +36,7 @@
  * @prefix: what it shares with other prompts, see src/placement/pc.h.
  * @scope: cached prompts are shared under it.
  * @read_tokens: counted as waiting at the engine; 0 after its first token.
+ * @priority: at the engine, see src/placement/pu.h.
  * @store_hash: of the store that has the prefix after the first token; or 0.
  * @weights: of the engine when it was sent there.
  * @is_awaiting: sent, and nothing of the answer has come.
@@ -63,6 +64,7 @@
 
 	struct fl_engine *engine;
 	uint32_t read_tokens;
+	uint32_t priority;
 	uint64_t store_hash;
 	uint64_t weights;
 	bool is_awaiting;
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -7,6 +7,7 @@
 #include "gateway/gw_request.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
+#include "placement/pu.h"
 
 /* A connection within the region is made in one to three ms, to the other
  * region in 60; a packet that was lost is sent again after 200. */
@@ -37,7 +38,7 @@
 			const struct gw_place_answer *to)
 {
 	char weights[24], running[12], subject[20], root[20], left[24];
-	char cost[24], reads[12], shared[12];
+	char cost[24], reads[12], shared[12], priority[12];
 
 	g_snprintf(weights, sizeof(weights), "%" G_GUINT64_FORMAT,
 		   to->engine->entry.weights);
@@ -49,6 +50,7 @@
 	g_snprintf(left, sizeof(left), "%" G_GINT64_FORMAT,
 		   r->end_ms - r->sent_ms);
 	g_snprintf(cost, sizeof(cost), "%.0f", to->cost_ms);
+	g_snprintf(priority, sizeof(priority), "%u", r->priority);
 	g_snprintf(reads, sizeof(reads), "%u", to->read_tokens);
 	g_snprintf(shared, sizeof(shared), "%u", r->prefix.shared_tokens);
 	lg_info("request sent", "event", "request_sent", "request",
@@ -58,8 +60,8 @@
 		: to->source	  ? to->source->entry.id
 				  : "",
 		"subject", subject, "root", root, "weights", weights, "running",
-		running, "left_ms", left, "predicted_ms", cost, "read_tokens",
-		reads, "shared_tokens", shared, NULL);
+		running, "left_ms", left, "predicted_ms", cost, "priority",
+		priority, "read_tokens", reads, "shared_tokens", shared, NULL);
 }
 
 static void gw_leave_engine(struct gw_request *r)
@@ -283,16 +285,30 @@
 	gw_request_failed(r, "engine_broke_off");
 }
 
+/* Of the time within which the first token is on time; 0: there is none. */
+static int64_t gw_target_left_ms(const struct gw_request *r)
+{
+	int64_t target_ms = r->terms.route->target_ms;
+
+	if (!target_ms)
+		return 0;
+	return MAX(target_ms - (ck_now_ms() - r->arrived_ms), 1);
+}
+
 static void gw_prepare(struct gw_request *r, const struct gw_place_answer *to)
 {
 	struct fl_engine *engine = to->engine;
 
+	struct pu_urgency urgency =
+		pu_decide(to->cost_ms, gw_target_left_ms(r), r->terms.priority);
+
 	r->engine = engine;
-	r->read_tokens = to->read_tokens;
+	r->priority = urgency.priority;
+	r->read_tokens = to->read_tokens * urgency.weight;
 	fl_ref(engine);
 	engine->running++;
 	engine->waiting_tokens += r->read_tokens;
-	r->gateway->sent_tokens += r->read_tokens + r->in.max_output_tokens;
+	r->gateway->sent_tokens += to->read_tokens + r->in.max_output_tokens;
 	r->weights = engine->entry.weights;
 	r->is_awaiting = true;
 	r->sends++;
@@ -333,7 +349,7 @@
 		gw_set_scope(r);
 		send.cache_scope = r->scope;
 		send.weights = to->engine->entry.weights;
-		send.priority = r->terms.priority < 9 ? r->terms.priority : 9;
+		send.priority = r->priority;
 		send.fetch_from = to->source ? to->source->entry.address : NULL;
 		if (to->is_from_store)
 			send.fetch_from = to->store->store_address;
--- a/src/http1/h1_client.c
+++ b/src/http1/h1_client.c
@@ -446,8 +446,14 @@
 
 void h1_peer_close_idle(struct h1_peer *peer)
 {
-	while (peer->_idle)
-		h1_link_free(peer->_idle);
+	struct _h1_link *l = peer->_idle;
+
+	while (l) {
+		struct _h1_link *next = l->next;
+
+		h1_link_free(l);
+		l = next;
+	}
 }
 
 void h1_peer_finish(struct h1_peer *peer)
--- a/src/http1/h1_server.c
+++ b/src/http1/h1_server.c
@@ -429,10 +429,16 @@
 
 void h1_server_finish(struct h1_server *server)
 {
+	struct _h1_connection *c = server->_connections;
+
 	if (!server->_desc.loop || server->_fd < 0)
 		return;
-	while (server->_connections)
-		h1_drop(server->_connections);
+	while (c) {
+		struct _h1_connection *next = c->next;
+
+		h1_drop(c);
+		c = next;
+	}
 	ev_io_stop(server->_desc.loop, &server->_accept);
 	ev_timer_stop(server->_desc.loop, &server->_sweep);
 	close(server->_fd);
--- a/tests/unit/gateway_rules_test.cc
+++ b/tests/unit/gateway_rules_test.cc
@@ -12,6 +12,7 @@
 #include "gateway/gw_admit.h"
 #include "gateway/gw_events.h"
 #include "gateway/gw_plan.h"
+#include "gateway/gw_silence.h"
 }
 
 namespace
@@ -293,6 +294,30 @@
 	fl_unref(e);
 }
 
+// Load: engines lose power under full load and close nothing.
+TEST(Silence, OnlyWhatMayGoOnElsewhereIsLookedAfter)
+{
+	static const struct {
+		int64_t silent_ms;
+		bool has_begun;
+		bool may_go_on;
+		gw_silence silence;
+	} cases[] = {
+		{ 100, false, true, GW_HEARD },
+		{ 900, false, true, GW_CHECK },
+		{ 900, true, true, GW_CHECK },
+		{ 9000, false, true, GW_CHECK },
+		{ 1600, true, true, GW_HUNG },
+		{ 9000, true, false, GW_HEARD },
+		{ 9000, false, false, GW_HEARD },
+	};
+
+	for (const auto &c : cases)
+		EXPECT_EQ(gw_silence_of(c.silent_ms, c.has_begun, c.may_go_on),
+			  c.silence)
+			<< c.silent_ms;
+}
+
 // A third version must not reset the bound of the second.
 TEST(Weights, EachVersionHasItsOwnBound)
 {
--- a/tests/unit/http1_test.cc
+++ b/tests/unit/http1_test.cc
@@ -435,6 +435,34 @@
 	h1_peer_finish(&peer);
 }
 
+TEST_F(Http1, CheckTellsWhetherThePeerTakesAConnection)
+{
+	ScriptedPeer there(
+		loop, { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi" });
+	struct h1_peer gone;
+	int answers[2] = { -1, -1 };
+	auto on_checked = [](void *arg, bool is_there) {
+		*static_cast<int *>(arg) = is_there;
+	};
+
+	h1_peer_init(&gone, loop, INADDR_LOOPBACK, 1);
+	h1_peer_check(&there.peer, 500, on_checked, &answers[0]);
+	h1_peer_check(&gone, 500, on_checked, &answers[1]);
+	run_until([&] { return answers[0] >= 0 && answers[1] >= 0; });
+	EXPECT_EQ(answers[0], 1);
+	EXPECT_EQ(answers[1], 0);
+	/* The connection is not wasted. */
+	Call call;
+	start(&call, &there.peer);
+	run_until([&] {
+		there.serve();
+		return call.is_done;
+	});
+	EXPECT_EQ(call.body, "hi");
+	EXPECT_EQ(there.peer.made, 1u);
+	h1_peer_finish(&gone);
+}
+
 TEST_F(Http1, CancelledCallIsNotCalledBack)
 {
 	ScriptedPeer peer(loop,
--- a/tests/unit/lease_test.cc
+++ b/tests/unit/lease_test.cc
@@ -247,6 +247,24 @@
 	EXPECT_TRUE(b.May(free_ms + 200, false));
 }
 
+// After a lapse the last order is older than after a release, so the new holder
+// need not wait as long.
+TEST(Lease, LapsedHolderLeavesAShorterQuietTime)
+{
+	Store store;
+	Holder a(&store, "a"), b(&store, "b");
+
+	b.lease._desc.lapsed_quiet_ms = 1000;
+	a.Run(0, 1000);
+	for (int64_t t = 1000; b.lease.state != LS_HELD && t < 10 * D; t += 100)
+		b.Step(t);
+	ASSERT_EQ(b.lease.state, LS_HELD);
+	int64_t taken_ms = b.lease._sent_ms;
+	b.Run(taken_ms + 100, taken_ms + 1200);
+	EXPECT_FALSE(b.May(taken_ms + 900, false));
+	EXPECT_TRUE(b.May(taken_ms + 1100, false));
+}
+
 // A holder that lost its lease to a slow store and takes it back, with nobody
 // in between, may go on at once.
 TEST(Lease, OwnRowNeedsNoQuietTime)
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -9,6 +9,7 @@
 
 extern "C" {
 #include "placement/pc.h"
+#include "placement/pu.h"
 }
 
 namespace
@@ -134,11 +135,13 @@
 	}
 }
 
-// Load: four roots with two hundred subjects after a change of weights. Roots
-// must not spread over all engines, where they would fill half of the memory.
+// Load: four roots with two hundred subjects after a change of weights, one
+// request each 60 ms. Roots must not spread over all engines, where they would
+// fill half of the memory, nor must all subjects queue at one.
 TEST(Placement, SubjectsStayInTheGroupOfTheirRoot)
 {
 	std::map<uint64_t, std::set<int32_t>> engines_of;
+	double waiting[12] = {};
 
 	for (uint64_t subject = 1; subject <= 200; subject++) {
 		std::vector<pc_candidate> table;
@@ -146,14 +149,18 @@
 
 		for (int i = 0; i < 12; i++) {
 			table.push_back(engine(i + 1));
+			table.back().waiting_tokens = uint32_t(waiting[i]);
 			/* Each root has been read somewhere. */
 			if (i == int(subject % 4)) {
 				table.back().holds_root = true;
 				table.back().root_age_ms = 100;
 			}
 		}
-		engines_of[r.root].insert(
-			pc_place(&r, table.data(), 12).chosen);
+		pc_answer answer = pc_place(&r, table.data(), 12);
+		engines_of[r.root].insert(answer.chosen);
+		waiting[answer.chosen] += answer.read_tokens;
+		for (double &w : waiting)
+			w = std::max(0.0, w - 60 * 40);
 	}
 	for (const auto &entry : engines_of) {
 		/* Its group of three, and the engine that read it. */
@@ -162,6 +169,51 @@
 	}
 }
 
+// Load: engines evict a prefix within seconds. Those near the store copy it
+// back, the others are too far for that.
+TEST(Placement, EvictedPrefixComesFromTheStoreOfTheRegion)
+{
+	std::vector<pc_candidate> table = { engine(1),
+					    engine(2, PC_OTHER_REGION) };
+	pc_store store = {};
+	pc_request r = tone(7, 3);
+
+	r.store = &store;
+	store.region = table[0].region;
+	pc_answer answer = pc_place(&r, table.data(), 1);
+	EXPECT_TRUE(answer.is_to_store);
+	EXPECT_FALSE(answer.is_from_store);
+	store.holds_subject = store.holds_root = true;
+	answer = pc_place(&r, table.data(), 2);
+	EXPECT_EQ(answer.chosen, 0);
+	EXPECT_TRUE(answer.is_from_store);
+	EXPECT_FALSE(answer.is_to_store);
+	EXPECT_EQ(answer.read_tokens, r.own_tokens);
+	store.region = table[1].region;
+	answer = pc_place(&r, table.data(), 1);
+	EXPECT_FALSE(answer.is_from_store);
+	EXPECT_EQ(answer.read_tokens, r.own_tokens + r.shared_tokens);
+}
+
+// A prefix that should be there may have been evicted: whoever used it last is
+// named as a source all the same.
+TEST(Placement, LastUserIsTheSource)
+{
+	std::vector<pc_candidate> table = { engine(1), engine(2), engine(3) };
+	pc_request r = tone(7, 3);
+
+	for (auto &c : table)
+		hold(&c);
+	table[0].subject_age_ms = 50;
+	table[1].subject_age_ms = 900;
+	table[2].subject_age_ms = 20000;
+	table[2].holds_subject = false;
+	table[0].waiting_tokens = 90000;
+	pc_answer answer = pc_place(&r, table.data(), 3);
+	EXPECT_EQ(answer.chosen, 1);
+	EXPECT_EQ(answer.source, 0);
+}
+
 struct Replay {
 	double mean_wait_ms;
 	double worst_wait_ms;
@@ -221,6 +273,73 @@
 	EXPECT_LT(all.mean_wait_ms, alone.mean_wait_ms);
 }
 
+TEST(Urgency, OnTimeGoesBeforeLateAndRankHoldsWithin)
+{
+	static const struct {
+		double predicted_ms;
+		int64_t target_ms;
+		uint32_t rank;
+		uint32_t priority;
+		bool is_late;
+	} cases[] = {
+		{ 100, 800, 0, 0, false }, { 100, 800, 3, 3, false },
+		{ 700, 800, 0, 5, true },  { 700, 800, 9, 9, true },
+		{ 9000, 0, 1, 1, false },
+	};
+
+	for (const auto &c : cases) {
+		pu_urgency u = pu_decide(c.predicted_ms, c.target_ms, c.rank);
+
+		EXPECT_EQ(u.priority, c.priority);
+		EXPECT_EQ(u.is_late, c.is_late);
+	}
+}
+
+// Prompts of 200 ms arrive every 130 ms at an engine that reads one at a time,
+// the urgent before the late ones. Returns how many were read within 800 ms.
+int replay_overload(bool tells_urgency)
+{
+	const double read_ms = 200, every_ms = 130, target_ms = 800;
+	std::vector<double> urgent, late;
+	double free_ms = 0;
+	int on_time = 0;
+
+	auto read_until = [&](double now_ms) {
+		while (free_ms <= now_ms && !(urgent.empty() && late.empty())) {
+			auto &queue = urgent.empty() ? late : urgent;
+			double arrived_ms = queue.front();
+
+			queue.erase(queue.begin());
+			free_ms = std::max(free_ms, arrived_ms) + read_ms;
+			on_time += free_ms - arrived_ms <= target_ms;
+		}
+	};
+	for (int n = 0; n < 300; n++) {
+		double now_ms = n * every_ms;
+
+		read_until(now_ms);
+		double wait_ms = std::max(free_ms - now_ms, 0.0) +
+				 urgent.size() * read_ms;
+		pu_urgency u =
+			pu_decide(wait_ms + read_ms, int64_t(target_ms), 0);
+		(tells_urgency && u.is_late ? late : urgent).push_back(now_ms);
+	}
+	read_until(1e9);
+	return on_time;
+}
+
+// Load: half as much again as the engine can read. In the order of arrival
+// nearly all are late.
+TEST(Urgency, OverloadLeavesMostOfWhatCanBeReadOnTime)
+{
+	int in_order = replay_overload(false);
+	int by_urgency = replay_overload(true);
+
+	EXPECT_LT(in_order, 30);
+	/* 300 prompts arrive in 39 s, of which 195 can be read. */
+	EXPECT_GT(by_urgency, 150);
+}
+
 // The decision has to stay cheap at the size to design for.
 TEST(Placement, SixHundredEnginesAreNoObstacle)
 {
