--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -136,7 +136,8 @@
 }
 
 // Load: four roots with two hundred subjects after a change of weights, one
-// request each 60 ms. Roots must not spread over all engines, where they would
+// request each 40 ms, which is a little more than one engine can read for
+// each root. Roots must not spread over all engines, where they would
 // fill half of the memory, nor must all subjects queue at one.
 TEST(Placement, SubjectsStayInTheGroupOfTheirRoot)
 {
@@ -160,7 +161,7 @@
 		engines_of[r.root].insert(answer.chosen);
 		waiting[answer.chosen] += answer.read_tokens;
 		for (double &w : waiting)
-			w = std::max(0.0, w - 60 * 40);
+			w = std::max(0.0, w - 40 * 40);
 	}
 	for (const auto &entry : engines_of) {
 		/* Its group of three, and the engine that read it. */
