watch: no change is missed over a store that drops its history

The reader's feed answered without rows and with a newer version, which moved the place in the feed past a change of the configuration, for the other hosts of the zone as well; the reader then read the whole table, the others were never told. A key that had been taken away was served 6.4 s later. Ruled out: freshness from old messages (counted on the store's clock). Mended: answers without rows move the place only three seconds later; a reader that reads the whole table again tells the others to do so.

--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -245,20 +245,26 @@
 }
 
 static void gw_on_operator_read(void *arg, uint64_t from,
-				const struct rw_rows *rows)
+				const struct rw_rows *rows, bool is_reload)
 {
 	struct gw_knowledge *k = arg;
 
-	gw_relay_rows(k->gateway, GW_OPERATOR_ROWS, from, rows, 0);
+	if (is_reload)
+		gw_relay_reload(k->gateway, GW_OPERATOR_ROWS, rows, 0);
+	else
+		gw_relay_rows(k->gateway, GW_OPERATOR_ROWS, from, rows, 0);
 }
 
 static void gw_on_engines_read(void *arg, uint64_t from,
-			       const struct rw_rows *rows)
+			       const struct rw_rows *rows, bool is_reload)
 {
 	struct gw_knowledge *k = arg;
-	int64_t left_ms = k->lapse_until_ms - ck_now_ms();
+	int64_t left_ms = MAX(k->lapse_until_ms - ck_now_ms(), 0);
 
-	gw_relay_rows(k->gateway, GW_ENGINE_ROWS, from, rows, MAX(left_ms, 0));
+	if (is_reload)
+		gw_relay_reload(k->gateway, GW_ENGINE_ROWS, rows, left_ms);
+	else
+		gw_relay_rows(k->gateway, GW_ENGINE_ROWS, from, rows, left_ms);
 }
 
 void gw_knowledge_tell(struct gw_gateway *g, enum gw_table table,
--- a/src/gateway/gw_relay.c
+++ b/src/gateway/gw_relay.c
@@ -82,6 +82,20 @@
 	} while (first < rows->count);
 }
 
+void gw_relay_reload(struct gw_gateway *g, enum gw_table table,
+		     const struct rw_rows *rows, int64_t lapse_left_ms)
+{
+	bp_gateway_rows message = { .table = table,
+				    .from = rows->version,
+				    .to = rows->version,
+				    .store_ms = rows->store_ms,
+				    .lapse_left_ms = lapse_left_ms,
+				    .reload = true };
+
+	if (gw_peers_is_reader(g))
+		gw_relay_send(g, &message);
+}
+
 static void gw_on_relayed(void *arg, struct rp_request *request,
 			  const void *args)
 {
@@ -90,6 +104,7 @@
 	struct gw_told told = {
 		.from = message->from,
 		.is_partial = message->partial,
+		.is_reload = message->reload,
 		.rows = { rows, message->rows.rows_len, message->to,
 			  (int64_t)message->store_ms },
 	};
--- a/src/gateway/gw_relay.h
+++ b/src/gateway/gw_relay.h
@@ -30,6 +30,10 @@
 void gw_relay_rows(struct gw_gateway *g, enum gw_table table, uint64_t from,
 		   const struct rw_rows *rows, int64_t lapse_left_ms);
 
+/** gw_relay_reload() - this host had to read the whole table again. */
+void gw_relay_reload(struct gw_gateway *g, enum gw_table table,
+		     const struct rw_rows *rows, int64_t lapse_left_ms);
+
 /** gw_relay_serve() - take what the reader of the zone tells. */
 enum st_code gw_relay_serve(struct gw_gateway *g, struct rp_endpoint *rpc);
 
--- a/src/gateway/gw_watch.c
+++ b/src/gateway/gw_watch.c
@@ -17,6 +17,9 @@
 #define GW_TOLD_MAX_AGE_MS 2000
 #define GW_TOLD_CHECK_S	   0.1
 
+/* A feed that found nothing is trusted to have missed nothing after that. */
+#define GW_QUIET_MS 3000
+
 static void gw_watch_again(struct gw_watch *watch, double after_s)
 {
 	ev_timer_stop(watch->_desc.loop, &watch->_timer);
@@ -65,12 +68,32 @@
 	watch->_retry_ms = MIN(2 * watch->_retry_ms, GW_RETRY_MAX_MS);
 }
 
+/* Moves the place in the feed; see the header on answers without rows. */
+static void gw_watch_advance(struct gw_watch *watch, const struct rw_rows *rows,
+			     bool is_whole)
+{
+	int64_t now_ms = ck_now_ms();
+
+	if (is_whole || rows->count) {
+		watch->version = MAX(watch->version, rows->version);
+		watch->_quiet_ms = 0;
+		return;
+	}
+	if (watch->_quiet_ms && now_ms - watch->_quiet_ms < GW_QUIET_MS)
+		return;
+	if (watch->_quiet_ms)
+		watch->version = MAX(watch->version, watch->_quiet_version);
+	watch->_quiet_version = rows->version;
+	watch->_quiet_ms = now_ms;
+}
+
 static void gw_watch_on_rows(void *arg, enum st_code code,
 			     const struct rw_rows *rows)
 {
 	struct gw_watch *watch = arg;
 	bool is_whole = !watch->_has_table;
 	uint64_t from = watch->version;
+	struct rw_rows told;
 
 	if (code != ST_OK) {
 		gw_watch_failed(watch, code);
@@ -83,13 +106,15 @@
 	}
 	gw_watch_learn_offset(watch, rows->store_ms);
 	gw_watch_freshen(watch, rows->store_ms);
-	if (rows->version > watch->version)
-		watch->version = rows->version;
+	gw_watch_advance(watch, rows, is_whole);
 	watch->_has_table = true;
 	if (is_whole || rows->count)
 		watch->_desc.on_rows(watch->_desc.arg, rows, is_whole);
-	if (!is_whole)
-		watch->_desc.on_read(watch->_desc.arg, from, rows);
+	told = *rows;
+	told.version = watch->version;
+	if (!is_whole || watch->_has_had_table)
+		watch->_desc.on_read(watch->_desc.arg, from, &told, is_whole);
+	watch->_has_had_table = true;
 	gw_watch_again(watch,
 		       rows->count ? watch->_desc.pause_ms / 1000.0 : 0.0);
 }
@@ -135,6 +160,11 @@
 	if (!watch->_has_table || !watch->_has_offset ||
 	    told->rows.version < watch->version)
 		return;
+	if (told->is_reload) {
+		watch->_has_table = false;
+		gw_watch_call(watch);
+		return;
+	}
 	if (told->rows.version > watch->version &&
 	    (told->is_partial || told->from > watch->version)) {
 		/* A change is missing here: ask, unless a call is on its way.
--- a/src/gateway/gw_watch.h
+++ b/src/gateway/gw_watch.h
@@ -15,6 +15,10 @@
  *	pass for a fresh one, however long it was under way or this process
  *	stood still.
  *
+ *	A store that is about to drop its history may tell nothing of changes
+ *	for a second. So an answer without rows moves the place in the feed only
+ *	some seconds later.
+ *
  * Use
  *	gw_watch_start(&watch, &(struct gw_watch_desc){ .loop = loop,
  *		.store = &store, .table = "t", .on_rows = rows, .arg = me });
@@ -30,10 +34,12 @@
  * struct gw_told - what the reader of the zone tells of a table.
  * @from: the rows changed after it.
  * @is_partial: not all rows are told.
+ * @is_reload: the reader had to read the whole table again, and so must others.
  */
 struct gw_told {
 	uint64_t from;
 	bool is_partial;
+	bool is_reload;
 	struct rw_rows rows;
 };
 
@@ -44,7 +50,8 @@
  * @pause_ms: after a call that found some, so that one call tells of many.
  * @is_reader: this host asks the store for its zone.
  * @on_rows: rows of the whole table (@is_whole), or those that changed.
- * @on_read: a call to the store found what changed after @from.
+ * @on_read: a call to the store found what changed after @from, or, not for
+ *	the first time, the whole table (@is_reload).
  * @on_lost: the store did not answer; called once until it answers again.
  * @on_regained: it answers again; before on_rows.
  * @arg: first argument of all.
@@ -57,7 +64,8 @@
 	int64_t pause_ms;
 	bool (*is_reader)(void *arg);
 	void (*on_rows)(void *arg, const struct rw_rows *rows, bool is_whole);
-	void (*on_read)(void *arg, uint64_t from, const struct rw_rows *rows);
+	void (*on_read)(void *arg, uint64_t from, const struct rw_rows *rows,
+			bool is_reload);
 	void (*on_lost)(void *arg, const char *reason);
 	void (*on_regained)(void *arg, int64_t lost_ms);
 	void *arg;
@@ -81,8 +89,11 @@
 	int64_t _lost_ms;
 	int64_t _offset_ms;
 	int64_t _retry_ms;
+	uint64_t _quiet_version;
+	int64_t _quiet_ms;
 	bool _has_offset;
 	bool _has_table;
+	bool _has_had_table;
 };
 
 void gw_watch_start(struct gw_watch *watch, const struct gw_watch_desc *desc);
--- a/src/rpc/balsampin.x
+++ b/src/rpc/balsampin.x
@@ -164,6 +164,7 @@
 /*
  * What changed in @table after @from, up to @to, as of @store_ms of the store's
  * clock. @partial: there is more than is told, read it from the store.
+ * @reload: the whole table has to be read again.
  * @lapse_left_ms: entries that go missing may have lapsed for so long yet.
  */
 struct bp_gateway_rows {
@@ -173,6 +174,7 @@
 	unsigned hyper store_ms;
 	unsigned int lapse_left_ms;
 	bool partial;
+	bool reload;
 	bp_row rows<BP_MAX_ROWS>;
 };
 
--- a/src/rpc/gen/balsampin.h
+++ b/src/rpc/gen/balsampin.h
@@ -200,6 +200,7 @@
 	u_quad_t store_ms;
 	u_int lapse_left_ms;
 	bool_t partial;
+	bool_t reload;
 	struct {
 		u_int rows_len;
 		bp_row *rows_val;
--- a/src/rpc/gen/balsampin_xdr.c
+++ b/src/rpc/gen/balsampin_xdr.c
@@ -511,6 +511,63 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_int (xdrs, &objp->table))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->from))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->to))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->store_ms))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->lapse_left_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->partial))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->reload))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->lapse_left_ms);
+		IXDR_PUT_BOOL(buf, objp->partial);
+		IXDR_PUT_BOOL(buf, objp->reload);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, BP_MAX_ROWS,
+			sizeof (bp_row), (xdrproc_t) xdr_bp_row))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_int (xdrs, &objp->table))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->from))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->to))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->store_ms))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->lapse_left_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->partial))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->reload))
+				 return FALSE;
+
+		} else {
+		objp->lapse_left_ms = IXDR_GET_U_LONG(buf);
+		objp->partial = IXDR_GET_BOOL(buf);
+		objp->reload = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, BP_MAX_ROWS,
+			sizeof (bp_row), (xdrproc_t) xdr_bp_row))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_int (xdrs, &objp->table))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->from))
@@ -523,6 +580,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->partial))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->reload))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, BP_MAX_ROWS,
 		sizeof (bp_row), (xdrproc_t) xdr_bp_row))
 		 return FALSE;
--- /dev/null
+++ b/tests/unit/watch_test.cc
@@ -0,0 +1,246 @@
+// Following a table of the store: by calls of its own and by what the reader of
+// the zone tells, over a store that drops its history.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include <unistd.h>
+
+extern "C" {
+#include "gateway/gw_watch.h"
+#include "kernel/ck.h"
+#include "kernel/kn_registry.h"
+}
+
+namespace
+{
+
+// A store whose calls the test answers.
+struct Pending {
+	bool is_feed = false;
+	uint64_t after = 0;
+	rw_rows_fn fn = nullptr;
+	void *arg = nullptr;
+	struct rw_call *call = nullptr;
+};
+
+Pending pending;
+int calls;
+
+void take(const struct rw_query *query, rw_rows_fn fn, void *arg,
+	  struct rw_call *call, bool is_feed)
+{
+	pending = { is_feed, query->after, fn, arg, call };
+	call->_call = &pending;
+	calls++;
+}
+
+enum st_code fake_init(void **impl, const struct rw_desc *desc)
+{
+	*impl = &pending;
+	return ST_OK;
+}
+
+void fake_finish(void *impl)
+{
+}
+
+void fake_get(void *impl, const struct rw_query *query, rw_rows_fn fn,
+	      void *arg, struct rw_call *call)
+{
+	take(query, fn, arg, call, false);
+}
+
+void fake_feed(void *impl, const struct rw_query *query, rw_rows_fn fn,
+	       void *arg, struct rw_call *call)
+{
+	take(query, fn, arg, call, true);
+}
+
+void fake_write(void *impl, const struct rw_write *write, rw_write_fn fn,
+		void *arg, struct rw_call *call)
+{
+}
+
+void fake_cancel(void *impl, struct rw_call *call)
+{
+	pending.fn = nullptr;
+}
+
+const struct rw_ops fake_ops = { fake_init, fake_finish, fake_get,
+				 fake_feed, fake_write,	 fake_cancel };
+KN_REGISTER("rows", "scripted", fake_ops)
+
+class Watch : public testing::Test
+{
+      protected:
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct rw_store store = {};
+	struct gw_watch watch = {};
+	bool is_reader = true;
+	std::vector<std::string> seen;
+	int wholes = 0;
+	int reloads_told = 0;
+	int lost = 0;
+
+	void SetUp() override
+	{
+		struct rw_desc store_desc = { loop, "scripted", "" };
+		struct gw_watch_desc desc = {};
+
+		ASSERT_EQ(rw_init(&store, &store_desc), ST_OK);
+		desc.loop = loop;
+		desc.store = &store;
+		desc.table = "t";
+		desc.wait_ms = 1000;
+		desc.is_reader = [](void *arg) {
+			return static_cast<Watch *>(arg)->is_reader;
+		};
+		desc.on_rows = [](void *arg, const struct rw_rows *rows,
+				  bool is_whole) {
+			auto *self = static_cast<Watch *>(arg);
+
+			self->wholes += is_whole;
+			for (uint32_t i = 0; i < rows->count; i++)
+				self->seen.push_back(rows->rows[i].key);
+		};
+		desc.on_read = [](void *arg, uint64_t from,
+				  const struct rw_rows *rows, bool is_reload) {
+			static_cast<Watch *>(arg)->reloads_told += is_reload;
+		};
+		desc.on_lost = [](void *arg, const char *reason) {
+			static_cast<Watch *>(arg)->lost++;
+		};
+		desc.on_regained = [](void *arg, int64_t lost_ms) {};
+		desc.arg = this;
+		calls = 0;
+		gw_watch_start(&watch, &desc);
+	}
+
+	void TearDown() override
+	{
+		gw_watch_stop(&watch);
+		ev_loop_destroy(loop);
+	}
+
+	void spin(int64_t ms = 5)
+	{
+		int64_t end_ms = ck_now_ms() + ms;
+
+		while (ck_now_ms() < end_ms) {
+			ev_run(loop, EVRUN_NOWAIT);
+			usleep(500);
+		}
+	}
+
+	void answer(enum st_code code, uint64_t version, int64_t store_ms,
+		    const char *key = nullptr)
+	{
+		struct rw_row row = { key, "v", 1, version, false };
+		struct rw_rows rows = { &row, key ? 1u : 0u, version,
+					store_ms };
+		Pending p = pending;
+
+		ASSERT_NE(p.fn, nullptr);
+		p.call->_call = nullptr;
+		p.fn(p.arg, code, &rows);
+		spin();
+	}
+
+	void tell(uint64_t from, uint64_t to, int64_t store_ms,
+		  const char *key = nullptr, bool is_reload = false)
+	{
+		struct rw_row row = { key, "v", 1, to, false };
+		struct gw_told told = {};
+
+		told.from = from;
+		told.is_reload = is_reload;
+		told.rows = { &row, key ? 1u : 0u, to, store_ms };
+		gw_watch_tell(&watch, &told);
+	}
+};
+
+// A store that is about to drop its history tells of no change for a second.
+// The place in the feed must not move past a change that was not told.
+TEST_F(Watch, DeafFeedDoesNotMoveThePlace)
+{
+	answer(ST_OK, 10, 1000, "a");
+	EXPECT_TRUE(pending.is_feed);
+	EXPECT_EQ(pending.after, 10u);
+	/* Version 12 was a change of this table that is not told. */
+	answer(ST_OK, 12, 2000);
+	answer(ST_OK, 13, 3000);
+	EXPECT_EQ(pending.after, 10u);
+	answer(ST_OK, 14, 4000, "b");
+	EXPECT_EQ(pending.after, 14u);
+}
+
+TEST_F(Watch, LostHistoryIsReadWholeAndTold)
+{
+	answer(ST_OK, 10, 1000, "a");
+	answer(ST_STALE, 0, 0);
+	EXPECT_FALSE(pending.is_feed);
+	answer(ST_OK, 20, 2000, "b");
+	EXPECT_EQ(wholes, 2);
+	EXPECT_EQ(reloads_told, 1);
+	EXPECT_EQ(seen, (std::vector<std::string>{ "a", "b" }));
+}
+
+// A follower of a reader that had to read the whole table reads it, too: the
+// rows of the gap are in nobody's feed any more.
+TEST_F(Watch, FollowerReloadsWithItsReader)
+{
+	is_reader = false;
+	answer(ST_OK, 10, ck_now_ms(), "a");
+	int before = calls;
+	tell(20, 20, ck_now_ms(), nullptr, true);
+	EXPECT_EQ(calls, before + 1);
+	EXPECT_FALSE(pending.is_feed);
+}
+
+TEST_F(Watch, FollowerTakesWhatIsToldAndAsksWhenItMissedSome)
+{
+	is_reader = false;
+	answer(ST_OK, 10, ck_now_ms(), "a");
+	int before = calls;
+	tell(10, 11, ck_now_ms(), "b");
+	EXPECT_EQ(watch.version, 11u);
+	EXPECT_EQ(calls, before);
+	tell(12, 13, ck_now_ms(), "d");
+	EXPECT_EQ(watch.version, 11u);
+	EXPECT_EQ(calls, before + 1);
+	EXPECT_EQ(pending.after, 11u);
+	EXPECT_EQ(seen, (std::vector<std::string>{ "a", "b" }));
+}
+
+// Freshness counts on the store's clock: a message that was long under way
+// makes nothing fresh.
+TEST_F(Watch, OldMessagesMakeNothingFresh)
+{
+	is_reader = false;
+	int64_t start_ms = ck_now_ms();
+
+	answer(ST_OK, 10, 5000);
+	int64_t fresh_ms = watch.fresh_ms;
+	EXPECT_LE(fresh_ms, start_ms + 100);
+	spin(200);
+	tell(10, 10, 5001);
+	EXPECT_LE(watch.fresh_ms, fresh_ms + 1);
+	tell(10, 10, 4000);
+	EXPECT_LE(watch.fresh_ms, fresh_ms + 1);
+}
+
+TEST_F(Watch, SilenceIsToldOnceAndAsksOn)
+{
+	answer(ST_OK, 10, 1000, "a");
+	answer(ST_UNAVAILABLE, 0, 0);
+	spin(500);
+	answer(ST_UNAVAILABLE, 0, 0);
+	EXPECT_EQ(lost, 1);
+	spin(1000);
+	answer(ST_OK, 10, 3000);
+	EXPECT_EQ(watch.version, 10u);
+}
+
+} // namespace
