orders: what happens to running requests is decided by the roll-out

Cause: the adapter chose the mode of an order, and an adapter decides nothing. No change of behaviour.

--- a/src/dialect/dl.h
+++ b/src/dialect/dl.h
@@ -142,6 +142,15 @@
 	uint64_t weights;
 };
 
+/**
+ * enum dl_load_mode - what happens to the requests that run on an engine which
+ * is to load other weights.
+ * @DL_FINISH_RUNS: they end on the old weights first.
+ * @DL_CUT_RUNS: their streams are reset.
+ * @DL_SWAP_UNDER_RUNS: they go on, on the new weights.
+ */
+enum dl_load_mode { DL_FINISH_RUNS = 0, DL_CUT_RUNS, DL_SWAP_UNDER_RUNS };
+
 /**
  * struct dl_order - bring an engine to a version.
  * @holder: of the lease.
@@ -154,6 +163,7 @@
 	const char *holder;
 	uint64_t fencing;
 	uint64_t after_orders;
+	enum dl_load_mode mode;
 };
 
 /**
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -254,7 +254,7 @@
 
 TEST_F(Adapter, OrdersNameWhatTheyBuildOn)
 {
-	struct dl_order order = { "m", 5, "h1", 41, 2 };
+	struct dl_order order = { "m", 5, "h1", 41, 2, DL_FINISH_RUNS };
 	char *text = d->encode_order(&order);
 	struct json_object *json = json_tokener_parse(text);
 	struct json_object *value;
