silence: it moves a stream to another engine, and ends none

Silence was also counted from the first engine's events. Mended: a request that can't be sent elsewhere any more is waited for; a stream has hung only if the engine at hand had begun, after two seconds (1.5), as callers wait for three and more. Settings that nothing used are gone; constants say where they come from.

--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -99,7 +99,6 @@
 		gw_settings_finish(&fresh);
 		return;
 	}
-	g->settings.drain_ms = fresh.drain_ms;
 	g->settings.grace_ms = fresh.grace_ms;
 	g->settings.config_ms = fresh.config_ms;
 	g->settings.revoke_ms = fresh.revoke_ms;
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -19,8 +19,9 @@
 #include "kernel/mt.h"
 #include "rpc/gen/balsampin.h"
 
-#define GW_KEY_ROW	"key"
-#define GW_HOST_PREFIX	"host/"
+#define GW_KEY_ROW     "key"
+#define GW_HOST_PREFIX "host/"
+/* A third of the shortest time between two messages to a peer. */
 #define GW_PEERS_TICK_S 0.02
 /* Between two messages to a peer: the time in which a request or two of ten
  * hosts are placed; more when there are many peers, to bound the bytes, of
@@ -29,21 +30,27 @@
 #define GW_FAR_MS	    200
 #define GW_NEAR_PER_PEER_MS 6
 #define GW_FAR_PER_PEER_MS  60
-#define GW_SILENT_MS	    6000
-#define GW_TRY_SILENT_MS    4000
-#define GW_FORGET_LOAD_MS   5000
-#define GW_FORGET_HELD_MS   30000
+/* A peer silent for that long, three of the longest periods between two of its
+ * messages, is only tried once in a while, and what it had running is over. */
+#define GW_SILENT_MS	  6000
+#define GW_TRY_SILENT_MS  4000
+#define GW_FORGET_LOAD_MS 5000
+/* Beyond what any engine or store keeps. */
+#define GW_FORGET_HELD_MS 30000
 /* The next host in order reads for the zone when the reader is silent. */
 #define GW_READER_SILENT_MS 1000
-#define GW_ROWS_PERIOD_MS   20000
+/* Hosts come and go seldom; a new one is heard as soon as it speaks. */
+#define GW_ROWS_PERIOD_MS 20000
 /* In the first seconds of a host others start, too. */
 #define GW_ROWS_START_MS	10000
 #define GW_ROWS_START_PERIOD_MS 3000
 #define GW_ROWS_RETRY_MS	500
-#define GW_ROWS_TIMEOUT_MS	1000
-#define GW_SWEEP_MS		1000
+/* A store that takes sixty times as long as usual answers by then. */
+#define GW_ROWS_TIMEOUT_MS 1000
+#define GW_SWEEP_MS	   1000
 /* Of the engines' memory, for prefixes that no request uses just now. */
-#define GW_KEPT_PART   0.7
+#define GW_KEPT_PART 0.7
+/* Bounds of the estimate, for hosts that have seen few requests. */
 #define GW_KEPT_MIN_MS 2000.0
 #define GW_KEPT_MAX_MS 30000.0
 /* Seconds over which the rate of tokens is averaged. */
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -151,10 +151,24 @@
 	ev_timer_start(r->gateway->kernel.loop, &r->timer);
 }
 
+static bool gw_is_resumable(const struct gw_request *r)
+{
+	return r->terms.route->kind == CA_STREAM &&
+	       r->terms.route->is_resumable;
+}
+
+bool gw_request_may_repeat(const struct gw_request *r)
+{
+	const struct ca_route *route = r->terms.route;
+
+	return (route->kind == CA_IDEMPOTENT || gw_is_resumable(r)) &&
+	       r->sends < route->max_sends &&
+	       rb_budget_has(&r->gateway->retries);
+}
+
 void gw_request_failed(struct gw_request *r, const char *reason)
 {
-	bool is_resumable = r->terms.route->kind == CA_STREAM &&
-			    r->terms.route->is_resumable;
+	bool is_resumable = gw_is_resumable(r);
 	struct rb_attempt attempt = {
 		.is_idempotent =
 			r->terms.route->kind == CA_IDEMPOTENT || is_resumable,
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -98,6 +98,9 @@
 /** gw_request_place() - choose an upstream and send, or give up. */
 void gw_request_place(struct gw_request *r);
 
+/** gw_request_may_repeat() - it can be sent to one more upstream. */
+bool gw_request_may_repeat(const struct gw_request *r);
+
 /** gw_request_failed() - an attempt ended without a usable answer. */
 void gw_request_failed(struct gw_request *r, const char *reason);
 
--- a/src/gateway/gw_rollout.c
+++ b/src/gateway/gw_rollout.c
@@ -14,19 +14,23 @@
 #define GW_LEASE_KEY "lease"
 /* Short, so that another host takes over soon; renewed at a third of it. Long
  * enough for a store that takes half a second to answer. */
-#define GW_LEASE_MS	   2000
+#define GW_LEASE_MS 2000
+/* For clocks that run at different rates, and for late timers. */
 #define GW_LEASE_MARGIN_MS 300
 /* An order crosses regions twice and is answered at once. */
-#define GW_ORDER_TIMEOUT_MS   400
+#define GW_ORDER_TIMEOUT_MS 400
+/* Several round trips between regions. */
 #define GW_CONNECT_TIMEOUT_MS 300
 /* A few hosts look at the lease that often, with up to half of it more, so that
  * a lost holder is replaced before the bound for new weights. */
 #define GW_LEASE_READ_MS  600
 #define GW_LEASE_WATCHERS 3
 /* The others so many times as seldom. */
-#define GW_LEASE_SELDOM	    20
+#define GW_LEASE_SELDOM 20
+/* A store that takes sixty times as long as usual answers by then. */
 #define GW_STORE_TIMEOUT_MS 1000
-#define GW_TICK_S	    0.05
+/* Short beside the lease and the loading of weights. */
+#define GW_TICK_S 0.05
 /* The engine's entry tells of the end of an order; if it does not, ask. */
 #define GW_ORDER_LIMIT_MS 2500
 /* An engine that gets no new requests reads those that wait there first. An
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -205,17 +205,6 @@
 	gw_request_done(r, "complete");
 }
 
-/* A failure of the engine itself may be worth another engine. */
-static bool gw_is_worth_another(const struct gw_request *r)
-{
-	const struct ca_route *route = r->terms.route;
-	bool may_repeat = route->kind == CA_IDEMPOTENT ||
-			  (route->kind == CA_STREAM && route->is_resumable);
-
-	return r->status >= 500 && may_repeat && r->sends < route->max_sends &&
-	       rb_budget_has(&r->gateway->retries);
-}
-
 static void gw_refused(struct gw_request *r)
 {
 	int64_t until_ms = ck_now_ms() + GW_BUSY_MS;
@@ -246,7 +235,8 @@
 		gw_finish_events(r);
 		return;
 	}
-	if (gw_is_worth_another(r)) {
+	/* A failure of the engine itself is worth another engine. */
+	if (r->status >= 500 && gw_request_may_repeat(r)) {
 		gw_send_log_failure(r, "engine_error");
 		gw_leave_engine(r);
 		gw_request_failed(r, "engine_error");
--- a/src/gateway/gw_settings.c
+++ b/src/gateway/gw_settings.c
@@ -6,8 +6,6 @@
 #include <string.h>
 
 /* Used where the file gives no bound. */
-#define GW_DEFAULT_HEARTBEAT_MS	   1000
-#define GW_DEFAULT_DRAIN_MS	   3000
 #define GW_DEFAULT_GRACE_MS	   8000
 #define GW_DEFAULT_CONFIG_MS	   3000
 #define GW_DEFAULT_REVOKE_MS	   5000
@@ -22,7 +20,7 @@
 	struct fd_list *findings;
 };
 
-/* A member by a path such as "bounds/drain_ms". */
+/* A member by a path such as "bounds/lease_ms". */
 static struct json_object *gw_find(struct json_object *at, const char *path)
 {
 	char **names = g_strsplit(path, "/", -1);
@@ -120,10 +118,6 @@
 static void gw_read_bounds(const struct gw_reader *reader,
 			   struct gw_settings *settings)
 {
-	settings->heartbeat_ms = gw_read_number(reader, "bounds/heartbeat_ms",
-						GW_DEFAULT_HEARTBEAT_MS);
-	settings->drain_ms =
-		gw_read_number(reader, "bounds/drain_ms", GW_DEFAULT_DRAIN_MS);
 	settings->grace_ms = 1000 * gw_read_number(reader, "bounds/grace_s",
 						   GW_DEFAULT_GRACE_MS / 1000);
 	settings->config_ms = gw_read_number(reader, "bounds/config_ms",
--- a/src/gateway/gw_settings.h
+++ b/src/gateway/gw_settings.h
@@ -36,8 +36,6 @@
  * @dialect: plug-in of the platform.
  * @store_address: "IP:PORT" of the row store.
  * @regions: region of each availability zone.
- * @heartbeat_ms: how often upstreams write their entry.
- * @drain_ms: a leaving upstream gets no request after that.
  * @grace_ms: between SIGTERM and SIGKILL.
  * @config_ms: a configuration is in force everywhere by then.
  * @revoke_ms: a key that was taken away is refused everywhere by then.
@@ -58,8 +56,6 @@
 	char *dialect;
 	char *store_address;
 	GHashTable *regions;
-	int64_t heartbeat_ms;
-	int64_t drain_ms;
 	int64_t grace_ms;
 	int64_t config_ms;
 	int64_t revoke_ms;
--- a/src/gateway/gw_silence.c
+++ b/src/gateway/gw_silence.c
@@ -7,8 +7,9 @@
 
 /* Well over the pause between two events of a busy engine. */
 #define GW_SILENT_CHECK_MS 800
-/* Callers leave a stream after two seconds of silence at the earliest. */
-#define GW_SILENT_HUNG_MS 1500
+/* Callers leave a stream after three seconds of silence and more, of which the
+ * other engine needs one. */
+#define GW_SILENT_HUNG_MS 2000
 /* Of a check: a connection takes up to 60 ms between regions. */
 #define GW_CHECK_TIMEOUT_MS 300
 /* A busy engine is silent, too: one that took a connection is trusted for
@@ -39,14 +40,6 @@
 	return GW_CHECK;
 }
 
-static bool gw_may_go_on(const struct gw_request *r)
-{
-	const struct ca_route *route = r->terms.route;
-
-	return route->kind == CA_IDEMPOTENT ||
-	       (route->kind == CA_STREAM && route->is_resumable);
-}
-
 static void gw_leave_silent(struct gw_request *r, const char *reason)
 {
 	gw_send_log_failure(r, reason);
@@ -64,7 +57,7 @@
 		struct gw_request *r = link->data;
 
 		link = link->next;
-		if (r->engine == engine && gw_may_go_on(r))
+		if (r->engine == engine && gw_request_may_repeat(r))
 			gw_leave_silent(r, "engine_silent");
 	}
 }
@@ -116,8 +109,9 @@
 		link = link->next;
 		if (!r->engine)
 			continue;
-		switch (gw_silence_of(now_ms - r->heard_ms, r->has_begun,
-				      gw_may_go_on(r))) {
+		switch (gw_silence_of(now_ms - r->heard_ms,
+				      r->mode != GW_NO_ANSWER,
+				      gw_request_may_repeat(r))) {
 		case GW_CHECK:
 			gw_check_engine(g, r->engine, now_ms);
 			break;
--- a/src/gateway/gw_silence.h
+++ b/src/gateway/gw_silence.h
@@ -14,8 +14,8 @@
  *	that has begun and stands still for longer than its caller would wait
  *	has hung.
  *
- *	A request that may run once at most is never given up for silence: its
- *	answer may still come.
+ *	Silence alone ends no answer: a request that can't be sent elsewhere
+ *	any more, or may run once at most, is waited for.
  *
  * Use
  *	gw_silence_sweep(g, now_ms);	several times a second
@@ -33,8 +33,8 @@
 /**
  * gw_silence_of() - the decision alone.
  * @silent_ms: since the last byte, or since it was sent.
- * @has_begun: some of the answer has come.
- * @may_go_on: it may run or go on elsewhere.
+ * @has_begun: the engine has begun to answer.
+ * @may_go_on: it can be sent elsewhere.
  */
 enum gw_silence gw_silence_of(int64_t silent_ms, bool has_begun,
 			      bool may_go_on);
--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -382,6 +382,11 @@
 		h1_abort(x);
 		return;
 	}
+	if (e->behaviour == Behaviour::stall) {
+		text = event(after + 1) + event(after + 2);
+		h1_write(x, text.data(), text.size());
+		return;
+	}
 	h1_write(x, text.data(), text.size());
 	h1_end(x);
 }
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -36,6 +36,7 @@
 	hang,	   /* reads the request and says nothing */
 	break_off, /* tears the stream in the middle of its fourth event */
 	unsigned_, /* 200 without a signature */
+	stall,	   /* two events, then nothing */
 };
 
 /** Arrival - a request as an engine saw it. */
