gateway: the mode of an order is set where it is decided; dead state removed

Gone: a limit and its comment that nothing enforced, two times of a request and a copy of the peers' key that nothing read.

--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -95,7 +95,6 @@
 	int64_t started_ms;
 	int64_t next_read_ms;
 	int64_t next_sweep_ms;
-	char key[2 * RP_KEY_BYTES + 1];
 	char address[3 * DL_ID_BYTES];
 };
 
@@ -347,7 +346,6 @@
 			GW_KEY_ROW, NULL);
 		return;
 	}
-	g_strlcpy(p->key, key, sizeof(p->key));
 	code = rp_init(&p->rpc, &(struct rp_desc){
 					.loop = p->gateway->kernel.loop,
 					.address = s->peers.address,
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -282,8 +282,7 @@
 		r->in.budget_ms >= 0 ? r->in.budget_ms : GW_DEFAULT_BUDGET_MS;
 	int64_t timeout_ms = r->terms.route->timeout_ms;
 
-	r->caller_end_ms = r->arrived_ms + budget_ms;
-	r->end_ms = r->caller_end_ms;
+	r->end_ms = r->arrived_ms + budget_ms;
 	if (timeout_ms && timeout_ms < budget_ms)
 		r->end_ms = r->arrived_ms + timeout_ms;
 }
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -32,7 +32,6 @@
  * @in: what the caller says.
  * @terms: of its admission.
  * @end_ms: its time is over then.
- * @caller_end_ms: the caller leaves then.
  * @prefix: what it shares with other prompts, see src/placement/pc.h.
  * @scope: cached prompts are shared under it.
  * @read_tokens: counted as waiting at the engine; 0 after its first token.
@@ -56,7 +55,6 @@
 	const struct ca_service *service;
 	int64_t arrived_ms;
 	int64_t end_ms;
-	int64_t caller_end_ms;
 	struct pc_request prefix;
 	char scope[2 * DL_ID_BYTES];
 	ev_timer timer;
@@ -84,7 +82,6 @@
 	GString *answer_body;
 	struct gw_events events;
 	bool has_begun;
-	int64_t first_ms;
 	int64_t last_event;
 	uint32_t event_count;
 };
--- a/src/gateway/gw_rollout.c
+++ b/src/gateway/gw_rollout.c
@@ -188,7 +188,10 @@
 				    .version = wanted->version,
 				    .holder = g->settings.host,
 				    .fencing = job->rollout->lease.fencing,
-				    .after_orders = job->orders });
+				    .after_orders = job->orders,
+				    /* A stream that is cut or swapped is
+				     * lost to its caller. */
+				    .mode = DL_FINISH_RUNS });
 
 	mt_add(&gw_orders, 1);
 	job->rollout->last_order_ms = ck_now_ms();
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -17,8 +17,6 @@
 #define GW_AVOID_MAX_MS 4000
 /* One that is full or loading gets no request for so long. */
 #define GW_BUSY_MS 150
-/* Answers above that are handed on as they come. */
-#define GW_MAX_COLLECTED_BYTES (1u << 20)
 
 void gw_send_log_failure(const struct gw_request *r, const char *outcome)
 {
@@ -172,7 +170,6 @@
 		return;
 	if (!r->has_begun) {
 		r->has_begun = true;
-		r->first_ms = ck_now_ms();
 		h1_begin(r->exchange, r->status, &r->answer_headers, -1);
 	}
 	if (event->id >= 0)
