golden_test: a session waits for the record of each request

Cause: the caller of a stream has the last byte before its entry learns that it was sent, so under load the entry accepts the next request first and the time line has request_done of the first after it. Nothing promises that order. Ruled out: two processes' clocks (one entry records both). While mending, the harness was found to append each time line that a test reads to the one before it, so two golden files held events three and two times that happened once.

Now the session waits for request_done of each request, and for the count of settled calls, before it goes on, and each time line stands alone; the comparison of the whole file stays as it was, and is stricter in the two files.

--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -448,6 +448,10 @@
 std::string Cluster::timeline()
 {
 	std::string path = directory.path + "/timeline.txt";
+
+	// A process appends to its output; each time line stands alone.
+	std::remove(path.c_str());
+
 	Process command({ BALSAMPIN_PROGRAM, "timeline", "--settings",
 			  settings_path(0) },
 			path);
--- a/tests/sessions/golden_test.cc
+++ b/tests/sessions/golden_test.cc
@@ -86,13 +86,32 @@
 			    "{}", headers);
 	}
 
+	// A caller has the whole answer before its entry knows that the last
+	// byte went out: the next request of a session waits for the record.
+	Reply call_and_await_done(const std::string &id,
+				  const std::string &body)
+	{
+		Reply reply = call(completions(), body, with_id(id));
+
+		EXPECT_TRUE(wait_until([this, &id] {
+			return cluster->timeline_of({ id }).find(
+				       "request_done") != std::string::npos;
+		}));
+		return reply;
+	}
+
 	// The answer is kept some time after the caller has it.
-	void await_settled()
+	void await_settled(uint32_t calls)
 	{
-		EXPECT_TRUE(wait_until([this] {
-			return cluster->timeline_of({ "once/" })
-				       .find("call_settled") !=
-			       std::string::npos;
+		EXPECT_TRUE(wait_until([this, calls] {
+			std::string text = cluster->timeline_of({ "once/" });
+			uint32_t settled = 0;
+
+			for (size_t at = text.find("call_settled");
+			     at != std::string::npos;
+			     at = text.find("call_settled", at + 1))
+				settled++;
+			return settled >= calls;
 		}));
 	}
 
@@ -132,10 +151,9 @@
 
 	start(2);
 	for (const char *id : { "request-a", "request-b" })
-		session.add_answer(id,
-				   call(completions(),
-					completion(prefix + id, 3, true, usage),
-					with_id(id)));
+		session.add_answer(
+			id, call_and_await_done(id, completion(prefix + id, 3,
+							       true, usage)));
 	finish("warm_prefix", { "request-a", "request-b" });
 }
 
@@ -156,10 +174,10 @@
 TEST_F(GoldenTest, DispatchSentTwice)
 {
 	start(1);
-	for (const char *id : { "request-a", "request-b" }) {
-		session.add_answer(id, dispatch(id));
-		await_settled();
-	}
+	session.add_answer("request-a", dispatch("request-a"));
+	await_settled(1);
+	session.add_answer("request-b", dispatch("request-b"));
+	await_settled(2);
 	session.add("runs at the service",
 		    cluster->stand_ins->record("/services/dispatch"));
 	finish("dispatch_twice", { "request-a", "request-b", "once/" });
@@ -170,7 +188,7 @@
 	start(1);
 	cluster->stand_ins->fault("platform", "{\"lose_answers\":1}");
 	session.add_answer("request-a", dispatch("request-a"));
-	await_settled();
+	await_settled(1);
 	session.add("runs at the service",
 		    cluster->stand_ins->record("/services/dispatch"));
 	finish("claim_lost", { "request-a", "once/" });
