gateway: hosts, messages and the estimate of kept prefixes apart

Addresses were parsed in three places: ad.c does it for all, and refuses trailing text, which two of them took. The setting retries.window_s was read and never used; it is gone.

--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -16,7 +16,8 @@
  *	gw_rollout.c	brings engines to the wanted weights
  *	gw_silence.c	engines that fall silent
  *	gw_relay.c	one reader of the store for a zone
- *	gw_peers.c	load and held prefixes, shared with the other hosts
+ *	gw_hosts.c	the other hosts, from the gateway's own rows
+ *	gw_peers.c	messages between hosts: load, held prefixes
  *	gw_place.c	candidates for src/placement
  *
  *	The platform's spelling comes from a dialect (src/dialect/dl.h) and its
--- a/src/gateway/gw_settings.c
+++ b/src/gateway/gw_settings.c
@@ -1,19 +1,19 @@
 #include "gateway/gw_settings.h"
 
-#include <arpa/inet.h>
 #include <json-c/json.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "net/ad.h"
+
 /* Used where the file gives no bound. */
-#define GW_DEFAULT_GRACE_MS	   8000
-#define GW_DEFAULT_CONFIG_MS	   3000
-#define GW_DEFAULT_REVOKE_MS	   5000
-#define GW_DEFAULT_WEIGHTS_MS	   8000
-#define GW_DEFAULT_LEASE_MS	   3000
-#define GW_DEFAULT_RETRY_RATIO	   0.2
-#define GW_DEFAULT_RETRY_WINDOW_MS 10000
-#define GW_DEFAULT_RETRY_FLOOR	   20
+#define GW_DEFAULT_GRACE_MS    8000
+#define GW_DEFAULT_CONFIG_MS   3000
+#define GW_DEFAULT_REVOKE_MS   5000
+#define GW_DEFAULT_WEIGHTS_MS  8000
+#define GW_DEFAULT_LEASE_MS    3000
+#define GW_DEFAULT_RETRY_RATIO 0.2
+#define GW_DEFAULT_RETRY_FLOOR 20
 
 struct gw_reader {
 	struct json_object *root;
@@ -83,20 +83,18 @@
 	const char *text = json_object_is_type(value, json_type_string)
 				   ? json_object_get_string(value)
 				   : "";
-	const char *colon = strrchr(text, ':');
-	struct in_addr address;
-	long port;
+	struct ad_address address;
 
 	if (!text[0] && !is_required)
 		return;
-	port = colon ? strtol(colon + 1, NULL, 10) : -1;
-	if (colon && (size_t)(colon - text) < sizeof(out->address))
-		g_strlcpy(out->address, text, colon - text + 1);
-	if (port < 0 || port > 65535 ||
-	    inet_pton(AF_INET, out->address, &address) != 1)
+	if (!ad_parse(text, &address)) {
 		fd_add(reader->findings, path, "is no IP:PORT");
-	else
-		out->port = port;
+		return;
+	}
+	g_strlcpy(out->address, text,
+		  MIN(sizeof(out->address),
+		      (size_t)(strrchr(text, ':') - text) + 1));
+	out->port = address.port;
 }
 
 static void gw_read_regions(const struct gw_reader *reader,
@@ -130,9 +128,6 @@
 		gw_read_number(reader, "bounds/lease_ms", GW_DEFAULT_LEASE_MS);
 	settings->retry_ratio =
 		gw_read_ratio(reader, "retries/ratio", GW_DEFAULT_RETRY_RATIO);
-	settings->retry_window_ms =
-		1000 * gw_read_number(reader, "retries/window_s",
-				      GW_DEFAULT_RETRY_WINDOW_MS / 1000);
 	settings->retry_floor =
 		gw_read_number(reader, "retries/floor", GW_DEFAULT_RETRY_FLOOR);
 }
--- a/src/gateway/gw_settings.h
+++ b/src/gateway/gw_settings.h
@@ -42,7 +42,6 @@
  * @weights_ms: no request begins on older weights after that.
  * @lease_ms: two hosts' orders to an engine are that far apart.
  * @retry_ratio: repeats at a service, of its requests.
- * @retry_window_ms: over which they are counted.
  * @retry_floor: repeats of all hosts together that are always allowed.
  */
 struct gw_settings {
@@ -62,7 +61,6 @@
 	int64_t weights_ms;
 	int64_t lease_ms;
 	double retry_ratio;
-	int64_t retry_window_ms;
 	int64_t retry_floor;
 };
 
--- /dev/null
+++ b/src/peers/pe_reader.h
@@ -0,0 +1,46 @@
+/*
+ * pe_reader - which host reads the store for a zone.
+ *
+ * Load pattern
+ *	The store answers only some hosts for seconds, or none of a zone, while
+ *	the hosts still hear each other. Keys may be used only by a host that
+ *	knows how fresh its rows are, so a host cut off from the store refuses
+ *	all its callers within seconds, though its neighbours know every row.
+ *
+ * Overview
+ *	Of the hosts that the store answers, the one with the lowest hash of its
+ *	name reads for its zone. A zone without such a host is read for by one
+ *	of its region, or else of another.
+ *
+ *	Nobody is elected: each host works it out from what the others said
+ *	last. Two readers for a moment cost calls, no harm.
+ *
+ *	Plain functions, no clock.
+ *
+ * Use
+ *	i = pe_reader_of(hosts, n, zone, region);
+ */
+#ifndef PE_READER_H
+#define PE_READER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * struct pe_host - that has been heard lately, or this one.
+ * @hash: of its name.
+ * @zone, @region: any numbers that differ between places.
+ * @reaches_store: as far as it knows, the store answers it.
+ */
+struct pe_host {
+	uint64_t hash;
+	uint32_t zone;
+	uint32_t region;
+	bool reaches_store;
+};
+
+/** pe_reader_of() - index of the reader of @zone; -1 if the store is away. */
+int32_t pe_reader_of(const struct pe_host *hosts, uint32_t count, uint32_t zone,
+		     uint32_t region);
+
+#endif
--- a/tests/unit/peers_test.cc
+++ b/tests/unit/peers_test.cc
@@ -1,9 +1,14 @@
 // What hosts tell each other: load at upstreams, and prefixes that are held.
 #include <gtest/gtest.h>
 
+#include <vector>
+
 extern "C" {
+#include "net/ad.h"
 #include "peers/pe_held.h"
+#include "peers/pe_kept.h"
 #include "peers/pe_load.h"
+#include "peers/pe_reader.h"
 }
 
 namespace
@@ -81,4 +86,96 @@
 	pe_held_finish(&held);
 }
 
+// Load: the peak, at which all hosts send more than the engines keep.
+TEST(Kept, ShrinksAsTheHostsSendMore)
+{
+	const struct {
+		uint64_t sent_tokens;
+		uint32_t hosts;
+		uint64_t memory_tokens;
+		int64_t kept_ms;
+	} cases[] = {
+		{ 0, 10, 1000000, PE_KEPT_MAX_MS },
+		{ 10000, 10, 1000000, 7000 },
+		{ 10000, 10, 2000000, 14000 },
+		{ 5000, 20, 1000000, 7000 },
+		{ 100000, 10, 1000000, PE_KEPT_MIN_MS },
+		{ 1, 1, 1000000, PE_KEPT_MAX_MS },
+	};
+
+	for (const auto &c : cases) {
+		struct pe_kept kept = {};
+		struct pe_kept_input input = { c.sent_tokens, 1000, c.hosts,
+					       c.memory_tokens };
+		int64_t kept_ms = 0;
+
+		for (int second = 0; second < 60; second++)
+			kept_ms = pe_kept_update(&kept, &input);
+		EXPECT_NEAR(kept_ms, c.kept_ms, 1)
+			<< c.sent_tokens << " " << c.hosts;
+	}
+}
+
+// Load: the store answers some hosts only, for seconds.
+TEST(Reader, IsOneThatTheStoreAnswersAsNearAsPossible)
+{
+	const struct {
+		const char *what;
+		std::vector<pe_host> hosts;
+		int32_t reader;
+	} cases[] = {
+		{ "the first of the zone",
+		  { { 5, 1, 1, true }, { 3, 1, 1, true }, { 1, 2, 1, true } },
+		  1 },
+		{ "the store does not answer the first",
+		  { { 5, 1, 1, true }, { 3, 1, 1, false }, { 1, 2, 1, true } },
+		  0 },
+		{ "nor any of the zone: the region",
+		  { { 5, 1, 1, false }, { 1, 3, 2, true }, { 9, 2, 1, true } },
+		  2 },
+		{ "nor any of the region",
+		  { { 5, 1, 1, false }, { 4, 3, 2, true }, { 2, 4, 3, true } },
+		  2 },
+		{ "the store is away",
+		  { { 5, 1, 1, false }, { 1, 2, 1, false } },
+		  -1 },
+		{ "nobody", {}, -1 },
+	};
+
+	for (const auto &c : cases)
+		EXPECT_EQ(pe_reader_of(c.hosts.data(), c.hosts.size(), 1, 1),
+			  c.reader)
+			<< c.what;
+}
+
+TEST(Address, IsReadWholeOrNotAtAll)
+{
+	const struct {
+		const char *text;
+		bool is_address;
+		uint32_t ipv4;
+		uint16_t port;
+	} cases[] = {
+		{ "10.1.0.14:7420", true, 0x0a01000e, 7420 },
+		{ "127.0.0.1:0", true, 0x7f000001, 0 },
+		{ "10.1.0.14", false, 0, 0 },
+		{ "10.1.0.14:", false, 0, 0 },
+		{ "10.1.0.14:65536", false, 0, 0 },
+		{ "10.1.0.14:-1", false, 0, 0 },
+		{ "10.1.0.14:80x", false, 0, 0 },
+		{ "10.1.0:80", false, 0, 0 },
+		{ "100.100.100.1000:80", false, 0, 0 },
+		{ "host:80", false, 0, 0 },
+		{ "", false, 0, 0 },
+	};
+
+	for (const auto &c : cases) {
+		struct ad_address address = {};
+
+		EXPECT_EQ(ad_parse(c.text, &address), c.is_address) << c.text;
+		EXPECT_EQ(address.ipv4, c.ipv4) << c.text;
+		EXPECT_EQ(address.port, c.port) << c.text;
+	}
+}
+
 } // namespace
