relay: a zone that the store does not answer is told by another

The load message now says whether the store answers the sender, and pe_reader.c chooses among those hosts, the nearest first. A loopback proxy joins the test harness; the session test cuts one host off from the store and fails with the old rule (503 for a valid key after 4 s).

--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -199,6 +199,14 @@
 	gw_rollout_changed(k->gateway);
 }
 
+bool gw_reaches_store(const struct gw_gateway *g)
+{
+	const struct gw_knowledge *k = g->knowledge;
+
+	return k && !gw_watch_is_lost(&k->operator_rows) &&
+	       !gw_watch_is_lost(&k->engine_rows);
+}
+
 static bool gw_is_reader(void *arg)
 {
 	return gw_peers_is_reader(((struct gw_knowledge *)arg)->gateway);
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -30,6 +30,8 @@
 #define GW_FORGET_LOAD_MS 5000
 /* Beyond what any engine or store keeps. */
 #define GW_FORGET_HELD_MS 30000
+/* Hosts that are looked at in the choice of a reader. */
+#define GW_MAX_HOSTS 512
 /* The next host in order reads for the zone when the reader is silent. */
 #define GW_READER_SILENT_MS 1000
 #define GW_SWEEP_MS	    1000
@@ -82,6 +84,7 @@
 	if (peer) {
 		peer->heard_ms = now_ms;
 		peer->has_spoken = true;
+		peer->reaches_store = message->reaches_store;
 	}
 	rp_drop(request);
 }
@@ -122,7 +125,9 @@
 {
 	bp_share shares[BP_MAX_SHARES];
 	bp_held held[BP_MAX_HELD];
-	bp_gateway_load message = { .sequence = p->sequence++ };
+	bp_gateway_load message = { .sequence = p->sequence++,
+				    .reaches_store =
+					    gw_reaches_store(p->gateway) };
 
 	message.shares.shares_val = shares;
 	message.shares.shares_len = gw_fill_shares(p->gateway, shares);
@@ -279,47 +284,67 @@
 		gw_hosts_rows(&g->peers->hosts, rows);
 }
 
-/* Hosts that speak and whose names come first in the order of a hash. */
-static uint32_t gw_count_before(const struct gw_gateway *g, bool in_zone_only)
+static bool gw_is_heard(const struct gw_peer *peer, int64_t now_ms)
 {
+	return peer->has_spoken &&
+	       now_ms - peer->heard_ms <
+		       GW_READER_SILENT_MS + 2 * peer->period_ms;
+}
+
+/* This host first, then those that are heard. */
+static uint32_t gw_list_hosts(const struct gw_gateway *g, struct pe_host *hosts)
+{
+	const struct gw_settings *s = &g->settings;
 	const struct gw_peers *p = g->peers;
-	uint64_t own = gw_name_hash(g->settings.host);
 	int64_t now_ms = ck_now_ms();
-	uint32_t count = 0;
+	uint32_t count = 1;
 
+	hosts[0] = (struct pe_host){ gw_name_hash(s->host),
+				     g_quark_from_string(s->zone),
+				     g_quark_from_string(s->region),
+				     gw_reaches_store(g) };
 	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++) {
 		const struct gw_peer *peer = p->hosts.peers->pdata[i];
 
-		if (in_zone_only &&
-		    peer->zone != g_quark_from_string(g->settings.zone))
-			continue;
-		count += peer->has_spoken &&
-			 now_ms - peer->heard_ms <
-				 GW_READER_SILENT_MS + 2 * peer->period_ms &&
-			 peer->hash < own;
+		if (count < GW_MAX_HOSTS && gw_is_heard(peer, now_ms))
+			hosts[count++] =
+				(struct pe_host){ peer->hash, peer->zone,
+						  peer->region,
+						  peer->reaches_store };
 	}
 	return count;
 }
 
 bool gw_peers_is_reader(const struct gw_gateway *g)
 {
-	return !gw_count_before(g, true);
+	struct pe_host hosts[GW_MAX_HOSTS];
+	uint32_t count = gw_list_hosts(g, hosts);
+
+	return pe_reader_of(hosts, count, hosts[0].zone, hosts[0].region) <= 0;
 }
 
 uint32_t gw_peers_rank(const struct gw_gateway *g)
 {
-	return gw_count_before(g, false);
+	struct pe_host hosts[GW_MAX_HOSTS];
+	uint32_t count = gw_list_hosts(g, hosts);
+	uint32_t before = 0;
+
+	for (uint32_t i = 1; i < count; i++)
+		before += hosts[i].hash < hosts[0].hash;
+	return before;
 }
 
-void gw_peers_call_zone(struct gw_gateway *g, uint32_t number, xdrproc_t args,
+void gw_peers_call_told(struct gw_gateway *g, uint32_t number, xdrproc_t args,
 			const void *value)
 {
+	struct pe_host hosts[GW_MAX_HOSTS];
+	uint32_t count = gw_list_hosts(g, hosts);
 	struct gw_peers *p = g->peers;
 
 	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++) {
 		const struct gw_peer *peer = p->hosts.peers->pdata[i];
 
-		if (peer->zone != g_quark_from_string(g->settings.zone))
+		if (pe_reader_of(hosts, count, peer->zone, peer->region) != 0)
 			continue;
 		rp_call(&p->rpc,
 			&(struct rp_call_desc){
--- a/src/gateway/gw_relay.c
+++ b/src/gateway/gw_relay.c
@@ -34,7 +34,7 @@
 static void gw_relay_send(struct gw_gateway *g, bp_gateway_rows *message)
 {
 	mt_add(&gw_relay_told, 1);
-	gw_peers_call_zone(g, BP_GATEWAY_ROWS, (xdrproc_t)xdr_bp_gateway_rows,
+	gw_peers_call_told(g, BP_GATEWAY_ROWS, (xdrproc_t)xdr_bp_gateway_rows,
 			   message);
 }
 
@@ -66,8 +66,6 @@
 				    .lapse_left_ms = lapse_left_ms };
 	uint32_t first = 0;
 
-	if (!gw_peers_is_reader(g))
-		return;
 	do {
 		uint32_t count = gw_relay_fill(rows, first, wire);
 
@@ -92,8 +90,7 @@
 				    .lapse_left_ms = lapse_left_ms,
 				    .reload = true };
 
-	if (gw_peers_is_reader(g))
-		gw_relay_send(g, &message);
+	gw_relay_send(g, &message);
 }
 
 static void gw_on_relayed(void *arg, struct rp_request *request,
--- a/src/gateway/gw_relay.h
+++ b/src/gateway/gw_relay.h
@@ -7,11 +7,11 @@
  *	them for each engine.
  *
  * Overview
- *	Of the hosts of an availability zone that hear each other, the one with
- *	the lowest hash of its name is the reader. It tells the others what its
- *	calls found, in datagrams, and several times a second how fresh it is.
- *	Nobody is elected: two readers for a moment cost calls, no harm; when
- *	the reader falls silent, the others ask the store themselves.
+ *	Each availability zone has a reader, src/peers/pe_reader.h tells which.
+ *	It tells the others what its calls found, in datagrams, and several
+ *	times a second how fresh it is. When the reader falls silent, the others
+ *	ask the store themselves. A zone whose hosts the store does not answer
+ *	is told by a host of another one.
  *
  *	Rows that do not fit a datagram are not told but announced; the others
  *	then ask the store once.
@@ -44,8 +44,8 @@
 /** gw_peers_is_reader() - this host reads for its zone; in gw_peers.c. */
 bool gw_peers_is_reader(const struct gw_gateway *g);
 
-/** gw_peers_call_zone() - a one-way call to each host of the zone. */
-void gw_peers_call_zone(struct gw_gateway *g, uint32_t number, xdrproc_t args,
+/** gw_peers_call_told() - a one-way call to each host this one reads for. */
+void gw_peers_call_told(struct gw_gateway *g, uint32_t number, xdrproc_t args,
 			const void *value);
 
 #endif
--- a/src/gateway/gw_watch.c
+++ b/src/gateway/gw_watch.c
@@ -138,6 +138,11 @@
 		       &watch->_call);
 }
 
+bool gw_watch_is_lost(const struct gw_watch *watch)
+{
+	return watch->_lost_ms != 0;
+}
+
 static bool gw_watch_must_ask(const struct gw_watch *watch)
 {
 	return !watch->_has_table || watch->_lost_ms ||
--- a/src/gateway/gw_watch.h
+++ b/src/gateway/gw_watch.h
@@ -99,6 +99,9 @@
 void gw_watch_start(struct gw_watch *watch, const struct gw_watch_desc *desc);
 void gw_watch_stop(struct gw_watch *watch);
 
+/** gw_watch_is_lost() - the store did not answer the last call. */
+bool gw_watch_is_lost(const struct gw_watch *watch);
+
 /** gw_watch_tell() - the reader of the zone told of the table. */
 void gw_watch_tell(struct gw_watch *watch, const struct gw_told *told);
 
--- a/src/rpc/balsampin.x
+++ b/src/rpc/balsampin.x
@@ -143,13 +143,15 @@
 	unsigned hyper engine;
 };
 
+/* @reaches_store: the platform's store answers the sender. */
 struct bp_gateway_load {
 	unsigned hyper sequence;
+	bool reaches_store;
 	bp_share shares<BP_MAX_SHARES>;
 	bp_held held<BP_MAX_HELD>;
 };
 
-/* --- rows of the platform's store, from one reader of a zone (U, gateway) --- */
+/* --- rows of the platform's store, from the reader of a zone (U, gateway) --- */
 
 const BP_MAX_ROWS = 24;
 const BP_MAX_ROW_BYTES = 1200;
--- a/src/rpc/gen/balsampin.h
+++ b/src/rpc/gen/balsampin.h
@@ -169,6 +169,7 @@
 
 struct bp_gateway_load {
 	u_quad_t sequence;
+	bool_t reaches_store;
 	struct {
 		u_int shares_len;
 		bp_share *shares_val;
--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -553,24 +553,27 @@
 }
 
 std::string Fleet::settings(const std::string &directory,
-			    const std::string &host)
+			    const std::string &host, const Place &place)
 {
+	std::string store = store_ip() + ":" + std::to_string(store_port());
 	std::string path = directory + "/" + host + ".json";
 	std::string ip = ip_of(host);
 
-	write_file(path,
-		   "// one host\n{\"host\":{\"name\":\"" + host +
-			   "\",\"zone\":\"z1\",\"region\":\"r1\"},"
-			   "\"dialect\":\"fleet\",\"store\":{\"address\":\"" +
-			   own_ip() + ":" +
-			   std::to_string(h1_server_port(&state->store)) +
-			   "\"},\"listen\":{\"callers\":\"" + ip +
-			   ":8080\",\"readiness\":\"" + ip +
-			   ":8081\",\"metrics\":\"" + ip +
-			   ":8082\",\"peers\":\"" + ip +
-			   ":8083\"},\"zones\":{\"z1\":\"r1\"},"
-			   "\"bounds\":{\"grace_s\":8,\"revoke_ms\":3200,"
-			   "\"lease_ms\":500}}");
+	write_file(
+		path,
+		"// one host\n{\"host\":{\"name\":\"" + host +
+			"\",\"zone\":\"" + place.zone + "\",\"region\":\"" +
+			place.region +
+			"\"},\"dialect\":\"fleet\",\"store\":{\"address\":\"" +
+			(place.store.empty() ? store : place.store) +
+			"\"},\"listen\":{\"callers\":\"" + ip +
+			":8080\",\"readiness\":\"" + ip +
+			":8081\",\"metrics\":\"" + ip + ":8082\",\"peers\":\"" +
+			ip +
+			":8083\"},\"zones\":{\"z1\":\"r1\",\"z2\":\"r1\",\"z3\":"
+			"\"r2\"},"
+			"\"bounds\":{\"grace_s\":8,\"revoke_ms\":3200,"
+			"\"lease_ms\":500}}");
 	return path;
 }
 
@@ -579,6 +582,21 @@
 	return "http://" + ip_of(host) + ":8080" + target;
 }
 
+std::string Fleet::store_ip()
+{
+	return own_ip();
+}
+
+uint16_t Fleet::store_port() const
+{
+	return h1_server_port(&state->store);
+}
+
+std::string Fleet::metrics(const std::string &host)
+{
+	return "http://" + ip_of(host) + ":8082/metrics";
+}
+
 std::string Fleet::readiness(const std::string &host)
 {
 	return "http://" + ip_of(host) + ":8081/ready";
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -54,6 +54,13 @@
 	std::string body;
 };
 
+/** Place - of a host; @store: its way to the store, "" for the direct one. */
+struct Place {
+	std::string zone = "z1";
+	std::string region = "r1";
+	std::string store;
+};
+
 class Fleet
 {
       public:
@@ -82,12 +89,17 @@
 
 	/** settings() - writes a host's file; returns its path. */
 	std::string settings(const std::string &directory,
-			     const std::string &host);
+			     const std::string &host, const Place &place = {});
+
+	/** store_ip(), store_port() - for a proxy in front of the store. */
+	static std::string store_ip();
+	uint16_t store_port() const;
 
 	/** url() - of a host's callers' server, with @target. */
 	static std::string url(const std::string &host,
 			       const std::string &target);
 	static std::string readiness(const std::string &host);
+	static std::string metrics(const std::string &host);
 
       private:
 	std::unique_ptr<State> state;
--- a/tests/sessions/gateway_test.cc
+++ b/tests/sessions/gateway_test.cc
@@ -6,11 +6,13 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <thread>
 
 #include "cluster.h"
 #include "fleet.h"
 #include "http.h"
 #include "process.h"
+#include "proxy.h"
 
 using namespace harness;
 
@@ -79,7 +81,8 @@
 
 	static Reply ask(const std::string &route, const std::string &id,
 			 const std::string &key = "k1",
-			 const Headers &more = {})
+			 const Headers &more = {},
+			 const std::string &host = "h1")
 	{
 		Headers headers = { "Host: h", "Authorization: Bearer " + key,
 				    "X-Attempt-Id: " + id,
@@ -92,7 +95,7 @@
 			headers.push_back("X-Prefix-Hash: aa:50,bb:30,cc:20");
 		}
 		headers.insert(headers.end(), more.begin(), more.end());
-		return call(Fleet::url("h1", "/" + route + "/x?q=1"), "body",
+		return call(Fleet::url(host, "/" + route + "/x?q=1"), "body",
 			    headers, "POST");
 	}
 
@@ -344,4 +347,35 @@
 	close(fd);
 }
 
+// The store answers the host of another zone only. What that one reads keeps
+// the keys of the first in use, and takes one out of use in time.
+TEST_F(Gateway, AHostThatTheStoreDoesNotAnswerIsToldByAnotherZone)
+{
+	Proxy way(Fleet::store_ip(), Fleet::store_ip(), fleet.store_port());
+	Place cut_off = { "z2", "r1", way.address() };
+	Process other({ BALSAMPIN_PROGRAM, "gateway", "--settings",
+			fleet.settings(directory.path, "h2", cut_off) },
+		      directory.path + "/log2");
+
+	ASSERT_TRUE(wait_until(
+		[] { return call(Fleet::readiness("h2")).status == 200; }));
+	ASSERT_TRUE(wait_until([] {
+		return call(Fleet::metrics("h1"))
+			       .body.find("peer_messages_heard_total 0") ==
+		       std::string::npos;
+	}));
+	way.set(Way::reset);
+	std::this_thread::sleep_for(std::chrono::milliseconds(4000));
+	EXPECT_EQ(ask("look", "r1", "k1", {}, "h2").status, 200);
+	fleet.put("op", "config", config(2, "\"k2\""));
+	ASSERT_TRUE(wait_until(
+		[] { return ask("look", "r2", "k1", {}, "h2").status == 401; },
+		1500));
+	EXPECT_EQ(ask("look", "r3", "k2", {}, "h2").status, 200);
+	fleet.set_store_down(true);
+	ASSERT_TRUE(wait_until(
+		[] { return ask("look", "r4", "k2", {}, "h2").status == 503; },
+		3500));
+}
+
 } // namespace
