gateway: a host cut off from the store gets missed rows from another

What the hosts of other zones told of later versions did not fit, so all three refused every key (213 refusals) although their neighbours had the rows. Ruled out: a partition between hosts (load messages went on).

Such a host now asks the one that told it for the whole table, by one RPC over TCP; each host keeps the rows as read (rw_mirror) for that.

--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -17,6 +17,7 @@
  *	gw_silence.c	engines that fall silent
  *	gw_relay.c	one reader of the store for a zone
  *	gw_hosts.c	the other hosts, from the gateway's own rows
+ *	gw_catchup.c	a table of the store from another host
  *	gw_peers.c	messages between hosts: load, held prefixes
  *	gw_place.c	candidates for src/placement
  *
@@ -37,11 +38,13 @@
 #include "peers/pe_held.h"
 #include "peers/pe_load.h"
 #include "rows/rw.h"
+#include "rpc/rp.h"
 
 struct gw_knowledge;
 struct gw_rollout;
 struct gw_front;
 struct gw_peers;
+struct gw_catchup;
 
 /**
  * struct gw_gateway - what the parts share.
@@ -87,6 +90,7 @@
 	struct gw_rollout *rollout;
 	struct gw_front *front;
 	struct gw_peers *peers;
+	struct gw_catchup *catchup;
 };
 
 /** gw_is_ready() - whether this host should get new connections. */
@@ -113,6 +117,10 @@
 /** gw_peers_rows() - the gateway's own rows were read. */
 void gw_peers_rows(struct gw_gateway *g, const struct rw_rows *rows);
 
+/** gw_peers_call() - call one host. */
+enum st_code gw_peers_call(struct gw_gateway *g,
+			   const struct rp_call_desc *desc);
+
 /** gw_peers_rank() - how many hosts that speak come before this one. */
 uint32_t gw_peers_rank(const struct gw_gateway *g);
 
--- /dev/null
+++ b/src/gateway/gw_catchup.c
@@ -0,0 +1,161 @@
+#include "gateway/gw_catchup.h"
+
+#include "kernel/lg.h"
+#include "kernel/mt.h"
+#include "rows/rw_mirror.h"
+#include "rpc/gen/balsampin.h"
+
+/* A new connection to another region and a table of some hundred rows. */
+#define GW_CATCHUP_TIMEOUT_MS 800
+
+MT_COUNTER(gw_catchups, "balsampin_gateway_tables_from_hosts_total",
+	   "tables of the store that another host sent")
+
+struct gw_question {
+	struct gw_catchup *catchup;
+	enum gw_table table;
+	bool is_open;
+};
+
+struct gw_catchup {
+	struct gw_gateway *gateway;
+	struct rw_mirror mirrors[GW_TABLES];
+	struct gw_question questions[GW_TABLES];
+};
+
+void gw_catchup_start(struct gw_gateway *g)
+{
+	struct gw_catchup *c = g_new0(struct gw_catchup, 1);
+
+	g->catchup = c;
+	c->gateway = g;
+	for (uint32_t i = 0; i < GW_TABLES; i++) {
+		rw_mirror_init(&c->mirrors[i]);
+		c->questions[i] = (struct gw_question){ c, i, false };
+	}
+}
+
+void gw_catchup_stop(struct gw_gateway *g)
+{
+	struct gw_catchup *c = g->catchup;
+
+	if (!c)
+		return;
+	for (uint32_t i = 0; i < GW_TABLES; i++)
+		rw_mirror_finish(&c->mirrors[i]);
+	g_free(c);
+	g->catchup = NULL;
+}
+
+void gw_catchup_rows(struct gw_gateway *g, enum gw_table table,
+		     const struct rw_rows *rows, bool is_whole)
+{
+	if (g->catchup)
+		rw_mirror_take(&g->catchup->mirrors[table], rows, is_whole);
+}
+
+static void gw_on_table(void *arg, enum st_code code,
+			const struct rp_peer *from, const void *result)
+{
+	struct gw_question *q = arg;
+	const bp_gateway_table *sent = result;
+	GArray *rows;
+
+	q->is_open = false;
+	if (code != ST_OK) {
+		lg_warn("no table from another host", "event",
+			"table_from_host", "outcome", "failed", "reason",
+			st_message(), NULL);
+		return;
+	}
+	mt_add(&gw_catchups, 1);
+	lg_info("table from another host", "event", "table_from_host",
+		"outcome", "taken", "from", from->host, NULL);
+	rows = g_array_new(FALSE, FALSE, sizeof(struct rw_row));
+	for (uint32_t i = 0; i < sent->rows.rows_len; i++) {
+		const bp_table_row *row = &sent->rows.rows_val[i];
+		struct rw_row copy = { row->key, row->value.value_val,
+				       row->value.value_len, row->revision,
+				       false };
+
+		g_array_append_val(rows, copy);
+	}
+	gw_knowledge_table(
+		q->catchup->gateway, q->table,
+		&(struct rw_rows){ (struct rw_row *)(void *)rows->data,
+				   rows->len, sent->newest, sent->store_ms },
+		sent->lapse_left_ms);
+	g_array_free(rows, TRUE);
+}
+
+void gw_catchup_ask(struct gw_gateway *g, enum gw_table table,
+		    const struct rp_peer *peer)
+{
+	struct gw_question *q = &g->catchup->questions[table];
+	unsigned int number = table;
+
+	if (q->is_open)
+		return;
+	q->is_open =
+		gw_peers_call(g,
+			      &(struct rp_call_desc){
+				      .to = { .ipv4 = peer->ipv4,
+					      .port = peer->port },
+				      .transport = RP_TCP,
+				      .number = BP_GATEWAY_TABLE,
+				      .args = (xdrproc_t)xdr_u_int,
+				      .args_value = &number,
+				      .result = (xdrproc_t)xdr_bp_gateway_table,
+				      .result_bytes = sizeof(bp_gateway_table),
+				      .deadline_ms = GW_CATCHUP_TIMEOUT_MS,
+				      .on_done = gw_on_table,
+				      .arg = q }) == ST_OK;
+}
+
+static void gw_on_asked(void *arg, struct rp_request *request, const void *args)
+{
+	struct gw_gateway *g = arg;
+	unsigned int table = *(const unsigned int *)args;
+	bp_gateway_table answer = { 0 };
+	struct rw_rows state = { 0 };
+	int64_t lapse_left_ms = 0;
+	GArray *list, *wire;
+
+	if (table >= GW_TABLES || !g->catchup || !gw_reaches_store(g)) {
+		rp_drop(request);
+		return;
+	}
+	gw_knowledge_version(g, table, &state, &lapse_left_ms);
+	list = g_array_new(FALSE, FALSE, sizeof(struct rw_row));
+	wire = g_array_new(FALSE, FALSE, sizeof(bp_table_row));
+	rw_mirror_list(&g->catchup->mirrors[table], list);
+	for (uint32_t i = 0; i < list->len; i++) {
+		const struct rw_row *row =
+			&g_array_index(list, struct rw_row, i);
+		bp_table_row copy = { (char *)row->key,
+				      { row->value_bytes, (char *)row->value },
+				      row->version };
+
+		if (row->value)
+			g_array_append_val(wire, copy);
+	}
+	answer.newest = state.version;
+	answer.store_ms = state.store_ms;
+	answer.lapse_left_ms = lapse_left_ms;
+	answer.rows.rows_val = (bp_table_row *)(void *)wire->data;
+	answer.rows.rows_len = wire->len;
+	rp_reply(request, &answer);
+	g_array_free(list, TRUE);
+	g_array_free(wire, TRUE);
+}
+
+enum st_code gw_catchup_serve(struct gw_gateway *g, struct rp_endpoint *rpc)
+{
+	return rp_serve(rpc, &(struct rp_procedure){
+				     .number = BP_GATEWAY_TABLE,
+				     .args = (xdrproc_t)xdr_u_int,
+				     .args_bytes = sizeof(unsigned int),
+				     .result = (xdrproc_t)xdr_bp_gateway_table,
+				     .handler = gw_on_asked,
+				     .arg = g });
+}
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "gateway/gw.h"
+#include "gateway/gw_catchup.h"
 #include "gateway/gw_relay.h"
 #include "gateway/gw_silence.h"
 #include "kernel/ck.h"
@@ -102,6 +103,7 @@
 	struct gw_knowledge *k = arg;
 	struct gw_gateway *g = k->gateway;
 
+	gw_catchup_rows(g, GW_OPERATOR_ROWS, rows, is_whole);
 	for (uint32_t i = 0; i < rows->count; i++) {
 		const struct rw_row *row = &rows->rows[i];
 
@@ -185,6 +187,7 @@
 {
 	struct gw_knowledge *k = arg;
 
+	gw_catchup_rows(k->gateway, GW_ENGINE_ROWS, rows, is_whole);
 	for (uint32_t i = 0; i < rows->count; i++) {
 		const struct rw_row *row = &rows->rows[i];
 
@@ -235,19 +238,48 @@
 		gw_relay_rows(k->gateway, GW_ENGINE_ROWS, from, rows, left_ms);
 }
 
-void gw_knowledge_tell(struct gw_gateway *g, enum gw_table table,
+static struct gw_watch *gw_watch_of(struct gw_knowledge *k, enum gw_table table)
+{
+	return table == GW_OPERATOR_ROWS ? &k->operator_rows : &k->engine_rows;
+}
+
+static void gw_lapse_for(struct gw_knowledge *k, int64_t left_ms)
+{
+	if (left_ms)
+		k->lapse_until_ms =
+			MAX(k->lapse_until_ms, ck_now_ms() + left_ms);
+}
+
+bool gw_knowledge_tell(struct gw_gateway *g, enum gw_table table,
 		       const struct gw_told *told, int64_t lapse_left_ms)
 {
 	struct gw_knowledge *k = g->knowledge;
 
+	if (!k)
+		return true;
+	gw_lapse_for(k, lapse_left_ms);
+	return gw_watch_tell(gw_watch_of(k, table), told);
+}
+
+void gw_knowledge_table(struct gw_gateway *g, enum gw_table table,
+			const struct rw_rows *rows, int64_t lapse_left_ms)
+{
+	struct gw_knowledge *k = g->knowledge;
+
 	if (!k)
 		return;
-	if (lapse_left_ms)
-		k->lapse_until_ms =
-			MAX(k->lapse_until_ms, ck_now_ms() + lapse_left_ms);
-	gw_watch_tell(table == GW_OPERATOR_ROWS ? &k->operator_rows
-						: &k->engine_rows,
-		      told);
+	gw_lapse_for(k, lapse_left_ms);
+	gw_watch_table(gw_watch_of(k, table), rows);
+}
+
+void gw_knowledge_version(const struct gw_gateway *g, enum gw_table table,
+			  struct rw_rows *rows, int64_t *lapse_left_ms)
+{
+	const struct gw_watch *watch = gw_watch_of(g->knowledge, table);
+
+	rows->version = watch->version;
+	rows->store_ms = watch->store_ms;
+	*lapse_left_ms = MAX(g->knowledge->lapse_until_ms - ck_now_ms(), 0);
 }
 
 static void gw_on_lost(void *arg, const char *reason)
@@ -296,6 +328,7 @@
 
 	g->knowledge = k;
 	k->gateway = g;
+	gw_catchup_start(g);
 	gw_watch_start(
 		&k->operator_rows,
 		&(struct gw_watch_desc){ .loop = g->kernel.loop,
@@ -335,6 +368,7 @@
 	ev_timer_stop(g->kernel.loop, &k->sweep);
 	gw_watch_stop(&k->operator_rows);
 	gw_watch_stop(&k->engine_rows);
+	gw_catchup_stop(g);
 	g_free(k);
 	g->knowledge = NULL;
 }
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "gateway/gw.h"
+#include "gateway/gw_catchup.h"
 #include "gateway/gw_hosts.h"
 #include "gateway/gw_relay.h"
 #include "kernel/ck.h"
@@ -259,6 +260,8 @@
 					.arg = p });
 	if (code == ST_OK)
 		code = gw_relay_serve(p->gateway, &p->rpc);
+	if (code == ST_OK)
+		code = gw_catchup_serve(p->gateway, &p->rpc);
 	p->is_open = code == ST_OK;
 	if (!p->is_open)
 		lg_warn("no messages to other hosts", "event", "peers_closed",
@@ -358,6 +361,14 @@
 	}
 }
 
+enum st_code gw_peers_call(struct gw_gateway *g,
+			   const struct rp_call_desc *desc)
+{
+	if (!g->peers || !g->peers->is_open)
+		return st_fail(ST_UNAVAILABLE, "no endpoint yet");
+	return rp_call(&g->peers->rpc, desc, NULL);
+}
+
 enum st_code gw_peers_start(struct gw_gateway *g)
 {
 	struct gw_peers *p = g_new0(struct gw_peers, 1);
--- a/src/gateway/gw_relay.c
+++ b/src/gateway/gw_relay.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "gateway/gw_catchup.h"
 #include "kernel/mt.h"
 #include "rpc/gen/balsampin.h"
 
@@ -119,9 +120,10 @@
 			.is_deleted = row->deleted,
 		};
 	}
-	if (message->table < GW_TABLES)
-		gw_knowledge_tell(arg, message->table, &told,
-				  message->lapse_left_ms);
+	if (message->table < GW_TABLES &&
+	    !gw_knowledge_tell(arg, message->table, &told,
+			       message->lapse_left_ms))
+		gw_catchup_ask(arg, message->table, rp_peer_of(request));
 	rp_drop(request);
 }
 
--- a/src/gateway/gw_relay.h
+++ b/src/gateway/gw_relay.h
@@ -37,8 +37,11 @@
 /** gw_relay_serve() - take what the reader of the zone tells. */
 enum st_code gw_relay_serve(struct gw_gateway *g, struct rp_endpoint *rpc);
 
-/** gw_knowledge_tell() - the reader told of a table; in gw_knowledge.c. */
-void gw_knowledge_tell(struct gw_gateway *g, enum gw_table table,
+/**
+ * gw_knowledge_tell() - the reader told of a table; in gw_knowledge.c.
+ * Return: false if rows are missing here and the store does not answer.
+ */
+bool gw_knowledge_tell(struct gw_gateway *g, enum gw_table table,
 		       const struct gw_told *told, int64_t lapse_left_ms);
 
 /** gw_peers_is_reader() - this host reads for its zone; in gw_peers.c. */
--- a/src/gateway/gw_watch.c
+++ b/src/gateway/gw_watch.c
@@ -160,28 +160,45 @@
 		gw_watch_again(watch, GW_TOLD_CHECK_S);
 }
 
-void gw_watch_tell(struct gw_watch *watch, const struct gw_told *told)
+/* Reads what is missing here; false if that has to come from elsewhere. */
+static bool gw_watch_fill(struct gw_watch *watch)
 {
-	if (!watch->_has_table || !watch->_has_offset ||
-	    told->rows.version < watch->version)
-		return;
-	if (told->is_reload) {
-		watch->_has_table = false;
+	if (watch->_lost_ms)
+		return false;
+	if (!watch->_call._call || !watch->_has_table)
 		gw_watch_call(watch);
-		return;
+	return true;
+}
+
+bool gw_watch_tell(struct gw_watch *watch, const struct gw_told *told)
+{
+	if (!watch->_has_offset || told->rows.version < watch->version)
+		return true;
+	if (told->is_reload && watch->_has_table) {
+		watch->_has_table = false;
+		return gw_watch_fill(watch);
 	}
+	if (!watch->_has_table)
+		return !watch->_lost_ms;
 	if (told->rows.version > watch->version &&
-	    (told->is_partial || told->from > watch->version)) {
-		/* A change is missing here: ask, unless a call is on its way.
-		 */
-		if (!watch->_call._call)
-			gw_watch_call(watch);
-		return;
-	}
+	    (told->is_partial || told->from > watch->version))
+		return gw_watch_fill(watch);
 	watch->version = told->rows.version;
 	gw_watch_freshen(watch, told->rows.store_ms);
 	if (told->rows.count)
 		watch->_desc.on_rows(watch->_desc.arg, &told->rows, false);
+	return true;
+}
+
+void gw_watch_table(struct gw_watch *watch, const struct rw_rows *rows)
+{
+	if (!watch->_has_offset || !watch->_lost_ms ||
+	    rows->version < watch->version)
+		return;
+	watch->version = rows->version;
+	watch->_has_table = true;
+	gw_watch_freshen(watch, rows->store_ms);
+	watch->_desc.on_rows(watch->_desc.arg, rows, true);
 }
 
 void gw_watch_start(struct gw_watch *watch, const struct gw_watch_desc *desc)
--- a/src/gateway/gw_watch.h
+++ b/src/gateway/gw_watch.h
@@ -102,7 +102,13 @@
 /** gw_watch_is_lost() - the store did not answer the last call. */
 bool gw_watch_is_lost(const struct gw_watch *watch);
 
-/** gw_watch_tell() - the reader of the zone told of the table. */
-void gw_watch_tell(struct gw_watch *watch, const struct gw_told *told);
+/**
+ * gw_watch_tell() - the reader of the zone told of the table.
+ * Return: false if rows are missing here and the store does not answer.
+ */
+bool gw_watch_tell(struct gw_watch *watch, const struct gw_told *told);
+
+/** gw_watch_table() - another host sent the whole table. */
+void gw_watch_table(struct gw_watch *watch, const struct rw_rows *rows);
 
 #endif
--- a/src/rpc/balsampin.x
+++ b/src/rpc/balsampin.x
@@ -180,6 +180,25 @@
 	bp_row rows<BP_MAX_ROWS>;
 };
 
+/*
+ * A whole table, for a host that the store does not answer and that missed
+ * a change; see src/gateway/gw_catchup.h.
+ */
+const BP_MAX_TABLE_ROWS = 4096;
+
+struct bp_table_row {
+	bp_text key;
+	opaque value<BP_MAX_JSON_BYTES>;
+	unsigned hyper revision;
+};
+
+struct bp_gateway_table {
+	unsigned hyper newest;
+	unsigned hyper store_ms;
+	unsigned int lapse_left_ms;
+	bp_table_row rows<BP_MAX_TABLE_ROWS>;
+};
+
 /* --- configuration (T, C) --- */
 
 struct bp_object {
@@ -323,5 +342,6 @@
 		bp_timeline_part BP_TIMELINE(bp_timeline_from) = 8;
 		void BP_GATEWAY_LOAD(bp_gateway_load) = 9;
 		void BP_GATEWAY_ROWS(bp_gateway_rows) = 10;
+		bp_gateway_table BP_GATEWAY_TABLE(unsigned int) = 11;
 	} = 1;
 } = 0x20426d70;
--- a/src/rpc/gen/balsampin.h
+++ b/src/rpc/gen/balsampin.h
@@ -208,6 +208,28 @@
 	} rows;
 };
 typedef struct bp_gateway_rows bp_gateway_rows;
+#define BP_MAX_TABLE_ROWS 4096
+
+struct bp_table_row {
+	bp_text key;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+	u_quad_t revision;
+};
+typedef struct bp_table_row bp_table_row;
+
+struct bp_gateway_table {
+	u_quad_t newest;
+	u_quad_t store_ms;
+	u_int lapse_left_ms;
+	struct {
+		u_int rows_len;
+		bp_table_row *rows_val;
+	} rows;
+};
+typedef struct bp_gateway_table bp_gateway_table;
 
 struct bp_object {
 	bp_name kind;
@@ -395,6 +417,9 @@
 #define BP_GATEWAY_ROWS 10
 extern  enum clnt_stat bp_gateway_rows_1(bp_gateway_rows *, void *, CLIENT *);
 extern  bool_t bp_gateway_rows_1_svc(bp_gateway_rows *, void *, struct svc_req *);
+#define BP_GATEWAY_TABLE 11
+extern  enum clnt_stat bp_gateway_table_1(u_int *, bp_gateway_table *, CLIENT *);
+extern  bool_t bp_gateway_table_1_svc(u_int *, bp_gateway_table *, struct svc_req *);
 extern int balsampin_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -428,6 +453,9 @@
 #define BP_GATEWAY_ROWS 10
 extern  enum clnt_stat bp_gateway_rows_1();
 extern  bool_t bp_gateway_rows_1_svc();
+#define BP_GATEWAY_TABLE 11
+extern  enum clnt_stat bp_gateway_table_1();
+extern  bool_t bp_gateway_table_1_svc();
 extern int balsampin_1_freeresult ();
 #endif /* K&R C */
 
@@ -453,6 +481,8 @@
 extern  bool_t xdr_bp_gateway_load (XDR *, bp_gateway_load*);
 extern  bool_t xdr_bp_row (XDR *, bp_row*);
 extern  bool_t xdr_bp_gateway_rows (XDR *, bp_gateway_rows*);
+extern  bool_t xdr_bp_table_row (XDR *, bp_table_row*);
+extern  bool_t xdr_bp_gateway_table (XDR *, bp_gateway_table*);
 extern  bool_t xdr_bp_object (XDR *, bp_object*);
 extern  bool_t xdr_bp_upstream (XDR *, bp_upstream*);
 extern  bool_t xdr_bp_pull (XDR *, bp_pull*);
@@ -488,6 +518,8 @@
 extern bool_t xdr_bp_gateway_load ();
 extern bool_t xdr_bp_row ();
 extern bool_t xdr_bp_gateway_rows ();
+extern bool_t xdr_bp_table_row ();
+extern bool_t xdr_bp_gateway_table ();
 extern bool_t xdr_bp_object ();
 extern bool_t xdr_bp_upstream ();
 extern bool_t xdr_bp_pull ();
--- a/src/rpc/gen/balsampin_xdr.c
+++ b/src/rpc/gen/balsampin_xdr.c
@@ -590,6 +590,37 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bp_table_row (XDR *xdrs, bp_table_row *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bp_text (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, BP_MAX_JSON_BYTES))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bp_gateway_table (XDR *xdrs, bp_gateway_table *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->newest))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->store_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->lapse_left_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, BP_MAX_TABLE_ROWS,
+		sizeof (bp_table_row), (xdrproc_t) xdr_bp_table_row))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bp_object (XDR *xdrs, bp_object *objp)
 {
--- a/tests/sessions/gateway_test.cc
+++ b/tests/sessions/gateway_test.cc
@@ -347,8 +347,9 @@
 	close(fd);
 }
 
-// The store answers the host of another zone only. What that one reads keeps
-// the keys of the first in use, and takes one out of use in time.
+// The store answers the host of another zone only, and a change comes at the
+// moment of the cut. What the other host reads keeps the keys of this one in
+// use, and takes one out of use in time.
 TEST_F(Gateway, AHostThatTheStoreDoesNotAnswerIsToldByAnotherZone)
 {
 	Proxy way(Fleet::store_ip(), Fleet::store_ip(), fleet.store_port());
@@ -364,10 +365,12 @@
 			       .body.find("peer_messages_heard_total 0") ==
 		       std::string::npos;
 	}));
-	way.set(Way::reset);
+	way.set(Way::silent);
+	std::this_thread::sleep_for(std::chrono::milliseconds(50));
+	fleet.put("op", "config", config(2));
 	std::this_thread::sleep_for(std::chrono::milliseconds(4000));
 	EXPECT_EQ(ask("look", "r1", "k1", {}, "h2").status, 200);
-	fleet.put("op", "config", config(2, "\"k2\""));
+	fleet.put("op", "config", config(3, "\"k2\""));
 	ASSERT_TRUE(wait_until(
 		[] { return ask("look", "r2", "k1", {}, "h2").status == 401; },
 		1500));
