lease: hosts that stop leave the watch to others, who begin at once

The three hosts that look at the lease often were the first in order of those heard, and a host that stops is heard for eight seconds. And a host that becomes one of the three waited out the period of the others, up to 18 s.

Ruled out: the store (no store_lost line), refused orders (all accepted).

A host now says in its load message whether it takes part (the store answers it and it is not stopping); pe_rank_of() counts only those. A shorter read period brings the next read forward; its test failed before.

--- a/src/control/ls.c
+++ b/src/control/ls.c
@@ -86,6 +86,16 @@
 	return LS_WRITE;
 }
 
+void ls_set_read_period(struct ls_lease *lease, int64_t period_ms,
+			int64_t now_ms)
+{
+	bool is_shorter = period_ms < lease->_desc.read_period_ms;
+
+	lease->_desc.read_period_ms = period_ms;
+	if (is_shorter && lease->state == LS_FOLLOWING)
+		lease->_next_ms = MIN(lease->_next_ms, now_ms + period_ms);
+}
+
 enum ls_step ls_next(struct ls_lease *lease, int64_t now_ms)
 {
 	if (lease->state == LS_HELD && now_ms >= lease->_expires_ms)
--- a/src/control/ls.h
+++ b/src/control/ls.h
@@ -112,11 +112,12 @@
 
 void ls_init(struct ls_lease *lease, const struct ls_desc *desc);
 
-/** ls_set_read_period() - how often a host that follows reads the row. */
-static inline void ls_set_read_period(struct ls_lease *lease, int64_t period_ms)
-{
-	lease->_desc.read_period_ms = period_ms;
-}
+/**
+ * ls_set_read_period() - how often a host that follows reads the row. A shorter
+ * period also brings the next read forward.
+ */
+void ls_set_read_period(struct ls_lease *lease, int64_t period_ms,
+			int64_t now_ms);
 
 /** ls_next() - the next step; drops a lease that has run out. */
 enum ls_step ls_next(struct ls_lease *lease, int64_t now_ms);
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -96,8 +96,8 @@
 /** gw_is_ready() - whether this host should get new connections. */
 bool gw_is_ready(const struct gw_gateway *g, int64_t now_ms);
 
-/** gw_reaches_store() - as far as this host knows, the store answers it. */
-bool gw_reaches_store(const struct gw_gateway *g);
+/** gw_takes_part() - the store answers this host, and it is not stopping. */
+bool gw_takes_part(const struct gw_gateway *g);
 
 /** gw_knowledge_start() - follow the store; gw_knowledge_stop() ends it. */
 enum st_code gw_knowledge_start(struct gw_gateway *g);
--- a/src/gateway/gw_catchup.c
+++ b/src/gateway/gw_catchup.c
@@ -121,7 +121,7 @@
 	int64_t lapse_left_ms = 0;
 	GArray *list, *wire;
 
-	if (table >= GW_TABLES || !g->catchup || !gw_reaches_store(g)) {
+	if (table >= GW_TABLES || !g->catchup || !gw_takes_part(g)) {
 		rp_drop(request);
 		return;
 	}
--- a/src/gateway/gw_hosts.c
+++ b/src/gateway/gw_hosts.c
@@ -149,7 +149,7 @@
 		g_strlcpy(peer->name, name, sizeof(peer->name));
 		peer->hash = gw_name_hash(name);
 		peer->heard_ms = ck_now_ms();
-		peer->reaches_store = true;
+		peer->takes_part = true;
 		g_ptr_array_add(hosts->peers, peer);
 		lg_info("peer found", "event", "peer_found", "peer", name,
 			"address", row->value, NULL);
--- a/src/gateway/gw_hosts.h
+++ b/src/gateway/gw_hosts.h
@@ -23,7 +23,7 @@
  * struct gw_peer - another host.
  * @zone, @region: numbers of the names.
  * @has_spoken: it was heard since this process started.
- * @reaches_store: the store answers it, as it said last.
+ * @takes_part: the store answers it and it is not stopping, as it said last.
  * @period_ms: between two messages to it.
  * @told: news up to that number have been told; see gw_peers.c.
  */
@@ -35,7 +35,7 @@
 	uint32_t region;
 	bool is_far;
 	bool has_spoken;
-	bool reaches_store;
+	bool takes_part;
 	int64_t heard_ms;
 	int64_t sent_ms;
 	int64_t period_ms;
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -202,11 +202,11 @@
 	gw_rollout_changed(k->gateway);
 }
 
-bool gw_reaches_store(const struct gw_gateway *g)
+bool gw_takes_part(const struct gw_gateway *g)
 {
 	const struct gw_knowledge *k = g->knowledge;
 
-	return k && !gw_watch_is_lost(&k->operator_rows) &&
+	return k && !g->stop_ms && !gw_watch_is_lost(&k->operator_rows) &&
 	       !gw_watch_is_lost(&k->engine_rows);
 }
 
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -85,7 +85,7 @@
 	if (peer) {
 		peer->heard_ms = now_ms;
 		peer->has_spoken = true;
-		peer->reaches_store = message->reaches_store;
+		peer->takes_part = message->takes_part;
 	}
 	rp_drop(request);
 }
@@ -127,8 +127,7 @@
 	bp_share shares[BP_MAX_SHARES];
 	bp_held held[BP_MAX_HELD];
 	bp_gateway_load message = { .sequence = p->sequence++,
-				    .reaches_store =
-					    gw_reaches_store(p->gateway) };
+				    .takes_part = gw_takes_part(p->gateway) };
 
 	message.shares.shares_val = shares;
 	message.shares.shares_len = gw_fill_shares(p->gateway, shares);
@@ -305,7 +304,7 @@
 	hosts[0] = (struct pe_host){ gw_name_hash(s->host),
 				     g_quark_from_string(s->zone),
 				     g_quark_from_string(s->region),
-				     gw_reaches_store(g) };
+				     gw_takes_part(g) };
 	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++) {
 		const struct gw_peer *peer = p->hosts.peers->pdata[i];
 
@@ -313,7 +312,7 @@
 			hosts[count++] =
 				(struct pe_host){ peer->hash, peer->zone,
 						  peer->region,
-						  peer->reaches_store };
+						  peer->takes_part };
 	}
 	return count;
 }
@@ -330,11 +329,8 @@
 {
 	struct pe_host hosts[GW_MAX_HOSTS];
 	uint32_t count = gw_list_hosts(g, hosts);
-	uint32_t before = 0;
 
-	for (uint32_t i = 1; i < count; i++)
-		before += hosts[i].hash < hosts[0].hash;
-	return before;
+	return pe_rank_of(hosts, count, hosts[0].hash);
 }
 
 void gw_peers_call_told(struct gw_gateway *g, uint32_t number, xdrproc_t args,
--- a/src/gateway/gw_rollout.c
+++ b/src/gateway/gw_rollout.c
@@ -418,7 +418,8 @@
 	ls_set_read_period(&ro->lease,
 			   gw_peers_rank(ro->gateway) < GW_LEASE_WATCHERS
 				   ? ro->read_period_ms
-				   : ro->read_period_ms * GW_LEASE_SELDOM);
+				   : ro->read_period_ms * GW_LEASE_SELDOM,
+			   now_ms);
 	if (!ro->gateway->stop_ms)
 		gw_step_lease(ro, now_ms);
 	else
--- a/src/peers/pe_reader.c
+++ b/src/peers/pe_reader.c
@@ -18,7 +18,7 @@
 	for (uint32_t i = 0; i < count; i++) {
 		uint32_t distance = pe_distance(&hosts[i], zone, region);
 
-		if (!hosts[i].reaches_store)
+		if (!hosts[i].takes_part)
 			continue;
 		if (best >= 0 && (distance > best_distance ||
 				  (distance == best_distance &&
@@ -29,3 +29,12 @@
 	}
 	return best;
 }
+
+uint32_t pe_rank_of(const struct pe_host *hosts, uint32_t count, uint64_t hash)
+{
+	uint32_t before = 0;
+
+	for (uint32_t i = 0; i < count; i++)
+		before += hosts[i].takes_part && hosts[i].hash < hash;
+	return before;
+}
--- a/src/rpc/balsampin.x
+++ b/src/rpc/balsampin.x
@@ -143,10 +143,10 @@
 	unsigned hyper engine;
 };
 
-/* @reaches_store: the platform's store answers the sender. */
+/* @takes_part: the store answers the sender, and it is not stopping. */
 struct bp_gateway_load {
 	unsigned hyper sequence;
-	bool reaches_store;
+	bool takes_part;
 	bp_share shares<BP_MAX_SHARES>;
 	bp_held held<BP_MAX_HELD>;
 };
--- a/src/rpc/gen/balsampin.h
+++ b/src/rpc/gen/balsampin.h
@@ -169,7 +169,7 @@
 
 struct bp_gateway_load {
 	u_quad_t sequence;
-	bool_t reaches_store;
+	bool_t takes_part;
 	struct {
 		u_int shares_len;
 		bp_share *shares_val;
--- a/src/rpc/gen/balsampin_xdr.c
+++ b/src/rpc/gen/balsampin_xdr.c
@@ -481,7 +481,7 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->reaches_store))
+	 if (!xdr_bool (xdrs, &objp->takes_part))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->shares.shares_val, (u_int *) &objp->shares.shares_len, BP_MAX_SHARES,
 		sizeof (bp_share), (xdrproc_t) xdr_bp_share))
--- a/tests/unit/lease_test.cc
+++ b/tests/unit/lease_test.cc
@@ -249,6 +249,27 @@
 
 // After a lapse the last order is older than after a release, so the new holder
 // need not wait as long.
+// Load: a roll-out of the hosts. The holder and those that look often stop one
+// after the other, and a host that looked seldom is among the first now.
+TEST(Lease, AShorterReadPeriodBringsTheNextReadForward)
+{
+	Store store;
+	Holder holder(&store, "h1");
+	Holder other(&store, "h2");
+	int64_t now_ms = 1000;
+
+	while (holder.lease.state != LS_HELD)
+		holder.Step(now_ms++);
+	ls_set_read_period(&other.lease, 12000, now_ms);
+	EXPECT_EQ(other.Step(now_ms), LS_READ);
+	EXPECT_EQ(other.Step(now_ms + 1000), LS_NOTHING);
+	ls_set_read_period(&other.lease, 600, now_ms + 1000);
+	EXPECT_EQ(other.Step(now_ms + 1599), LS_NOTHING);
+	EXPECT_EQ(other.Step(now_ms + 1600), LS_READ);
+	ls_set_read_period(&other.lease, 600, now_ms + 2199);
+	EXPECT_EQ(other.Step(now_ms + 2200), LS_READ);
+}
+
 TEST(Lease, LapsedHolderLeavesAShorterQuietTime)
 {
 	Store store;
--- a/tests/unit/peers_test.cc
+++ b/tests/unit/peers_test.cc
@@ -148,6 +148,21 @@
 			<< c.what;
 }
 
+// Load: a roll-out of the hosts. Those that stop are heard for seconds yet;
+// the next ones in order look at the lease meanwhile.
+TEST(Rank, LeavesOutHostsThatStop)
+{
+	const std::vector<pe_host> hosts = { { 7, 1, 1, true },
+					     { 1, 1, 1, false },
+					     { 3, 2, 1, false },
+					     { 4, 2, 1, true },
+					     { 9, 3, 2, true } };
+
+	EXPECT_EQ(pe_rank_of(hosts.data(), hosts.size(), 7), 1u);
+	EXPECT_EQ(pe_rank_of(hosts.data(), hosts.size(), 9), 2u);
+	EXPECT_EQ(pe_rank_of(hosts.data(), hosts.size(), 4), 0u);
+}
+
 TEST(Address, IsReadWholeOrNotAtAll)
 {
 	const struct {
