soak: a seeded driver of real gateways, with faults from outside

Real processes on loopback; signals that stop, pause, kill and restart them; proxies that delay, reset, silence or cut one way; the store's stand-in away or without history; engines that refuse, fail, hang, stall, drain or are replaced; configuration and weights change meanwhile, half of the times at the moment that leaves a host behind. Checked as it runs: runs per call that may run once, true refusals, whole and ordered streams, nobody else's answer, no regress of the configuration, revoked keys, one holder of orders, drains, an end for every request, recovery, memory and descriptors.

--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -21,11 +21,18 @@
 namespace harness
 {
 
+struct Engine;
+
 namespace
 {
 
 constexpr int events_of_an_answer = 8;
 constexpr int load_ms = 50;
+constexpr int events_before_a_stall = 2;
+constexpr int pace_ms = 15;
+constexpr int hosts_of_an_address_range = 14;
+constexpr int first_port = 8080;
+constexpr int ports_of_a_host = 10;
 
 std::string event(int id)
 {
@@ -72,6 +79,11 @@
 	       std::to_string((pid % 16) * 15 + 1);
 }
 
+int number_of(const std::string &host)
+{
+	return std::stoi(host.substr(1));
+}
+
 std::string ip_of(const std::string &host)
 {
 	std::string ip = own_ip();
@@ -79,7 +91,25 @@
 	int last = std::stoi(ip.substr(dot + 1));
 
 	return ip.substr(0, dot + 1) +
-	       std::to_string(last + std::stoi(host.substr(1)));
+	       std::to_string(last +
+			      number_of(host) % hosts_of_an_address_range);
+}
+
+/* "IP:PORT" of one of a host's servers. */
+std::string address_of(const std::string &host, int which)
+{
+	int range = number_of(host) / hosts_of_an_address_range;
+
+	return ip_of(host) + ":" +
+	       std::to_string(first_port + range * ports_of_a_host + which);
+}
+
+enum { callers_port, readiness_port, metrics_port, peers_port };
+
+std::string paced_event(const std::string &attempt, int id)
+{
+	return "id: " + std::to_string(id) + "\ndata: token " +
+	       std::to_string(id) + " of " + attempt + "\n\n";
 }
 
 struct Row {
@@ -97,9 +127,20 @@
 
 } // namespace
 
+/* A request that an engine works on at its pace. */
+struct Run {
+	Engine *engine;
+	struct h1_exchange *x;
+	std::string attempt;
+	int events;
+	int64_t due_ms;
+};
+
 struct Engine {
 	Fleet::State *state;
 	std::string id;
+	std::string address;
+	bool is_draining = false;
 	std::string service;
 	std::string model;
 	int weights = 0;
@@ -122,7 +163,10 @@
 
 	bool is_down = false;
 	uint64_t version = 0;
+	uint64_t history_from = 0;
 	int calls = 0;
+	std::list<Run> running;
+	std::map<std::string, int> begun;
 	std::map<std::string, std::map<std::string, Row>> tables;
 	std::list<Waiter> waiters;
 	std::map<std::string, std::unique_ptr<Engine>> engines;
@@ -140,9 +184,23 @@
 	void on_transaction(struct h1_exchange *x);
 	void on_engine(Engine *e, struct h1_exchange *x);
 	void on_order(Engine *e, struct h1_exchange *x);
+	void on_pace(Engine *e, struct h1_exchange *x,
+		     const std::string &attempt, int after);
+	bool go_on(Run &run);
 	void on_tick();
 };
 
+std::string paced_answer(const std::string &attempt, bool is_stream)
+{
+	std::string text;
+
+	if (!is_stream)
+		return "recorded " + attempt;
+	for (int id = 1; id <= events_of_an_answer; id++)
+		text += paced_event(attempt, id);
+	return text;
+}
+
 std::string stream_answer(int after)
 {
 	std::string text;
@@ -265,6 +323,10 @@
 		uint64_t after = std::stoull(query(target, "after"));
 		int count;
 
+		if (after < history_from) {
+			respond(x, 410, "{}");
+			return;
+		}
 		rows_json(table, after, true, &count);
 		if (count)
 			answer_rows(x, table, after, true);
@@ -285,13 +347,17 @@
 				     : "[{\"name\":\"" + e.model +
 					       "\",\"version\":" +
 					       std::to_string(e.weights) + "}]";
+	std::string address =
+		e.address.empty()
+			? own_ip() + ":" +
+				  std::to_string(h1_server_port(&e.server))
+			: e.address;
 
 	put("servers", e.id,
-	    "{\"service\":\"" + e.service + "\",\"address\":\"" + own_ip() +
-		    ":" + std::to_string(h1_server_port(&e.server)) +
-		    "\",\"zone\":\"z1\",\"slots\":8,\"state\":\"ready\","
-		    "\"born\":1,\"models\":" +
-		    models + ",\"seq\":1}");
+	    "{\"service\":\"" + e.service + "\",\"address\":\"" + address +
+		    "\",\"zone\":\"z1\",\"slots\":8,\"state\":\"" +
+		    (e.is_draining ? "draining" : "ready") +
+		    "\",\"born\":1,\"models\":" + models + ",\"seq\":1}");
 }
 
 void Fleet::State::on_order(Engine *e, struct h1_exchange *x)
@@ -299,7 +365,9 @@
 	struct json_object *root = json_tokener_parse(x->body->str);
 	struct json_object *value;
 
-	orders.push_back({ e->id, x->body->str });
+	json_object_object_get_ex(root, "fence", &value);
+	orders.push_back({ e->id, x->body->str, ck_now_ms(), false,
+			   json_object_get_int64(value) });
 	json_object_object_get_ex(root, "precondition", &value);
 	if (json_object_get_int(value) != e->orders || e->busy_until_ms) {
 		respond(x, 409, "{}");
@@ -308,6 +376,7 @@
 		e->weights = json_object_get_int(value);
 		e->orders++;
 		e->busy_until_ms = ck_now_ms() + load_ms;
+		orders.back().is_taken = true;
 		respond(x, 202, "{}");
 	}
 	json_object_put(root);
@@ -317,7 +386,8 @@
 {
 	std::string target = x->target;
 	std::map<std::string, std::string> fields;
-	Arrival arrival = { e->id, x->method, target, x->body->str, {} };
+	Arrival arrival = { e->id,	  x->method, target,
+			    x->body->str, {},	     ck_now_ms() };
 	int after = 0;
 
 	if (target == "/order") {
@@ -342,7 +412,13 @@
 	fields["X-Attempt-Id"] = arrival.headers["X-Attempt-Id"];
 	if (arrival.headers.count("Last-Event-Id"))
 		after = std::stoi(arrival.headers["Last-Event-Id"]);
+	if (e->behaviour != Behaviour::refuse)
+		begun[arrival.headers["X-Attempt-Id"]]++;
 	switch (e->behaviour) {
+	case Behaviour::pace:
+	case Behaviour::pace_stall:
+		on_pace(e, x, arrival.headers["X-Attempt-Id"], after);
+		return;
 	case Behaviour::refuse:
 		fields["X-Not-Executed"] = "1";
 		respond(x, 503, "", fields);
@@ -391,10 +467,54 @@
 	h1_end(x);
 }
 
+void Fleet::State::on_pace(Engine *e, struct h1_exchange *x,
+			   const std::string &attempt, int after)
+{
+	struct h1_headers headers;
+
+	if (!e->model.empty()) {
+		h1_headers_init(&headers);
+		h1_headers_add(&headers, "Content-Type", "text/event-stream");
+		h1_headers_add(&headers, "X-Attempt-Id", attempt.c_str());
+		h1_headers_add(&headers, "X-Response-Stamp",
+			       ("stamp-" + e->id).c_str());
+		h1_begin(x, 200, &headers, -1);
+		h1_headers_finish(&headers);
+	}
+	running.push_back({ e, x, attempt, after, ck_now_ms() + pace_ms });
+}
+
+/* One step of a run; true at its end. */
+bool Fleet::State::go_on(Run &run)
+{
+	if (run.engine->behaviour == Behaviour::pace_stall &&
+	    run.events >= events_before_a_stall)
+		return false;
+	if (run.engine->model.empty()) {
+		respond(run.x, 200, paced_answer(run.attempt, false),
+			{ { "X-Attempt-Id", run.attempt },
+			  { "X-Response-Stamp", "stamp-" + run.engine->id } });
+		return true;
+	}
+	if (run.events == events_of_an_answer) {
+		h1_end(run.x);
+		return true;
+	}
+	std::string text = paced_event(run.attempt, ++run.events);
+
+	h1_write(run.x, text.data(), text.size());
+	run.due_ms += pace_ms;
+	return false;
+}
+
 void Fleet::State::on_tick()
 {
 	int64_t now_ms = ck_now_ms();
 
+	for (auto it = running.begin(); it != running.end();)
+		it = now_ms >= it->due_ms && go_on(*it) ? running.erase(it)
+							: std::next(it);
+
 	for (auto it = waiters.begin(); it != waiters.end();) {
 		if (now_ms < it->until_ms) {
 			++it;
@@ -511,6 +631,10 @@
 
 			engine->state->on_engine(engine, x);
 		};
+		desc.on_gone = [](void *arg, struct h1_exchange *x) {
+			static_cast<Engine *>(arg)->state->running.remove_if(
+				[x](const Run &r) { return r.x == x; });
+		};
 		desc.arg = e.get();
 		EXPECT_EQ(h1_server_init(&e->server, &desc), ST_OK);
 		state->write_entry(*e);
@@ -523,6 +647,63 @@
 	run([&] { state->engines[id]->behaviour = behaviour; });
 }
 
+void Fleet::set_address(const std::string &id, const std::string &address)
+{
+	run([&] {
+		state->engines[id]->address = address;
+		state->write_entry(*state->engines[id]);
+	});
+}
+
+void Fleet::set_draining(const std::string &id)
+{
+	run([&] {
+		state->engines[id]->is_draining = true;
+		state->write_entry(*state->engines[id]);
+	});
+}
+
+uint16_t Fleet::engine_port(const std::string &id)
+{
+	uint16_t port = 0;
+
+	run([&] { port = h1_server_port(&state->engines[id]->server); });
+	return port;
+}
+
+void Fleet::remove_engine(const std::string &id)
+{
+	run([&] {
+		Engine *e = state->engines[id].get();
+
+		state->put("servers", id, "");
+		state->running.remove_if([e](const Run &r) {
+			if (r.engine == e)
+				h1_abort(r.x);
+			return r.engine == e;
+		});
+		h1_server_finish(&e->server);
+		state->engines.erase(id);
+	});
+}
+
+void Fleet::forget_history()
+{
+	run([&] { state->history_from = ++state->version; });
+}
+
+int Fleet::runs(const std::string &attempt)
+{
+	int count = 0;
+
+	run([&] {
+		auto it = state->begun.find(attempt);
+
+		count = it == state->begun.end() ? 0 : it->second;
+	});
+	return count;
+}
+
 void Fleet::set_store_down(bool is_down)
 {
 	run([&] { state->is_down = is_down; });
@@ -557,7 +738,6 @@
 {
 	std::string store = store_ip() + ":" + std::to_string(store_port());
 	std::string path = directory + "/" + host + ".json";
-	std::string ip = ip_of(host);
 
 	write_file(
 		path,
@@ -566,11 +746,12 @@
 			place.region +
 			"\"},\"dialect\":\"fleet\",\"store\":{\"address\":\"" +
 			(place.store.empty() ? store : place.store) +
-			"\"},\"listen\":{\"callers\":\"" + ip +
-			":8080\",\"readiness\":\"" + ip +
-			":8081\",\"metrics\":\"" + ip + ":8082\",\"peers\":\"" +
-			ip +
-			":8083\"},\"zones\":{\"z1\":\"r1\",\"z2\":\"r1\",\"z3\":"
+			"\"},\"listen\":{\"callers\":\"" +
+			address_of(host, callers_port) + "\",\"readiness\":\"" +
+			address_of(host, readiness_port) + "\",\"metrics\":\"" +
+			address_of(host, metrics_port) + "\",\"peers\":\"" +
+			address_of(host, peers_port) +
+			"\"},\"zones\":{\"z1\":\"r1\",\"z2\":\"r1\",\"z3\":"
 			"\"r2\"},"
 			"\"bounds\":{\"grace_s\":8,\"revoke_ms\":3200,"
 			"\"lease_ms\":500}}");
@@ -579,7 +760,7 @@
 
 std::string Fleet::url(const std::string &host, const std::string &target)
 {
-	return "http://" + ip_of(host) + ":8080" + target;
+	return "http://" + address_of(host, callers_port) + target;
 }
 
 std::string Fleet::store_ip()
@@ -594,12 +775,12 @@
 
 std::string Fleet::metrics(const std::string &host)
 {
-	return "http://" + ip_of(host) + ":8082/metrics";
+	return "http://" + address_of(host, metrics_port) + "/metrics";
 }
 
 std::string Fleet::readiness(const std::string &host)
 {
-	return "http://" + ip_of(host) + ":8081/ready";
+	return "http://" + address_of(host, readiness_port) + "/ready";
 }
 
 } // namespace harness
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -29,14 +29,16 @@
 
 /** Behaviour - how an engine treats requests. */
 enum class Behaviour {
-	answer,	   /* in full */
-	refuse,	   /* 503, not run */
-	fail,	   /* 500, run */
-	close,	   /* reads the request and closes */
-	hang,	   /* reads the request and says nothing */
-	break_off, /* tears the stream in the middle of its fourth event */
-	unsigned_, /* 200 without a signature */
-	stall,	   /* two events, then nothing */
+	answer,	    /* in full */
+	refuse,	    /* 503, not run */
+	fail,	    /* 500, run */
+	close,	    /* reads the request and closes */
+	hang,	    /* reads the request and says nothing */
+	break_off,  /* tears the stream in the middle of its fourth event */
+	unsigned_,  /* 200 without a signature */
+	stall,	    /* two events, then nothing */
+	pace,	    /* in full, an event after the other; names the request */
+	pace_stall, /* the same, but no more than two events */
 };
 
 /** Arrival - a request as an engine saw it. */
@@ -46,12 +48,16 @@
 	std::string target;
 	std::string body;
 	std::map<std::string, std::string> headers;
+	int64_t at_ms;
 };
 
 /** Order - of new weights, as an engine saw it. */
 struct Order {
 	std::string engine;
 	std::string body;
+	int64_t at_ms = 0;
+	bool is_taken = false;
+	int64_t fencing = 0;
 };
 
 /** Place - of a host; @store: its way to the store, "" for the direct one. */
@@ -80,9 +86,24 @@
 			const std::string &model = "", int weights = 0);
 	void behave(const std::string &id, Behaviour behaviour);
 
+	/** set_address() - of its entry: "IP:PORT" of a proxy in front of it.
+	 */
+	void set_address(const std::string &id, const std::string &address);
+	void set_draining(const std::string &id);
+	uint16_t engine_port(const std::string &id);
+
+	/** remove_engine() - entry and process are gone, its runs torn. */
+	void remove_engine(const std::string &id);
+
 	/** set_store_down() - calls are refused with 503. */
 	void set_store_down(bool is_down);
 
+	/** forget_history() - feeds that are behind must read the table. */
+	void forget_history();
+
+	/** runs() - begun for that attempt at any engine. */
+	int runs(const std::string &attempt);
+
 	std::vector<Arrival> arrivals();
 	std::vector<Order> orders();
 	int store_calls();
@@ -111,6 +132,9 @@
 /** stream_answer() - the events that an engine sends, from @after on. */
 std::string stream_answer(int after);
 
+/** paced_answer() - of an engine with Behaviour::pace, in full. */
+std::string paced_answer(const std::string &attempt, bool is_stream);
+
 } // namespace harness
 
 #endif
--- /dev/null
+++ b/tests/soak/promises.cc
@@ -0,0 +1,157 @@
+#include "promises.h"
+
+namespace soak
+{
+
+namespace
+{
+
+std::string described(const Sent &sent)
+{
+	return "attempt " + sent.attempt + " at host " +
+	       std::to_string(sent.host) + ", sent at " +
+	       std::to_string(sent.sent_ms);
+}
+
+bool is_stream(Route route)
+{
+	return route == Route::grade || route == Route::draft;
+}
+
+bool begins_with(const std::string &whole, const std::string &part)
+{
+	return whole.compare(0, part.size(), part) == 0;
+}
+
+} // namespace
+
+Promises::Promises(harness::Fleet &fleet) : fleet(fleet)
+{
+}
+
+void Promises::broken(const std::string &what)
+{
+	found.push_back(what);
+}
+
+void Promises::named(int version, int64_t at_ms)
+{
+	named_ms[version] = at_ms;
+}
+
+void Promises::drained(const std::string &engine, int64_t at_ms)
+{
+	drained_ms[engine] = at_ms;
+}
+
+void Promises::disturbed(int64_t until_ms)
+{
+	disturbed_until_ms = std::max(disturbed_until_ms, until_ms);
+}
+
+/* A whole answer is the engine's, unchanged; a torn one is the start of it. */
+void Promises::check_body(const Sent &sent, const Got &got)
+{
+	std::string due =
+		harness::paced_answer(sent.attempt, is_stream(sent.route));
+
+	if (got.status != 200)
+		return;
+	if (got.is_whole && got.body != due)
+		broken("not the answer of " + described(sent) + ": " +
+		       got.body);
+	if (!got.is_whole && !begins_with(due, got.body))
+		broken("not the start of the answer of " + described(sent) +
+		       ": " + got.body);
+}
+
+/* Keys of one version only: those of older ones are refused, in time and for
+ * good. */
+void Promises::check_key(const Sent &sent, const Got &got)
+{
+	auto &newest = seen[{ sent.host, sent.life }];
+	auto next = named_ms.find(sent.key + 1);
+
+	if (!sent.key || got.status != 200)
+		return;
+	if (next != named_ms.end() && sent.sent_ms > next->second + revoke_ms)
+		broken("a key taken away in version " +
+		       std::to_string(sent.key + 1) + " at " +
+		       std::to_string(next->second) +
+		       " was taken: " + described(sent));
+	if (newest.first > sent.key &&
+	    sent.sent_ms > newest.second + rollback_slack_ms)
+		broken("version " + std::to_string(sent.key) + " after " +
+		       std::to_string(newest.first) + ": " + described(sent));
+	if (sent.key > newest.first)
+		newest = { sent.key, got.at_ms };
+}
+
+void Promises::answered(const Sent &sent, const Got &got)
+{
+	outcomes[(got.is_whole ? "" : "torn ") + std::to_string(got.status)]++;
+	check_body(sent, got);
+	check_key(sent, got);
+	if (sent.route == Route::record)
+		records.insert(sent.attempt);
+	if (got.says_not_run)
+		not_run.insert(sent.attempt);
+	if (got.is_whole && got.status == 503 && !got.has_retry_after)
+		broken("503 without Retry-After: " + described(sent));
+}
+
+void Promises::unanswered(const Sent &sent, const std::string &what)
+{
+	outcomes["unanswered"]++;
+	if (sent.route == Route::record)
+		records.insert(sent.attempt);
+	if (!what.empty())
+		broken(what + ": " + described(sent));
+}
+
+/* Orders of an older holder stop when a newer one's begin. */
+void Promises::check_orders()
+{
+	int64_t newest = 0, since_ms = 0;
+
+	for (const harness::Order &order : fleet.orders()) {
+		if (!order.is_taken)
+			continue;
+		if (order.fencing > newest) {
+			newest = order.fencing;
+			since_ms = order.at_ms;
+		} else if (order.fencing < newest &&
+			   order.at_ms > since_ms + lease_slack_ms) {
+			broken("an order under fencing number " +
+			       std::to_string(order.fencing) + " " +
+			       std::to_string(order.at_ms - since_ms) +
+			       " ms after the first under " +
+			       std::to_string(newest));
+		}
+	}
+}
+
+void Promises::finish()
+{
+	for (const std::string &attempt : records)
+		if (fleet.runs(attempt) > 1)
+			broken("attempt " + attempt + " ran " +
+			       std::to_string(fleet.runs(attempt)) + " times");
+	for (const std::string &attempt : not_run)
+		if (fleet.runs(attempt))
+			broken("attempt " + attempt +
+			       " was said not to have run, but did");
+	for (const harness::Arrival &a : fleet.arrivals()) {
+		auto it = drained_ms.find(a.engine);
+
+		if (it != drained_ms.end() &&
+		    a.at_ms >
+			    std::max(it->second, disturbed_until_ms) + drain_ms)
+			broken("engine " + a.engine + " got a request " +
+			       std::to_string(a.at_ms - it->second) +
+			       " ms after its entry said draining");
+	}
+	check_orders();
+}
+
+} // namespace soak
--- /dev/null
+++ b/tests/soak/promises.h
@@ -0,0 +1,99 @@
+/*
+ * promises - what must hold, whatever the schedule does.
+ *
+ * Overview
+ *	The driver tells what callers sent and got; the engines' stand-in knows
+ *	what ran. Each broken promise becomes a line.
+ */
+#ifndef SOAK_PROMISES_H
+#define SOAK_PROMISES_H
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fleet.h"
+
+namespace soak
+{
+
+/* Of the settings that the stand-in writes, and what the pages add to them. */
+constexpr int64_t revoke_ms = 3200;
+constexpr int64_t rollback_slack_ms = 250;
+constexpr int64_t drain_ms = 3000;
+constexpr int64_t lease_slack_ms = 700;
+/* Between the end of a deadline and the answer that says so. */
+constexpr int64_t answer_slack_ms = 1000;
+
+enum class Route { grade, draft, record, look };
+
+struct Sent {
+	Route route;
+	std::string attempt;
+	uint32_t host;
+	uint32_t life; /* which process of that host */
+	int key;       /* version that has this key; 0: the key of all */
+	int64_t sent_ms;
+	int64_t deadline_ms;
+};
+
+struct Got {
+	bool is_whole;
+	uint32_t status;
+	bool says_not_run;
+	bool has_retry_after;
+	std::string body;
+	int64_t at_ms;
+};
+
+class Promises
+{
+      public:
+	explicit Promises(harness::Fleet &fleet);
+
+	/** named() - the operator put a configuration in force. */
+	void named(int version, int64_t at_ms);
+
+	/** drained() - an engine's entry says so. */
+	void drained(const std::string &engine, int64_t at_ms);
+
+	/** disturbed() - hosts may know nothing new until then. */
+	void disturbed(int64_t until_ms);
+
+	void answered(const Sent &sent, const Got &got);
+
+	/** unanswered() - the deadline and its slack passed without an end. */
+	void unanswered(const Sent &sent, const std::string &what);
+
+	/** finish() - what can only be seen at the end. */
+	void finish();
+
+	void broken(const std::string &what);
+	const std::vector<std::string> &list() const
+	{
+		return found;
+	}
+
+	std::map<std::string, uint32_t> outcomes;
+
+      private:
+	harness::Fleet &fleet;
+	std::vector<std::string> found;
+	std::map<int, int64_t> named_ms;
+	std::map<std::string, int64_t> drained_ms;
+	int64_t disturbed_until_ms = 0;
+	/* Of each process: the newest version seen in force, and when. */
+	std::map<std::pair<uint32_t, uint32_t>, std::pair<int, int64_t>> seen;
+	std::set<std::string> records;
+	std::set<std::string> not_run;
+
+	void check_body(const Sent &sent, const Got &got);
+	void check_key(const Sent &sent, const Got &got);
+	void check_orders();
+};
+
+} // namespace soak
+
+#endif
--- /dev/null
+++ b/tests/soak/schedule.cc
@@ -0,0 +1,157 @@
+#include "schedule.h"
+
+#include <algorithm>
+#include <random>
+#include <sstream>
+
+namespace soak
+{
+
+namespace
+{
+
+/* Between two faults, on average, for a host. */
+constexpr int64_t mean_gap_ms = 1600;
+/* One in so many faults is followed by others at once. */
+constexpr uint32_t series_in = 5;
+constexpr uint32_t series_length = 3;
+constexpr int64_t series_gap_ms = 60;
+constexpr int64_t longest_ms = 6000;
+/* One in so many faults that leave a host behind meets a new configuration. */
+constexpr uint32_t meets_configuration_in = 2;
+constexpr uint64_t meets_within_ms = 400;
+
+const struct {
+	const char *name;
+	uint32_t weight;
+	bool lasts;
+} kinds[] = {
+	{ "kill", 3, true },
+	{ "terminate", 2, true },
+	{ "pause", 3, true },
+	{ "reload", 1, false },
+	{ "store_slow", 2, true },
+	{ "store_silent", 2, true },
+	{ "store_lost_answers", 2, true },
+	{ "store_reset", 2, true },
+	{ "store_down", 1, true },
+	{ "store_forgets", 1, false },
+	{ "engine_slow", 2, true },
+	{ "engine_silent", 2, true },
+	{ "engine_lost_answers", 2, true },
+	{ "engine_reset", 2, true },
+	{ "engine_refuses", 2, true },
+	{ "engine_fails", 2, true },
+	{ "engine_hangs", 2, true },
+	{ "engine_stalls", 2, true },
+	{ "engine_replaced", 2, false },
+	{ "engine_drained", 1, false },
+	{ "configuration", 5, false },
+	{ "weights", 2, false },
+};
+
+static_assert(sizeof(kinds) / sizeof(kinds[0]) ==
+	      static_cast<size_t>(Kind::count));
+
+/* std::uniform_int_distribution differs between libraries; this does not. */
+class Dice
+{
+      public:
+	explicit Dice(uint64_t seed) : bits(seed)
+	{
+	}
+
+	uint64_t below(uint64_t limit)
+	{
+		return bits() % limit;
+	}
+
+      private:
+	std::mt19937_64 bits;
+};
+
+Kind draw_kind(Dice &dice)
+{
+	uint32_t all = 0, drawn;
+
+	for (const auto &kind : kinds)
+		all += kind.weight;
+	drawn = dice.below(all);
+	for (size_t i = 0;; i++) {
+		if (drawn < kinds[i].weight)
+			return static_cast<Kind>(i);
+		drawn -= kinds[i].weight;
+	}
+}
+
+Fault draw_fault(Dice &dice, int64_t at_ms, int64_t until_ms)
+{
+	Fault fault = { at_ms, 0, draw_kind(dice),
+			static_cast<uint32_t>(dice.below(1 << 20)) };
+	int64_t left_ms = std::min(longest_ms, until_ms - at_ms);
+
+	if (kinds[static_cast<size_t>(fault.kind)].lasts)
+		fault.for_ms = 50 + dice.below(std::max<int64_t>(left_ms, 1));
+	return fault;
+}
+
+/* The host knows nothing new, but may serve meanwhile or right after. */
+bool leaves_behind(Kind kind)
+{
+	return kind == Kind::pause ||
+	       (kind >= Kind::store_slow && kind <= Kind::store_down);
+}
+
+} // namespace
+
+const char *name_of(Kind kind)
+{
+	return kinds[static_cast<size_t>(kind)].name;
+}
+
+std::vector<Fault> draw_schedule(uint64_t seed, const Size &size)
+{
+	Dice dice(seed);
+	std::vector<Fault> faults;
+	int64_t gap_ms = std::max<int64_t>(mean_gap_ms / size.hosts, 20);
+	int64_t at_ms = 0;
+
+	for (;;) {
+		at_ms += 1 + dice.below(2 * gap_ms);
+		if (at_ms >= size.lasts_ms)
+			break;
+		faults.push_back(draw_fault(dice, at_ms, size.lasts_ms));
+		if (leaves_behind(faults.back().kind) &&
+		    !dice.below(meets_configuration_in)) {
+			int64_t after_ms = dice.below(meets_within_ms);
+
+			faults.push_back({ at_ms + after_ms, 0,
+					   Kind::configuration, 0 });
+		}
+		for (uint32_t i = 0;
+		     !dice.below(series_in) && i < series_length; i++) {
+			Fault next = faults.back();
+
+			next.at_ms = std::min(next.at_ms + series_gap_ms,
+					      size.lasts_ms);
+			faults.push_back(next);
+		}
+	}
+	std::stable_sort(faults.begin(), faults.end(),
+			 [](const Fault &a, const Fault &b) {
+				 return a.at_ms < b.at_ms;
+			 });
+	return faults;
+}
+
+std::string print_schedule(const std::vector<Fault> &faults)
+{
+	std::ostringstream out;
+
+	for (const Fault &f : faults)
+		out << f.at_ms << " ms " << name_of(f.kind) << " target "
+		    << f.target << " for " << f.for_ms << " ms\n";
+	return out.str();
+}
+
+} // namespace soak
