metrics: latency histograms and outcomes by label

Also: the first event of a prompt whose late-weighted tokens round to 0 was not taken as read there; a flag of its own says now what waits.

--- a/src/gateway/gw_front.c
+++ b/src/gateway/gw_front.c
@@ -7,6 +7,7 @@
 #include "gateway/gw_request.h"
 #include "kernel/ck.h"
 #include "kernel/mt.h"
+#include "kernel/mt_family.h"
 
 struct gw_front {
 	struct gw_gateway *gateway;
@@ -34,10 +35,16 @@
 
 static void gw_on_metrics(void *arg, struct h1_exchange *x)
 {
+	struct h1_headers headers;
 	GString *out = g_string_new(NULL);
 
+	h1_headers_init(&headers);
+	h1_headers_add(&headers, "Content-Type",
+		       "text/plain; version=0.0.4; charset=utf-8");
 	mt_print(out);
-	h1_respond(x, 200, NULL, out->str, out->len);
+	mt_family_print(out);
+	h1_respond(x, 200, &headers, out->str, out->len);
+	h1_headers_finish(&headers);
 	g_string_free(out, TRUE);
 }
 
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -25,6 +25,9 @@
 MT_COUNTER(gw_store_lost, "balsampin_gateway_store_losses_total",
 	   "times that a table's feed was lost")
 
+MT_GAUGE(gw_config_age, "balsampin_gateway_config_age_ms",
+	 "since the configuration was certainly the newest")
+
 struct gw_knowledge {
 	struct gw_gateway *gateway;
 	struct gw_watch operator_rows;
@@ -313,6 +316,7 @@
 	struct gw_knowledge *k = w->data;
 
 	k->gateway->config_fresh_ms = k->operator_rows.fresh_ms;
+	mt_set(&gw_config_age, ck_now_ms() - k->gateway->config_fresh_ms);
 	gw_requests_sweep(k->gateway, ck_now_ms());
 	gw_silence_sweep(k->gateway, ck_now_ms());
 	if (!fl_expire(&k->gateway->fleet, ck_now_ms()))
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -7,6 +7,7 @@
 #include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt.h"
+#include "kernel/mt_family.h"
 
 /* After the route's timeout the final answer may wait so long for the engine,
  * which stops at the same moment. */
@@ -39,11 +40,24 @@
 MT_COUNTER(gw_repeats, "balsampin_gateway_repeats_total",
 	   "second and later sends of a request")
 
+MT_COUNTERS(gw_ended, "balsampin_gateway_ended_total",
+	    "requests by how they ended", "outcome")
+MT_HISTOGRAMS(gw_answer_ms, "balsampin_gateway_answer_ms",
+	      "from a request's arrival to the end of its answer", "kind")
+
+const char *gw_request_kind(const struct gw_request *r)
+{
+	return r->terms.route ? ca_kind_name(r->terms.route->kind) : "none";
+}
+
 static void gw_log_end(const struct gw_request *r, const char *outcome,
 		       uint32_t status)
 {
 	char status_text[12], ms[24], sends[12], events[12];
 
+	mt_count(&gw_ended, outcome);
+	mt_observe(&gw_answer_ms, gw_request_kind(r),
+		   ck_now_ms() - r->arrived_ms);
 	g_snprintf(status_text, sizeof(status_text), "%u", status);
 	g_snprintf(ms, sizeof(ms), "%" G_GINT64_FORMAT,
 		   ck_now_ms() - r->arrived_ms);
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -39,12 +39,13 @@
  * @store_hash: of the store that has the prefix after the first token; or 0.
  * @weights: of the engine when it was sent there.
  * @is_awaiting: sent, and nothing of the answer has come.
+ * @is_prompt_waiting: sent, and its first event has not come.
  * @sends: upstreams it was sent to.
  * @failed_connects: upstreams that took no connection.
  * @may_have_begun: some upstream may have run it.
  * @heard_ms: when it was sent, or the last byte of the answer came.
  * @answer: signs of the upstream's answer.
- * @last_event: last one that the caller has.
+ * @last_event: last one that the caller has; @event_ms: when it was passed on.
  */
 struct gw_request {
 	struct gw_gateway *gateway;
@@ -66,6 +67,7 @@
 	uint64_t store_hash;
 	uint64_t weights;
 	bool is_awaiting;
+	bool is_prompt_waiting;
 	struct h1_call call;
 	uint32_t sends;
 	uint32_t failed_connects;
@@ -84,11 +86,15 @@
 	bool has_begun;
 	int64_t last_event;
 	uint32_t event_count;
+	int64_t event_ms;
 };
 
 /** gw_request_new() - a request has come; it frees itself at its end. */
 void gw_request_new(struct gw_gateway *g, struct h1_exchange *exchange);
 
+/** gw_request_kind() - of its route, for metrics; "none" without a route. */
+const char *gw_request_kind(const struct gw_request *r);
+
 /** gw_request_gone() - the caller has left. */
 void gw_request_gone(struct gw_request *r);
 
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -7,6 +7,7 @@
 #include "gateway/gw_request.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
+#include "kernel/mt_family.h"
 #include "placement/pu.h"
 
 /* A connection within the region is made in one to three ms, to the other
@@ -18,10 +19,20 @@
 /* One that is full or loading gets no request for so long. */
 #define GW_BUSY_MS 150
 
+MT_HISTOGRAMS(gw_placed_ms, "balsampin_gateway_placed_ms",
+	      "from a request's arrival to each send", "kind")
+MT_HISTOGRAMS(gw_first_event_ms, "balsampin_gateway_first_event_ms",
+	      "from a request's arrival to its first event", "kind")
+MT_HISTOGRAMS(gw_between_events_ms, "balsampin_gateway_between_events_ms",
+	      "between two events of a stream", "kind")
+MT_COUNTERS(gw_attempt_failures, "balsampin_gateway_attempt_failures_total",
+	    "attempts at an upstream that failed", "outcome")
+
 void gw_send_log_failure(const struct gw_request *r, const char *outcome)
 {
 	char ms[24], status[12];
 
+	mt_count(&gw_attempt_failures, outcome);
 	g_snprintf(ms, sizeof(ms), "%" G_GINT64_FORMAT,
 		   ck_now_ms() - r->sent_ms);
 	g_snprintf(status, sizeof(status), "%u", r->status);
@@ -155,6 +166,7 @@
 {
 	r->engine->waiting_tokens -= r->read_tokens;
 	r->read_tokens = 0;
+	r->is_prompt_waiting = false;
 	if (!r->prefix.subject)
 		return;
 	gw_tell_prefix(r, r->engine->hash);
@@ -162,9 +174,22 @@
 		gw_tell_prefix(r, r->store_hash);
 }
 
+static void gw_observe_event(struct gw_request *r)
+{
+	int64_t now_ms = ck_now_ms();
+
+	if (!r->event_count)
+		mt_observe(&gw_first_event_ms, gw_request_kind(r),
+			   now_ms - r->arrived_ms);
+	else
+		mt_observe(&gw_between_events_ms, gw_request_kind(r),
+			   now_ms - r->event_ms);
+	r->event_ms = now_ms;
+}
+
 static void gw_pass_event(struct gw_request *r, const struct gw_event *event)
 {
-	if (r->read_tokens)
+	if (r->is_prompt_waiting)
 		gw_prompt_read(r);
 	if (event->id >= 0 && event->id <= r->last_event)
 		return;
@@ -174,6 +199,7 @@
 	}
 	if (event->id >= 0)
 		r->last_event = event->id;
+	gw_observe_event(r);
 	r->event_count++;
 	h1_write(r->exchange, event->data, event->bytes);
 }
@@ -298,9 +324,12 @@
 	r->gateway->sent_tokens += to->read_tokens + r->in.max_output_tokens;
 	r->weights = engine->entry.weights;
 	r->is_awaiting = true;
+	r->is_prompt_waiting = true;
 	r->sends++;
 	r->sent_ms = ck_now_ms();
 	r->heard_ms = r->sent_ms;
+	mt_observe(&gw_placed_ms, gw_request_kind(r),
+		   r->sent_ms - r->arrived_ms);
 	r->mode = GW_NO_ANSWER;
 	r->status = 0;
 	g_string_truncate(r->answer_body, 0);
--- a/tests/sessions/gateway_test.cc
+++ b/tests/sessions/gateway_test.cc
@@ -381,4 +381,23 @@
 		3500));
 }
 
+TEST_F(Gateway, MetricsTellTimesAndOutcomesByKind)
+{
+	std::string page;
+
+	EXPECT_EQ(ask("grade", "r1").status, 200);
+	EXPECT_EQ(ask("look", "r2").status, 200);
+	EXPECT_EQ(ask("look", "r3", "unknown").status, 401);
+	page = call(Fleet::metrics("h1")).body;
+	for (const char *line :
+	     { "balsampin_gateway_ended_total{outcome=\"complete\"} 2",
+	       "balsampin_gateway_ended_total{outcome=\"unknown_key\"} 1",
+	       "balsampin_gateway_answer_ms_count{kind=\"stream\"} 1",
+	       "balsampin_gateway_first_event_ms_count{kind=\"stream\"} 1",
+	       "balsampin_gateway_between_events_ms_count{kind=\"stream\"} 7",
+	       "balsampin_gateway_answer_ms_count{kind=\"idempotent\"} 2" })
+		EXPECT_NE(page.find(line), std::string::npos) << line << "\n"
+							      << page;
+}
+
 } // namespace
