placement: engines with older weights share prefixes among themselves

Groups, homes and sources were worked out for the newest weights only, and in a quick succession of versions most engines have older ones. Ruled out: late news between hosts (the holders were known where the engine had the newest weights).

Each version has its own groups, homes and sources now; versions are told apart by number, no longer by age. Two of the new tests fail on the old placement: hosts that agree on a home on older weights, and copies from the same weights; PrefixesStayTogetherOnOlderWeights passes on both and stays as a guard. The candidate's unused zone is gone.

--- a/src/gateway/gw_place.c
+++ b/src/gateway/gw_place.c
@@ -70,11 +70,11 @@
 		.running = e->running + others.running,
 		.waiting_tokens = e->waiting_tokens + others.tokens,
 		.slots = e->entry.slots,
-		.zone = e->zone_number,
 		.region = e->region_number,
 		.distance = gw_distance(g, e->entry.zone),
 		.is_avoided = now_ms < e->avoid_until_ms || e->is_next,
 		.is_tried = gw_is_tried(request, e->hash),
+		.weights = weights,
 	};
 
 	c.age_ms = gw_weights_age_ms(wanted, weights, now_ms);
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -148,7 +148,7 @@
 static void gw_tell_held(struct gw_request *r, uint64_t prefix, uint64_t holder)
 {
 	struct gw_gateway *g = r->gateway;
-	uint64_t key = pe_held_key(prefix, r->engine->entry.weights);
+	uint64_t key = pe_held_key(prefix, r->weights);
 
 	if (pe_held_add(&g->held, key, holder, ck_now_ms()))
 		gw_peers_tell_held(g, key, holder);
--- a/src/placement/pc.c
+++ b/src/placement/pc.c
@@ -45,24 +45,52 @@
 	return x ^ x >> 33;
 }
 
+/* Versions in use at a time: those before the last few are out of bound. */
+#define PC_MAX_VERSIONS 4
+
 /**
- * struct pc_view - the request and the table, and what follows from both.
+ * struct pc_version - the candidates with the same weights; they share
+ * prefixes with each other only.
+ * @weights: of all of them.
  * @home: candidate that reads the prefix first, -1 for none.
  * @is_held: a usable candidate holds the subject.
  * @is_root_held: one holds the root.
  */
+struct pc_version {
+	uint64_t weights;
+	int32_t home;
+	bool is_held;
+	bool is_root_held;
+};
+
+/** struct pc_view - the request and the table, and what follows from both. */
 struct pc_view {
 	const struct pc_request *request;
 	const struct pc_candidate *candidates;
 	uint32_t count;
-	int32_t home;
-	bool is_held;
-	bool is_root_held;
+	struct pc_version versions[PC_MAX_VERSIONS];
+	uint32_t version_count;
 };
 
 static bool pc_is_usable(const struct pc_candidate *c)
 {
-	return !c->is_tried && !c->is_avoided && !c->age_ms;
+	return !c->is_tried && !c->is_avoided;
+}
+
+static bool pc_has_version(const struct pc_candidate *c,
+			   const struct pc_version *version)
+{
+	return pc_is_usable(c) && c->weights == version->weights;
+}
+
+/* NULL for plain requests and for versions beyond the last few. */
+static const struct pc_version *pc_version_of(const struct pc_view *view,
+					      const struct pc_candidate *c)
+{
+	for (uint32_t i = 0; i < view->version_count; i++)
+		if (view->versions[i].weights == c->weights)
+			return &view->versions[i];
+	return NULL;
 }
 
 /**
@@ -75,6 +103,7 @@
 
 /* The first engines in the order of the root, at most PC_MAX_GROUP. */
 static uint32_t pc_root_group(const struct pc_view *view,
+			      const struct pc_version *version,
 			      struct pc_ranked *group, uint32_t size)
 {
 	uint32_t count = 0;
@@ -84,7 +113,7 @@
 			pc_mix(view->request->root ^ view->candidates[i].hash);
 		uint32_t at = count;
 
-		if (!pc_is_usable(&view->candidates[i]))
+		if (!pc_has_version(&view->candidates[i], version))
 			continue;
 		while (at && group[at - 1].rank < rank)
 			at--;
@@ -100,12 +129,13 @@
 }
 
 /* One in PC_GROUP_SHARE of the engines works with a root, two at least. */
-static uint32_t pc_group_size(const struct pc_view *view)
+static uint32_t pc_group_size(const struct pc_view *view,
+			      const struct pc_version *version)
 {
 	uint32_t usable = 0, size;
 
 	for (uint32_t i = 0; i < view->count; i++)
-		usable += pc_is_usable(&view->candidates[i]);
+		usable += pc_has_version(&view->candidates[i], version);
 	size = usable / PC_GROUP_SHARE;
 	if (size < 2)
 		return 2;
@@ -113,16 +143,18 @@
 }
 
 /* The root's first engine reads it; then its group shares the subjects. */
-static int32_t pc_find_home(const struct pc_view *view)
+static int32_t pc_find_home(const struct pc_view *view,
+			    const struct pc_version *version)
 {
 	struct pc_ranked group[PC_MAX_GROUP];
-	uint32_t count = pc_root_group(view, group, pc_group_size(view));
+	uint32_t count = pc_root_group(view, version, group,
+				       pc_group_size(view, version));
 	int32_t best = -1;
 	uint64_t best_rank = 0;
 
 	if (!count)
 		return -1;
-	if (!view->is_root_held)
+	if (!version->is_root_held)
 		return group[0].index;
 	for (uint32_t i = 0; i < count; i++) {
 		uint64_t rank = pc_mix(view->request->subject ^
@@ -136,28 +168,47 @@
 	return best;
 }
 
+static struct pc_version *pc_add_version(struct pc_view *view, uint64_t weights)
+{
+	struct pc_version *version = view->versions;
+
+	for (uint32_t i = 0; i < view->version_count; i++, version++)
+		if (version->weights == weights)
+			return version;
+	if (view->version_count == PC_MAX_VERSIONS)
+		return NULL;
+	view->version_count++;
+	*version = (struct pc_version){ weights, -1, false, false };
+	return version;
+}
+
 static struct pc_view pc_look(const struct pc_request *request,
 			      const struct pc_candidate *candidates,
 			      uint32_t count)
 {
-	struct pc_view view = { request, candidates, count, -1, false, false };
+	struct pc_view view = { request, candidates, count, { { 0 } }, 0 };
 
 	if (!request->subject)
 		return view;
 	for (uint32_t i = 0; i < count; i++) {
 		const struct pc_candidate *c = &candidates[i];
+		struct pc_version *version;
 
 		if (!pc_is_usable(c))
 			continue;
-		view.is_held |= c->holds_subject;
-		view.is_root_held |= c->holds_root;
+		version = pc_add_version(&view, c->weights);
+		if (!version)
+			continue;
+		version->is_held |= c->holds_subject;
+		version->is_root_held |= c->holds_root;
 	}
-	view.home = pc_find_home(&view);
+	for (uint32_t i = 0; i < view.version_count; i++)
+		view.versions[i].home = pc_find_home(&view, &view.versions[i]);
 	return view;
 }
 
 /* Whoever used it last has most likely not evicted it; -1 for none. */
-static int32_t pc_last_user(const struct pc_view *view, int32_t except,
+static int32_t pc_last_user(const struct pc_view *view, int32_t chosen,
 			    bool is_root)
 {
 	int32_t best = -1;
@@ -167,7 +218,8 @@
 		const struct pc_candidate *c = &view->candidates[i];
 		int64_t age_ms = is_root ? c->root_age_ms : c->subject_age_ms;
 
-		if ((int32_t)i == except || age_ms < 0 || !pc_is_usable(c))
+		if ((int32_t)i == chosen || age_ms < 0 || !pc_is_usable(c) ||
+		    c->weights != view->candidates[chosen].weights)
 			continue;
 		if (best < 0 || age_ms < best_ms) {
 			best = i;
@@ -211,11 +263,13 @@
 				    const struct pc_candidate *c)
 {
 	const struct pc_request *r = view->request;
+	const struct pc_version *version = pc_version_of(view, c);
+	bool is_root_held = version && version->is_root_held;
 	struct pc_reading reading = { r->own_tokens, 0, 0 };
 
 	if (c->holds_subject || !r->subject)
 		return reading;
-	if (view->is_held && !c->age_ms) {
+	if (version && version->is_held) {
 		reading.copy_tokens = r->shared_tokens;
 		return reading;
 	}
@@ -224,9 +278,9 @@
 		return reading;
 	}
 	reading.read_tokens += r->shared_tokens;
-	if (c->holds_root || (view->is_root_held && !c->age_ms))
+	if (c->holds_root || is_root_held)
 		reading.read_tokens -= r->root_tokens;
-	if (!c->holds_root && view->is_root_held && !c->age_ms)
+	if (!c->holds_root && is_root_held)
 		reading.copy_tokens = r->root_tokens;
 	return reading;
 }
@@ -243,11 +297,12 @@
  * its home just now. If several do, those away from home keep a second copy
  * alive, which takes memory from other prefixes.
  */
-static double pc_away_ms(const struct pc_view *view)
+static double pc_away_ms(const struct pc_view *view,
+			 const struct pc_version *version)
 {
 	double read_ms = view->request->shared_tokens / PC_TOKENS_PER_MS;
 
-	return view->is_held ? read_ms * PC_AWAY_PART : read_ms;
+	return version->is_held ? read_ms * PC_AWAY_PART : read_ms;
 }
 
 static double pc_noise_ms(const struct pc_request *request,
@@ -261,6 +316,7 @@
 static double pc_cost_ms(const struct pc_view *view, uint32_t i)
 {
 	const struct pc_candidate *c = &view->candidates[i];
+	const struct pc_version *version = pc_version_of(view, c);
 	struct pc_reading reading = pc_reading(view, c);
 	double ms = pc_way_ms(c);
 
@@ -272,8 +328,8 @@
 		ms += pc_noise_ms(view->request, c);
 	if (c->slots && c->running >= c->slots)
 		ms += PC_SLOT_MS * (c->running - c->slots + 1) / c->slots;
-	if (view->home >= 0 && (int32_t)i != view->home && !c->age_ms)
-		ms += pc_away_ms(view);
+	if (version && version->home >= 0 && (int32_t)i != version->home)
+		ms += pc_away_ms(view, version);
 	if (c->age_ms > PC_OLD_FREE_MS)
 		ms += PC_OLD_PENALTY_MS;
 	if (c->is_avoided)
@@ -302,7 +358,7 @@
 		return answer;
 	answer.read_tokens =
 		pc_reading(&view, &candidates[answer.chosen]).read_tokens;
-	if (!request->subject || candidates[answer.chosen].age_ms)
+	if (!request->subject)
 		return answer;
 	answer.source = pc_source(&view, answer.chosen);
 	if (!pc_is_near_store(request, &candidates[answer.chosen]))
--- a/src/placement/pc.h
+++ b/src/placement/pc.h
@@ -22,8 +22,10 @@
  *	ask for at the same time.
  *
  *	Engines with older weights than the newest wanted stay in use for
- *	a short while without a penalty, then with one. Avoided ones are the
- *	last resort.
+ *	a short while without a penalty, then with one. Those of each version
+ *	share prefixes among themselves, with groups and homes of their own: at
+ *	the peak new weights are on the way half of the time. Avoided ones are
+ *	the last resort.
  *
  *	Engines forget a prefix within seconds. Those in the region of a store
  *	save long prompts there and copy them back.
@@ -56,13 +58,14 @@
  * @running: requests of all hosts there, as far as is known.
  * @waiting_tokens: of their prompts, not read yet.
  * @slots: requests that it runs at once; 0: unknown.
- * @zone, @region: any numbers that differ between places.
+ * @region: any number that differs between regions.
  * @distance: from this host.
  * @subject_age_ms: since it last used the whole shared prefix; -1: never.
  * @root_age_ms: the same of the first part.
  * @holds_subject, @holds_root: and it has probably not evicted it since.
  * @is_avoided: it failed lately, is loading or is about to.
  * @is_tried: this request has been there.
+ * @weights: its version of them; only engines with the same share prefixes.
  * @age_ms: of its weights: since newer ones were wanted; 0: the newest.
  */
 struct pc_candidate {
@@ -70,7 +73,6 @@
 	uint32_t running;
 	uint32_t waiting_tokens;
 	uint32_t slots;
-	uint32_t zone;
 	uint32_t region;
 	enum pc_distance distance;
 	int64_t subject_age_ms;
@@ -79,6 +81,7 @@
 	bool holds_root;
 	bool is_avoided;
 	bool is_tried;
+	uint64_t weights;
 	int64_t age_ms;
 };
 
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -22,7 +22,6 @@
 	c.hash = hash * 0x9e3779b97f4a7c15ULL;
 	c.distance = distance;
 	c.slots = 100;
-	c.zone = distance;
 	c.region = distance == PC_OTHER_REGION;
 	c.subject_age_ms = c.root_age_ms = -1;
 	return c;
@@ -110,7 +109,9 @@
 	std::vector<pc_candidate> table = { engine(1), engine(2) };
 	pc_request r = tone(7, 3);
 
+	table[0].weights = 1;
 	table[0].age_ms = 500;
+	table[1].weights = 2;
 	hold(&table[0]);
 	EXPECT_EQ(pc_place(&r, table.data(), 2).chosen, 0);
 	table[0].age_ms = 3000;
@@ -353,4 +354,90 @@
 	EXPECT_GE(pc_place(&r, table.data(), 600).chosen, 0);
 }
 
+// Load: a new version is named at the peak, no engine has it yet, and those
+// that load first get no request. The others keep the prefixes together.
+TEST(Placement, PrefixesStayTogetherOnOlderWeights)
+{
+	std::vector<pc_candidate> table;
+	std::map<uint64_t, std::set<int32_t>> used;
+	uint32_t away = 0;
+
+	for (uint64_t i = 0; i < 24; i++) {
+		table.push_back(engine(i + 1));
+		table.back().weights = i < 4 ? 2 : 1;
+		table.back().age_ms = 500;
+		table.back().is_avoided = i >= 14;
+	}
+	for (uint64_t n = 0; n < 400; n++) {
+		pc_request r = tone(1 + n % 20, 1000 + n % 4);
+		pc_answer answer;
+
+		r.seed = n;
+		for (pc_candidate &c : table)
+			c.holds_subject = c.holds_root = false;
+		for (int32_t i : used[r.subject])
+			hold(&table[i]);
+		answer = pc_place(&r, table.data(), table.size());
+		ASSERT_GE(answer.chosen, 0);
+		EXPECT_LT(answer.chosen, 14);
+		away += n >= 20 && !used[r.subject].count(answer.chosen);
+		used[r.subject].insert(answer.chosen);
+		for (pc_candidate &c : table)
+			c.subject_age_ms = c.root_age_ms = -1;
+	}
+	/* Of 380 requests for a prefix that some engine holds. */
+	EXPECT_LE(away, 19u);
+}
+
+// The same load: hosts that ask for a new prefix at the same moment choose the
+// same engine among those with older weights, too.
+TEST(Placement, HostsAgreeOnAHomeOnOlderWeights)
+{
+	std::vector<pc_candidate> table;
+
+	for (uint64_t i = 0; i < 24; i++) {
+		table.push_back(engine(i + 1));
+		table.back().weights = 1;
+		table.back().age_ms = 500;
+		table.back().is_avoided = i >= 14;
+	}
+	for (uint64_t subject = 1; subject <= 20; subject++) {
+		std::set<int32_t> chosen;
+
+		for (uint64_t host = 0; host < 8; host++) {
+			pc_request r = tone(subject, 1000 + subject % 4);
+
+			r.seed = subject * 100 + host;
+			chosen.insert(pc_place(&r, table.data(), table.size())
+					      .chosen);
+		}
+		EXPECT_EQ(chosen.size(), 1u) << subject;
+	}
+}
+
+// A copy is taken only from an engine with the same weights.
+TEST(Placement, CopiesComeFromTheSameWeights)
+{
+	std::vector<pc_candidate> table = { engine(1), engine(2), engine(3) };
+	pc_request r = tone(7, 8);
+	pc_answer answer;
+
+	for (uint32_t i = 0; i < 3; i++) {
+		table[i].weights = i < 2 ? 1 : 2;
+		table[i].age_ms = i < 2 ? 900 : 0;
+	}
+	hold(&table[2]);
+	table[2].running = 100;
+	table[2].waiting_tokens = 400000;
+	answer = pc_place(&r, table.data(), table.size());
+	ASSERT_GE(answer.chosen, 0);
+	ASSERT_LT(answer.chosen, 2);
+	EXPECT_EQ(answer.source, -1);
+	hold(&table[1 - answer.chosen]);
+	table[1 - answer.chosen].waiting_tokens = 400000;
+	answer = pc_place(&r, table.data(), table.size());
+	EXPECT_GE(answer.source, 0);
+	EXPECT_LT(answer.source, 2);
+}
+
 } // namespace
