relay: one reader of the store for a region, not for a zone

Zones of a region hear each other's datagrams within a ms, so one reader is enough for them; a zone that is cut off hears only its own hosts and has a reader of its own.

h1_client: the unused limit of idle time is gone.

--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -15,7 +15,7 @@
  *	gw_weights.c	which weights are wanted, and since when
  *	gw_rollout.c	brings engines to the wanted weights
  *	gw_silence.c	engines that fall silent
- *	gw_relay.c	one reader of the store for a zone
+ *	gw_relay.c	one reader of the store for a region
  *	gw_hosts.c	the other hosts, from the gateway's own rows
  *	gw_catchup.c	a table of the store from another host
  *	gw_peers.c	messages between hosts: load, held prefixes
--- a/src/gateway/gw_hosts.c
+++ b/src/gateway/gw_hosts.c
@@ -126,7 +126,6 @@
 	if (sscanf(value, "%31s %71s %71s", address, region, zone) != 3 ||
 	    !ad_parse(address, &peer->address) || !peer->address.port)
 		return false;
-	peer->zone = g_quark_from_string(zone);
 	peer->region = g_quark_from_string(region);
 	peer->is_far = strcmp(region, g->settings.region) != 0;
 	return true;
@@ -155,7 +154,6 @@
 			"address", row->value, NULL);
 	}
 	peer->address = read.address;
-	peer->zone = read.zone;
 	peer->region = read.region;
 	peer->is_far = read.is_far;
 }
--- a/src/gateway/gw_hosts.h
+++ b/src/gateway/gw_hosts.h
@@ -21,7 +21,7 @@
 
 /**
  * struct gw_peer - another host.
- * @zone, @region: numbers of the names.
+ * @region: number of its name.
  * @has_spoken: it was heard since this process started.
  * @takes_part: the store answers it and it is not stopping, as it said last.
  * @period_ms: between two messages to it.
@@ -31,7 +31,6 @@
 	char name[DL_ID_BYTES];
 	uint64_t hash;
 	struct ad_address address;
-	uint32_t zone;
 	uint32_t region;
 	bool is_far;
 	bool has_spoken;
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -33,7 +33,7 @@
 #define GW_FORGET_HELD_MS 30000
 /* Hosts that are looked at in the choice of a reader. */
 #define GW_MAX_HOSTS 512
-/* The next host in order reads for the zone when the reader is silent. */
+/* The next host in order reads for the region when the reader is silent. */
 #define GW_READER_SILENT_MS 1000
 #define GW_SWEEP_MS	    1000
 /* Of the repeats that are always allowed; the rest is for hosts that come and
@@ -302,7 +302,6 @@
 	uint32_t count = 1;
 
 	hosts[0] = (struct pe_host){ gw_name_hash(s->host),
-				     g_quark_from_string(s->zone),
 				     g_quark_from_string(s->region),
 				     gw_takes_part(g) };
 	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++) {
@@ -310,8 +309,7 @@
 
 		if (count < GW_MAX_HOSTS && gw_is_heard(peer, now_ms))
 			hosts[count++] =
-				(struct pe_host){ peer->hash, peer->zone,
-						  peer->region,
+				(struct pe_host){ peer->hash, peer->region,
 						  peer->takes_part };
 	}
 	return count;
@@ -322,7 +320,7 @@
 	struct pe_host hosts[GW_MAX_HOSTS];
 	uint32_t count = gw_list_hosts(g, hosts);
 
-	return pe_reader_of(hosts, count, hosts[0].zone, hosts[0].region) <= 0;
+	return pe_reader_of(hosts, count, hosts[0].region) <= 0;
 }
 
 uint32_t gw_peers_rank(const struct gw_gateway *g)
@@ -343,7 +341,7 @@
 	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++) {
 		const struct gw_peer *peer = p->hosts.peers->pdata[i];
 
-		if (pe_reader_of(hosts, count, peer->zone, peer->region) != 0)
+		if (pe_reader_of(hosts, count, peer->region) != 0)
 			continue;
 		rp_call(&p->rpc,
 			&(struct rp_call_desc){
--- a/src/gateway/gw_relay.c
+++ b/src/gateway/gw_relay.c
@@ -14,7 +14,7 @@
 MT_COUNTER(gw_relay_told, "balsampin_gateway_rows_told_total",
 	   "messages on rows of the store to other hosts")
 MT_COUNTER(gw_relay_heard, "balsampin_gateway_rows_heard_total",
-	   "messages on rows of the store from the reader of the zone")
+	   "messages on rows of the store from the reader of the region")
 
 static uint32_t gw_row_bytes(const struct rw_row *row)
 {
--- a/src/gateway/gw_relay.h
+++ b/src/gateway/gw_relay.h
@@ -1,5 +1,5 @@
 /*
- * gw_relay - one reader of the store for the hosts of a zone.
+ * gw_relay - one reader of the store for the hosts of a region.
  *
  * Load pattern
  *	Dozens of hosts that each wait for changes of the store make thousands
@@ -7,10 +7,10 @@
  *	them for each engine.
  *
  * Overview
- *	Each availability zone has a reader, src/peers/pe_reader.h tells which.
+ *	Each region has a reader, src/peers/pe_reader.h tells which.
  *	It tells the others what its calls found, in datagrams, and several
  *	times a second how fresh it is. When the reader falls silent, the others
- *	ask the store themselves. A zone whose hosts the store does not answer
+ *	ask the store themselves. A region whose hosts the store does not answer
  *	is told by a host of another one.
  *
  *	Rows that do not fit a datagram are not told but announced; the others
@@ -26,7 +26,7 @@
 /** enum gw_table - of the store, as the hosts name them to each other. */
 enum gw_table { GW_OPERATOR_ROWS = 0, GW_ENGINE_ROWS, GW_TABLES };
 
-/** gw_relay_rows() - this host's call found rows; tell the zone. */
+/** gw_relay_rows() - this host's call found rows; tell the region. */
 void gw_relay_rows(struct gw_gateway *g, enum gw_table table, uint64_t from,
 		   const struct rw_rows *rows, int64_t lapse_left_ms);
 
@@ -34,7 +34,7 @@
 void gw_relay_reload(struct gw_gateway *g, enum gw_table table,
 		     const struct rw_rows *rows, int64_t lapse_left_ms);
 
-/** gw_relay_serve() - take what the reader of the zone tells. */
+/** gw_relay_serve() - take what the reader of the region tells. */
 enum st_code gw_relay_serve(struct gw_gateway *g, struct rp_endpoint *rpc);
 
 /**
@@ -44,7 +44,7 @@
 bool gw_knowledge_tell(struct gw_gateway *g, enum gw_table table,
 		       const struct gw_told *told, int64_t lapse_left_ms);
 
-/** gw_peers_is_reader() - this host reads for its zone; in gw_peers.c. */
+/** gw_peers_is_reader() - this host reads for its region; in gw_peers.c. */
 bool gw_peers_is_reader(const struct gw_gateway *g);
 
 /** gw_peers_call_told() - a one-way call to each host this one reads for. */
--- a/src/gateway/gw_watch.h
+++ b/src/gateway/gw_watch.h
@@ -2,8 +2,8 @@
  * gw_watch - follows one table of the store.
  *
  * Overview
- *	Reads the table whole once. Then the reader of a zone waits for changes
- *	with one call at a time and tells the other hosts of the zone
+ *	Reads the table whole once. Then the reader of a region waits for
+ *changes with one call at a time and tells the other hosts of the region
  *	(gw_relay.c); the others take what it tells. A host that misses a
  *	change, or hears nothing for a while, asks the store itself. After an
  *	outage the feed goes on where it was; if the store's history no longer
@@ -31,7 +31,7 @@
 #include "rows/rw.h"
 
 /**
- * struct gw_told - what the reader of the zone tells of a table.
+ * struct gw_told - what the reader of the region tells of a table.
  * @from: the rows changed after it.
  * @is_partial: not all rows are told.
  * @is_reload: the reader had to read the whole table again, and so must others.
@@ -48,7 +48,7 @@
  * @loop, @store, @table: required.
  * @wait_ms: of a call for changes.
  * @pause_ms: after a call that found some, so that one call tells of many.
- * @is_reader: this host asks the store for its zone.
+ * @is_reader: this host asks the store for its region.
  * @on_rows: rows of the whole table (@is_whole), or those that changed.
  * @on_read: a call to the store found what changed after @from, or, not for
  *	the first time, the whole table (@is_reload).
@@ -103,7 +103,7 @@
 bool gw_watch_is_lost(const struct gw_watch *watch);
 
 /**
- * gw_watch_tell() - the reader of the zone told of the table.
+ * gw_watch_tell() - the reader of the region told of the table.
  * Return: false if rows are missing here and the store does not answer.
  */
 bool gw_watch_tell(struct gw_watch *watch, const struct gw_told *told);
--- a/src/http1/h1_client.c
+++ b/src/http1/h1_client.c
@@ -30,7 +30,6 @@
 	ev_io read;
 	ev_io write;
 	ev_timer timer;
-	int64_t idle_since_ms;
 	int fd;
 	bool is_connected;
 	bool is_head;
@@ -84,7 +83,6 @@
 		h1_link_free(l);
 		return;
 	}
-	l->idle_since_ms = ck_now_ms();
 	l->next = peer->_idle;
 	if (l->next)
 		l->next->idle_link = &l->next;
@@ -347,14 +345,12 @@
 }
 
 /* The idle connection that was used last: it is the least likely closed. */
-static struct _h1_link *h1_peer_take(struct h1_peer *peer, int64_t max_idle_ms)
+static struct _h1_link *h1_peer_take(struct h1_peer *peer)
 {
 	struct _h1_link *l = peer->_idle;
 
 	if (!l)
 		return NULL;
-	if (max_idle_ms && ck_now_ms() - l->idle_since_ms > max_idle_ms)
-		return NULL;
 	peer->_idle = l->next;
 	if (l->next)
 		l->next->idle_link = &peer->_idle;
@@ -384,7 +380,7 @@
 
 void h1_call_start(struct h1_call *call, const struct h1_call_desc *desc)
 {
-	struct _h1_link *l = h1_peer_take(desc->peer, desc->max_idle_ms);
+	struct _h1_link *l = h1_peer_take(desc->peer);
 	bool is_new = !l;
 
 	if (is_new)
--- a/src/http1/h1_client.h
+++ b/src/http1/h1_client.h
@@ -74,7 +74,6 @@
  * @body: copied.
  * @body_bytes: 0 sends none.
  * @connect_timeout_ms: required.
- * @max_idle_ms: a kept connection idle for longer is not used; 0 is no limit.
  * @on_head: status and fields of an answer; false skips it. May be NULL.
  * @on_body: a piece of the body; may be NULL.
  * @on_done: the end; required. May start other calls.
@@ -88,7 +87,6 @@
 	const void *body;
 	uint64_t body_bytes;
 	int64_t connect_timeout_ms;
-	int64_t max_idle_ms;
 	bool (*on_head)(void *arg, uint32_t status,
 			const struct h1_headers *headers);
 	void (*on_body)(void *arg, const char *data, uint64_t bytes);
--- a/src/peers/pe_reader.c
+++ b/src/peers/pe_reader.c
@@ -1,31 +1,22 @@
 #include "peers/pe_reader.h"
 
-/* The lower the nearer. */
-static uint32_t pe_distance(const struct pe_host *host, uint32_t zone,
-			    uint32_t region)
-{
-	if (host->zone == zone)
-		return 0;
-	return host->region == region ? 1 : 2;
-}
-
-int32_t pe_reader_of(const struct pe_host *hosts, uint32_t count, uint32_t zone,
+int32_t pe_reader_of(const struct pe_host *hosts, uint32_t count,
 		     uint32_t region)
 {
 	int32_t best = -1;
-	uint32_t best_distance = 0;
+	bool best_is_near = false;
 
 	for (uint32_t i = 0; i < count; i++) {
-		uint32_t distance = pe_distance(&hosts[i], zone, region);
+		bool is_near = hosts[i].region == region;
 
 		if (!hosts[i].takes_part)
 			continue;
-		if (best >= 0 && (distance > best_distance ||
-				  (distance == best_distance &&
-				   hosts[i].hash >= hosts[best].hash)))
+		if (best >= 0 && (is_near != best_is_near
+					  ? best_is_near
+					  : hosts[i].hash >= hosts[best].hash))
 			continue;
 		best = i;
-		best_distance = distance;
+		best_is_near = is_near;
 	}
 	return best;
 }
--- a/src/peers/pe_reader.h
+++ b/src/peers/pe_reader.h
@@ -1,9 +1,10 @@
 /*
- * pe_reader - which host reads the store for a zone, and which may hold the
+ * pe_reader - which host reads the store for a region, and which may hold the
  * lease.
  *
  * Load pattern
- *	The store answers only some hosts for seconds, or none of a zone, while
+ *	The store's calls are dear and its feed wakes all that wait. It answers
+ *	only some hosts for seconds, or none of a zone, while
  *	the hosts still hear each other. Keys may be used only by a host that
  *	knows how fresh its rows are, so a host cut off from the store refuses
  *	all its callers within seconds, though its neighbours know every row.
@@ -12,9 +13,10 @@
  *
  * Overview
  *	A host takes part while the store answers it and it is not stopping.
- *	Of those, the one with the lowest hash of its name reads for its zone.
- *	A zone without such a host is read for by one of its region, or else of
- *	another. The first few of all look at the lease often.
+ *	Of those, the one with the lowest hash of its name reads for its region.
+ *	A region without such a host is read for by one of another. A zone that
+ *	is cut off hears only its own hosts, and so has a reader of its own. The
+ *	first few of all look at the lease often.
  *
  *	Nobody is elected: each host works it out from what the others said
  *	last. Two readers for a moment cost calls, no harm.
@@ -22,7 +24,7 @@
  *	Plain functions, no clock.
  *
  * Use
- *	i = pe_reader_of(hosts, n, zone, region);
+ *	i = pe_reader_of(hosts, n, region);
  *	rank = pe_rank_of(hosts, n, hosts[0].hash);
  */
 #ifndef PE_READER_H
@@ -34,18 +36,17 @@
 /**
  * struct pe_host - that has been heard lately, or this one.
  * @hash: of its name.
- * @zone, @region: any numbers that differ between places.
+ * @region: any number that differs between regions.
  * @takes_part: as far as it knows, the store answers it; it is not stopping.
  */
 struct pe_host {
 	uint64_t hash;
-	uint32_t zone;
 	uint32_t region;
 	bool takes_part;
 };
 
-/** pe_reader_of() - index of the reader of @zone; -1 if the store is away. */
-int32_t pe_reader_of(const struct pe_host *hosts, uint32_t count, uint32_t zone,
+/** pe_reader_of() - index of the region's reader; -1 if the store is away. */
+int32_t pe_reader_of(const struct pe_host *hosts, uint32_t count,
 		     uint32_t region);
 
 /** pe_rank_of() - how many that take part come before @hash. */
--- a/src/rpc/balsampin.x
+++ b/src/rpc/balsampin.x
@@ -151,7 +151,7 @@
 	bp_held held<BP_MAX_HELD>;
 };
 
-/* --- rows of the platform's store, from the reader of a zone (U, gateway) --- */
+/* --- rows of the platform's store, from the reader of a region (U, gateway) --- */
 
 const BP_MAX_ROWS = 24;
 const BP_MAX_ROW_BYTES = 1200;
