gateway: callers that come before the first read are held for a moment

Now such a request waits for that read, 400 ms after the start of the process at most, 256 at a time; with the store away it is refused from then on at once. The decision is a plain function (gw_early_wait_ms()) with a table of cases; the session test fails without it (503 where the store's answer is 50 ms late).

--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -176,6 +176,7 @@
 	code = kn_init(&g->kernel, &(struct kn_desc){ .name = "gateway" });
 	if (code != ST_OK)
 		return code;
+	g->started_ms = ck_now_ms();
 	gw_weights_init(&g->weights);
 	pe_held_init(&g->held);
 	pe_load_init(&g->others);
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -64,6 +64,8 @@
  * @requests: of callers, not over yet.
  * @config_fresh_ms: nothing newer than @catalog existed then.
  * @retries: budget of this host for second sends.
+ * @started_ms: of the process.
+ * @early: requests held until the first read of the store.
  * @stop_ms: when SIGTERM came, 0 before.
  */
 struct gw_gateway {
@@ -83,6 +85,8 @@
 	struct pe_load others;
 	int64_t config_fresh_ms;
 	struct rb_budget retries;
+	int64_t started_ms;
+	uint32_t early;
 	int64_t stop_ms;
 	ev_timer log_timer;
 
@@ -137,6 +141,9 @@
 /** gw_front_busy() - requests that are not over. */
 uint32_t gw_front_busy(const struct gw_gateway *g);
 
+/** gw_requests_release() - the first read is done; see gw_early_wait_ms(). */
+void gw_requests_release(struct gw_gateway *g);
+
 /** gw_requests_sweep() - end attempts that must not begin any more. */
 void gw_requests_sweep(struct gw_gateway *g, int64_t now_ms);
 
--- a/src/gateway/gw_admit.c
+++ b/src/gateway/gw_admit.c
@@ -8,6 +8,13 @@
  */
 #define GW_REVOKE_MARGIN_MS 1200
 
+/* From the start of the process to the end of its first read of the store, also
+ * of a slow one; about the shortest time after which a refused caller comes
+ * back. */
+#define GW_FIRST_READ_MS 400
+/* Held at once; a request may have a body of some MB, most have some KB. */
+#define GW_MAX_EARLY 256
+
 int64_t gw_max_key_age_ms(int64_t revoke_ms)
 {
 	return revoke_ms - GW_REVOKE_MARGIN_MS;
@@ -39,6 +46,13 @@
 	return GW_ADMITTED;
 }
 
+int64_t gw_early_wait_ms(bool has_read, int64_t up_ms, uint32_t early)
+{
+	if (has_read || early >= GW_MAX_EARLY)
+		return 0;
+	return up_ms < GW_FIRST_READ_MS ? GW_FIRST_READ_MS - up_ms : 0;
+}
+
 const char *gw_verdict_name(enum gw_verdict verdict)
 {
 	static const char *const names[] = { "admitted", "no_route",
--- a/src/gateway/gw_admit.h
+++ b/src/gateway/gw_admit.h
@@ -66,6 +66,20 @@
 /** gw_max_key_age_ms() - requests with a key are served up to that age. */
 int64_t gw_max_key_age_ms(int64_t revoke_ms);
 
+/**
+ * gw_early_wait_ms() - how long a request may wait for the first read of the
+ * store; 0: go on at once.
+ *
+ * Load: all hosts lost power and start at the same moment, and callers come
+ * back at once. What the first read takes is less than what a refused caller
+ * waits. A store that is away is found out within that time, and from then on
+ * requests are refused at once.
+ * @has_read: configuration and upstreams are known.
+ * @up_ms: since the start of the process.
+ * @early: requests that wait already.
+ */
+int64_t gw_early_wait_ms(bool has_read, int64_t up_ms, uint32_t early);
+
 const char *gw_verdict_name(enum gw_verdict verdict);
 
 #endif
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -100,6 +100,12 @@
 		g->config_fresh_ms ? "yes" : "no", NULL);
 }
 
+static void gw_release_early(struct gw_gateway *g)
+{
+	if (g->catalog && g->has_fleet)
+		gw_requests_release(g);
+}
+
 static void gw_on_operator_rows(void *arg, const struct rw_rows *rows,
 				bool is_whole)
 {
@@ -119,6 +125,7 @@
 	}
 	g->config_fresh_ms = k->operator_rows.fresh_ms;
 	gw_rollout_changed(g);
+	gw_release_early(g);
 }
 
 /* While the store is away or just back, a missing entry may have lapsed. */
@@ -203,6 +210,7 @@
 		gw_lose_others(k, rows);
 	k->gateway->has_fleet = true;
 	gw_rollout_changed(k->gateway);
+	gw_release_early(k->gateway);
 }
 
 bool gw_takes_part(const struct gw_gateway *g)
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -75,6 +75,7 @@
 static void gw_free(struct gw_request *r)
 {
 	gw_send_cancel(r);
+	r->gateway->early -= r->is_early;
 	g_queue_unlink(&r->gateway->requests, &r->link);
 	ev_timer_stop(r->gateway->kernel.loop, &r->timer);
 	h1_headers_finish(&r->answer_headers);
@@ -338,10 +339,69 @@
 		&r->terms);
 }
 
+/* From its admission on. */
+static void gw_begin(struct gw_request *r)
+{
+	struct gw_gateway *g = r->gateway;
+	enum gw_verdict verdict = gw_admit_request(r, ck_now_ms());
+
+	if (verdict != GW_ADMITTED) {
+		gw_answer_unadmitted(r, verdict);
+		return;
+	}
+	r->catalog = ca_catalog_ref(g->catalog);
+	r->service = ca_pick_service(r->terms.route, gw_split_hash(r));
+	if (!r->service) {
+		gw_request_refuse(r, 503, "route_without_service");
+		return;
+	}
+	rb_budget_earn(&g->retries);
+	gw_find_prefix(r);
+	r->prefix.seed = gw_split_hash(r);
+	gw_set_times(r);
+	gw_start_timer(r);
+	gw_request_place(r);
+}
+
+static void gw_release(struct gw_request *r)
+{
+	ev_timer_stop(r->gateway->kernel.loop, &r->timer);
+	r->is_early = false;
+	r->gateway->early--;
+	gw_begin(r);
+}
+
+static void gw_on_early_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	gw_release(w->data);
+}
+
+static void gw_hold_early(struct gw_request *r, int64_t wait_ms)
+{
+	r->is_early = true;
+	r->gateway->early++;
+	ev_timer_init(&r->timer, gw_on_early_timer, wait_ms / 1000.0, 0.0);
+	r->timer.data = r;
+	ev_timer_start(r->gateway->kernel.loop, &r->timer);
+}
+
+void gw_requests_release(struct gw_gateway *g)
+{
+	GList *link = g->early ? g->requests.head : NULL;
+
+	while (link) {
+		struct gw_request *r = link->data;
+
+		link = link->next;
+		if (r->is_early)
+			gw_release(r);
+	}
+}
+
 void gw_request_new(struct gw_gateway *g, struct h1_exchange *exchange)
 {
 	struct gw_request *r = g_new0(struct gw_request, 1);
-	enum gw_verdict verdict;
+	int64_t wait_ms;
 
 	mt_add(&gw_requests, 1);
 	r->gateway = g;
@@ -359,21 +419,10 @@
 		gw_request_refuse(r, 503, "stopping");
 		return;
 	}
-	verdict = gw_admit_request(r, ck_now_ms());
-	if (verdict != GW_ADMITTED) {
-		gw_answer_unadmitted(r, verdict);
-		return;
-	}
-	r->catalog = ca_catalog_ref(g->catalog);
-	r->service = ca_pick_service(r->terms.route, gw_split_hash(r));
-	if (!r->service) {
-		gw_request_refuse(r, 503, "route_without_service");
-		return;
-	}
-	rb_budget_earn(&g->retries);
-	gw_find_prefix(r);
-	r->prefix.seed = gw_split_hash(r);
-	gw_set_times(r);
-	gw_start_timer(r);
-	gw_request_place(r);
+	wait_ms = gw_early_wait_ms(g->catalog && g->has_fleet,
+				   ck_now_ms() - g->started_ms, g->early);
+	if (wait_ms > 0)
+		gw_hold_early(r, wait_ms);
+	else
+		gw_begin(r);
 }
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -38,6 +38,7 @@
  * @priority: at the engine, see src/placement/pu.h.
  * @store_hash: of the store that has the prefix after the first token; or 0.
  * @weights: of the engine when it was sent there.
+ * @is_early: held until the first read of the store, see gw_admit.h.
  * @is_awaiting: sent, and nothing of the answer has come.
  * @is_prompt_waiting: sent, and its first event has not come.
  * @sends: upstreams it was sent to.
@@ -66,6 +67,7 @@
 	uint32_t priority;
 	uint64_t store_hash;
 	uint64_t weights;
+	bool is_early;
 	bool is_awaiting;
 	bool is_prompt_waiting;
 	struct h1_call call;
--- a/tests/harness/proxy.cc
+++ b/tests/harness/proxy.cc
@@ -64,8 +64,9 @@
 	return ip + ":" + std::to_string(port);
 }
 
-void Proxy::set(Way to)
+void Proxy::set(Way to, int64_t by_ms)
 {
+	late_ms = by_ms;
 	way = to;
 }
 
@@ -122,7 +123,7 @@
 		if (now == Way::lose_answers && is_answer)
 			return;
 		to.out.push_back(
-			{ ck_now_ms() + (now == Way::slow ? slow_ms : 0),
+			{ ck_now_ms() + (now == Way::slow ? late_ms.load() : 0),
 			  bytes });
 	} else if (!got) {
 		from.is_read_over = true;
--- a/tests/harness/proxy.h
+++ b/tests/harness/proxy.h
@@ -45,7 +45,7 @@
 
 	/** address() - "IP:PORT" to connect to. */
 	std::string address() const;
-	void set(Way way);
+	void set(Way way, int64_t late_ms = slow_ms);
 
 	/** tear() - reset the connections of this moment. */
 	void tear();
@@ -73,6 +73,7 @@
 	uint16_t port = 0;
 	int listener;
 	std::atomic<Way> way{ Way::pass };
+	std::atomic<int64_t> late_ms{ slow_ms };
 	std::atomic<bool> is_tearing{ false };
 	std::atomic<bool> is_over{ false };
 	std::list<Link> links;
--- a/tests/sessions/gateway_test.cc
+++ b/tests/sessions/gateway_test.cc
@@ -400,6 +400,34 @@
 							      << page;
 }
 
+// The store's first answers are late; who comes before them gets an answer, and
+// with the store away a refusal, within half a second.
+TEST_F(Gateway, CallersThatComeBeforeTheFirstReadAreHeldForAMoment)
+{
+	static const struct {
+		Way way;
+		long status;
+	} cases[] = { { Way::slow, 200 }, { Way::reset, 503 } };
+
+	for (const auto &c : cases) {
+		Proxy way(Fleet::store_ip(), Fleet::store_ip(),
+			  fleet.store_port());
+		Place place = { "z1", "r1", way.address() };
+		Reply r;
+
+		way.set(c.way, 50);
+		Process host({ BALSAMPIN_PROGRAM, "gateway", "--settings",
+			       fleet.settings(directory.path, "h3", place) },
+			     directory.path + "/log3");
+		EXPECT_TRUE(wait_until([&r] {
+			r = ask("look", "early", "k1", {}, "h3");
+			return r.status != 0;
+		}));
+		EXPECT_EQ(r.status, c.status);
+		EXPECT_EQ(r.headers.count("retry-after"), c.status == 503);
+	}
+}
+
 // From a request's id to its cause by one command, as docs/OPERATIONS.md says.
 class Logs : public Gateway
 {
--- a/tests/unit/gateway_rules_test.cc
+++ b/tests/unit/gateway_rules_test.cc
@@ -314,6 +314,26 @@
 			<< c.silent_ms;
 }
 
+// Load: all hosts start at the same moment, and the callers are there first.
+TEST(Early, WaitForTheFirstReadForABoundedTime)
+{
+	const struct {
+		bool has_read;
+		int64_t up_ms;
+		uint32_t early;
+		int64_t wait_ms;
+	} cases[] = {
+		{ false, 0, 0, 400 },	{ false, 100, 255, 300 },
+		{ false, 100, 256, 0 }, { false, 400, 0, 0 },
+		{ false, 9000, 0, 0 },	{ true, 0, 0, 0 },
+	};
+
+	for (const auto &c : cases)
+		EXPECT_EQ(gw_early_wait_ms(c.has_read, c.up_ms, c.early),
+			  c.wait_ms)
+			<< c.up_ms << " " << c.early;
+}
+
 // Load: all engines run version 1, and the first version ever named appears
 // under full load. The engines of a host that has watched since its start keep
 // serving for the whole bound, not for the rest that a fresh host takes.
