--- a/src/fleet/fl.h
+++ b/src/fleet/fl.h
@@ -39,7 +39,7 @@
  * @checked_ms, @failed_checks, @is_checking: see gw_silence.h.
  * @joined_ms: when it was first seen with its present weights.
  * @region: of its availability zone; set by the owner of the fleet.
- * @zone_number, @region_number: of their names, equal for equal names.
+ * @region_number: of its name, equal for equal names.
  * @is_next: it is about to load new weights or does; see gw_plan.h.
  * @next_since_ms: when that began.
  * @is_gone: no new requests; kept for those that still refer to it.
@@ -57,7 +57,6 @@
 	bool is_checking;
 	int64_t joined_ms;
 	const char *region;
-	uint32_t zone_number;
 	uint32_t region_number;
 	bool is_next;
 	int64_t next_since_ms;
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -8,12 +8,12 @@
  *	gw_request.c	the life of one request, from its arrival to its answer
  *	gw_send.c	one attempt at an upstream
  *	gw_admit.c	decision: may it be served, and on what terms
- *	gw_recover.c	decision: what follows a failed attempt
  *	gw_events.c	splits a stream into whole events
  *	gw_watch.c	follows one table of the store
  *	gw_knowledge.c	configuration, wanted weights and upstreams from it
  *	gw_weights.c	which weights are wanted, and since when
- *	gw_rollout.c	brings engines to the wanted weights
+ *	gw_plan.c	decision: which engines load them next
+ *	gw_rollout.c	gives the orders, under a lease
  *	gw_silence.c	engines that fall silent
  *	gw_relay.c	one reader of the store for a region
  *	gw_hosts.c	the other hosts, from the gateway's own rows
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -170,7 +170,6 @@
 			weights, NULL);
 	known = fl_put(&g->fleet, &entry, ck_now_ms());
 	known->region = gw_region_of(&g->settings, entry.zone);
-	known->zone_number = g_quark_from_string(entry.zone);
 	known->region_number = g_quark_from_string(known->region);
 }
 
