soak: a play leaves nothing behind for the next one

Engines were numbered over all seeds of a process, and the ways of drained ones ran on to its end; both belong to the play now.

--- a/tests/soak/driver.cc
+++ b/tests/soak/driver.cc
@@ -196,9 +196,7 @@
 
 void Driver::add_engine(EngineSlot &slot)
 {
-	static uint32_t number;
-
-	slot.id = "e" + std::to_string(++number);
+	slot.id = "e" + std::to_string(++engines_made);
 	fleet.add_engine(slot.id, slot.service, slot.model, weights);
 	fleet.behave(slot.id, Behaviour::pace);
 	slot.way = std::make_unique<harness::Proxy>(harness::Fleet::store_ip(),
@@ -250,11 +248,9 @@
 		add_engine(slot);
 	} else if (fault.kind == Kind::engine_drained) {
 		/* It lives on, and another one takes its place. */
-		static std::vector<std::unique_ptr<harness::Proxy>> kept;
-
 		fleet.set_draining(slot.id);
 		promises.drained(slot.id, ck_now_ms());
-		kept.push_back(std::move(slot.way));
+		ways_of_drained.push_back(std::move(slot.way));
 		add_engine(slot);
 	} else if (fault.kind >= Kind::engine_refuses) {
 		fleet.behave(slot.id, behaviour_of(fault.kind));
--- a/tests/soak/driver.h
+++ b/tests/soak/driver.h
@@ -91,6 +91,7 @@
 	Promises promises;
 	std::vector<std::unique_ptr<Host>> hosts;
 	std::vector<std::unique_ptr<EngineSlot>> engines;
+	std::vector<std::unique_ptr<harness::Proxy>> ways_of_drained;
 	std::vector<std::unique_ptr<Caller>> callers;
 	std::deque<Fault> faults;
 	ev_timer tick;
@@ -100,6 +101,7 @@
 	uint64_t next_attempt = 0;
 	int version = 0;
 	int weights = 1;
+	uint32_t engines_made = 0;
 	bool is_over = false;
 	std::vector<std::set<Route>> answered_since;
 
