gateway: less work for each request and each message to hosts

Placement looked up the region of each engine's zone in a hash table for each request, though the engine carries it, and worked out the age of its weights twice. The period of messages counted the peers of a kind anew for each peer, fifty times a second; it is one count a tick now. Rows told to a region chose its reader anew for each peer; now once for each run of peers of one region.

Not mended here: gw_plan.c ranks each engine that lacks weights against all others (engines squared for each change in a roll-out).

--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -145,16 +145,21 @@
 		NULL);
 }
 
-static int64_t gw_send_period_ms(const struct gw_peers *p,
-				 const struct gw_peer *peer, int64_t now_ms)
+static uint32_t gw_count_far(const struct gw_peers *p)
 {
-	int64_t alike = 0;
+	uint32_t far = 0;
 
+	for (uint32_t i = 0; i < p->hosts.peers->len; i++)
+		far += ((struct gw_peer *)p->hosts.peers->pdata[i])->is_far;
+	return far;
+}
+
+/* @alike: peers in the same region as this one, or not in this host's. */
+static int64_t gw_send_period_ms(const struct gw_peer *peer, int64_t alike,
+				 int64_t now_ms)
+{
 	if (now_ms - peer->heard_ms > GW_SILENT_MS)
 		return GW_TRY_SILENT_MS;
-	for (uint32_t i = 0; i < p->hosts.peers->len; i++)
-		alike += ((struct gw_peer *)p->hosts.peers->pdata[i])->is_far ==
-			 peer->is_far;
 	return peer->is_far ? MAX(GW_FAR_MS, alike * GW_FAR_PER_PEER_MS)
 			    : MAX(GW_NEAR_MS, alike * GW_NEAR_PER_PEER_MS);
 }
@@ -211,14 +216,18 @@
 {
 	struct gw_peers *p = w->data;
 	int64_t now_ms = ck_now_ms();
+	uint32_t far;
 
 	gw_hosts_step(&p->hosts, now_ms);
 	if (now_ms >= p->next_sweep_ms)
 		gw_sweep_peers(p, now_ms);
+	far = gw_count_far(p);
 	for (uint32_t i = 0; p->is_open && i < p->hosts.peers->len; i++) {
 		struct gw_peer *peer = p->hosts.peers->pdata[i];
 
-		peer->period_ms = gw_send_period_ms(p, peer, now_ms);
+		peer->period_ms = gw_send_period_ms(
+			peer, peer->is_far ? far : p->hosts.peers->len - far,
+			now_ms);
 		if (now_ms - peer->sent_ms >= peer->period_ms)
 			gw_send_load(p, peer, now_ms);
 	}
@@ -337,11 +346,20 @@
 	struct pe_host hosts[GW_MAX_HOSTS];
 	uint32_t count = gw_list_hosts(g, hosts);
 	struct gw_peers *p = g->peers;
+	uint32_t region = 0;
+	bool reads_for_region = false;
 
 	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++) {
 		const struct gw_peer *peer = p->hosts.peers->pdata[i];
 
-		if (pe_reader_of(hosts, count, peer->region) != 0)
+		/* Rows are sorted by host: those of a region mostly follow each
+		 * other. No quark is 0. */
+		if (peer->region != region) {
+			region = peer->region;
+			reads_for_region =
+				pe_reader_of(hosts, count, region) == 0;
+		}
+		if (!reads_for_region)
 			continue;
 		rp_call(&p->rpc,
 			&(struct rp_call_desc){
--- a/src/gateway/gw_place.c
+++ b/src/gateway/gw_place.c
@@ -11,13 +11,12 @@
 #define GW_WEIGHTS_MARGIN_MS 1500
 
 static enum pc_distance gw_distance(const struct gw_gateway *g,
-				    const char *zone)
+				    const struct fl_engine *e)
 {
-	if (!strcmp(zone, g->settings.zone))
+	if (!strcmp(e->entry.zone, g->settings.zone))
 		return PC_SAME_ZONE;
-	return strcmp(gw_region_of(&g->settings, zone), g->settings.region)
-		       ? PC_OTHER_REGION
-		       : PC_SAME_REGION;
+	return strcmp(e->region, g->settings.region) ? PC_OTHER_REGION
+						     : PC_SAME_REGION;
 }
 
 static bool gw_is_tried(const struct gw_place_request *request, uint64_t hash)
@@ -30,8 +29,7 @@
 
 static bool gw_can_run(const struct gw_gateway *g,
 		       const struct gw_place_request *request,
-		       const struct fl_engine *e,
-		       const struct gw_wanted *wanted, int64_t now_ms)
+		       const struct fl_engine *e, int64_t weights_age_ms)
 {
 	if (e->is_gone || e->entry.is_draining ||
 	    strcmp(e->entry.service, request->service->name) != 0)
@@ -39,8 +37,7 @@
 	if (!request->model)
 		return true;
 	return !strcmp(e->entry.model, request->model) &&
-	       gw_weights_age_ms(wanted, e->entry.weights, now_ms) <
-		       g->settings.weights_ms - GW_WEIGHTS_MARGIN_MS;
+	       weights_age_ms < g->settings.weights_ms - GW_WEIGHTS_MARGIN_MS;
 }
 
 /* Since an engine last used a prefix under its present weights; -1: never. */
@@ -59,25 +56,23 @@
 static struct pc_candidate gw_candidate(const struct gw_gateway *g,
 					const struct gw_place_request *request,
 					const struct fl_engine *e,
-					const struct gw_wanted *wanted,
-					int64_t now_ms)
+					int64_t weights_age_ms, int64_t now_ms)
 {
 	const struct pc_request *prefix = &request->prefix;
 	struct pe_share others = pe_load_of(&g->others, e->hash);
-	uint64_t weights = e->entry.weights;
 	struct pc_candidate c = {
 		.hash = e->hash,
 		.running = e->running + others.running,
 		.waiting_tokens = e->waiting_tokens + others.tokens,
 		.slots = e->entry.slots,
 		.region = e->region_number,
-		.distance = gw_distance(g, e->entry.zone),
+		.distance = gw_distance(g, e),
 		.is_avoided = now_ms < e->avoid_until_ms || e->is_next,
 		.is_tried = gw_is_tried(request, e->hash),
-		.weights = weights,
+		.weights = e->entry.weights,
+		.age_ms = weights_age_ms,
 	};
 
-	c.age_ms = gw_weights_age_ms(wanted, weights, now_ms);
 	c.subject_age_ms = gw_used_age_ms(g, prefix->subject, e, now_ms);
 	c.root_age_ms = gw_used_age_ms(g, prefix->root, e, now_ms);
 	c.holds_subject =
@@ -129,12 +124,15 @@
 	uint32_t count = 0;
 
 	fl_for_each (&g->fleet, e) {
+		int64_t age_ms =
+			gw_weights_age_ms(wanted, e->entry.weights, now_ms);
+
 		if (count == GW_MAX_CANDIDATES ||
-		    !gw_can_run(g, request, e, wanted, now_ms))
+		    !gw_can_run(g, request, e, age_ms))
 			continue;
 		engines[count] = e;
 		candidates[count++] =
-			gw_candidate(g, request, e, wanted, now_ms);
+			gw_candidate(g, request, e, age_ms, now_ms);
 	}
 	if (store) {
 		look = gw_look_at_store(g, request, store, wanted);
