logs: the content of a request and its sends; repeats by service

Cause: request_sent and attempt_failed named the attempt's id only, so nobody could tell that a request came again, and repeats were counted over all services, while what is allowed is counted for each. After: the fingerprint of method, target, caller and body in both lines, which send of the attempt it is, repeats and denied repeats by service. No decision changed.

--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -8,6 +8,7 @@
 #include "kernel/lg.h"
 #include "kernel/mt.h"
 #include "kernel/mt_family.h"
+#include "limits/ps.h"
 
 /* After the route's timeout the final answer may wait so long for the engine,
  * which stops at the same moment. */
@@ -37,8 +38,10 @@
 	   "requests without a route or a known key")
 MT_COUNTER(gw_left, "balsampin_gateway_callers_left_total",
 	   "callers that left before their answer was complete")
-MT_COUNTER(gw_repeats, "balsampin_gateway_repeats_total",
-	   "second and later sends of a request")
+MT_COUNTERS(gw_repeats, "balsampin_gateway_repeats_total",
+	    "second and later sends of a request", "service")
+MT_COUNTERS(gw_no_repeats, "balsampin_gateway_repeats_denied_total",
+	    "failed attempts that found the budget empty", "service")
 
 MT_COUNTERS(gw_ended, "balsampin_gateway_ended_total",
 	    "requests by how they ended", "outcome")
@@ -199,12 +202,14 @@
 	};
 
 	gw_events_clear(&r->events);
+	if (!attempt.has_budget)
+		mt_count(&gw_no_repeats, r->service->name);
 	switch (rb_decide(&attempt, ck_now_ms())) {
 	case RB_RETRY:
 	case RB_RESUME:
 	case RB_CONTINUE:
 		rb_budget_take(&r->gateway->retries);
-		mt_add(&gw_repeats, 1);
+		mt_count(&gw_repeats, r->service->name);
 		gw_request_place(r);
 		return;
 	default:
@@ -304,6 +309,16 @@
 	return XXH3_64bits(attempt, strlen(attempt));
 }
 
+static uint64_t gw_content_of(const struct gw_request *r)
+{
+	return ps_call_fingerprint(&(struct ps_call){
+		.method = r->exchange->method,
+		.target = r->exchange->target,
+		.caller = r->terms.team ? r->terms.team->name : "",
+		.body = r->exchange->body->str,
+		.body_bytes = r->exchange->body->len });
+}
+
 static void gw_answer_unadmitted(struct gw_request *r, enum gw_verdict verdict)
 {
 	switch (verdict) {
@@ -350,6 +365,7 @@
 		gw_request_refuse(r, 503, "route_without_service");
 		return;
 	}
+	r->content = gw_content_of(r);
 	rb_budget_earn(&g->retries);
 	gw_find_prefix(r);
 	r->prefix.seed = gw_split_hash(r);
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -33,6 +33,7 @@
  * @terms: of its admission.
  * @end_ms: its time is over then.
  * @prefix: what it shares with other prompts, see src/placement/pc.h.
+ * @content: fingerprint that it has again when its caller sends it again.
  * @scope: cached prompts are shared under it.
  * @read_tokens: counted as waiting at the engine; 0 after its first token.
  * @priority: at the engine, see src/placement/pu.h.
@@ -58,6 +59,7 @@
 	int64_t arrived_ms;
 	int64_t end_ms;
 	struct pc_request prefix;
+	uint64_t content;
 	char scope[2 * DL_ID_BYTES];
 	ev_timer timer;
 	GList link;
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -30,16 +30,18 @@
 
 void gw_send_log_failure(const struct gw_request *r, const char *outcome)
 {
-	char ms[24], status[12];
+	char ms[24], status[12], content[20];
 
 	mt_count(&gw_attempt_failures, outcome);
 	g_snprintf(ms, sizeof(ms), "%" G_GINT64_FORMAT,
 		   ck_now_ms() - r->sent_ms);
 	g_snprintf(status, sizeof(status), "%u", r->status);
+	g_snprintf(content, sizeof(content), "%" G_GINT64_MODIFIER "x",
+		   r->content);
 	lg_info("attempt failed", "event", "attempt_failed", "request",
 		r->in.attempt ? r->in.attempt : "", "engine",
 		r->engine->entry.id, "outcome", outcome, "status", status, "ms",
-		ms, NULL);
+		ms, "content", content, NULL);
 }
 
 /* The decision and what it rests on. */
@@ -48,6 +50,7 @@
 {
 	char weights[24], running[12], subject[20], root[20], left[24];
 	char cost[24], reads[12], shared[12], priority[12];
+	char content[20], sends[12];
 
 	g_snprintf(weights, sizeof(weights), "%" G_GUINT64_FORMAT,
 		   to->engine->entry.weights);
@@ -62,6 +65,9 @@
 	g_snprintf(priority, sizeof(priority), "%u", r->priority);
 	g_snprintf(reads, sizeof(reads), "%u", to->read_tokens);
 	g_snprintf(shared, sizeof(shared), "%u", r->prefix.shared_tokens);
+	g_snprintf(content, sizeof(content), "%" G_GINT64_MODIFIER "x",
+		   r->content);
+	g_snprintf(sends, sizeof(sends), "%u", r->sends);
 	lg_info("request sent", "event", "request_sent", "request",
 		r->in.attempt ? r->in.attempt : "", "engine",
 		to->engine->entry.id, "source",
@@ -70,7 +76,8 @@
 				  : "",
 		"subject", subject, "root", root, "weights", weights, "running",
 		running, "left_ms", left, "predicted_ms", cost, "priority",
-		priority, "read_tokens", reads, "shared_tokens", shared, NULL);
+		priority, "read_tokens", reads, "shared_tokens", shared,
+		"content", content, "sends", sends, NULL);
 }
 
 static void gw_leave_engine(struct gw_request *r)
--- a/src/limits/ps.c
+++ b/src/limits/ps.c
@@ -1,5 +1,6 @@
 #include "limits/ps.h"
 
+#include <string.h>
 #include <xxhash.h>
 
 /* A crash; @at_ms is when the news of it came. */
@@ -50,6 +51,20 @@
 	return XXH3_64bits_withSeed(params, params_bytes, key);
 }
 
+static uint64_t ps_add_text(const char *text, uint64_t key)
+{
+	return XXH3_64bits_withSeed(text, strlen(text), key);
+}
+
+uint64_t ps_call_fingerprint(const struct ps_call *call)
+{
+	uint64_t key = ps_add_text(call->method, 0);
+
+	key = ps_add_text(call->target, key);
+	key = ps_add_text(call->caller, key);
+	return XXH3_64bits_withSeed(call->body, call->body_bytes, key);
+}
+
 static struct _ps_run *ps_run_at(const struct ps_table *table, uint32_t i)
 {
 	return &g_array_index(table->_runs, struct _ps_run, i);
--- a/src/limits/ps.h
+++ b/src/limits/ps.h
@@ -91,6 +91,21 @@
 			const void *tail, uint64_t tail_bytes,
 			const void *params, uint64_t params_bytes);
 
+/**
+ * struct ps_call - a request that is passed on unchanged.
+ * @caller: who sends it; its name, not a key, which may be replaced.
+ */
+struct ps_call {
+	const char *method;
+	const char *target;
+	const char *caller;
+	const void *body;
+	uint64_t body_bytes;
+};
+
+/** ps_call_fingerprint() - of what is the same when it is sent again. */
+uint64_t ps_call_fingerprint(const struct ps_call *call);
+
 /** ps_check() - before every attempt. */
 struct ps_answer ps_check(struct ps_table *table, uint64_t fingerprint,
 			  int64_t now_ms);
