tests: a request that ends engine after engine, failing

Callers' view: none; the users' engines end one after the other. The stand-in's engines can end under a request and come back as a new incarnation.

--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -146,6 +146,10 @@
 	int weights = 0;
 	int orders = 0;
 	int64_t busy_until_ms = 0;
+	int born = 1;
+	uint16_t port = 0;
+	bool is_crashing = false;
+	int64_t down_until_ms = 0;
 	Behaviour behaviour = Behaviour::answer;
 	struct h1_server server = {};
 };
@@ -165,6 +169,9 @@
 	uint64_t version = 0;
 	uint64_t history_from = 0;
 	int calls = 0;
+	std::string crash_body;
+	int crash_down_ms = 0;
+	int crashes = 0;
 	std::list<Run> running;
 	std::map<std::string, int> begun;
 	std::map<std::string, std::map<std::string, Row>> tables;
@@ -188,6 +195,9 @@
 		     const std::string &attempt, int after);
 	bool go_on(Run &run);
 	void on_tick();
+	void listen(Engine *e);
+	void close(Engine *e);
+	void crash_or_start(Engine *e, int64_t now_ms);
 };
 
 std::string paced_answer(const std::string &attempt, bool is_stream)
@@ -357,7 +367,8 @@
 	    "{\"service\":\"" + e.service + "\",\"address\":\"" + address +
 		    "\",\"zone\":\"z1\",\"slots\":8,\"state\":\"" +
 		    (e.is_draining ? "draining" : "ready") +
-		    "\",\"born\":1,\"models\":" + models + ",\"seq\":1}");
+		    "\",\"born\":" + std::to_string(e.born) +
+		    ",\"models\":" + models + ",\"seq\":1}");
 }
 
 void Fleet::State::on_order(Engine *e, struct h1_exchange *x)
@@ -400,9 +411,10 @@
 				std::string(e->busy_until_ms ? "true"
 							     : "false") +
 				",\"seq\":" + std::to_string(e->orders) +
-				",\"born\":1,\"models\":[{\"name\":\"" +
-				e->model + "\",\"version\":" +
-				std::to_string(e->weights) + "}]}");
+				",\"born\":" + std::to_string(e->born) +
+				",\"models\":[{\"name\":\"" + e->model +
+				"\",\"version\":" + std::to_string(e->weights) +
+				"}]}");
 		return;
 	}
 	for (uint32_t i = 0; i < h1_headers_count(x->headers); i++)
@@ -414,6 +426,10 @@
 		after = std::stoi(arrival.headers["Last-Event-Id"]);
 	if (e->behaviour != Behaviour::refuse)
 		begun[arrival.headers["X-Attempt-Id"]]++;
+	if (!crash_body.empty() && x->body->str == crash_body) {
+		e->is_crashing = true;
+		return;
+	}
 	switch (e->behaviour) {
 	case Behaviour::pace:
 	case Behaviour::pace_stall:
@@ -507,10 +523,62 @@
 	return false;
 }
 
+void Fleet::State::listen(Engine *e)
+{
+	struct h1_server_desc desc = {};
+	static std::string ip;
+
+	ip = own_ip();
+	desc.loop = loop;
+	desc.address = ip.c_str();
+	desc.port = e->port;
+	desc.on_request = [](void *arg, struct h1_exchange *x) {
+		auto *engine = static_cast<Engine *>(arg);
+
+		engine->state->on_engine(engine, x);
+	};
+	desc.on_gone = [](void *arg, struct h1_exchange *x) {
+		static_cast<Engine *>(arg)->state->running.remove_if(
+			[x](const Run &r) { return r.x == x; });
+	};
+	desc.arg = e;
+	EXPECT_EQ(h1_server_init(&e->server, &desc), ST_OK);
+	e->port = h1_server_port(&e->server);
+}
+
+/* The process is gone, its runs are torn. */
+void Fleet::State::close(Engine *e)
+{
+	running.remove_if([e](const Run &r) {
+		if (r.engine == e)
+			h1_abort(r.x);
+		return r.engine == e;
+	});
+	h1_server_finish(&e->server);
+}
+
+void Fleet::State::crash_or_start(Engine *e, int64_t now_ms)
+{
+	if (e->is_crashing) {
+		close(e);
+		crashes++;
+		e->is_crashing = false;
+		e->down_until_ms = now_ms + crash_down_ms;
+	} else if (e->down_until_ms && now_ms >= e->down_until_ms) {
+		e->down_until_ms = 0;
+		e->born++;
+		listen(e);
+		write_entry(*e);
+	}
+}
+
 void Fleet::State::on_tick()
 {
 	int64_t now_ms = ck_now_ms();
 
+	for (auto &entry : engines)
+		crash_or_start(entry.second.get(), now_ms);
+
 	for (auto it = running.begin(); it != running.end();)
 		it = now_ms >= it->due_ms && go_on(*it) ? running.erase(it)
 							: std::next(it);
@@ -615,28 +683,13 @@
 {
 	run([&] {
 		auto e = std::make_unique<Engine>();
-		struct h1_server_desc desc = {};
-		static std::string ip;
 
-		ip = own_ip();
 		e->state = state.get();
 		e->id = id;
 		e->service = service;
 		e->model = model;
 		e->weights = weights;
-		desc.loop = state->loop;
-		desc.address = ip.c_str();
-		desc.on_request = [](void *arg, struct h1_exchange *x) {
-			auto *engine = static_cast<Engine *>(arg);
-
-			engine->state->on_engine(engine, x);
-		};
-		desc.on_gone = [](void *arg, struct h1_exchange *x) {
-			static_cast<Engine *>(arg)->state->running.remove_if(
-				[x](const Run &r) { return r.x == x; });
-		};
-		desc.arg = e.get();
-		EXPECT_EQ(h1_server_init(&e->server, &desc), ST_OK);
+		state->listen(e.get());
 		state->write_entry(*e);
 		state->engines[id] = std::move(e);
 	});
@@ -677,12 +730,7 @@
 		Engine *e = state->engines[id].get();
 
 		state->put("servers", id, "");
-		state->running.remove_if([e](const Run &r) {
-			if (r.engine == e)
-				h1_abort(r.x);
-			return r.engine == e;
-		});
-		h1_server_finish(&e->server);
+		state->close(e);
 		state->engines.erase(id);
 	});
 }
@@ -692,6 +740,22 @@
 	run([&] { state->history_from = ++state->version; });
 }
 
+void Fleet::crash_on(const std::string &body, int down_ms)
+{
+	run([&] {
+		state->crash_body = body;
+		state->crash_down_ms = down_ms;
+	});
+}
+
+int Fleet::crashes()
+{
+	int crashes = 0;
+
+	run([&] { crashes = state->crashes; });
+	return crashes;
+}
+
 int Fleet::runs(const std::string &attempt)
 {
 	int count = 0;
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -101,6 +101,16 @@
 	/** forget_history() - feeds that are behind must read the table. */
 	void forget_history();
 
+	/**
+	 * crash_on() - an engine that begins to run a request with @body ends:
+	 * its connections close, its port refuses, and after @down_ms it is
+	 * back at the same address as a new incarnation.
+	 */
+	void crash_on(const std::string &body, int down_ms);
+
+	/** crashes() - engines that ended so. */
+	int crashes();
+
 	/** runs() - begun for that attempt at any engine. */
 	int runs(const std::string &attempt);
 
--- /dev/null
+++ b/tests/sessions/gateway_crash_test.cc
@@ -0,0 +1,224 @@
+// Requests that end the engines which run them, at real gateways.
+#include <gtest/gtest.h>
+
+#include <signal.h>
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+#include "cluster.h"
+#include "fleet.h"
+#include "http.h"
+#include "process.h"
+
+using namespace harness;
+
+namespace
+{
+
+// An engine is away for this long after it has ended.
+const int down_ms = 700;
+// Promised of a request: it ends no more than three engines.
+const int most_crashes = 3;
+const char *const deadly = "ends engines";
+
+std::string route(const char *name, const char *kind, const char *service,
+		  int sends, bool is_resumable)
+{
+	return std::string("{\"name\":\"") + name +
+	       "\",\"host\":\"h\",\"prefix\":\"/" + name + "/\",\"kind\":\"" +
+	       kind + "\",\"timeout_ms\":3000,\"service\":\"" + service +
+	       "\",\"max_attempts\":" + std::to_string(sends) +
+	       ",\"resumable\":" + (is_resumable ? "true" : "false") + "}";
+}
+
+std::string config()
+{
+	return "{\"version\":1,\"routes\":[" +
+	       route("grade", "streaming", "llm", 2, true) + "," +
+	       route("draft", "streaming", "llm", 1, false) + "," +
+	       route("record", "non_idempotent", "app", 1, false) + "," +
+	       route("look", "idempotent", "app", 2, false) +
+	       "],\"services\":[{\"name\":\"llm\",\"engine\":{\"slots\":8}},"
+	       "{\"name\":\"app\"}],\"tenants\":[{\"name\":\"t1\","
+	       "\"api_keys\":[\"k1\"]}]}";
+}
+
+class Crash : public testing::Test
+{
+      protected:
+	TemporaryDirectory directory;
+	Fleet fleet;
+	std::map<std::string, std::unique_ptr<Process>> hosts;
+	std::atomic<int> asked{ 0 };
+
+	void SetUp() override
+	{
+		for (int i = 0; i < 5; i++) {
+			std::string n = std::to_string(i);
+
+			fleet.add_engine("e" + n, "llm", "m", 1);
+			fleet.add_engine("a" + n, "app");
+		}
+		fleet.put("op", "config", config());
+	}
+
+	void start(const std::string &host, const Place &place)
+	{
+		hosts[host] = std::make_unique<Process>(
+			std::vector<std::string>{
+				BALSAMPIN_PROGRAM, "gateway", "--settings",
+				fleet.settings(directory.path, host, place) },
+			directory.path + "/" + host + ".log");
+		ASSERT_TRUE(wait_until([&] {
+			return call(Fleet::readiness(host)).status == 200;
+		}));
+	}
+
+	void start_three()
+	{
+		start("h1", { "z1", "r1", "" });
+		start("h2", { "z2", "r1", "" });
+		start("h3", { "z3", "r2", "" });
+		for (const auto &host : hosts)
+			ASSERT_TRUE(hears(host.first, 2)) << host.first;
+	}
+
+	// Its messages to others come back: @count hosts speak to it.
+	static bool hears(const std::string &host, int count)
+	{
+		std::string name =
+			"\nbalsampin_gateway_peer_messages_heard_total ";
+
+		return wait_until([&] {
+			std::string page = call(Fleet::metrics(host)).body;
+			size_t at = page.find(name);
+
+			return at != std::string::npos &&
+			       std::stoi(page.substr(at + name.size())) >
+				       10 * count;
+		});
+	}
+
+	// Each time as its caller would: the same content, a new attempt.
+	Reply ask(const std::string &route, const std::string &body,
+		  const std::string &host = "h1")
+	{
+		Headers headers = { "Host: h", "Authorization: Bearer k1",
+				    "X-Attempt-Id: c" + std::to_string(++asked),
+				    "X-Deadline-Ms: 3000" };
+
+		if (route == "grade" || route == "draft") {
+			headers.push_back("X-Model: m");
+			headers.push_back("X-Token-Usage: 100,8");
+			headers.push_back("X-Prefix-Hash: aa:50,bb:30,cc:20");
+		}
+		return call(Fleet::url(host, "/" + route + "/x"), body, headers,
+			    "POST");
+	}
+
+	// Comes again, @times, a moment after each answer, to @hosts in turn.
+	Reply come_again(const std::string &route, int times,
+			 const std::vector<std::string> &hosts)
+	{
+		Reply last;
+
+		for (int i = 0; i < times; i++) {
+			last = ask(route, deadly, hosts[i % hosts.size()]);
+			std::this_thread::sleep_for(
+				std::chrono::milliseconds(150));
+		}
+		return last;
+	}
+};
+
+TEST_F(Crash, RequestThatEndsEnginesIsRefusedByItsHost)
+{
+	static const char *const routes[] = { "look", "grade", "draft",
+					      "record" };
+
+	start("h1", {});
+	fleet.crash_on(deadly, down_ms);
+	for (const char *name : routes) {
+		int before = fleet.crashes();
+		Reply last = come_again(name, 10, { "h1" });
+
+		EXPECT_LE(fleet.crashes() - before, most_crashes) << name;
+		EXPECT_EQ(last.status, 503) << name;
+		EXPECT_EQ(last.headers.count("retry-after"), 1u) << name;
+		EXPECT_EQ(ask(name, "harmless").status, 200) << name;
+	}
+}
+
+TEST_F(Crash, RequestThatEndsEnginesIsRefusedByAllHosts)
+{
+	start_three();
+	fleet.crash_on(deadly, down_ms);
+	Reply last = come_again("look", 12, { "h1", "h2", "h3" });
+	EXPECT_LE(fleet.crashes(), most_crashes);
+	EXPECT_EQ(last.status, 503);
+	EXPECT_EQ(ask("look", "harmless", "h3").status, 200);
+}
+
+TEST_F(Crash, RequestThatEndsEnginesIsRefusedAfterAllHostsRestarted)
+{
+	start_three();
+	fleet.crash_on(deadly, down_ms);
+	come_again("look", 12, { "h1", "h2", "h3" });
+	int before = fleet.crashes();
+
+	for (auto &host : hosts)
+		host.second->signal(SIGKILL);
+	for (auto &host : hosts)
+		host.second->wait();
+	start_three();
+	Reply last = come_again("look", 6, { "h1", "h2", "h3" });
+	EXPECT_EQ(fleet.crashes(), before);
+	EXPECT_EQ(last.status, 503);
+}
+
+// What was under way at the engine that ended is served elsewhere, and served
+// again when its caller comes back.
+TEST_F(Crash, RequestsBesideOneThatEndsEnginesAreServed)
+{
+	static const int beside = 12;
+
+	start("h1", {});
+	for (int i = 0; i < 5; i++)
+		fleet.behave("a" + std::to_string(i), Behaviour::pace);
+	fleet.crash_on(deadly, down_ms);
+	for (int round = 0; round < 3; round++) {
+		std::vector<std::thread> callers;
+		std::vector<long> statuses(beside);
+
+		for (int i = 0; i < beside; i++)
+			callers.emplace_back([&, i] {
+				statuses[i] =
+					ask("look", "body " + std::to_string(i))
+						.status;
+			});
+		ask("look", deadly);
+		for (auto &caller : callers)
+			caller.join();
+	}
+	std::this_thread::sleep_for(std::chrono::milliseconds(2 * down_ms));
+	for (int i = 0; i < beside; i++)
+		EXPECT_EQ(ask("look", "body " + std::to_string(i)).status, 200)
+			<< i;
+}
+
+// A connection that breaks is no engine that ends.
+TEST_F(Crash, EnginesThatBreakOffAndLiveEndNoTrustInARequest)
+{
+	start("h1", {});
+	for (int i = 0; i < 5; i++)
+		fleet.behave("a" + std::to_string(i), Behaviour::close);
+	for (int i = 0; i < 6; i++)
+		EXPECT_EQ(ask("look", "harmless").status, 502) << i;
+	for (int i = 0; i < 5; i++)
+		fleet.behave("a" + std::to_string(i), Behaviour::answer);
+	EXPECT_EQ(ask("look", "harmless").status, 200);
+}
+
+} // namespace
