--- a/src/fleet/fl.c
+++ b/src/fleet/fl.c
@@ -40,6 +40,28 @@
 	       a->port == b->port && !strcmp(a->service, b->service);
 }
 
+static uint64_t fl_hash_start(const struct dl_engine *entry)
+{
+	uint64_t start[] = { entry->started_ms, entry->ipv4, entry->port };
+
+	return XXH3_64bits(start, sizeof(start));
+}
+
+uint64_t fl_incarnation(const struct fl_engine *engine)
+{
+	return engine->_incarnation;
+}
+
+bool fl_is_ended_by(const struct fl_engine *engine,
+		    const struct dl_engine *entry)
+{
+	const struct dl_engine *old = &engine->entry;
+
+	if (!strcmp(old->id, entry->id))
+		return !fl_is_same_incarnation(old, entry);
+	return old->ipv4 == entry->ipv4 && old->port == entry->port;
+}
+
 static struct fl_engine *fl_add(struct fl_fleet *fleet,
 				const struct dl_engine *entry)
 {
@@ -47,6 +69,7 @@
 
 	e->entry = *entry;
 	e->hash = XXH3_64bits(entry->id, strlen(entry->id));
+	e->_incarnation = fl_hash_start(entry);
 	e->region = "";
 	e->_references = 1;
 	h1_peer_init(&e->peer, fleet->_loop, entry->ipv4, entry->port);
--- a/src/fleet/fl.h
+++ b/src/fleet/fl.h
@@ -36,7 +36,7 @@
  * @waiting_tokens: prompt tokens of theirs that are not read yet.
  * @failures: in a row.
  * @avoid_until_ms: it gets no request before, unless there is no other.
- * @checked_ms, @failed_checks, @is_checking: see gw_silence.h.
+ * @checked_ms, @failed_checks, @is_checking, @check_again: see gw_silence.h.
  * @region: of its availability zone; set by the owner of the fleet.
  * @region_number: of its name, equal for equal names.
  * @is_next: it is about to load new weights or does; see gw_plan.h.
@@ -54,12 +54,14 @@
 	int64_t checked_ms;
 	uint32_t failed_checks;
 	bool is_checking;
+	bool check_again;
 	const char *region;
 	uint32_t region_number;
 	bool is_next;
 	int64_t next_since_ms;
 	bool is_gone;
 
+	uint64_t _incarnation;
 	uint32_t _references;
 	int64_t _missing_until_ms;
 };
@@ -81,6 +83,13 @@
  */
 void fl_missing(struct fl_fleet *fleet, const char *id, int64_t keep_until_ms);
 
+/** fl_incarnation() - number of this start of it, the same on all hosts. */
+uint64_t fl_incarnation(const struct fl_engine *engine);
+
+/** fl_is_ended_by() - @entry tells that another one has taken its place. */
+bool fl_is_ended_by(const struct fl_engine *engine,
+		    const struct dl_engine *entry);
+
 /** fl_expire() - drop those that stayed missing; returns how many. */
 uint32_t fl_expire(struct fl_fleet *fleet, int64_t now_ms);
 
--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -7,6 +7,7 @@
 #include <sysexits.h>
 
 #include "gateway/gw.h"
+#include "gateway/gw_poison.h"
 #include "kernel/ck.h"
 #include "kernel/kn_registry.h"
 #include "kernel/lg.h"
@@ -123,6 +124,8 @@
 	ev_timer_start(g->kernel.loop, &g->log_timer);
 	if (code == ST_OK)
 		code = gw_rollout_start(g);
+	if (code == ST_OK)
+		code = gw_poison_start(g);
 	if (code == ST_OK)
 		code = gw_peers_start(g);
 	if (code == ST_OK)
@@ -156,6 +159,7 @@
 	ev_timer_stop(g->kernel.loop, &g->log_timer);
 	gw_front_stop(g);
 	gw_peers_stop(g);
+	gw_poison_stop(g);
 	gw_rollout_stop(g);
 	gw_knowledge_stop(g);
 }
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -19,6 +19,8 @@
  *	gw_hosts.c	the other hosts, from the gateway's own rows
  *	gw_catchup.c	a table of the store from another host
  *	gw_peers.c	messages between hosts: load, held prefixes
+ *	gw_roles.c	which host does what for the others
+ *	gw_poison.c	requests that crash engines
  *	gw_place.c	candidates for src/placement
  *
  *	The platform's spelling comes from a dialect (src/dialect/dl.h) and its
@@ -45,6 +47,7 @@
 struct gw_front;
 struct gw_peers;
 struct gw_catchup;
+struct gw_poison;
 
 /**
  * struct gw_gateway - what the parts share.
@@ -95,6 +98,7 @@
 	struct gw_front *front;
 	struct gw_peers *peers;
 	struct gw_catchup *catchup;
+	struct gw_poison *poison;
 };
 
 /** gw_is_ready() - whether this host should get new connections. */
@@ -128,6 +132,28 @@
 /** gw_peers_rank() - how many hosts that speak come before this one. */
 uint32_t gw_peers_rank(const struct gw_gateway *g);
 
+/** gw_peers_read_rows() - read the gateway's own rows without delay. */
+void gw_peers_read_rows(struct gw_gateway *g);
+
+#define GW_NO_HOME UINT32_MAX
+
+/** gw_peers_home_turn() - place of this host among the homes of @key. */
+uint32_t gw_peers_home_turn(const struct gw_gateway *g, uint64_t key);
+
+/** gw_peers_is_home() - this host is one of them; see peers/pe_home.h. */
+static inline bool gw_peers_is_home(const struct gw_gateway *g, uint64_t key)
+{
+	return gw_peers_home_turn(g, key) != GW_NO_HOME;
+}
+
+/** gw_peers_call_homes() - a one-way call to the other homes of @key. */
+void gw_peers_call_homes(struct gw_gateway *g, uint64_t key, uint32_t number,
+			 xdrproc_t args, const void *value);
+
+/** gw_peers_call_all() - a one-way call to all other hosts. */
+void gw_peers_call_all(struct gw_gateway *g, uint32_t number, xdrproc_t args,
+		       const void *value);
+
 /** gw_peers_tell_held() - an engine has read a prefix. */
 void gw_peers_tell_held(struct gw_gateway *g, uint64_t key, uint64_t engine);
 
--- a/src/gateway/gw_hosts.h
+++ b/src/gateway/gw_hosts.h
@@ -70,6 +70,12 @@
 /** gw_hosts_step() - read the rows if it is time. */
 void gw_hosts_step(struct gw_hosts *hosts, int64_t now_ms);
 
+/** gw_hosts_read_soon() - with the next step. */
+static inline void gw_hosts_read_soon(struct gw_hosts *hosts)
+{
+	hosts->_next_read_ms = 0;
+}
+
 /** gw_hosts_rows() - the gateway's own rows were read, for whatever reason. */
 void gw_hosts_rows(struct gw_hosts *hosts, const struct rw_rows *rows);
 
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -5,6 +5,7 @@
 
 #include "gateway/gw.h"
 #include "gateway/gw_catchup.h"
+#include "gateway/gw_poison.h"
 #include "gateway/gw_relay.h"
 #include "gateway/gw_silence.h"
 #include "kernel/ck.h"
@@ -135,12 +136,29 @@
 static void gw_lose_engine(struct gw_knowledge *k, const char *id)
 {
 	int64_t until_ms = gw_keep_until_ms(k);
+	struct fl_engine *e = fl_find(&k->gateway->fleet, id);
 
-	if (!fl_find(&k->gateway->fleet, id))
+	if (!e)
 		return;
+	fl_ref(e);
 	fl_missing(&k->gateway->fleet, id, until_ms);
 	lg_info("entry gone", "event", "engine_entry_gone", "engine", id,
 		"outcome", until_ms ? "kept_for_now" : "dropped", NULL);
+	if (gw_poison_doubts(k->gateway, e))
+		gw_silence_check(k->gateway, e);
+	fl_unref(e);
+}
+
+/* At most one: addresses are not shared. */
+static void gw_end_replaced(struct gw_gateway *g, const struct dl_engine *entry)
+{
+	struct fl_engine *replaced = NULL;
+
+	fl_for_each (&g->fleet, e)
+		if (fl_is_ended_by(e, entry))
+			replaced = e;
+	if (replaced)
+		gw_poison_engine_ended(g, replaced, "replaced");
 }
 
 static void gw_take_engine(struct gw_knowledge *k, const struct rw_row *row)
@@ -166,6 +184,7 @@
 			entry.zone, "state",
 			entry.is_draining ? "draining" : "ready", "weights",
 			weights, NULL);
+	gw_end_replaced(g, &entry);
 	known = fl_put(&g->fleet, &entry);
 	known->region = gw_region_of(&g->settings, entry.zone);
 	known->region_number = g_quark_from_string(known->region);
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -6,13 +6,12 @@
 
 #include "gateway/gw.h"
 #include "gateway/gw_catchup.h"
-#include "gateway/gw_hosts.h"
+#include "gateway/gw_peers.h"
+#include "gateway/gw_poison.h"
 #include "gateway/gw_relay.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt.h"
-#include "peers/pe_kept.h"
-#include "peers/pe_reader.h"
 #include "rpc/gen/balsampin.h"
 
 /* A third of the shortest time between two messages to a peer. */
@@ -31,11 +30,7 @@
 #define GW_FORGET_LOAD_MS 5000
 /* Beyond what any engine or store keeps. */
 #define GW_FORGET_HELD_MS 30000
-/* Hosts that are looked at in the choice of a reader. */
-#define GW_MAX_HOSTS 512
-/* The next host in order reads for the region when the reader is silent. */
-#define GW_READER_SILENT_MS 1000
-#define GW_SWEEP_MS	    1000
+#define GW_SWEEP_MS	  1000
 /* Of the repeats that are always allowed; the rest is for hosts that come and
  * go within the time over which repeats are counted. */
 #define GW_RETRY_PART 0.6
@@ -47,19 +42,6 @@
 MT_COUNTER(gw_peer_heard, "balsampin_gateway_peer_messages_heard_total",
 	   "load messages of other hosts")
 
-struct gw_peers {
-	struct gw_gateway *gateway;
-	struct gw_hosts hosts;
-	struct rp_endpoint rpc;
-	bool is_open;
-	ev_timer tick;
-	GArray *news;
-	uint64_t news_end;
-	uint64_t sequence;
-	struct pe_kept kept;
-	int64_t next_sweep_ms;
-};
-
 static void gw_on_load(void *arg, struct rp_request *request, const void *args)
 {
 	struct gw_peers *p = arg;
@@ -210,6 +192,7 @@
 	pe_held_expire(&p->gateway->held, now_ms - GW_FORGET_HELD_MS);
 	gw_share_retries(p);
 	gw_estimate_kept(p);
+	gw_poison_sweep(p->gateway, now_ms);
 }
 
 static void gw_on_peers_tick(struct ev_loop *loop, ev_timer *w, int events)
@@ -270,6 +253,8 @@
 		code = gw_relay_serve(p->gateway, &p->rpc);
 	if (code == ST_OK)
 		code = gw_catchup_serve(p->gateway, &p->rpc);
+	if (code == ST_OK)
+		code = gw_poison_serve(p->gateway, &p->rpc);
 	p->is_open = code == ST_OK;
 	if (!p->is_open)
 		lg_warn("no messages to other hosts", "event", "peers_closed",
@@ -291,86 +276,16 @@
 
 void gw_peers_rows(struct gw_gateway *g, const struct rw_rows *rows)
 {
-	if (g->peers && g->settings.peers.address[0])
-		gw_hosts_rows(&g->peers->hosts, rows);
-}
-
-static bool gw_is_heard(const struct gw_peer *peer, int64_t now_ms)
-{
-	return peer->has_spoken &&
-	       now_ms - peer->heard_ms <
-		       GW_READER_SILENT_MS + 2 * peer->period_ms;
-}
-
-/* This host first, then those that are heard. */
-static uint32_t gw_list_hosts(const struct gw_gateway *g, struct pe_host *hosts)
-{
-	const struct gw_settings *s = &g->settings;
-	const struct gw_peers *p = g->peers;
-	int64_t now_ms = ck_now_ms();
-	uint32_t count = 1;
-
-	hosts[0] = (struct pe_host){ gw_name_hash(s->host),
-				     g_quark_from_string(s->region),
-				     gw_takes_part(g) };
-	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++) {
-		const struct gw_peer *peer = p->hosts.peers->pdata[i];
-
-		if (count < GW_MAX_HOSTS && gw_is_heard(peer, now_ms))
-			hosts[count++] =
-				(struct pe_host){ peer->hash, peer->region,
-						  peer->takes_part };
-	}
-	return count;
-}
-
-bool gw_peers_is_reader(const struct gw_gateway *g)
-{
-	struct pe_host hosts[GW_MAX_HOSTS];
-	uint32_t count = gw_list_hosts(g, hosts);
-
-	return pe_reader_of(hosts, count, hosts[0].region) <= 0;
-}
-
-uint32_t gw_peers_rank(const struct gw_gateway *g)
-{
-	struct pe_host hosts[GW_MAX_HOSTS];
-	uint32_t count = gw_list_hosts(g, hosts);
-
-	return pe_rank_of(hosts, count, hosts[0].hash);
+	if (!g->peers || !g->settings.peers.address[0])
+		return;
+	gw_hosts_rows(&g->peers->hosts, rows);
+	gw_poison_rows(g, rows);
 }
 
-void gw_peers_call_told(struct gw_gateway *g, uint32_t number, xdrproc_t args,
-			const void *value)
+void gw_peers_read_rows(struct gw_gateway *g)
 {
-	struct pe_host hosts[GW_MAX_HOSTS];
-	uint32_t count = gw_list_hosts(g, hosts);
-	struct gw_peers *p = g->peers;
-	uint32_t region = 0;
-	bool reads_for_region = false;
-
-	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++) {
-		const struct gw_peer *peer = p->hosts.peers->pdata[i];
-
-		/* Rows are sorted by host: those of a region mostly follow each
-		 * other. No quark is 0. */
-		if (peer->region != region) {
-			region = peer->region;
-			reads_for_region =
-				pe_reader_of(hosts, count, region) == 0;
-		}
-		if (!reads_for_region)
-			continue;
-		rp_call(&p->rpc,
-			&(struct rp_call_desc){
-				.to = { .ipv4 = peer->address.ipv4,
-					.port = peer->address.port },
-				.number = number,
-				.args = args,
-				.args_value = value,
-				.deadline_ms = GW_NEAR_MS },
-			NULL);
-	}
+	if (g->peers)
+		gw_hosts_read_soon(&g->peers->hosts);
 }
 
 enum st_code gw_peers_call(struct gw_gateway *g,
--- /dev/null
+++ b/src/gateway/gw_poison.c
@@ -0,0 +1,387 @@
+#include "gateway/gw_poison.h"
+
+#include <string.h>
+
+#include "gateway/gw_hosts.h"
+#include "gateway/gw_request.h"
+#include "kernel/ck.h"
+#include "kernel/lg.h"
+#include "kernel/mt.h"
+#include "limits/ps_row.h"
+#include "rpc/gen/balsampin.h"
+
+#define GW_POISON_ROW "poison"
+/* Charges of one engine; it runs a few hundred requests at most. */
+#define GW_MAX_CHARGED 1024
+/* The homes tell again that often, so many at a time. */
+#define GW_TELL_PERIOD_MS 2000
+#define GW_MAX_TOLD	  16
+#define GW_EXPIRE_MS	  60000
+/* The next home writes the row when it has been out of date for so long. */
+#define GW_ROW_TURN_MS	  3000
+#define GW_ROW_TIMEOUT_MS 1000
+
+MT_COUNTER(gw_ended_engines, "balsampin_gateway_engines_ended_total",
+	   "engines found to have ended while requests ran there")
+MT_COUNTER(gw_charged, "balsampin_gateway_requests_charged_total",
+	   "requests that were running at an engine which ended")
+MT_GAUGE(gw_proven, "balsampin_gateway_poisoned_requests",
+	 "contents that are refused as they crash engines")
+
+/*
+ * @row_text, @row_version: as last read; the row is out of date since
+ * @row_stale_ms.
+ */
+struct gw_poison {
+	struct ps_table table;
+	struct rw_call write;
+	bool is_writing;
+	bool has_read;
+	char *row_text;
+	uint64_t row_version;
+	int64_t row_stale_ms;
+	int64_t store_ahead_ms;
+	int64_t next_tell_ms;
+	int64_t next_expire_ms;
+};
+
+/* What is known against it, as a message. */
+static bp_gateway_suspect gw_to_wire(const struct ps_suspect *s,
+				     bp_charge *charges, int64_t now_ms)
+{
+	for (uint32_t i = 0; i < s->count; i++)
+		charges[i] =
+			(bp_charge){ s->crashes[i].engine,
+				     s->crashes[i].incarnation,
+				     MAX(now_ms - s->crashes[i].at_ms, 0) };
+	return (bp_gateway_suspect){ .fingerprint = s->fingerprint,
+				     .charges = { s->count, charges } };
+}
+
+static void gw_log_suspect(const char *event, const struct ps_suspect *s,
+			   const char *evidence)
+{
+	char content[20], crashes[12];
+
+	g_snprintf(content, sizeof(content), "%" G_GINT64_MODIFIER "x",
+		   s->fingerprint);
+	g_snprintf(crashes, sizeof(crashes), "%u", s->count);
+	lg_info("request under suspicion", "event", event, "content", content,
+		"crashes", crashes, "outcome",
+		s->is_proven ? "refused" : "watched", "evidence", evidence,
+		NULL);
+}
+
+static void gw_tell_all(struct gw_gateway *g, const struct ps_suspect *s)
+{
+	bp_charge charges[PS_MAX_CRASHES];
+	bp_gateway_suspect message = gw_to_wire(s, charges, ck_now_ms());
+
+	gw_peers_call_all(g, BP_GATEWAY_SUSPECT,
+			  (xdrproc_t)xdr_bp_gateway_suspect, &message);
+}
+
+/* A charge is new here. */
+static void gw_pass_on(struct gw_gateway *g, uint64_t content,
+		       const char *evidence)
+{
+	struct ps_suspect s;
+
+	if (!ps_find(&g->poison->table, content, &s))
+		return;
+	if (s.count >= PS_POISON_CRASHES)
+		gw_log_suspect("request_suspected", &s, evidence);
+	if (s.count >= PS_POISON_CRASHES && gw_peers_is_home(g, content))
+		gw_tell_all(g, &s);
+}
+
+static void gw_tell_cleared(struct gw_gateway *g, uint64_t content,
+			    int64_t age_ms)
+{
+	bp_gateway_suspect message = { .fingerprint = content,
+				       .cleared = true,
+				       .cleared_age_ms = age_ms };
+
+	gw_peers_call_homes(g, content, BP_GATEWAY_SUSPECT,
+			    (xdrproc_t)xdr_bp_gateway_suspect, &message);
+}
+
+/* What was proven has been told to all hosts, and so is its clearing. */
+static void gw_take_cleared(struct gw_gateway *g,
+			    const bp_gateway_suspect *message)
+{
+	struct ps_table *table = &g->poison->table;
+	struct ps_suspect before, after;
+	bool was_told = ps_find(table, message->fingerprint, &before) &&
+			before.count >= PS_POISON_CRASHES;
+
+	ps_peer(table, message->fingerprint, 0, 0, message->cleared_age_ms,
+		ck_now_ms());
+	if (!was_told || (ps_find(table, message->fingerprint, &after) &&
+			  after.count == before.count))
+		return;
+	before.is_proven = false;
+	gw_log_suspect("request_cleared", &before, "completed_elsewhere");
+	if (gw_peers_is_home(g, message->fingerprint))
+		gw_peers_call_all(g, BP_GATEWAY_SUSPECT,
+				  (xdrproc_t)xdr_bp_gateway_suspect, message);
+}
+
+static uint32_t gw_count_crashes(const struct gw_gateway *g, uint64_t content)
+{
+	struct ps_suspect s;
+
+	return ps_find(&g->poison->table, content, &s) ? s.count : 0;
+}
+
+/* This host has had a whole answer after one of the crashes. */
+static void gw_contradict(struct gw_gateway *g,
+			  const bp_gateway_suspect *message, int64_t now_ms)
+{
+	int64_t completed_ms =
+		ps_completed_ms(&g->poison->table, message->fingerprint);
+
+	for (uint32_t i = 0; i < message->charges.charges_len; i++) {
+		int64_t age_ms = message->charges.charges_val[i].age_ms;
+
+		if (!completed_ms || completed_ms < now_ms - age_ms)
+			continue;
+		gw_tell_cleared(g, message->fingerprint, now_ms - completed_ms);
+		return;
+	}
+}
+
+static void gw_on_suspect(void *arg, struct rp_request *request,
+			  const void *args)
+{
+	struct gw_gateway *g = arg;
+	const bp_gateway_suspect *message = args;
+	uint32_t before = gw_count_crashes(g, message->fingerprint);
+	int64_t now_ms = ck_now_ms();
+
+	if (message->cleared)
+		gw_take_cleared(g, message);
+	for (uint32_t i = 0; i < message->charges.charges_len; i++) {
+		const bp_charge *charge = &message->charges.charges_val[i];
+
+		ps_peer(&g->poison->table, message->fingerprint, charge->engine,
+			charge->incarnation, charge->age_ms, now_ms);
+	}
+	gw_contradict(g, message, now_ms);
+	if (gw_count_crashes(g, message->fingerprint) > before)
+		gw_pass_on(g, message->fingerprint, "told");
+	rp_drop(request);
+}
+
+enum st_code gw_poison_serve(struct gw_gateway *g, struct rp_endpoint *rpc)
+{
+	return rp_serve(rpc, &(struct rp_procedure){
+				     .number = BP_GATEWAY_SUSPECT,
+				     .args = (xdrproc_t)xdr_bp_gateway_suspect,
+				     .args_bytes = sizeof(bp_gateway_suspect),
+				     .handler = gw_on_suspect,
+				     .arg = g });
+}
+
+struct ps_answer gw_poison_check(struct gw_gateway *g, uint64_t content)
+{
+	return ps_check(&g->poison->table, content, ck_now_ms());
+}
+
+uint32_t gw_poison_avoid(const struct gw_gateway *g, uint64_t content,
+			 uint64_t *engines, uint32_t capacity)
+{
+	uint32_t count =
+		ps_avoid(&g->poison->table, content, engines, capacity);
+
+	return MIN(count, capacity);
+}
+
+void gw_poison_sent(struct gw_request *r)
+{
+	r->is_counted = true;
+	ps_started(&r->gateway->poison->table, r->content, r->engine->hash,
+		   fl_incarnation(r->engine), ck_now_ms());
+}
+
+void gw_poison_ended(struct gw_request *r, enum ps_end end)
+{
+	struct gw_gateway *g = r->gateway;
+
+	if (!r->is_counted)
+		return;
+	r->is_counted = false;
+	/* One that leaves ends what it still runs. */
+	if (end == PS_BROKEN &&
+	    (r->engine->is_gone || r->engine->entry.is_draining))
+		end = PS_CANCELLED;
+	if (ps_ended(&g->poison->table, r->content, r->engine->hash,
+		     fl_incarnation(r->engine), end, ck_now_ms()))
+		gw_tell_cleared(g, r->content, 0);
+}
+
+static void gw_charge(struct gw_gateway *g, uint64_t content,
+		      const struct fl_engine *e)
+{
+	bp_charge charge = { e->hash, fl_incarnation(e), 0 };
+	bp_gateway_suspect message = { .fingerprint = content,
+				       .charges = { 1, &charge } };
+
+	mt_add(&gw_charged, 1);
+	gw_peers_call_homes(g, content, BP_GATEWAY_SUSPECT,
+			    (xdrproc_t)xdr_bp_gateway_suspect, &message);
+	gw_pass_on(g, content, "ran_there");
+}
+
+void gw_poison_engine_ended(struct gw_gateway *g, const struct fl_engine *e,
+			    const char *evidence)
+{
+	uint64_t charged[GW_MAX_CHARGED];
+	char requests[12];
+	uint32_t count;
+
+	if (e->entry.is_draining)
+		return;
+	count = ps_crashed(&g->poison->table, e->hash, fl_incarnation(e),
+			   charged, GW_MAX_CHARGED, ck_now_ms());
+	if (!count)
+		return;
+	mt_add(&gw_ended_engines, 1);
+	g_snprintf(requests, sizeof(requests), "%u", count);
+	lg_warn("engine ended with requests", "event", "engine_ended", "engine",
+		e->entry.id, "evidence", evidence, "requests", requests, NULL);
+	for (uint32_t i = 0; i < count; i++)
+		gw_charge(g, charged[i], e);
+}
+
+void gw_poison_engine_lives(struct gw_gateway *g, const struct fl_engine *e)
+{
+	ps_lives(&g->poison->table, e->hash, fl_incarnation(e));
+}
+
+bool gw_poison_doubts(const struct gw_gateway *g, const struct fl_engine *e)
+{
+	return ps_broke_at(&g->poison->table, e->hash, fl_incarnation(e),
+			   ck_now_ms());
+}
+
+void gw_poison_rows(struct gw_gateway *g, const struct rw_rows *rows)
+{
+	struct gw_poison *p = g->poison;
+	int64_t now_ms = ck_now_ms();
+
+	g_free(p->row_text);
+	p->row_text = NULL;
+	p->row_version = 0;
+	p->has_read = true;
+	p->store_ahead_ms = rows->store_ms - now_ms;
+	for (uint32_t i = 0; i < rows->count; i++) {
+		const struct rw_row *row = &rows->rows[i];
+
+		if (strcmp(row->key, GW_POISON_ROW) != 0)
+			continue;
+		p->row_text = g_strdup(row->value);
+		p->row_version = row->version;
+	}
+	ps_row_read(&p->table, p->row_text, now_ms, rows->store_ms);
+}
+
+static void gw_on_poison_written(void *arg, enum st_code code, uint64_t version)
+{
+	struct gw_gateway *g = arg;
+
+	g->poison->is_writing = false;
+	g->poison->has_read = false;
+	if (code != ST_OK)
+		lg_info("row of refused requests not written", "event",
+			"poison_row", "outcome",
+			code == ST_CONFLICT ? "conflict" : "failed", "reason",
+			st_message(), NULL);
+	gw_peers_read_rows(g);
+}
+
+static void gw_write_poison(struct gw_gateway *g, int64_t now_ms)
+{
+	struct gw_poison *p = g->poison;
+	char *text =
+		ps_row_format(&p->table, now_ms, now_ms + p->store_ahead_ms);
+
+	p->is_writing = true;
+	lg_info("row of refused requests written", "event", "poison_row",
+		"outcome", "sent", NULL);
+	rw_write(&g->store,
+		 &(struct rw_write){ .table = g->dialect->own_table,
+				     .key = GW_POISON_ROW,
+				     .value = text,
+				     .version = p->row_version,
+				     .timeout_ms = GW_ROW_TIMEOUT_MS },
+		 gw_on_poison_written, g, &p->write);
+	g_free(text);
+}
+
+/* The homes of the row take turns. */
+static void gw_keep_row(struct gw_gateway *g, int64_t now_ms)
+{
+	struct gw_poison *p = g->poison;
+
+	if (!p->has_read || p->is_writing)
+		return;
+	if (ps_row_is_current(&p->table, p->row_text, now_ms)) {
+		p->row_stale_ms = 0;
+		return;
+	}
+	if (!p->row_stale_ms)
+		p->row_stale_ms = now_ms;
+	if (now_ms - p->row_stale_ms >=
+	    gw_peers_home_turn(g, 0) * GW_ROW_TURN_MS)
+		gw_write_poison(g, now_ms);
+}
+
+static void gw_tell_again(struct gw_gateway *g)
+{
+	struct ps_suspect suspects[GW_MAX_TOLD];
+	uint32_t count = ps_list(&g->poison->table, suspects, GW_MAX_TOLD);
+	uint32_t proven = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		proven += suspects[i].is_proven;
+		if (gw_peers_is_home(g, suspects[i].fingerprint))
+			gw_tell_all(g, &suspects[i]);
+	}
+	mt_set(&gw_proven, proven);
+}
+
+void gw_poison_sweep(struct gw_gateway *g, int64_t now_ms)
+{
+	struct gw_poison *p = g->poison;
+
+	gw_keep_row(g, now_ms);
+	if (now_ms >= p->next_tell_ms) {
+		p->next_tell_ms = now_ms + GW_TELL_PERIOD_MS;
+		gw_tell_again(g);
+	}
+	if (now_ms >= p->next_expire_ms) {
+		p->next_expire_ms = now_ms + GW_EXPIRE_MS;
+		ps_expire(&p->table, now_ms);
+	}
+}
+
+enum st_code gw_poison_start(struct gw_gateway *g)
+{
+	g->poison = g_new0(struct gw_poison, 1);
+	ps_init(&g->poison->table);
+	return ST_OK;
+}
+
+void gw_poison_stop(struct gw_gateway *g)
+{
+	struct gw_poison *p = g->poison;
+
+	if (!p)
+		return;
+	rw_cancel(&g->store, &p->write);
+	ps_finish(&p->table);
+	g_free(p->row_text);
+	g_free(p);
+	g->poison = NULL;
+}
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "gateway/gw_poison.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt.h"
@@ -19,6 +20,8 @@
  * some work, spread so that callers do not return as one wave. */
 #define GW_RETRY_AFTER_MIN_S 0.3
 #define GW_RETRY_AFTER_MAX_S 0.9
+/* For a request that crashes engines: coming back soon is of no use. */
+#define GW_POISON_RETRY_AFTER_MS 30000
 /* After SIGTERM requests are taken that long: their streams can still end. */
 #define GW_STOP_TAKES_MS 2500
 /* An attempt that has not begun on old weights is ended so long before the
@@ -112,6 +115,14 @@
 		mt_add(&gw_rejected, 1);
 }
 
+static double gw_retry_after_s(const struct gw_request *r)
+{
+	if (r->retry_after_ms)
+		return r->retry_after_ms / 1000.0;
+	return g_random_double_range(GW_RETRY_AFTER_MIN_S,
+				     GW_RETRY_AFTER_MAX_S);
+}
+
 void gw_request_refuse(struct gw_request *r, uint32_t status,
 		       const char *reason)
 {
@@ -128,9 +139,7 @@
 	h1_headers_init(&headers);
 	h1_headers_add(&headers, "Content-Type", "application/json");
 	if (status == 503) {
-		g_snprintf(after, sizeof(after), "%.2f",
-			   g_random_double_range(GW_RETRY_AFTER_MIN_S,
-						 GW_RETRY_AFTER_MAX_S));
+		g_snprintf(after, sizeof(after), "%.2f", gw_retry_after_s(r));
 		h1_headers_add(&headers, "Retry-After", after);
 	}
 	snprintf(body, sizeof(body), "{\"error\": \"%s\"}\n", reason);
@@ -217,6 +226,39 @@
 	}
 }
 
+/* It may be tried once more, but not beside those that it may be taken for. */
+static void gw_avoid_rivals(struct gw_request *r)
+{
+	uint64_t engines[GW_MAX_TRIED];
+	uint32_t count =
+		gw_poison_avoid(r->gateway, r->content, engines, GW_MAX_TRIED);
+
+	for (uint32_t i = 0; i < count && r->tried_count < GW_MAX_TRIED; i++)
+		r->tried[r->tried_count++] = engines[i];
+}
+
+/* Answers the request if it is held back or refused, and frees it. */
+static bool gw_is_held_back(struct gw_request *r)
+{
+	struct ps_answer answer = gw_poison_check(r->gateway, r->content);
+
+	switch (answer.verdict) {
+	case PS_HOLD:
+		r->retry_after_ms = answer.retry_after_ms;
+		gw_give_up(r, "held_back");
+		return true;
+	case PS_REFUSE:
+		r->retry_after_ms = GW_POISON_RETRY_AFTER_MS;
+		gw_give_up(r, "crashes_engines");
+		return true;
+	case PS_APART:
+		gw_avoid_rivals(r);
+		return false;
+	default:
+		return false;
+	}
+}
+
 void gw_request_place(struct gw_request *r)
 {
 	struct gw_place_request request = {
@@ -224,10 +266,12 @@
 		.model = r->in.model,
 		.prefix = r->prefix,
 		.tried = r->tried,
-		.tried_count = r->tried_count,
 	};
 	struct gw_place_answer answer;
 
+	if (gw_is_held_back(r))
+		return;
+	request.tried_count = r->tried_count;
 	answer = gw_place(r->gateway, &request, ck_now_ms());
 	if (!answer.engine || r->failed_connects >= GW_MAX_FAILED_CONNECTS)
 		gw_give_up(r, "no_engine");
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -40,10 +40,12 @@
  * @store_hash: of the store that has the prefix after the first token; or 0.
  * @weights: of the engine when it was sent there.
  * @is_early: held until the first read of the store, see gw_admit.h.
+ * @is_counted: gw_poison.h counts the attempt as running.
  * @is_awaiting: sent, and nothing of the answer has come.
  * @is_prompt_waiting: sent, and its first event has not come.
  * @sends: upstreams it was sent to.
  * @failed_connects: upstreams that took no connection.
+ * @retry_after_ms: of a refusal; 0: soon, see gw_request.c.
  * @may_have_begun: some upstream may have run it.
  * @heard_ms: when it was sent, or the last byte of the answer came.
  * @answer: signs of the upstream's answer.
@@ -70,6 +72,7 @@
 	uint64_t store_hash;
 	uint64_t weights;
 	bool is_early;
+	bool is_counted;
 	bool is_awaiting;
 	bool is_prompt_waiting;
 	struct h1_call call;
@@ -77,6 +80,7 @@
 	uint32_t failed_connects;
 	uint64_t tried[GW_MAX_TRIED];
 	uint32_t tried_count;
+	int64_t retry_after_ms;
 	bool may_have_begun;
 	int64_t sent_ms;
 	int64_t heard_ms;
--- /dev/null
+++ b/src/gateway/gw_roles.c
@@ -0,0 +1,159 @@
+/*
+ * Which host does what for the others; nobody is elected, each works it out.
+ */
+#include "gateway/gw.h"
+#include "gateway/gw_peers.h"
+#include "gateway/gw_relay.h"
+#include "kernel/ck.h"
+#include "peers/pe_home.h"
+#include "peers/pe_reader.h"
+
+/* Hosts that are looked at in the choice of a reader. */
+#define GW_MAX_HOSTS 512
+/* The next host in order reads for the region when the reader is silent. */
+#define GW_READER_SILENT_MS 1000
+/* Of a call whose answer is not awaited. */
+#define GW_ONE_WAY_MS 60
+
+static bool gw_is_heard(const struct gw_peer *peer, int64_t now_ms)
+{
+	return peer->has_spoken &&
+	       now_ms - peer->heard_ms <
+		       GW_READER_SILENT_MS + 2 * peer->period_ms;
+}
+
+/* This host first, then those that are heard. */
+static uint32_t gw_list_hosts(const struct gw_gateway *g, struct pe_host *hosts)
+{
+	const struct gw_settings *s = &g->settings;
+	const struct gw_peers *p = g->peers;
+	int64_t now_ms = ck_now_ms();
+	uint32_t count = 1;
+
+	hosts[0] = (struct pe_host){ gw_name_hash(s->host),
+				     g_quark_from_string(s->region),
+				     gw_takes_part(g) };
+	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++) {
+		const struct gw_peer *peer = p->hosts.peers->pdata[i];
+
+		if (count < GW_MAX_HOSTS && gw_is_heard(peer, now_ms))
+			hosts[count++] =
+				(struct pe_host){ peer->hash, peer->region,
+						  peer->takes_part };
+	}
+	return count;
+}
+
+bool gw_peers_is_reader(const struct gw_gateway *g)
+{
+	struct pe_host hosts[GW_MAX_HOSTS];
+	uint32_t count = gw_list_hosts(g, hosts);
+
+	return pe_reader_of(hosts, count, hosts[0].region) <= 0;
+}
+
+uint32_t gw_peers_rank(const struct gw_gateway *g)
+{
+	struct pe_host hosts[GW_MAX_HOSTS];
+	uint32_t count = gw_list_hosts(g, hosts);
+
+	return pe_rank_of(hosts, count, hosts[0].hash);
+}
+
+static void gw_call_peer(struct gw_peers *p, const struct gw_peer *peer,
+			 uint32_t number, xdrproc_t args, const void *value)
+{
+	rp_call(&p->rpc,
+		&(struct rp_call_desc){ .to = { .ipv4 = peer->address.ipv4,
+						.port = peer->address.port },
+					.number = number,
+					.args = args,
+					.args_value = value,
+					.deadline_ms = GW_ONE_WAY_MS },
+		NULL);
+}
+
+void gw_peers_call_told(struct gw_gateway *g, uint32_t number, xdrproc_t args,
+			const void *value)
+{
+	struct pe_host hosts[GW_MAX_HOSTS];
+	uint32_t count = gw_list_hosts(g, hosts);
+	struct gw_peers *p = g->peers;
+	uint32_t region = 0;
+	bool reads_for_region = false;
+
+	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++) {
+		const struct gw_peer *peer = p->hosts.peers->pdata[i];
+
+		/* Rows are sorted by host: those of a region mostly follow each
+		 * other. No quark is 0. */
+		if (peer->region != region) {
+			region = peer->region;
+			reads_for_region =
+				pe_reader_of(hosts, count, region) == 0;
+		}
+		if (!reads_for_region)
+			continue;
+		gw_call_peer(p, peer, number, args, value);
+	}
+}
+
+/*
+ * Homes of @key as places in @peers; NULL there stands for this host. Hosts
+ * that are not heard keep nothing for others.
+ */
+static uint32_t gw_find_homes(const struct gw_gateway *g, uint64_t key,
+			      const struct gw_peer *homes[PE_HOMES])
+{
+	const struct gw_peers *p = g->peers;
+	const struct gw_peer *peers[GW_MAX_HOSTS] = { NULL };
+	uint64_t hashes[GW_MAX_HOSTS];
+	uint32_t places[PE_HOMES];
+	uint32_t count = 1, found;
+	int64_t now_ms = ck_now_ms();
+
+	hashes[0] = gw_name_hash(g->settings.host);
+	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++) {
+		const struct gw_peer *peer = p->hosts.peers->pdata[i];
+
+		if (count == GW_MAX_HOSTS || !gw_is_heard(peer, now_ms))
+			continue;
+		peers[count] = peer;
+		hashes[count++] = peer->hash;
+	}
+	found = pe_homes(hashes, count, key, places);
+	for (uint32_t i = 0; i < found; i++)
+		homes[i] = peers[places[i]];
+	return found;
+}
+
+uint32_t gw_peers_home_turn(const struct gw_gateway *g, uint64_t key)
+{
+	const struct gw_peer *homes[PE_HOMES];
+	uint32_t count = gw_find_homes(g, key, homes);
+
+	for (uint32_t i = 0; i < count; i++)
+		if (!homes[i])
+			return i;
+	return GW_NO_HOME;
+}
+
+void gw_peers_call_homes(struct gw_gateway *g, uint64_t key, uint32_t number,
+			 xdrproc_t args, const void *value)
+{
+	const struct gw_peer *homes[PE_HOMES];
+	uint32_t count = gw_find_homes(g, key, homes);
+
+	for (uint32_t i = 0; i < count; i++)
+		if (homes[i])
+			gw_call_peer(g->peers, homes[i], number, args, value);
+}
+
+void gw_peers_call_all(struct gw_gateway *g, uint32_t number, xdrproc_t args,
+		       const void *value)
+{
+	struct gw_peers *p = g->peers;
+
+	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++)
+		gw_call_peer(p, p->hosts.peers->pdata[i], number, args, value);
+}
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -4,7 +4,9 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "gateway/gw_poison.h"
 #include "gateway/gw_request.h"
+#include "gateway/gw_silence.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt_family.h"
@@ -94,9 +96,16 @@
 	fl_unref(e);
 }
 
+static bool gw_is_silent(const struct gw_request *r)
+{
+	return gw_silence_of(ck_now_ms() - r->heard_ms, r->mode != GW_NO_ANSWER,
+			     true) != GW_HEARD;
+}
+
 void gw_send_cancel(struct gw_request *r)
 {
 	h1_call_cancel(&r->call);
+	gw_poison_ended(r, gw_is_silent(r) ? PS_LEFT : PS_CANCELLED);
 	gw_leave_engine(r);
 }
 
@@ -242,6 +251,7 @@
 	gw_send_log_failure(r, "not_run");
 	if (r->engine->avoid_until_ms < until_ms)
 		r->engine->avoid_until_ms = until_ms;
+	gw_poison_ended(r, PS_CANCELLED);
 	gw_leave_engine(r);
 	gw_request_failed(r, "refused_by_engine");
 }
@@ -253,6 +263,8 @@
 		return;
 	}
 	r->may_have_begun = true;
+	/* Also with a failure of its own the engine has lived on. */
+	gw_poison_ended(r, r->answer.is_signed ? PS_COMPLETED : PS_CANCELLED);
 	if (!r->answer.is_signed) {
 		gw_send_log_failure(r, "unsigned_answer");
 		gw_engine_failed(r->engine, ck_now_ms());
@@ -282,6 +294,15 @@
 	gw_request_done(r, "complete");
 }
 
+/* Whether the engine has ended under it shows in a new connection. */
+static void gw_broke(struct gw_request *r)
+{
+	gw_poison_ended(r, PS_BROKEN);
+	if (gw_poison_doubts(r->gateway, r->engine))
+		gw_silence_check(r->gateway, r->engine);
+	gw_leave_engine(r);
+}
+
 static void gw_on_done(void *arg, enum h1_outcome outcome)
 {
 	struct gw_request *r = arg;
@@ -294,14 +315,16 @@
 	gw_send_log_failure(r,
 			    was_torn ? "torn_event" : h1_outcome_name(outcome));
 	gw_engine_failed(r->engine, ck_now_ms());
-	gw_leave_engine(r);
 	if (outcome == H1_NOT_SENT) {
+		gw_poison_ended(r, PS_CANCELLED);
+		gw_leave_engine(r);
 		r->sends--;
 		r->failed_connects++;
 		gw_request_place(r);
 		return;
 	}
 	r->may_have_begun = true;
+	gw_broke(r);
 	gw_request_failed(r, "engine_broke_off");
 }
 
@@ -330,6 +353,7 @@
 	engine->waiting_tokens += r->read_tokens;
 	r->gateway->sent_tokens += to->read_tokens + r->in.max_output_tokens;
 	r->weights = engine->entry.weights;
+	gw_poison_sent(r);
 	r->is_awaiting = true;
 	r->is_prompt_waiting = true;
 	r->sends++;
--- a/src/gateway/gw_silence.c
+++ b/src/gateway/gw_silence.c
@@ -1,5 +1,6 @@
 #include "gateway/gw_silence.h"
 
+#include "gateway/gw_poison.h"
 #include "gateway/gw_request.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
@@ -43,11 +44,22 @@
 static void gw_leave_silent(struct gw_request *r, const char *reason)
 {
 	gw_send_log_failure(r, reason);
+	gw_poison_ended(r, PS_BROKEN);
 	gw_send_cancel(r);
 	r->may_have_begun = true;
 	gw_request_failed(r, reason);
 }
 
+static void gw_leave_hung(struct gw_gateway *g, struct gw_request *r)
+{
+	struct fl_engine *e = r->engine;
+
+	fl_ref(e);
+	gw_leave_silent(r, "stream_hung");
+	gw_silence_check(g, e);
+	fl_unref(e);
+}
+
 static void gw_leave_engine_requests(struct gw_gateway *g,
 				     const struct fl_engine *engine)
 {
@@ -56,33 +68,53 @@
 			gw_leave_silent(r, "engine_silent");
 }
 
-static void gw_on_checked(void *arg, bool is_there)
+static void gw_engine_is_silent(struct gw_gateway *g, struct fl_engine *e)
+{
+	mt_add(&gw_silent_engines, 1);
+	lg_warn("engine takes no connection", "event", "engine_silent",
+		"engine", e->entry.id, "outcome", "avoided", NULL);
+	e->avoid_until_ms = e->checked_ms + GW_GONE_AVOID_MS;
+	gw_leave_engine_requests(g, e);
+}
+
+/* What the check says of the requests that broke there. */
+static void gw_judge_broken(struct gw_gateway *g, struct fl_engine *e,
+			    enum h1_presence presence)
+{
+	if (presence == H1_THERE)
+		gw_poison_engine_lives(g, e);
+	else if (presence == H1_REFUSED)
+		gw_poison_engine_ended(g, e, "refuses_connections");
+	else if (e->is_gone)
+		gw_poison_engine_ended(g, e, "entry_gone_and_silent");
+}
+
+static void gw_on_checked(void *arg, enum h1_presence presence)
 {
 	struct gw_check *check = arg;
+	struct gw_gateway *g = check->gateway;
 	struct fl_engine *e = check->engine;
 
 	e->is_checking = false;
 	e->checked_ms = ck_now_ms();
-	e->failed_checks = is_there ? 0 : e->failed_checks + 1;
-	if (e->failed_checks >= GW_CHECKS) {
-		mt_add(&gw_silent_engines, 1);
-		lg_warn("engine takes no connection", "event", "engine_silent",
-			"engine", e->entry.id, "outcome", "avoided", NULL);
-		e->avoid_until_ms = e->checked_ms + GW_GONE_AVOID_MS;
-		gw_leave_engine_requests(check->gateway, e);
-	}
+	e->failed_checks = presence == H1_THERE ? 0 : e->failed_checks + 1;
+	if (e->failed_checks >= GW_CHECKS)
+		gw_engine_is_silent(g, e);
+	if (e->check_again)
+		gw_silence_check(g, e);
+	else
+		gw_judge_broken(g, e, presence);
 	fl_unref(e);
 	g_free(check);
 }
 
-static void gw_check_engine(struct gw_gateway *g, struct fl_engine *e,
-			    int64_t now_ms)
+void gw_silence_check(struct gw_gateway *g, struct fl_engine *e)
 {
 	struct gw_check *check;
-	bool is_trusted = !e->failed_checks && e->checked_ms &&
-			  now_ms - e->checked_ms < GW_CHECK_TRUST_MS;
 
-	if (e->is_checking || is_trusted)
+	/* A check that began before says nothing of what broke since. */
+	e->check_again = e->is_checking;
+	if (e->is_checking)
 		return;
 	mt_add(&gw_checks, 1);
 	check = g_new0(struct gw_check, 1);
@@ -93,6 +125,16 @@
 	h1_peer_check(&e->peer, GW_CHECK_TIMEOUT_MS, gw_on_checked, check);
 }
 
+static void gw_check_engine(struct gw_gateway *g, struct fl_engine *e,
+			    int64_t now_ms)
+{
+	bool is_trusted = !e->failed_checks && e->checked_ms &&
+			  now_ms - e->checked_ms < GW_CHECK_TRUST_MS;
+
+	if (!e->is_checking && !is_trusted)
+		gw_silence_check(g, e);
+}
+
 void gw_silence_sweep(struct gw_gateway *g, int64_t now_ms)
 {
 	gw_for_each_request (g, r) {
@@ -105,7 +147,7 @@
 			gw_check_engine(g, r->engine, now_ms);
 			break;
 		case GW_HUNG:
-			gw_leave_silent(r, "stream_hung");
+			gw_leave_hung(g, r);
 			break;
 		default:
 			break;
--- a/src/gateway/gw_silence.h
+++ b/src/gateway/gw_silence.h
@@ -14,6 +14,9 @@
  *	that has begun and stands still for longer than its caller would wait
  *	has hung.
  *
+ *	An attempt that breaks has its engine checked, too: one that refuses
+ *	the connection has ended, see gw_poison.h.
+ *
  *	Silence alone ends no answer: a request that can't be sent elsewhere
  *	any more, or may run once at most, is waited for.
  *
@@ -39,6 +42,9 @@
 enum gw_silence gw_silence_of(int64_t silent_ms, bool has_begun,
 			      bool may_go_on);
 
+/** gw_silence_check() - try a connection now, whatever was found before. */
+void gw_silence_check(struct gw_gateway *g, struct fl_engine *e);
+
 void gw_silence_sweep(struct gw_gateway *g, int64_t now_ms);
 
 #endif
--- a/src/http1/h1_client.c
+++ b/src/http1/h1_client.c
@@ -40,7 +40,8 @@
 	bool in_callback;
 	bool is_cancelled;
 	uint32_t status;
-	void (*on_checked)(void *arg, bool is_there);
+	int error;
+	void (*on_checked)(void *arg, enum h1_presence presence);
 	void *check_arg;
 };
 
@@ -208,25 +209,26 @@
 }
 
 /* The end of a check; the link is freed or kept. */
-static void h1_link_checked(struct _h1_link *l, bool is_there)
+static void h1_link_checked(struct _h1_link *l, enum h1_presence presence)
 {
-	void (*on_checked)(void *, bool) = l->on_checked;
+	void (*on_checked)(void *, enum h1_presence) = l->on_checked;
 	void *arg = l->check_arg;
 
 	l->on_checked = NULL;
 	ev_timer_stop(l->peer->_loop, &l->timer);
 	ev_io_stop(l->peer->_loop, &l->write);
-	if (is_there)
+	if (presence == H1_THERE)
 		h1_link_keep(l);
 	else
 		h1_link_free(l);
-	on_checked(arg, is_there);
+	on_checked(arg, presence);
 }
 
 static void h1_link_fail(struct _h1_link *l)
 {
 	if (l->on_checked)
-		h1_link_checked(l, false);
+		h1_link_checked(l, l->error == ECONNREFUSED ? H1_REFUSED
+							    : H1_SILENT);
 	else if (!l->call)
 		h1_link_free(l);
 	else
@@ -286,6 +288,7 @@
 	if (!l->is_connected) {
 		if (getsockopt(l->fd, SOL_SOCKET, SO_ERROR, &error, &bytes) ||
 		    error) {
+			l->error = error;
 			h1_link_fail(l);
 			return;
 		}
@@ -293,7 +296,7 @@
 		ev_timer_stop(loop, &l->timer);
 		ev_io_start(loop, &l->read);
 		if (l->on_checked) {
-			h1_link_checked(l, true);
+			h1_link_checked(l, H1_THERE);
 			return;
 		}
 	}
@@ -334,7 +337,8 @@
 	to.sin_port = htons(peer->_port);
 	if (l->fd >= 0) {
 		h1_set_options(l->fd);
-		(void)connect(l->fd, (struct sockaddr *)&to, sizeof(to));
+		if (connect(l->fd, (struct sockaddr *)&to, sizeof(to)))
+			l->error = errno;
 		ev_io_start(peer->_loop, &l->write);
 		ev_timer_set(&l->timer, timeout_ms / 1000.0, 0.0);
 	} else {
@@ -417,7 +421,8 @@
 }
 
 void h1_peer_check(struct h1_peer *peer, int64_t timeout_ms,
-		   void (*on_checked)(void *arg, bool is_there), void *arg)
+		   void (*on_checked)(void *arg, enum h1_presence presence),
+		   void *arg)
 {
 	struct _h1_link *l = h1_link_new(peer);
 
--- a/src/http1/h1_client.h
+++ b/src/http1/h1_client.h
@@ -44,6 +44,14 @@
  */
 enum h1_outcome { H1_DONE = 0, H1_NOT_SENT, H1_BROKEN, H1_GARBLED };
 
+/**
+ * enum h1_presence - what a check of a peer found.
+ * @H1_THERE: it took a connection.
+ * @H1_REFUSED: its host answers, and nothing listens there.
+ * @H1_SILENT: no answer in time, or no way there.
+ */
+enum h1_presence { H1_THERE = 0, H1_REFUSED, H1_SILENT };
+
 /**
  * struct h1_peer - an upstream's address and the connections to it.
  * Readable fields:
@@ -109,7 +117,8 @@
  * @on_checked: called from the loop, once. The connection is kept for calls.
  */
 void h1_peer_check(struct h1_peer *peer, int64_t timeout_ms,
-		   void (*on_checked)(void *arg, bool is_there), void *arg);
+		   void (*on_checked)(void *arg, enum h1_presence presence),
+		   void *arg);
 
 /** h1_call_start() - returns at once; the callbacks come from the loop. */
 void h1_call_start(struct h1_call *call, const struct h1_call_desc *desc);
--- a/src/limits/ps.c
+++ b/src/limits/ps.c
@@ -3,29 +3,27 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* A crash; @at_ms is when the news of it came. */
-struct _ps_crash {
-	uint64_t engine;
-	uint64_t incarnation;
-	int64_t at_ms;
-};
-
 /* A fingerprint that was running at some crash. */
 struct _ps_suspect {
 	uint64_t fingerprint;
-	struct _ps_crash crashes[PS_MAX_CRASHES];
+	struct ps_crash crashes[PS_MAX_CRASHES];
 	uint32_t count;
 	int64_t last_ms;
 	int64_t cleared_ms;
 };
 
-/* An attempt that runs, or broke at @broken_ms. */
+/*
+ * An attempt that runs, or broke at @broken_ms: at an engine that @lives, as
+ * it seems, or @was_left there by this side.
+ */
 struct _ps_run {
 	uint64_t fingerprint;
 	uint64_t engine;
 	uint64_t incarnation;
 	int64_t broken_ms;
 	bool is_broken;
+	bool lives;
+	bool was_left;
 };
 
 void ps_init(struct ps_table *table)
@@ -33,12 +31,15 @@
 	table->_suspects = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						 NULL, g_free);
 	table->_runs = g_array_new(FALSE, FALSE, sizeof(struct _ps_run));
+	table->_completed = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						  g_free, g_free);
 }
 
 void ps_finish(struct ps_table *table)
 {
 	g_hash_table_destroy(table->_suspects);
 	g_array_free(table->_runs, TRUE);
+	g_hash_table_destroy(table->_completed);
 }
 
 uint64_t ps_fingerprint(uint64_t salt, const struct px_chain *chain,
@@ -71,7 +72,7 @@
 }
 
 static bool ps_was_at(const struct _ps_suspect *suspect,
-		      const struct _ps_crash *crash)
+		      const struct ps_crash *crash)
 {
 	for (uint32_t i = 0; i < suspect->count; i++) {
 		if (suspect->crashes[i].engine == crash->engine &&
@@ -145,7 +146,7 @@
 
 /* Returns whether the charge is new. */
 static bool ps_charge(struct ps_table *table, uint64_t fingerprint,
-		      const struct _ps_crash *crash)
+		      const struct ps_crash *crash)
 {
 	struct _ps_suspect *s = ps_suspect(table, fingerprint);
 
@@ -188,9 +189,10 @@
 
 	for (uint32_t i = 0; i < table->_runs->len; i++) {
 		const struct _ps_run *run = ps_run_at(table, i);
-		struct _ps_crash crash = { run->engine, run->incarnation, 0 };
+		struct ps_crash crash = { run->engine, run->incarnation, 0 };
 
 		if (run->fingerprint != fingerprint || !run->is_broken ||
+		    run->lives || run->was_left ||
 		    now_ms - run->broken_ms > PS_HOLD_MS)
 			continue;
 		if (suspect && ps_was_at(suspect, &crash))
@@ -284,7 +286,9 @@
 void ps_started(struct ps_table *table, uint64_t fingerprint, uint64_t engine,
 		uint64_t incarnation, int64_t now_ms)
 {
-	struct _ps_run run = { fingerprint, engine, incarnation, 0, false };
+	struct _ps_run run = { .fingerprint = fingerprint,
+			       .engine = engine,
+			       .incarnation = incarnation };
 
 	if (table->_runs->len >= PS_MAX_RUNS)
 		ps_expire(table, now_ms);
@@ -316,6 +320,25 @@
 	}
 }
 
+/* When full, the memory begins anew: a clearing is missed, never a crash. */
+static void ps_remember_completed(struct ps_table *table, uint64_t fingerprint,
+				  int64_t now_ms)
+{
+	if (g_hash_table_size(table->_completed) >= PS_MAX_COMPLETED)
+		g_hash_table_remove_all(table->_completed);
+	g_hash_table_replace(table->_completed,
+			     g_memdup2(&fingerprint, sizeof(fingerprint)),
+			     g_memdup2(&now_ms, sizeof(now_ms)));
+}
+
+int64_t ps_completed_ms(const struct ps_table *table, uint64_t fingerprint)
+{
+	const int64_t *at_ms =
+		g_hash_table_lookup(table->_completed, &fingerprint);
+
+	return at_ms ? *at_ms : 0;
+}
+
 bool ps_ended(struct ps_table *table, uint64_t fingerprint, uint64_t engine,
 	      uint64_t incarnation, enum ps_end end, int64_t now_ms)
 {
@@ -323,8 +346,9 @@
 	struct _ps_run *run =
 		ps_find_run(table, fingerprint, engine, incarnation, &at);
 
-	if (run && end == PS_BROKEN) {
+	if (run && (end == PS_BROKEN || end == PS_LEFT)) {
 		run->is_broken = true;
+		run->was_left = end == PS_LEFT;
 		run->broken_ms = now_ms;
 		return false;
 	}
@@ -333,14 +357,23 @@
 	if (end != PS_COMPLETED)
 		return false;
 	ps_forget_broken(table, fingerprint);
+	ps_remember_completed(table, fingerprint, now_ms);
 	return ps_clear(table, fingerprint, now_ms);
 }
 
+/* Too long ago to have anything to do with a crash that is told now. */
+static bool ps_is_stale(const struct _ps_run *run, int64_t now_ms)
+{
+	int64_t kept_ms = run->was_left ? PS_LEFT_KEPT_MS : PS_BROKEN_KEPT_MS;
+
+	return run->is_broken && now_ms - run->broken_ms > kept_ms;
+}
+
 uint32_t ps_crashed(struct ps_table *table, uint64_t engine,
 		    uint64_t incarnation, uint64_t *charged, uint32_t capacity,
 		    int64_t now_ms)
 {
-	struct _ps_crash crash = { engine, incarnation, now_ms };
+	struct ps_crash crash = { engine, incarnation, now_ms };
 	uint32_t count = 0;
 
 	for (uint32_t i = table->_runs->len; i-- > 0;) {
@@ -349,7 +382,7 @@
 		if (run.engine != engine || run.incarnation != incarnation)
 			continue;
 		g_array_remove_index_fast(table->_runs, i);
-		if (run.is_broken && now_ms - run.broken_ms > PS_BROKEN_KEPT_MS)
+		if (ps_is_stale(&run, now_ms))
 			continue;
 		if (ps_charge(table, run.fingerprint, &crash) &&
 		    count < capacity)
@@ -358,14 +391,100 @@
 	return count;
 }
 
+void ps_lives(struct ps_table *table, uint64_t engine, uint64_t incarnation)
+{
+	for (uint32_t i = 0; i < table->_runs->len; i++) {
+		struct _ps_run *run = ps_run_at(table, i);
+
+		if (run->is_broken && run->engine == engine &&
+		    run->incarnation == incarnation)
+			run->lives = true;
+	}
+}
+
+bool ps_broke_at(const struct ps_table *table, uint64_t engine,
+		 uint64_t incarnation, int64_t now_ms)
+{
+	for (uint32_t i = 0; i < table->_runs->len; i++) {
+		const struct _ps_run *run = ps_run_at(table, i);
+
+		if (run->is_broken && !ps_is_stale(run, now_ms) &&
+		    run->engine == engine && run->incarnation == incarnation)
+			return true;
+	}
+	return false;
+}
+
+static bool ps_is_proven(const struct ps_table *table,
+			 const struct _ps_suspect *s)
+{
+	return s->count > PS_POISON_CRASHES ||
+	       (s->count == PS_POISON_CRASHES && !ps_has_rival(table, s));
+}
+
+static void ps_describe(const struct ps_table *table,
+			const struct _ps_suspect *s, struct ps_suspect *out)
+{
+	*out = (struct ps_suspect){ .fingerprint = s->fingerprint,
+				    .count = s->count,
+				    .is_proven = ps_is_proven(table, s) };
+	memcpy(out->crashes, s->crashes, sizeof(out->crashes));
+}
+
+bool ps_find(const struct ps_table *table, uint64_t fingerprint,
+	     struct ps_suspect *suspect)
+{
+	const struct _ps_suspect *s =
+		g_hash_table_lookup(table->_suspects, &fingerprint);
+
+	if (!s || !s->count)
+		return false;
+	ps_describe(table, s, suspect);
+	return true;
+}
+
+static gint ps_newer_first(gconstpointer a, gconstpointer b)
+{
+	const struct _ps_suspect *x = *(const struct _ps_suspect *const *)a;
+	const struct _ps_suspect *y = *(const struct _ps_suspect *const *)b;
+
+	if (x->last_ms != y->last_ms)
+		return x->last_ms > y->last_ms ? -1 : 1;
+	return x->fingerprint < y->fingerprint ? -1 : 1;
+}
+
+uint32_t ps_list(const struct ps_table *table, struct ps_suspect *suspects,
+		 uint32_t capacity)
+{
+	GPtrArray *found = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count;
+
+	g_hash_table_iter_init(&iter, table->_suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct _ps_suspect *s = value;
+
+		if (s->count >= PS_POISON_CRASHES)
+			g_ptr_array_add(found, value);
+	}
+	g_ptr_array_sort(found, ps_newer_first);
+	count = MIN(found->len, capacity);
+	for (uint32_t i = 0; i < count; i++)
+		ps_describe(table, found->pdata[i], &suspects[i]);
+	g_ptr_array_free(found, TRUE);
+	return count;
+}
+
 void ps_peer(struct ps_table *table, uint64_t fingerprint, uint64_t engine,
 	     uint64_t incarnation, int64_t age_ms, int64_t now_ms)
 {
-	struct _ps_crash crash = { engine, incarnation, now_ms - age_ms };
+	struct ps_crash crash = { engine, incarnation, now_ms - age_ms };
 
 	if (engine == 0)
 		ps_clear(table, fingerprint, crash.at_ms);
-	else if (age_ms <= PS_EXPIRE_MS)
+	else if (age_ms <= PS_EXPIRE_MS &&
+		 ps_completed_ms(table, fingerprint) < crash.at_ms)
 		ps_charge(table, fingerprint, &crash);
 }
 
@@ -384,8 +503,7 @@
 	for (uint32_t i = table->_runs->len; i-- > 0;) {
 		const struct _ps_run *run = ps_run_at(table, i);
 
-		if (run->is_broken &&
-		    now_ms - run->broken_ms > PS_BROKEN_KEPT_MS)
+		if (ps_is_stale(run, now_ms))
 			g_array_remove_index_fast(table->_runs, i);
 	}
 }
--- a/src/limits/ps.h
+++ b/src/limits/ps.h
@@ -19,7 +19,8 @@
  *
  *	What an entry charges it tells its peers (BP_POISON), and also what it
  *	cleared, as a report without engine. The tables are bounded, and old
- *	charges expire.
+ *	charges expire. Gateways keep the charges of a fingerprint on a few
+ *	hosts and tell the others once there are two; see gw_poison.h.
  *
  * Use
  *	fingerprint = ps_fingerprint(salt, &chain, tail, tail_bytes, params, n);
@@ -45,6 +46,10 @@
 #define PS_EXPIRE_MS	  1800000
 /** How long a broken connection may precede the news of the crash. */
 #define PS_BROKEN_KEPT_MS 60000
+/** Longer than the entry of an engine outlives it. */
+#define PS_LEFT_KEPT_MS 8000
+/** Fingerprints whose last complete answer is remembered. */
+#define PS_MAX_COMPLETED 8192
 /** Longer than membership takes to tell that an engine is dead. */
 #define PS_HOLD_MS	    7000
 #define PS_RUNNING_RETRY_MS 1000
@@ -69,12 +74,33 @@
  * @PS_COMPLETED: the engine answered in full.
  * @PS_BROKEN: the connection to the engine failed.
  * @PS_CANCELLED: given up by this side; says nothing.
+ * @PS_LEFT: given up by this side while the engine was silent, as one without
+ *	power is; charged if the engine is soon known to have ended.
  */
-enum ps_end { PS_COMPLETED = 0, PS_BROKEN, PS_CANCELLED };
+enum ps_end { PS_COMPLETED = 0, PS_BROKEN, PS_CANCELLED, PS_LEFT };
+
+/** struct ps_crash - of an incarnation of an engine; @at_ms: of the news. */
+struct ps_crash {
+	uint64_t engine;
+	uint64_t incarnation;
+	int64_t at_ms;
+};
+
+/**
+ * struct ps_suspect - a fingerprint that was running at crashes.
+ * @is_proven: it is refused.
+ */
+struct ps_suspect {
+	uint64_t fingerprint;
+	struct ps_crash crashes[PS_MAX_CRASHES];
+	uint32_t count;
+	bool is_proven;
+};
 
 struct ps_table {
 	GHashTable *_suspects;
 	GArray *_runs;
+	GHashTable *_completed;
 };
 
 void ps_init(struct ps_table *table);
@@ -136,6 +162,24 @@
 		    uint64_t incarnation, uint64_t *charged, uint32_t capacity,
 		    int64_t now_ms);
 
+/** ps_lives() - the engine took a connection: what broke there was no crash. */
+void ps_lives(struct ps_table *table, uint64_t engine, uint64_t incarnation);
+
+/** ps_broke_at() - whether an attempt broke or was left there of late. */
+bool ps_broke_at(const struct ps_table *table, uint64_t engine,
+		 uint64_t incarnation, int64_t now_ms);
+
+/** ps_completed_ms() - its last complete answer here; 0 if unknown. */
+int64_t ps_completed_ms(const struct ps_table *table, uint64_t fingerprint);
+
+/** ps_find() - what is known against a fingerprint; false if nothing is. */
+bool ps_find(const struct ps_table *table, uint64_t fingerprint,
+	     struct ps_suspect *suspect);
+
+/** ps_list() - those with PS_POISON_CRASHES and more, the newest first. */
+uint32_t ps_list(const struct ps_table *table, struct ps_suspect *suspects,
+		 uint32_t capacity);
+
 /** ps_peer() - a peer charged a fingerprint, or cleared it (engine 0). */
 void ps_peer(struct ps_table *table, uint64_t fingerprint, uint64_t engine,
 	     uint64_t incarnation, int64_t age_ms, int64_t now_ms);
--- /dev/null
+++ b/src/limits/ps_row.c
@@ -0,0 +1,116 @@
+#include "limits/ps_row.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#define PS_ROW_LINE "%016" PRIx64 " %" PRId64 " %016" PRIx64 " %016" PRIx64 "\n"
+#define PS_ROW_SCAN "%16" SCNx64 " %" SCNd64 " %16" SCNx64 " %16" SCNx64
+
+/* Suspects that are not proven do not crowd out those that are. */
+#define PS_ROW_LISTED (4 * PS_ROW_MAX)
+
+struct ps_line {
+	uint64_t fingerprint;
+	struct ps_crash crash;
+};
+
+/* The next readable line of @text; NULL at its end. */
+static const char *ps_next_line(const char *text, struct ps_line *line)
+{
+	while (text && *text) {
+		const char *end = strchr(text, '\n');
+		int fields = sscanf(text, PS_ROW_SCAN, &line->fingerprint,
+				    &line->crash.at_ms, &line->crash.engine,
+				    &line->crash.incarnation);
+
+		text = end ? end + 1 : NULL;
+		if (fields == 4)
+			return text ? text : "";
+	}
+	return NULL;
+}
+
+void ps_row_read(struct ps_table *table, const char *text, int64_t now_ms,
+		 int64_t store_ms)
+{
+	struct ps_line line;
+
+	while ((text = ps_next_line(text, &line)))
+		ps_peer(table, line.fingerprint, line.crash.engine,
+			line.crash.incarnation,
+			MAX(store_ms - line.crash.at_ms, 0), now_ms);
+}
+
+static uint32_t ps_list_proven(const struct ps_table *table, int64_t now_ms,
+			       struct ps_suspect *suspects)
+{
+	struct ps_suspect listed[PS_ROW_LISTED];
+	uint32_t count = ps_list(table, listed, PS_ROW_LISTED);
+	uint32_t proven = 0;
+
+	for (uint32_t i = 0; i < count && proven < PS_ROW_MAX; i++) {
+		const struct ps_suspect *s = &listed[i];
+
+		if (s->is_proven &&
+		    now_ms - s->crashes[s->count - 1].at_ms <= PS_EXPIRE_MS)
+			suspects[proven++] = *s;
+	}
+	return proven;
+}
+
+static bool ps_is_listed(const struct ps_suspect *suspects, uint32_t count,
+			 uint64_t fingerprint)
+{
+	for (uint32_t i = 0; i < count; i++)
+		if (suspects[i].fingerprint == fingerprint)
+			return true;
+	return false;
+}
+
+static bool ps_row_has(const char *text, uint64_t fingerprint)
+{
+	struct ps_line line;
+
+	while ((text = ps_next_line(text, &line)))
+		if (line.fingerprint == fingerprint)
+			return true;
+	return false;
+}
+
+bool ps_row_is_current(const struct ps_table *table, const char *text,
+		       int64_t now_ms)
+{
+	struct ps_suspect suspects[PS_ROW_MAX];
+	uint32_t count = ps_list_proven(table, now_ms, suspects);
+	const char *rest = text;
+	struct ps_line line;
+
+	while ((rest = ps_next_line(rest, &line)))
+		if (!ps_is_listed(suspects, count, line.fingerprint))
+			return false;
+	for (uint32_t i = 0; i < count; i++)
+		if (!ps_row_has(text, suspects[i].fingerprint))
+			return false;
+	return true;
+}
+
+char *ps_row_format(const struct ps_table *table, int64_t now_ms,
+		    int64_t store_ms)
+{
+	struct ps_suspect suspects[PS_ROW_MAX];
+	uint32_t count = ps_list_proven(table, now_ms, suspects);
+	GString *text = g_string_new(NULL);
+
+	for (uint32_t i = 0; i < count; i++) {
+		const struct ps_suspect *s = &suspects[i];
+
+		for (uint32_t j = 0; j < s->count; j++)
+			g_string_append_printf(
+				text, PS_ROW_LINE, s->fingerprint,
+				store_ms - (now_ms - s->crashes[j].at_ms),
+				s->crashes[j].engine,
+				s->crashes[j].incarnation);
+	}
+	return g_string_free(text, FALSE);
+}
--- a/src/rpc/balsampin.x
+++ b/src/rpc/balsampin.x
@@ -151,6 +151,26 @@
 	bp_held held<BP_MAX_HELD>;
 };
 
+const BP_MAX_CHARGES = 4;
+
+/* A crash that a request was running at; see src/limits/ps.h. */
+struct bp_charge {
+	unsigned hyper engine;
+	unsigned hyper incarnation;
+	unsigned int age_ms;
+};
+
+/*
+ * What the sender knows against a request. With @cleared it was answered in
+ * full @cleared_age_ms ago, which clears it of all crashes before.
+ */
+struct bp_gateway_suspect {
+	unsigned hyper fingerprint;
+	bool cleared;
+	unsigned int cleared_age_ms;
+	bp_charge charges<BP_MAX_CHARGES>;
+};
+
 /* --- rows of the platform's store, from the reader of a region (U, gateway) --- */
 
 const BP_MAX_ROWS = 24;
@@ -343,5 +363,6 @@
 		void BP_GATEWAY_LOAD(bp_gateway_load) = 9;
 		void BP_GATEWAY_ROWS(bp_gateway_rows) = 10;
 		bp_gateway_table BP_GATEWAY_TABLE(unsigned int) = 11;
+		void BP_GATEWAY_SUSPECT(bp_gateway_suspect) = 12;
 	} = 1;
 } = 0x20426d70;
--- a/src/rpc/gen/balsampin.h
+++ b/src/rpc/gen/balsampin.h
@@ -180,6 +180,25 @@
 	} held;
 };
 typedef struct bp_gateway_load bp_gateway_load;
+#define BP_MAX_CHARGES 4
+
+struct bp_charge {
+	u_quad_t engine;
+	u_quad_t incarnation;
+	u_int age_ms;
+};
+typedef struct bp_charge bp_charge;
+
+struct bp_gateway_suspect {
+	u_quad_t fingerprint;
+	bool_t cleared;
+	u_int cleared_age_ms;
+	struct {
+		u_int charges_len;
+		bp_charge *charges_val;
+	} charges;
+};
+typedef struct bp_gateway_suspect bp_gateway_suspect;
 #define BP_MAX_ROWS 24
 #define BP_MAX_ROW_BYTES 1200
 
@@ -420,6 +439,9 @@
 #define BP_GATEWAY_TABLE 11
 extern  enum clnt_stat bp_gateway_table_1(u_int *, bp_gateway_table *, CLIENT *);
 extern  bool_t bp_gateway_table_1_svc(u_int *, bp_gateway_table *, struct svc_req *);
+#define BP_GATEWAY_SUSPECT 12
+extern  enum clnt_stat bp_gateway_suspect_1(bp_gateway_suspect *, void *, CLIENT *);
+extern  bool_t bp_gateway_suspect_1_svc(bp_gateway_suspect *, void *, struct svc_req *);
 extern int balsampin_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -456,6 +478,9 @@
 #define BP_GATEWAY_TABLE 11
 extern  enum clnt_stat bp_gateway_table_1();
 extern  bool_t bp_gateway_table_1_svc();
+#define BP_GATEWAY_SUSPECT 12
+extern  enum clnt_stat bp_gateway_suspect_1();
+extern  bool_t bp_gateway_suspect_1_svc();
 extern int balsampin_1_freeresult ();
 #endif /* K&R C */
 
@@ -479,6 +504,8 @@
 extern  bool_t xdr_bp_share (XDR *, bp_share*);
 extern  bool_t xdr_bp_held (XDR *, bp_held*);
 extern  bool_t xdr_bp_gateway_load (XDR *, bp_gateway_load*);
+extern  bool_t xdr_bp_charge (XDR *, bp_charge*);
+extern  bool_t xdr_bp_gateway_suspect (XDR *, bp_gateway_suspect*);
 extern  bool_t xdr_bp_row (XDR *, bp_row*);
 extern  bool_t xdr_bp_gateway_rows (XDR *, bp_gateway_rows*);
 extern  bool_t xdr_bp_table_row (XDR *, bp_table_row*);
@@ -516,6 +543,8 @@
 extern bool_t xdr_bp_share ();
 extern bool_t xdr_bp_held ();
 extern bool_t xdr_bp_gateway_load ();
+extern bool_t xdr_bp_charge ();
+extern bool_t xdr_bp_gateway_suspect ();
 extern bool_t xdr_bp_row ();
 extern bool_t xdr_bp_gateway_rows ();
 extern bool_t xdr_bp_table_row ();
--- a/src/rpc/gen/balsampin_xdr.c
+++ b/src/rpc/gen/balsampin_xdr.c
@@ -492,6 +492,37 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bp_charge (XDR *xdrs, bp_charge *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->engine))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bp_gateway_suspect (XDR *xdrs, bp_gateway_suspect *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->cleared))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cleared_age_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->charges.charges_val, (u_int *) &objp->charges.charges_len, BP_MAX_CHARGES,
+		sizeof (bp_charge), (xdrproc_t) xdr_bp_charge))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bp_row (XDR *xdrs, bp_row *objp)
 {
--- a/tests/sessions/gateway_crash_test.cc
+++ b/tests/sessions/gateway_crash_test.cc
@@ -208,6 +208,36 @@
 			<< i;
 }
 
+// Many callers send the same harmless content to all hosts, and engines keep
+// ending beside it: it was there, but it is answered in between.
+TEST_F(Crash, ContentThatOtherHostsAnswerIsNotRefused)
+{
+	std::vector<std::thread> pollers;
+	std::atomic<bool> is_over{ false };
+
+	start_three();
+	for (int i = 0; i < 5; i++)
+		fleet.behave("a" + std::to_string(i), Behaviour::pace);
+	for (const char *host : { "h1", "h2", "h3" })
+		pollers.emplace_back([this, host, &is_over] {
+			while (!is_over)
+				ask("look", "poll", host);
+		});
+	for (int i = 0; i < 6; i++) {
+		std::string body = deadly + std::to_string(i);
+
+		fleet.crash_on(body, down_ms);
+		ask("look", body, i % 2 ? "h1" : "h2");
+		std::this_thread::sleep_for(std::chrono::milliseconds(300));
+	}
+	is_over = true;
+	for (auto &poller : pollers)
+		poller.join();
+	EXPECT_GE(fleet.crashes(), 6);
+	for (const char *host : { "h1", "h2", "h3" })
+		EXPECT_EQ(ask("look", "poll", host).status, 200) << host;
+}
+
 // A connection that breaks is no engine that ends.
 TEST_F(Crash, EnginesThatBreakOffAndLiveEndNoTrustInARequest)
 {
--- a/tests/unit/http1_test.cc
+++ b/tests/unit/http1_test.cc
@@ -441,16 +441,16 @@
 		loop, { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi" });
 	struct h1_peer gone;
 	int answers[2] = { -1, -1 };
-	auto on_checked = [](void *arg, bool is_there) {
-		*static_cast<int *>(arg) = is_there;
+	auto on_checked = [](void *arg, enum h1_presence presence) {
+		*static_cast<int *>(arg) = presence;
 	};
 
 	h1_peer_init(&gone, loop, INADDR_LOOPBACK, 1);
 	h1_peer_check(&there.peer, 500, on_checked, &answers[0]);
 	h1_peer_check(&gone, 500, on_checked, &answers[1]);
 	run_until([&] { return answers[0] >= 0 && answers[1] >= 0; });
-	EXPECT_EQ(answers[0], 1);
-	EXPECT_EQ(answers[1], 0);
+	EXPECT_EQ(answers[0], H1_THERE);
+	EXPECT_EQ(answers[1], H1_REFUSED);
 	/* The connection is not wasted. */
 	Call call;
 	start(&call, &there.peer);
--- a/tests/unit/peers_test.cc
+++ b/tests/unit/peers_test.cc
@@ -1,11 +1,13 @@
 // What hosts tell each other: load at upstreams, and prefixes that are held.
 #include <gtest/gtest.h>
 
+#include <map>
 #include <vector>
 
 extern "C" {
 #include "net/ad.h"
 #include "peers/pe_held.h"
+#include "peers/pe_home.h"
 #include "peers/pe_kept.h"
 #include "peers/pe_load.h"
 #include "peers/pe_reader.h"
@@ -193,4 +195,50 @@
 	}
 }
 
+// The hosts whose homes of @key they are, the first one first.
+std::vector<uint64_t> homes_of(const std::vector<uint64_t> &hosts, uint64_t key)
+{
+	uint32_t places[PE_HOMES];
+	std::vector<uint64_t> homes;
+	uint32_t count = pe_homes(hosts.data(), hosts.size(), key, places);
+
+	for (uint32_t i = 0; i < count; i++)
+		homes.push_back(hosts[places[i]]);
+	return homes;
+}
+
+TEST(Homes, AreTheSameInAnyOrderAndFewerThanHosts)
+{
+	EXPECT_TRUE(homes_of({}, 1).empty());
+	EXPECT_EQ(homes_of({ 5 }, 1), std::vector<uint64_t>{ 5 });
+	EXPECT_EQ(homes_of({ 5, 6, 7, 8 }, 1).size(), (size_t)PE_HOMES);
+	EXPECT_EQ(homes_of({ 5, 6, 7, 8 }, 1), homes_of({ 8, 6, 5, 7 }, 1));
+}
+
+TEST(Homes, MoveOnlyWhereAHostWentAndShareTheKeys)
+{
+	std::vector<uint64_t> hosts, fewer;
+	std::map<uint64_t, int> shares;
+	const int keys = 3000;
+	int moved = 0;
+
+	for (uint64_t i = 1; i <= 30; i++)
+		hosts.push_back(i * 7919);
+	fewer.assign(hosts.begin() + 1, hosts.end());
+	for (uint64_t key = 0; key < keys; key++) {
+		std::vector<uint64_t> before = homes_of(hosts, key);
+		bool was_home = false;
+
+		shares[before[0]]++;
+		for (uint64_t home : before)
+			was_home |= home == hosts[0];
+		moved += homes_of(fewer, key) != before;
+		EXPECT_EQ(homes_of(fewer, key) != before, was_home) << key;
+	}
+	/* A tenth of the keys has a given one of 30 hosts among 3 homes. */
+	EXPECT_NEAR(moved, keys / 10, keys / 40);
+	for (const auto &share : shares)
+		EXPECT_NEAR(share.second, keys / 30, keys / 60);
+}
+
 } // namespace
--- a/tests/unit/poison_test.cc
+++ b/tests/unit/poison_test.cc
@@ -7,6 +7,7 @@
 
 extern "C" {
 #include "limits/ps.h"
+#include "limits/ps_row.h"
 }
 
 namespace
@@ -15,10 +16,10 @@
 const int64_t now = 1000000;
 
 // A step: '+' fingerprint starts on engine, '-' completes, '!' breaks,
-// '/' cancelled, 'x' the engine's incarnation is known to have crashed,
-// 'p' a peer charges fingerprint with engine, 'o' that was 5 s ago, 'c' a peer
-// cleared it,
-// 'w' wait for that many seconds.
+// '/' cancelled, '<' left while the engine is silent, 'x' the engine's
+// incarnation is known to have crashed, 'p' a peer charges fingerprint with
+// engine, 'o' that was 5 s ago, 'c' a peer cleared it, 'l' the engine took a
+// connection, 'w' wait for that many seconds.
 struct Step {
 	char what;
 	uint64_t fingerprint;
@@ -173,6 +174,45 @@
 	  { { '+', 1, 1 }, { 'x', 0, 1 }, { '+', 1, 2 } },
 	  1,
 	  PS_HOLD },
+	{ "two connections broke at engines that live",
+	  { { '+', 1, 1 },
+	    { '!', 1, 1 },
+	    { 'l', 0, 1 },
+	    { '+', 1, 2 },
+	    { '!', 1, 2 },
+	    { 'l', 0, 2 } },
+	  1,
+	  PS_RUN },
+	{ "what took the connection was the next incarnation",
+	  { { '+', 1, 1 },
+	    { '!', 1, 1 },
+	    { 'l', 0, 1 },
+	    { 'x', 0, 1 },
+	    { 'p', 1, 2 } },
+	  1,
+	  PS_REFUSE },
+	{ "left at two silent engines that have ended",
+	  { { '+', 1, 1 },
+	    { '<', 1, 1 },
+	    { 'w', 0, 4 },
+	    { 'x', 0, 1 },
+	    { '+', 1, 2 },
+	    { '<', 1, 2 },
+	    { 'x', 0, 2 } },
+	  1,
+	  PS_REFUSE },
+	{ "left at two silent engines that only were busy",
+	  { { '+', 1, 1 }, { '<', 1, 1 }, { '+', 1, 2 }, { '<', 1, 2 } },
+	  1,
+	  PS_RUN },
+	{ "left at one that ended long after",
+	  { { '+', 1, 1 }, { '<', 1, 1 }, { 'w', 0, 9 }, { 'x', 0, 1 } },
+	  1,
+	  PS_RUN },
+	{ "completed here after the crashes that peers tell of",
+	  { { '+', 1, 3 }, { '-', 1, 3 }, { 'o', 1, 1 }, { 'o', 1, 2 } },
+	  1,
+	  PS_RUN },
 	{ "charges expire",
 	  { { 'p', 1, 1 }, { 'p', 1, 2 }, { 'w', 0, 1801 } },
 	  1,
@@ -212,6 +252,13 @@
 		case 'c':
 			ps_peer(table, s.fingerprint, 0, 0, 0, *at);
 			break;
+		case '<':
+			ps_ended(table, s.fingerprint, s.engine, 1, PS_LEFT,
+				 *at);
+			break;
+		case 'l':
+			ps_lives(table, s.engine, 1);
+			break;
 		case 'w':
 			*at += (int64_t)s.engine * 1000;
 			break;
@@ -292,6 +339,93 @@
 	ps_finish(&table);
 }
 
+// What stands in a row of the store, read by a host that knows nothing.
+TEST(Poison, TheRowCarriesWhatIsProvenAndNothingElse)
+{
+	static const struct {
+		const char *what;
+		std::vector<Step> steps;
+		uint64_t asked;
+		enum ps_verdict verdict;
+	} rows[] = {
+		{ "proven", { { 'p', 1, 1 }, { 'p', 1, 2 } }, 1, PS_REFUSE },
+		{ "one crash", { { 'p', 1, 1 } }, 1, PS_RUN },
+		{ "rivals",
+		  { { 'p', 1, 1 },
+		    { 'p', 1, 2 },
+		    { 'p', 2, 1 },
+		    { 'p', 2, 2 } },
+		  1,
+		  PS_RUN },
+		{ "expired",
+		  { { 'p', 1, 1 }, { 'p', 1, 2 }, { 'w', 0, 1801 } },
+		  1,
+		  PS_RUN },
+		{ "cleared",
+		  { { 'p', 1, 1 }, { 'p', 1, 2 }, { 'c', 1, 0 } },
+		  1,
+		  PS_RUN },
+	};
+	const int64_t store_ahead_ms = 77777;
+
+	for (const auto &c : rows) {
+		struct ps_table writer, reader;
+		int64_t at = now;
+		char *text;
+
+		ps_init(&writer);
+		ps_init(&reader);
+		run(&writer, c.steps, &at);
+		text = ps_row_format(&writer, at, at + store_ahead_ms);
+		EXPECT_TRUE(ps_row_is_current(&writer, text, at)) << c.what;
+		ps_row_read(&reader, text, now, now + store_ahead_ms);
+		EXPECT_EQ(ps_check(&reader, c.asked, now).verdict, c.verdict)
+			<< c.what;
+		EXPECT_EQ(ps_row_is_current(&reader, nullptr, now),
+			  c.verdict != PS_REFUSE)
+			<< c.what;
+		g_free(text);
+		ps_finish(&writer);
+		ps_finish(&reader);
+	}
+}
+
+TEST(Poison, AnUnreadableRowChargesNobody)
+{
+	struct ps_table table;
+
+	for (const char *text :
+	     { "", "\n\n", "zz 1 2 3\n", "0000000000000001 5 7\n" }) {
+		ps_init(&table);
+		ps_row_read(&table, text, now, now);
+		EXPECT_EQ(g_hash_table_size(table._suspects), 0u) << text;
+		ps_finish(&table);
+	}
+}
+
+TEST(Poison, ACallIsKnownByWhatStaysTheSame)
+{
+	static const struct {
+		const char *what;
+		struct ps_call call;
+		bool is_same;
+	} calls[] = {
+		{ "sent again", { "POST", "/a?b", "t1", "body", 4 }, true },
+		{ "method", { "PUT", "/a?b", "t1", "body", 4 }, false },
+		{ "query", { "POST", "/a?c", "t1", "body", 4 }, false },
+		{ "caller", { "POST", "/a?b", "t2", "body", 4 }, false },
+		{ "body", { "POST", "/a?b", "t1", "bodz", 4 }, false },
+		{ "where one ends",
+		  { "POST", "/a?bt", "1", "body", 4 },
+		  false },
+	};
+	uint64_t first = ps_call_fingerprint(&calls[0].call);
+
+	for (const auto &c : calls)
+		EXPECT_EQ(ps_call_fingerprint(&c.call) == first, c.is_same)
+			<< c.what;
+}
+
 TEST(Poison, FingerprintsAreOfContent)
 {
 	struct {
