gateway: bytes without end from an engine cost bounded memory

Callers saw: nothing at first; a host that held over a gigabyte of such bytes would be killed, with all its requests (hosts have 88 MB). Cause: answers were collected without a bound, also those that are thrown away; an event without an end was kept whole; what a caller had not taken yet was bounded by time alone. Bytes that made no event counted as a sign of life. Change: a call takes so much before its answer and so much body; answers share a pool beyond 64 KiB each, and whoever finds it empty is given up; only new whole events are a sign of life. A refusal counts by its head, however its body ends.

--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -65,6 +65,7 @@
  * @sent_tokens: of prompts, since the last look at them; see gw_peers.c.
  * @others: what the other hosts have running.
  * @requests: of callers, not over yet.
+ * @pooled_bytes: that answers hold beyond what each may hold anyway.
  * @config_fresh_ms: nothing newer than @catalog existed then.
  * @retries: budget of this host for second sends.
  * @started_ms: of the process.
@@ -86,6 +87,7 @@
 	int64_t kept_ms;
 	uint64_t sent_tokens;
 	struct pe_load others;
+	uint64_t pooled_bytes;
 	int64_t config_fresh_ms;
 	struct rb_budget retries;
 	int64_t started_ms;
--- a/src/gateway/gw_events.h
+++ b/src/gateway/gw_events.h
@@ -41,6 +41,12 @@
 /** gw_events_clear() - forget the part of an event that came last. */
 void gw_events_clear(struct gw_events *events);
 
+/** gw_events_pending() - bytes of the event that has begun. */
+static inline uint64_t gw_events_pending(const struct gw_events *events)
+{
+	return events->_pending->len - events->_used;
+}
+
 /** gw_events_is_torn() - an event has begun and not ended. */
 bool gw_events_is_torn(const struct gw_events *events);
 
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -48,6 +48,7 @@
  * @retry_after_ms: of a refusal; 0: soon, see gw_request.c.
  * @may_have_begun: some upstream may have run it.
  * @heard_ms: when it was sent, or the last byte of the answer came.
+ * @pooled_bytes: of the gateway's memory for answers, see gw_send.c.
  * @answer: signs of the upstream's answer.
  * @last_event: last one that the caller has; @event_ms: when it was passed on.
  */
@@ -86,6 +87,7 @@
 	int64_t heard_ms;
 
 	enum gw_answer_mode mode;
+	uint64_t pooled_bytes;
 	uint32_t status;
 	struct dl_answer answer;
 	struct h1_headers answer_headers;
--- a/src/gateway/gw_rollout.c
+++ b/src/gateway/gw_rollout.c
@@ -39,6 +39,9 @@
 /* After an order that was refused or got no answer. */
 #define GW_ORDER_RETRY_MS 200
 
+/* A report names a few models and some numbers. */
+#define GW_MAX_REPORT_BYTES (256u << 10)
+
 MT_COUNTER(gw_orders, "balsampin_gateway_orders_total", "orders to engines")
 MT_COUNTER(gw_reports, "balsampin_gateway_reports_total",
 	   "reports asked of engines")
@@ -165,6 +168,7 @@
 			      .body = body,
 			      .body_bytes = body ? strlen(body) : 0,
 			      .connect_timeout_ms = GW_CONNECT_TIMEOUT_MS,
+			      .max_answer_bytes = GW_MAX_REPORT_BYTES,
 			      .on_head = gw_job_on_head,
 			      .on_body = gw_job_on_body,
 			      .on_done = gw_job_done,
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -21,6 +21,14 @@
 /* One that is full or loading gets no request for so long. */
 #define GW_BUSY_MS 150
 
+/*
+ * What an answer may hold in memory while it is collected, within an event, or
+ * until its caller takes it; beyond that all answers share a pool. Engines
+ * send bytes without end, to many requests at once.
+ */
+#define GW_OWN_ANSWER_BYTES  (64u << 10)
+#define GW_ANSWER_POOL_BYTES (8u << 20)
+
 MT_HISTOGRAMS(gw_placed_ms, "balsampin_gateway_placed_ms",
 	      "from a request's arrival to each send", "kind")
 MT_HISTOGRAMS(gw_first_event_ms, "balsampin_gateway_first_event_ms",
@@ -96,6 +104,27 @@
 	fl_unref(e);
 }
 
+static void gw_set_pooled(struct gw_request *r, uint64_t bytes)
+{
+	r->gateway->pooled_bytes += bytes - r->pooled_bytes;
+	r->pooled_bytes = bytes;
+}
+
+/* Accounts for what the answer holds now; false if there is no room. */
+static bool gw_has_room(struct gw_request *r)
+{
+	uint64_t held = r->answer_body->len + gw_events_pending(&r->events);
+	uint64_t others = r->gateway->pooled_bytes - r->pooled_bytes;
+
+	if (r->has_begun)
+		held += h1_unsent_bytes(r->exchange);
+	held -= MIN(held, GW_OWN_ANSWER_BYTES);
+	if (others + held > GW_ANSWER_POOL_BYTES)
+		return false;
+	gw_set_pooled(r, held);
+	return true;
+}
+
 static bool gw_is_silent(const struct gw_request *r)
 {
 	return gw_silence_of(ck_now_ms() - r->heard_ms, r->mode != GW_NO_ANSWER,
@@ -106,6 +135,7 @@
 {
 	h1_call_cancel(&r->call);
 	gw_poison_ended(r, gw_is_silent(r) ? PS_LEFT : PS_CANCELLED);
+	gw_set_pooled(r, 0);
 	gw_leave_engine(r);
 }
 
@@ -209,6 +239,7 @@
 		gw_prompt_read(r);
 	if (event->id >= 0 && event->id <= r->last_event)
 		return;
+	r->heard_ms = ck_now_ms();
 	if (!r->has_begun) {
 		r->has_begun = true;
 		h1_begin(r->exchange, r->status, &r->answer_headers, -1);
@@ -220,19 +251,33 @@
 	h1_write(r->exchange, event->data, event->bytes);
 }
 
+/* More than there is room for: nobody gets such an answer whole. */
+static void gw_answer_too_large(struct gw_request *r)
+{
+	gw_send_log_failure(r, "too_large");
+	gw_engine_failed(r->engine, ck_now_ms());
+	gw_send_cancel(r);
+	r->may_have_begun = true;
+	gw_request_failed(r, "answer_too_large");
+}
+
 static void gw_on_body(void *arg, const char *data, uint64_t bytes)
 {
 	struct gw_request *r = arg;
 	struct gw_event event;
 
-	r->heard_ms = ck_now_ms();
 	if (r->mode == GW_COLLECT) {
-		g_string_append_len(r->answer_body, data, bytes);
-		return;
+		r->heard_ms = ck_now_ms();
+		/* Of an answer that is not passed on, only the head counts. */
+		if (r->answer.is_signed)
+			g_string_append_len(r->answer_body, data, bytes);
+	} else {
+		gw_events_add(&r->events, data, bytes);
+		while (gw_events_next(&r->events, &event))
+			gw_pass_event(r, &event);
 	}
-	gw_events_add(&r->events, data, bytes);
-	while (gw_events_next(&r->events, &event))
-		gw_pass_event(r, &event);
+	if (!gw_has_room(r))
+		gw_answer_too_large(r);
 }
 
 static void gw_finish_events(struct gw_request *r)
@@ -312,6 +357,11 @@
 		gw_answered(r);
 		return;
 	}
+	/* The head says it all, however its body ends. */
+	if (r->mode == GW_COLLECT && r->answer.has_not_run) {
+		gw_refused(r);
+		return;
+	}
 	gw_send_log_failure(r,
 			    was_torn ? "torn_event" : h1_outcome_name(outcome));
 	gw_engine_failed(r->engine, ck_now_ms());
--- a/src/http1/h1_client.c
+++ b/src/http1/h1_client.c
@@ -35,11 +35,15 @@
 	bool is_head;
 	bool was_sent;
 	bool is_skipped;
+	bool is_answered;
+	bool is_too_large;
 	bool is_complete;
 	bool is_keep;
 	bool in_callback;
 	bool is_cancelled;
 	uint32_t status;
+	uint64_t before_bytes;
+	uint64_t answer_bytes;
 	int error;
 	void (*on_checked)(void *arg, enum h1_presence presence);
 	void *check_arg;
@@ -143,6 +147,7 @@
 						    &l->collector.headers);
 	if (l->is_cancelled)
 		return -1;
+	l->is_answered = !l->is_skipped;
 	return l->is_head ? 1 : 0;
 }
 
@@ -150,9 +155,13 @@
 {
 	struct _h1_link *l = p->data;
 
-	if (!l->is_skipped && l->desc.on_body)
+	if (l->is_skipped)
+		return 0;
+	l->answer_bytes += bytes;
+	l->is_too_large = l->answer_bytes > l->desc.max_answer_bytes;
+	if (!l->is_too_large && l->desc.on_body)
 		l->desc.on_body(l->desc.arg, at, bytes);
-	return l->is_cancelled ? -1 : 0;
+	return l->is_cancelled || l->is_too_large ? -1 : 0;
 }
 
 static int h1_on_complete(http_parser *p)
@@ -200,6 +209,12 @@
 		h1_link_end(l, H1_DONE);
 		return false;
 	}
+	if (!l->is_answered)
+		l->before_bytes += bytes;
+	if (l->is_too_large || l->before_bytes > H1_MAX_BEFORE_ANSWER_BYTES) {
+		h1_link_end(l, H1_TOO_LARGE);
+		return false;
+	}
 	if (HTTP_PARSER_ERRNO(&l->parser) != HPE_OK) {
 		/* No bytes stand for the end of the connection. */
 		h1_link_end(l, bytes ? H1_GARBLED : H1_BROKEN);
@@ -395,7 +410,13 @@
 	l->was_sent = false;
 	l->is_complete = false;
 	l->is_skipped = false;
+	l->is_answered = false;
+	l->is_too_large = false;
+	l->before_bytes = 0;
+	l->answer_bytes = 0;
 	l->is_keep = false;
+	if (!l->desc.max_answer_bytes)
+		l->desc.max_answer_bytes = H1_DEFAULT_MAX_ANSWER_BYTES;
 	call->_link = l;
 	http_parser_init(&l->parser, HTTP_RESPONSE);
 	l->parser.data = l;
@@ -465,7 +486,7 @@
 const char *h1_outcome_name(enum h1_outcome outcome)
 {
 	static const char *const names[] = { "done", "not_sent", "broken",
-					     "garbled" };
+					     "garbled", "too_large" };
 
 	return names[outcome];
 }
--- a/src/http1/h1_client.h
+++ b/src/http1/h1_client.h
@@ -13,6 +13,9 @@
  *	then skipped, and the next one on the connection is awaited. Bytes on
  *	an idle connection close it.
  *
+ *	What comes before the answer and its body are bounded: a peer may send
+ *	without end.
+ *
  *	After on_done the call is over. h1_call_cancel() ends one early and
  *	closes its connection, from which the peer learns of it; nothing is
  *	called back then.
@@ -41,8 +44,19 @@
  * @H1_NOT_SENT: no connection; no byte of the call left.
  * @H1_BROKEN: the connection ended before the answer was whole.
  * @H1_GARBLED: what came is no HTTP answer.
+ * @H1_TOO_LARGE: more came than the call takes.
  */
-enum h1_outcome { H1_DONE = 0, H1_NOT_SENT, H1_BROKEN, H1_GARBLED };
+enum h1_outcome {
+	H1_DONE = 0,
+	H1_NOT_SENT,
+	H1_BROKEN,
+	H1_GARBLED,
+	H1_TOO_LARGE
+};
+
+#define H1_DEFAULT_MAX_ANSWER_BYTES (8u << 20)
+/** Of answers that are skipped and heads that are not final. */
+#define H1_MAX_BEFORE_ANSWER_BYTES (256u << 10)
 
 /**
  * enum h1_presence - what a check of a peer found.
@@ -82,6 +96,7 @@
  * @body: copied.
  * @body_bytes: 0 sends none.
  * @connect_timeout_ms: required.
+ * @max_answer_bytes: of the body; default H1_DEFAULT_MAX_ANSWER_BYTES.
  * @on_head: status and fields of an answer; false skips it. May be NULL.
  * @on_body: a piece of the body; may be NULL.
  * @on_done: the end; required. May start other calls.
@@ -95,6 +110,7 @@
 	const void *body;
 	uint64_t body_bytes;
 	int64_t connect_timeout_ms;
+	uint64_t max_answer_bytes;
 	bool (*on_head)(void *arg, uint32_t status,
 			const struct h1_headers *headers);
 	void (*on_body)(void *arg, const char *data, uint64_t bytes);
