suspects: harmless requests beside one that ends all engines at once

Cause: more than two crashes counted as proof, whoever else was there; and what is refused never completes, so nothing could clear it. Class of fault: a verdict by circumstance that prevents its own contradiction. Ruled out: lost messages (all hosts agreed). Change: a rival explains any number of crashes, and one whose table of crashes is full explains later ones; tries with rivals get rarer; an answer in full of the last minute speaks for a request; one host tries what is refused twice, after 10 and 60 s. The soak learned to send requests that end engines, to count their ends, and to let engines send bytes without end.

--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -17,6 +17,8 @@
 #define GW_TELL_PERIOD_MS 2000
 #define GW_MAX_TOLD	  16
 #define GW_EXPIRE_MS	  60000
+/* Hosts that keep telling of answers of the same moment change nothing. */
+#define GW_COMPLETED_STEP_MS 1000
 /* The next home writes the row when it has been out of date for so long. */
 #define GW_ROW_TURN_MS	  3000
 #define GW_ROW_TIMEOUT_MS 1000
@@ -55,6 +57,7 @@
 				     s->crashes[i].incarnation,
 				     MAX(now_ms - s->crashes[i].at_ms, 0) };
 	return (bp_gateway_suspect){ .fingerprint = s->fingerprint,
+				     .probes = s->probes,
 				     .charges = { s->count, charges } };
 }
 
@@ -106,49 +109,48 @@
 			    (xdrproc_t)xdr_bp_gateway_suspect, &message);
 }
 
-/* What was proven has been told to all hosts, and so is its clearing. */
+static uint32_t gw_count_crashes(const struct gw_gateway *g, uint64_t content)
+{
+	struct ps_suspect s;
+
+	return ps_find(&g->poison->table, content, &s) ? s.count : 0;
+}
+
+/* A suspect has been told to all hosts, and so is what speaks for it. */
 static void gw_take_cleared(struct gw_gateway *g,
 			    const bp_gateway_suspect *message)
 {
 	struct ps_table *table = &g->poison->table;
-	struct ps_suspect before, after;
-	bool was_told = ps_find(table, message->fingerprint, &before) &&
-			before.count >= PS_POISON_CRASHES;
-
-	ps_peer(table, message->fingerprint, 0, 0, message->cleared_age_ms,
-		ck_now_ms());
-	if (!was_told || (ps_find(table, message->fingerprint, &after) &&
-			  after.count == before.count))
+	uint64_t content = message->fingerprint;
+	uint32_t before = gw_count_crashes(g, content);
+	int64_t completed_ms = ps_completed_ms(table, content);
+	struct ps_suspect s;
+
+	ps_peer(table, content, 0, 0, message->cleared_age_ms, ck_now_ms());
+	if (before < PS_POISON_CRASHES ||
+	    (gw_count_crashes(g, content) == before &&
+	     ps_completed_ms(table, content) - completed_ms <
+		     GW_COMPLETED_STEP_MS))
 		return;
-	before.is_proven = false;
-	gw_log_suspect("request_cleared", &before, "completed_elsewhere");
-	if (gw_peers_is_home(g, message->fingerprint))
+	if (!ps_find(table, content, &s))
+		s = (struct ps_suspect){ .fingerprint = content };
+	gw_log_suspect("request_cleared", &s, "completed_elsewhere");
+	if (gw_peers_is_home(g, content))
 		gw_peers_call_all(g, BP_GATEWAY_SUSPECT,
 				  (xdrproc_t)xdr_bp_gateway_suspect, message);
 }
 
-static uint32_t gw_count_crashes(const struct gw_gateway *g, uint64_t content)
-{
-	struct ps_suspect s;
-
-	return ps_find(&g->poison->table, content, &s) ? s.count : 0;
-}
-
-/* This host has had a whole answer after one of the crashes. */
+/* This host has had a whole answer of late: that speaks for the suspect. */
 static void gw_contradict(struct gw_gateway *g,
 			  const bp_gateway_suspect *message, int64_t now_ms)
 {
 	int64_t completed_ms =
 		ps_completed_ms(&g->poison->table, message->fingerprint);
 
-	for (uint32_t i = 0; i < message->charges.charges_len; i++) {
-		int64_t age_ms = message->charges.charges_val[i].age_ms;
-
-		if (!completed_ms || completed_ms < now_ms - age_ms)
-			continue;
-		gw_tell_cleared(g, message->fingerprint, now_ms - completed_ms);
+	if (!message->charges.charges_len || !completed_ms ||
+	    now_ms - completed_ms > PS_SOUND_MS)
 		return;
-	}
+	gw_tell_cleared(g, message->fingerprint, now_ms - completed_ms);
 }
 
 static void gw_on_suspect(void *arg, struct rp_request *request,
@@ -167,6 +169,7 @@
 		ps_peer(&g->poison->table, message->fingerprint, charge->engine,
 			charge->incarnation, charge->age_ms, now_ms);
 	}
+	ps_probed(&g->poison->table, message->fingerprint, message->probes);
 	gw_contradict(g, message, now_ms);
 	if (gw_count_crashes(g, message->fingerprint) > before)
 		gw_pass_on(g, message->fingerprint, "told");
@@ -183,9 +186,28 @@
 				     .arg = g });
 }
 
+/* The first home alone tries it, and the others learn that it did. */
+static bool gw_may_probe(struct gw_gateway *g, uint64_t content)
+{
+	struct ps_suspect s;
+
+	if (gw_peers_home_turn(g, content) != 0 ||
+	    !ps_probe(&g->poison->table, content, ck_now_ms()) ||
+	    !ps_find(&g->poison->table, content, &s))
+		return false;
+	gw_log_suspect("request_probed", &s, "pause_over");
+	gw_tell_all(g, &s);
+	return true;
+}
+
 struct ps_answer gw_poison_check(struct gw_gateway *g, uint64_t content)
 {
-	return ps_check(&g->poison->table, content, ck_now_ms());
+	struct ps_answer answer =
+		ps_check(&g->poison->table, content, ck_now_ms());
+
+	if (answer.verdict == PS_REFUSE && gw_may_probe(g, content))
+		answer = (struct ps_answer){ PS_APART, 0 };
+	return answer;
 }
 
 uint32_t gw_poison_avoid(const struct gw_gateway *g, uint64_t content,
--- a/src/limits/ps.c
+++ b/src/limits/ps.c
@@ -8,6 +8,7 @@
 	uint64_t fingerprint;
 	struct ps_crash crashes[PS_MAX_CRASHES];
 	uint32_t count;
+	uint32_t probes;
 	int64_t last_ms;
 	int64_t cleared_ms;
 };
@@ -82,17 +83,40 @@
 	return false;
 }
 
+static int64_t ps_last_crash_ms(const struct _ps_suspect *suspect)
+{
+	int64_t last_ms = INT64_MIN;
+
+	for (uint32_t i = 0; i < suspect->count; i++)
+		last_ms = MAX(last_ms, suspect->crashes[i].at_ms);
+	return last_ms;
+}
+
+/* No room for more: what it was at later is not known. */
+static bool ps_may_have_been_at(const struct _ps_suspect *suspect,
+				const struct ps_crash *crash)
+{
+	return suspect->count == PS_MAX_CRASHES &&
+	       crash->at_ms >= ps_last_crash_ms(suspect);
+}
+
 /* Whether @other explains all crashes of @suspect as well. */
 static bool ps_is_rival(const struct _ps_suspect *suspect,
 			const struct _ps_suspect *other)
 {
-	if (other == suspect || other->count < suspect->count)
+	uint32_t explained = 0;
+
+	if (other == suspect)
 		return false;
 	for (uint32_t i = 0; i < suspect->count; i++) {
-		if (!ps_was_at(other, &suspect->crashes[i]))
+		const struct ps_crash *crash = &suspect->crashes[i];
+
+		if (ps_was_at(other, crash))
+			explained++;
+		else if (!ps_may_have_been_at(other, crash))
 			return false;
 	}
-	return true;
+	return explained > 0;
 }
 
 static bool ps_has_rival(const struct ps_table *table,
@@ -109,6 +133,27 @@
 	return false;
 }
 
+int64_t ps_completed_ms(const struct ps_table *table, uint64_t fingerprint)
+{
+	const int64_t *at_ms =
+		g_hash_table_lookup(table->_completed, &fingerprint);
+
+	return at_ms ? *at_ms : 0;
+}
+
+/* When full, the memory begins anew: a clearing is missed, never a crash. */
+static void ps_remember_completed(struct ps_table *table, uint64_t fingerprint,
+				  int64_t now_ms)
+{
+	if (ps_completed_ms(table, fingerprint) >= now_ms)
+		return;
+	if (g_hash_table_size(table->_completed) >= PS_MAX_COMPLETED)
+		g_hash_table_remove_all(table->_completed);
+	g_hash_table_replace(table->_completed,
+			     g_memdup2(&fingerprint, sizeof(fingerprint)),
+			     g_memdup2(&now_ms, sizeof(now_ms)));
+}
+
 static void ps_drop_oldest(struct ps_table *table)
 {
 	struct _ps_suspect *oldest = NULL;
@@ -175,6 +220,7 @@
 			s->crashes[kept++] = s->crashes[i];
 	}
 	s->count = kept;
+	s->probes = kept ? s->probes : 0;
 	if (at_ms > s->cleared_ms)
 		s->cleared_ms = at_ms;
 	return kept < before;
@@ -238,6 +284,38 @@
 				   left_ms > 0 ? (uint32_t)left_ms : 1 };
 }
 
+/* It was answered in full shortly before the first crash it was at. */
+static bool ps_was_sound(const struct ps_table *table,
+			 const struct _ps_suspect *suspect)
+{
+	int64_t completed_ms = ps_completed_ms(table, suspect->fingerprint);
+
+	if (!completed_ms)
+		return false;
+	for (uint32_t i = 0; i < suspect->count; i++)
+		if (completed_ms < suspect->crashes[i].at_ms - PS_SOUND_MS)
+			return false;
+	return true;
+}
+
+static bool ps_is_proven(const struct ps_table *table,
+			 const struct _ps_suspect *s)
+{
+	if (s->count < PS_POISON_CRASHES || ps_has_rival(table, s))
+		return false;
+	return s->count == PS_MAX_CRASHES || !ps_was_sound(table, s);
+}
+
+/* Of one with rivals: the more it was at, the rarer it is tried. */
+static int64_t ps_apart_pause_ms(const struct _ps_suspect *suspect,
+				 int64_t now_ms)
+{
+	uint32_t over = suspect->count - PS_POISON_CRASHES;
+	int64_t pause_ms = over ? (int64_t)PS_APART_PAUSE_MS << (over - 1) : 0;
+
+	return ps_last_crash_ms(suspect) + pause_ms - now_ms;
+}
+
 struct ps_answer ps_check(struct ps_table *table, uint64_t fingerprint,
 			  int64_t now_ms)
 {
@@ -245,9 +323,9 @@
 	uint32_t crashes = s ? s->count : 0;
 	int64_t last_ms = now_ms;
 	uint32_t broken = ps_broken(table, fingerprint, s, now_ms, &last_ms);
-	bool has_rival = crashes == PS_POISON_CRASHES && ps_has_rival(table, s);
+	bool is_watched = crashes >= PS_POISON_CRASHES;
 
-	if (crashes >= PS_POISON_CRASHES && !has_rival) {
+	if (s && ps_is_proven(table, s)) {
 		/* Kept for as long as it is sent again. */
 		s->last_ms = now_ms;
 		return (struct ps_answer){ PS_REFUSE, 0 };
@@ -256,13 +334,40 @@
 		return (struct ps_answer){ PS_RUN, 0 };
 	if (ps_is_running(table, fingerprint))
 		return (struct ps_answer){ PS_HOLD, PS_RUNNING_RETRY_MS };
-	if (has_rival && broken == 0)
+	if (is_watched && ps_apart_pause_ms(s, now_ms) > 0)
+		return ps_hold(ps_apart_pause_ms(s, now_ms));
+	if (is_watched && broken == 0)
 		return (struct ps_answer){ PS_APART, 0 };
 	if (crashes + broken >= PS_POISON_CRASHES)
 		return ps_hold(last_ms + PS_HOLD_MS - now_ms);
 	return (struct ps_answer){ PS_RUN, 0 };
 }
 
+bool ps_probe(struct ps_table *table, uint64_t fingerprint, int64_t now_ms)
+{
+	struct _ps_suspect *s = ps_current(table, fingerprint, now_ms);
+	int64_t pause_ms = PS_PROBE_MS;
+
+	if (!s || s->probes >= PS_MAX_PROBES ||
+	    ps_is_running(table, fingerprint))
+		return false;
+	for (uint32_t i = 0; i < s->probes; i++)
+		pause_ms *= PS_PROBE_GROWTH;
+	if (now_ms - ps_last_crash_ms(s) < pause_ms)
+		return false;
+	s->probes++;
+	return true;
+}
+
+void ps_probed(struct ps_table *table, uint64_t fingerprint, uint32_t probes)
+{
+	struct _ps_suspect *s =
+		g_hash_table_lookup(table->_suspects, &fingerprint);
+
+	if (s && s->count && s->probes < probes)
+		s->probes = probes;
+}
+
 uint32_t ps_avoid(const struct ps_table *table, uint64_t fingerprint,
 		  uint64_t *engines, uint32_t capacity)
 {
@@ -320,25 +425,6 @@
 	}
 }
 
-/* When full, the memory begins anew: a clearing is missed, never a crash. */
-static void ps_remember_completed(struct ps_table *table, uint64_t fingerprint,
-				  int64_t now_ms)
-{
-	if (g_hash_table_size(table->_completed) >= PS_MAX_COMPLETED)
-		g_hash_table_remove_all(table->_completed);
-	g_hash_table_replace(table->_completed,
-			     g_memdup2(&fingerprint, sizeof(fingerprint)),
-			     g_memdup2(&now_ms, sizeof(now_ms)));
-}
-
-int64_t ps_completed_ms(const struct ps_table *table, uint64_t fingerprint)
-{
-	const int64_t *at_ms =
-		g_hash_table_lookup(table->_completed, &fingerprint);
-
-	return at_ms ? *at_ms : 0;
-}
-
 bool ps_ended(struct ps_table *table, uint64_t fingerprint, uint64_t engine,
 	      uint64_t incarnation, enum ps_end end, int64_t now_ms)
 {
@@ -415,18 +501,12 @@
 	return false;
 }
 
-static bool ps_is_proven(const struct ps_table *table,
-			 const struct _ps_suspect *s)
-{
-	return s->count > PS_POISON_CRASHES ||
-	       (s->count == PS_POISON_CRASHES && !ps_has_rival(table, s));
-}
-
 static void ps_describe(const struct ps_table *table,
 			const struct _ps_suspect *s, struct ps_suspect *out)
 {
 	*out = (struct ps_suspect){ .fingerprint = s->fingerprint,
 				    .count = s->count,
+				    .probes = s->probes,
 				    .is_proven = ps_is_proven(table, s) };
 	memcpy(out->crashes, s->crashes, sizeof(out->crashes));
 }
@@ -481,10 +561,13 @@
 {
 	struct ps_crash crash = { engine, incarnation, now_ms - age_ms };
 
-	if (engine == 0)
+	if (engine == 0) {
+		ps_remember_completed(table, fingerprint, crash.at_ms);
 		ps_clear(table, fingerprint, crash.at_ms);
-	else if (age_ms <= PS_EXPIRE_MS &&
-		 ps_completed_ms(table, fingerprint) < crash.at_ms)
+		return;
+	}
+	if (age_ms <= PS_EXPIRE_MS &&
+	    ps_completed_ms(table, fingerprint) < crash.at_ms)
 		ps_charge(table, fingerprint, &crash);
 }
 
--- a/src/limits/ps.h
+++ b/src/limits/ps.h
@@ -10,8 +10,17 @@
  *	Several requests may run at a crash. One of them is held to be the
  *	cause once it was present at crashes of two incarnations and no other
  *	one was present at all the same crashes. As long as there is such a
- *	rival, it may be tried once more, apart from its rivals. A request that
- *	completes is cleared of what came before.
+ *	rival, it may be tried again, apart from its rivals, after a pause that
+ *	grows with its crashes: one request can end many engines at once, with
+ *	the same harmless ones beside it each time. A request that completes is
+ *	cleared of what came before.
+ *
+ *	One that was answered in full shortly before is harmless as far as
+ *	anybody knows: it is treated as one with rivals until there is no room
+ *	for more crashes.
+ *
+ *	What is refused can't complete, so one that was wrongly charged would
+ *	stay refused: it is tried again, by one host, a bounded number of times.
  *
  *	A broken connection is no proof of a crash. After two of them on
  *	different engines a request is held back until it is known whether the
@@ -41,7 +50,7 @@
 
 #define PS_MAX_SUSPECTS	  4096
 #define PS_MAX_RUNS	  16384
-#define PS_MAX_CRASHES	  4
+#define PS_MAX_CRASHES	  8
 #define PS_POISON_CRASHES 2
 #define PS_EXPIRE_MS	  1800000
 /** How long a broken connection may precede the news of the crash. */
@@ -53,6 +62,15 @@
 /** Longer than membership takes to tell that an engine is dead. */
 #define PS_HOLD_MS	    7000
 #define PS_RUNNING_RETRY_MS 1000
+/** After the third crash of one with rivals; doubled with each further one. */
+#define PS_APART_PAUSE_MS 1000
+/** An answer in full counts for it so long before its first crash. */
+#define PS_SOUND_MS 60000
+/** One that is refused is tried so long after its last crash; the pause grows.
+ */
+#define PS_PROBE_MS	10000
+#define PS_PROBE_GROWTH 6
+#define PS_MAX_PROBES	2
 
 /**
  * enum ps_verdict - what may be done with a request.
@@ -88,12 +106,14 @@
 
 /**
  * struct ps_suspect - a fingerprint that was running at crashes.
+ * @probes: tries since it was refused.
  * @is_proven: it is refused.
  */
 struct ps_suspect {
 	uint64_t fingerprint;
 	struct ps_crash crashes[PS_MAX_CRASHES];
 	uint32_t count;
+	uint32_t probes;
 	bool is_proven;
 };
 
@@ -136,6 +156,16 @@
 struct ps_answer ps_check(struct ps_table *table, uint64_t fingerprint,
 			  int64_t now_ms);
 
+/**
+ * ps_probe() - may one that is refused be tried now? To be asked on one host.
+ *
+ * Return: true if it may, which counts as a try.
+ */
+bool ps_probe(struct ps_table *table, uint64_t fingerprint, int64_t now_ms);
+
+/** ps_probed() - another host has tried it so often. */
+void ps_probed(struct ps_table *table, uint64_t fingerprint, uint32_t probes);
+
 /** ps_avoid() - engines on which rivals of @fingerprint run now. */
 uint32_t ps_avoid(const struct ps_table *table, uint64_t fingerprint,
 		  uint64_t *engines, uint32_t capacity);
--- a/src/limits/ps_row.c
+++ b/src/limits/ps_row.c
@@ -4,8 +4,10 @@
 #include <stdio.h>
 #include <string.h>
 
-#define PS_ROW_LINE "%016" PRIx64 " %" PRId64 " %016" PRIx64 " %016" PRIx64 "\n"
-#define PS_ROW_SCAN "%16" SCNx64 " %" SCNd64 " %16" SCNx64 " %16" SCNx64
+#define PS_ROW_LINE                                                            \
+	"%016" PRIx64 " %" PRId64 " %016" PRIx64 " %016" PRIx64 " %u\n"
+#define PS_ROW_SCAN   "%16" SCNx64 " %" SCNd64 " %16" SCNx64 " %16" SCNx64 " %u"
+#define PS_ROW_FIELDS 5
 
 /* Suspects that are not proven do not crowd out those that are. */
 #define PS_ROW_LISTED (4 * PS_ROW_MAX)
@@ -13,6 +15,7 @@
 struct ps_line {
 	uint64_t fingerprint;
 	struct ps_crash crash;
+	uint32_t probes;
 };
 
 /* The next readable line of @text; NULL at its end. */
@@ -22,10 +25,10 @@
 		const char *end = strchr(text, '\n');
 		int fields = sscanf(text, PS_ROW_SCAN, &line->fingerprint,
 				    &line->crash.at_ms, &line->crash.engine,
-				    &line->crash.incarnation);
+				    &line->crash.incarnation, &line->probes);
 
 		text = end ? end + 1 : NULL;
-		if (fields == 4)
+		if (fields == PS_ROW_FIELDS)
 			return text ? text : "";
 	}
 	return NULL;
@@ -36,10 +39,12 @@
 {
 	struct ps_line line;
 
-	while ((text = ps_next_line(text, &line)))
+	while ((text = ps_next_line(text, &line))) {
 		ps_peer(table, line.fingerprint, line.crash.engine,
 			line.crash.incarnation,
 			MAX(store_ms - line.crash.at_ms, 0), now_ms);
+		ps_probed(table, line.fingerprint, line.probes);
+	}
 }
 
 static uint32_t ps_list_proven(const struct ps_table *table, int64_t now_ms,
@@ -109,8 +114,8 @@
 			g_string_append_printf(
 				text, PS_ROW_LINE, s->fingerprint,
 				store_ms - (now_ms - s->crashes[j].at_ms),
-				s->crashes[j].engine,
-				s->crashes[j].incarnation);
+				s->crashes[j].engine, s->crashes[j].incarnation,
+				s->probes);
 	}
 	return g_string_free(text, FALSE);
 }
--- a/src/limits/ps_row.h
+++ b/src/limits/ps_row.h
@@ -3,8 +3,9 @@
  *
  * Overview
  *	A line for each crash: fingerprint, time on the store's steady clock,
- *	engine and incarnation. The newest PS_ROW_MAX fingerprints are kept, so
- *	the row is bounded; crashes older than PS_EXPIRE_MS are left out.
+ *	engine, incarnation, and how often it was tried since. The newest
+ *PS_ROW_MAX fingerprints are kept, so the row is bounded; crashes older than
+ *PS_EXPIRE_MS are left out.
  *
  * Use
  *	ps_row_read(&table, text, now_ms, store_ms);
--- a/src/rpc/balsampin.x
+++ b/src/rpc/balsampin.x
@@ -151,7 +151,7 @@
 	bp_held held<BP_MAX_HELD>;
 };
 
-const BP_MAX_CHARGES = 4;
+const BP_MAX_CHARGES = 8;
 
 /* A crash that a request was running at; see src/limits/ps.h. */
 struct bp_charge {
@@ -162,12 +162,14 @@
 
 /*
  * What the sender knows against a request. With @cleared it was answered in
- * full @cleared_age_ms ago, which clears it of all crashes before.
+ * full @cleared_age_ms ago, which clears it of all crashes before. @probes:
+ * tries since it was refused.
  */
 struct bp_gateway_suspect {
 	unsigned hyper fingerprint;
 	bool cleared;
 	unsigned int cleared_age_ms;
+	unsigned int probes;
 	bp_charge charges<BP_MAX_CHARGES>;
 };
 
--- a/src/rpc/gen/balsampin.h
+++ b/src/rpc/gen/balsampin.h
@@ -180,7 +180,7 @@
 	} held;
 };
 typedef struct bp_gateway_load bp_gateway_load;
-#define BP_MAX_CHARGES 4
+#define BP_MAX_CHARGES 8
 
 struct bp_charge {
 	u_quad_t engine;
@@ -193,6 +193,7 @@
 	u_quad_t fingerprint;
 	bool_t cleared;
 	u_int cleared_age_ms;
+	u_int probes;
 	struct {
 		u_int charges_len;
 		bp_charge *charges_val;
--- a/src/rpc/gen/balsampin_xdr.c
+++ b/src/rpc/gen/balsampin_xdr.c
@@ -511,12 +511,59 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->cleared))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cleared_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->probes))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->cleared);
+		IXDR_PUT_U_LONG(buf, objp->cleared_age_ms);
+		IXDR_PUT_U_LONG(buf, objp->probes);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->charges.charges_val, (u_int *) &objp->charges.charges_len, BP_MAX_CHARGES,
+			sizeof (bp_charge), (xdrproc_t) xdr_bp_charge))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->cleared))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cleared_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->probes))
+				 return FALSE;
+
+		} else {
+		objp->cleared = IXDR_GET_BOOL(buf);
+		objp->cleared_age_ms = IXDR_GET_U_LONG(buf);
+		objp->probes = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->charges.charges_val, (u_int *) &objp->charges.charges_len, BP_MAX_CHARGES,
+			sizeof (bp_charge), (xdrproc_t) xdr_bp_charge))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->cleared))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->cleared_age_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->probes))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->charges.charges_val, (u_int *) &objp->charges.charges_len, BP_MAX_CHARGES,
 		sizeof (bp_charge), (xdrproc_t) xdr_bp_charge))
 		 return FALSE;
--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -30,6 +30,7 @@
 constexpr int load_ms = 50;
 constexpr int events_before_a_stall = 2;
 constexpr int pace_ms = 15;
+constexpr size_t garbage_bytes = 256 << 10;
 constexpr int hosts_of_an_address_range = 14;
 constexpr int first_port = 8080;
 constexpr int ports_of_a_host = 10;
@@ -134,6 +135,7 @@
 	std::string attempt;
 	int events;
 	int64_t due_ms;
+	bool is_endless;
 };
 
 struct Engine {
@@ -426,13 +428,14 @@
 		after = std::stoi(arrival.headers["Last-Event-Id"]);
 	if (e->behaviour != Behaviour::refuse)
 		begun[arrival.headers["X-Attempt-Id"]]++;
-	if (!crash_body.empty() && x->body->str == crash_body) {
+	if (!crash_body.empty() && arrival.body.rfind(crash_body, 0) == 0) {
 		e->is_crashing = true;
 		return;
 	}
 	switch (e->behaviour) {
 	case Behaviour::pace:
 	case Behaviour::pace_stall:
+	case Behaviour::endless:
 		on_pace(e, x, arrival.headers["X-Attempt-Id"], after);
 		return;
 	case Behaviour::refuse:
@@ -488,7 +491,7 @@
 {
 	struct h1_headers headers;
 
-	if (!e->model.empty()) {
+	if (!e->model.empty() || e->behaviour == Behaviour::endless) {
 		h1_headers_init(&headers);
 		h1_headers_add(&headers, "Content-Type", "text/event-stream");
 		h1_headers_add(&headers, "X-Attempt-Id", attempt.c_str());
@@ -497,12 +500,20 @@
 		h1_begin(x, 200, &headers, -1);
 		h1_headers_finish(&headers);
 	}
-	running.push_back({ e, x, attempt, after, ck_now_ms() + pace_ms });
+	running.push_back({ e, x, attempt, after, ck_now_ms() + pace_ms,
+			    e->behaviour == Behaviour::endless });
 }
 
 /* One step of a run; true at its end. */
 bool Fleet::State::go_on(Run &run)
 {
+	static const std::string garbage(garbage_bytes, 'x');
+
+	if (run.is_endless) {
+		if (h1_unsent_bytes(run.x) < garbage.size())
+			h1_write(run.x, garbage.data(), garbage.size());
+		return false;
+	}
 	if (run.engine->behaviour == Behaviour::pace_stall &&
 	    run.events >= events_before_a_stall)
 		return false;
@@ -542,7 +553,11 @@
 			[x](const Run &r) { return r.x == x; });
 	};
 	desc.arg = e;
-	EXPECT_EQ(h1_server_init(&e->server, &desc), ST_OK);
+	/* While it was down another socket may have got its port. */
+	if (h1_server_init(&e->server, &desc) != ST_OK) {
+		desc.port = 0;
+		EXPECT_EQ(h1_server_init(&e->server, &desc), ST_OK);
+	}
 	e->port = h1_server_port(&e->server);
 }
 
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -39,6 +39,7 @@
 	stall,	    /* two events, then nothing */
 	pace,	    /* in full, an event after the other; names the request */
 	pace_stall, /* the same, but no more than two events */
+	endless,    /* a signed head, then bytes without end */
 };
 
 /** Arrival - a request as an engine saw it. */
@@ -102,9 +103,9 @@
 	void forget_history();
 
 	/**
-	 * crash_on() - an engine that begins to run a request with @body ends:
-	 * its connections close, its port refuses, and after @down_ms it is
-	 * back at the same address as a new incarnation.
+	 * crash_on() - an engine that begins to run a request whose body starts
+	 * with @body ends: its connections close, its port refuses, and after
+	 * @down_ms it is back at the same address as a new incarnation.
 	 */
 	void crash_on(const std::string &body, int down_ms);
 
--- a/tests/soak/driver.cc
+++ b/tests/soak/driver.cc
@@ -39,6 +39,11 @@
 constexpr long most_resident_kb = 64 * 1024;
 #endif
 constexpr int most_descriptors = 512;
+/* Bodies of requests that end engines begin so; the engine is back then. */
+constexpr char deadly[] = "ends engines ";
+constexpr int down_ms = 600;
+/* One in so many requests is such a one, once there are any. */
+constexpr uint64_t deadly_in = 16;
 /* Of ten keys drawn, so many are of one version only. */
 constexpr uint64_t version_keys_in_ten = 4;
 
@@ -107,6 +112,8 @@
 		return Behaviour::fail;
 	case Kind::engine_hangs:
 		return Behaviour::hang;
+	case Kind::engine_endless:
+		return Behaviour::endless;
 	default:
 		return Behaviour::pace_stall;
 	}
@@ -119,6 +126,7 @@
       loop(ev_loop_new(EVFLAG_AUTO)), promises(fleet)
 {
 	put_configuration();
+	fleet.crash_on(deadly, down_ms);
 	for (uint32_t i = 0; i < size.engines + size.services; i++) {
 		engines.push_back(std::make_unique<EngineSlot>());
 		engines.back()->service = i < size.engines ? "llm" : "app";
@@ -276,6 +284,9 @@
 		promises.disturbed(store_until_ms);
 	} else if (fault.kind == Kind::store_forgets) {
 		fleet.forget_history();
+	} else if (fault.kind == Kind::deadly_request) {
+		deadly_bodies.push_back(deadly + std::to_string(fault.target));
+		promises.deadly(deadly_bodies.back());
 	} else if (fault.kind >= Kind::engine_slow) {
 		begin_at_engine(fault, *engines[fault.target % engines.size()]);
 	} else {
@@ -387,8 +398,16 @@
 	return true;
 }
 
+std::string Driver::draw_body()
+{
+	if (deadly_bodies.empty() || draw(deadly_in))
+		return "body";
+	return deadly_bodies[draw(deadly_bodies.size())];
+}
+
 void Driver::ask(Caller &c)
 {
+	std::string body = draw_body();
 	struct h1_headers headers;
 	uint32_t route = draw(4);
 	uint32_t host = draw(hosts.size());
@@ -424,8 +443,8 @@
 	desc.method = "POST";
 	desc.target = target.c_str();
 	desc.headers = &headers;
-	desc.body = "body";
-	desc.body_bytes = 4;
+	desc.body = body.data();
+	desc.body_bytes = body.size();
 	desc.connect_timeout_ms = 500;
 	desc.on_head = on_head;
 	desc.on_body = [](void *arg, const char *data, uint64_t bytes) {
--- a/tests/soak/driver.h
+++ b/tests/soak/driver.h
@@ -94,6 +94,7 @@
 	std::vector<std::unique_ptr<harness::Proxy>> ways_of_drained;
 	std::vector<std::unique_ptr<Caller>> callers;
 	std::deque<Fault> faults;
+	std::vector<std::string> deadly_bodies;
 	ev_timer tick;
 	int64_t started_ms = 0;
 	int64_t recover_by_ms = 0;
@@ -112,6 +113,7 @@
 	void end_host(Host &host, int number, int64_t for_ms);
 	void add_engine(EngineSlot &slot);
 	void put_configuration();
+	std::string draw_body();
 	void begin(const Fault &fault);
 	void begin_at_host(const Fault &fault, Host &host);
 	void begin_at_engine(const Fault &fault, EngineSlot &slot);
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -44,6 +44,11 @@
 	drained_ms[engine] = at_ms;
 }
 
+void Promises::deadly(const std::string &body)
+{
+	deadly_bodies.insert(body);
+}
+
 void Promises::disturbed(int64_t until_ms)
 {
 	disturbed_until_ms = std::max(disturbed_until_ms, until_ms);
@@ -131,8 +136,32 @@
 	}
 }
 
+/* Whoever learns of it last, the hosts together let few more engines end. */
+void Promises::check_deadly()
+{
+	std::map<std::string, std::vector<int64_t>> ends;
+
+	for (const harness::Arrival &a : fleet.arrivals())
+		if (deadly_bodies.count(a.body))
+			ends[a.target + " " + a.body].push_back(a.at_ms);
+	for (const auto &entry : ends) {
+		const std::vector<int64_t> &at_ms = entry.second;
+		int late = 0;
+
+		for (size_t i = ends_before; i < at_ms.size(); i++)
+			late += at_ms[i] >
+				at_ms[ends_before - 1] + known_after_ms;
+		if (late > ends_after)
+			broken("\"" + entry.first + "\" was sent " +
+			       std::to_string(at_ms.size()) + " times, " +
+			       std::to_string(late) + " of them late");
+		outcomes["ends by a deadly request"] += at_ms.size();
+	}
+}
+
 void Promises::finish()
 {
+	check_deadly();
 	for (const std::string &attempt : records)
 		if (fleet.runs(attempt) > 1)
 			broken("attempt " + attempt + " ran " +
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -24,6 +24,11 @@
 constexpr int64_t rollback_slack_ms = 250;
 constexpr int64_t drain_ms = 3000;
 constexpr int64_t lease_slack_ms = 700;
+/* Of a request that ends engines: so long after the third of them has ended,
+ * no more than so many ends follow. */
+constexpr int64_t known_after_ms = 4000;
+constexpr size_t ends_before = 3;
+constexpr int ends_after = 3;
 /* Between the end of a deadline and the answer that says so. */
 constexpr int64_t answer_slack_ms = 1000;
 
@@ -59,6 +64,9 @@
 	/** drained() - an engine's entry says so. */
 	void drained(const std::string &engine, int64_t at_ms);
 
+	/** deadly() - a request with that body ends engines. */
+	void deadly(const std::string &body);
+
 	/** disturbed() - hosts may know nothing new until then. */
 	void disturbed(int64_t until_ms);
 
@@ -88,10 +96,12 @@
 	std::map<std::pair<uint32_t, uint32_t>, std::pair<int, int64_t>> seen;
 	std::set<std::string> records;
 	std::set<std::string> not_run;
+	std::set<std::string> deadly_bodies;
 
 	void check_body(const Sent &sent, const Got &got);
 	void check_key(const Sent &sent, const Got &got);
 	void check_orders();
+	void check_deadly();
 };
 
 } // namespace soak
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -46,6 +46,8 @@
 	{ "engine_stalls", 2, true },
 	{ "engine_replaced", 2, false },
 	{ "engine_drained", 1, false },
+	{ "engine_endless", 2, true },
+	{ "deadly_request", 2, false },
 	{ "configuration", 5, false },
 	{ "weights", 2, false },
 };
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -42,6 +42,9 @@
 	engine_stalls,
 	engine_replaced,
 	engine_drained,
+	engine_endless,
+	/* a request that ends engines comes, again and again */
+	deadly_request,
 	/* the operator */
 	configuration,
 	weights,
--- a/tests/unit/poison_test.cc
+++ b/tests/unit/poison_test.cc
@@ -118,6 +118,73 @@
 	    { 'x', 0, 3 } },
 	  1,
 	  PS_REFUSE },
+	{ "beside one that ended more engines: tried after a pause",
+	  { { 'p', 1, 1 },
+	    { 'p', 1, 2 },
+	    { 'p', 1, 3 },
+	    { 'p', 1, 4 },
+	    { 'p', 2, 1 },
+	    { 'p', 2, 2 },
+	    { 'p', 2, 4 } },
+	  2,
+	  PS_HOLD },
+	{ "which passes",
+	  { { 'p', 1, 1 },
+	    { 'p', 1, 2 },
+	    { 'p', 1, 3 },
+	    { 'p', 1, 4 },
+	    { 'p', 2, 1 },
+	    { 'p', 2, 2 },
+	    { 'p', 2, 4 },
+	    { 'w', 0, 2 } },
+	  2,
+	  PS_APART },
+	{ "and the one that ended more is refused",
+	  { { 'p', 1, 1 },
+	    { 'p', 1, 2 },
+	    { 'p', 1, 3 },
+	    { 'p', 1, 4 },
+	    { 'p', 2, 1 },
+	    { 'p', 2, 2 },
+	    { 'p', 2, 4 },
+	    { 'w', 0, 2 } },
+	  1,
+	  PS_REFUSE },
+	{ "beside one that ended more than there is room for",
+	  { { 'p', 1, 1 },
+	    { 'p', 1, 2 },
+	    { 'p', 1, 3 },
+	    { 'p', 1, 4 },
+	    { 'p', 1, 5 },
+	    { 'p', 1, 6 },
+	    { 'p', 1, 7 },
+	    { 'p', 1, 8 },
+	    { 'p', 1, 9 },
+	    { 'p', 2, 8 },
+	    { 'p', 2, 9 },
+	    { 'w', 0, 2 } },
+	  2,
+	  PS_APART },
+	{ "answered shortly before it was at two crashes",
+	  { { 'c', 1, 0 }, { 'p', 1, 1 }, { 'p', 1, 2 } },
+	  1,
+	  PS_APART },
+	{ "answered long before",
+	  { { 'c', 1, 0 }, { 'w', 0, 61 }, { 'p', 1, 1 }, { 'p', 1, 2 } },
+	  1,
+	  PS_REFUSE },
+	{ "answered shortly before, but it was at all crashes since",
+	  { { 'c', 1, 0 },
+	    { 'p', 1, 1 },
+	    { 'p', 1, 2 },
+	    { 'p', 1, 3 },
+	    { 'p', 1, 4 },
+	    { 'p', 1, 5 },
+	    { 'p', 1, 6 },
+	    { 'p', 1, 7 },
+	    { 'p', 1, 8 } },
+	  1,
+	  PS_REFUSE },
 	{ "apart, the one that completes",
 	  { { '+', 1, 1 },
 	    { '+', 2, 1 },
@@ -339,6 +406,41 @@
 	ps_finish(&table);
 }
 
+// One that is refused wrongly, as those that could clear it are refused, too.
+TEST(Poison, WhatIsRefusedIsTriedAFewTimesWithGrowingPauses)
+{
+	struct ps_table table;
+	int64_t at = now;
+	uint32_t probes = 0;
+	std::vector<int64_t> tried_at;
+
+	ps_init(&table);
+	ps_peer(&table, 5, 1, 1, 0, at);
+	EXPECT_FALSE(ps_probe(&table, 6, at + PS_EXPIRE_MS));
+	ps_peer(&table, 5, 2, 1, 0, at);
+	for (; at < now + PS_EXPIRE_MS; at += 1000) {
+		if (!ps_probe(&table, 5, at))
+			continue;
+		probes++;
+		tried_at.push_back(at - now);
+		ps_started(&table, 5, 10 + probes, 1, at);
+		EXPECT_FALSE(ps_probe(&table, 5, at + PS_EXPIRE_MS / 2));
+		ps_ended(&table, 5, 10 + probes, 1, PS_BROKEN, at);
+		ps_peer(&table, 5, 10 + probes, 1, 0, at);
+	}
+	EXPECT_EQ(probes, (uint32_t)PS_MAX_PROBES);
+	EXPECT_GE(tried_at[0], PS_PROBE_MS);
+	EXPECT_GE(tried_at[1] - tried_at[0], PS_PROBE_MS * PS_PROBE_GROWTH);
+	/* Another host that was told so does not begin anew. */
+	ps_finish(&table);
+	ps_init(&table);
+	ps_peer(&table, 5, 1, 1, 0, now);
+	ps_peer(&table, 5, 2, 1, 0, now);
+	ps_probed(&table, 5, PS_MAX_PROBES);
+	EXPECT_FALSE(ps_probe(&table, 5, now + PS_EXPIRE_MS / 2));
+	ps_finish(&table);
+}
+
 // What stands in a row of the store, read by a host that knows nothing.
 TEST(Poison, TheRowCarriesWhatIsProvenAndNothingElse)
 {
@@ -395,7 +497,8 @@
 	struct ps_table table;
 
 	for (const char *text :
-	     { "", "\n\n", "zz 1 2 3\n", "0000000000000001 5 7\n" }) {
+	     { "", "\n\n", "zz 1 2 3\n", "0000000000000001 5 7\n",
+	       "0000000000000001 5 7 8\n" }) {
 		ps_init(&table);
 		ps_row_read(&table, text, now, now);
 		EXPECT_EQ(g_hash_table_size(table._suspects), 0u) << text;
