gateway: the budget of repeats is kept for each service

Cause: one bucket a host for all services. Change: rb_table, a budget by name of the service. Before: gateway_test RepeatsAreBoundedForEachService: 63 repeats, 36 allowed. After: passes.

--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -22,10 +22,12 @@
 #define GW_STOP_MARGIN_MS 500
 /* Log lines are written that often; a crash loses no more. */
 #define GW_LOG_PERIOD_S 0.1
-/* A host alone may spend so many of the repeats that are always allowed, until
- * it has heard how many others there are; see gw_peers.c. */
-#define GW_RETRY_RESERVE 2
-#define GW_PERMILLE	 1000
+/* Of the repeats that are always allowed at a service, a host has so many when
+ * it starts, and may save up so many until it has heard how many others there
+ * are; see gw_peers.c. */
+#define GW_RETRY_RESERVE  2
+#define GW_RETRY_UNSHARED 4
+#define GW_PERMILLE	  1000
 /* Half of the allowed share, as requests are counted by completion there. */
 #define GW_RETRY_SHARE 0.6
 
@@ -185,12 +187,12 @@
 	pe_held_init(&g->held);
 	pe_load_init(&g->others);
 	fl_init(&g->fleet, g->kernel.loop);
-	rb_budget_init(&g->retries,
-		       &(struct rb_desc){ .ratio_permille =
-						  g->settings.retry_ratio *
-						  GW_RETRY_SHARE * GW_PERMILLE,
-					  .reserve = GW_RETRY_RESERVE,
-					  .max = GW_RETRY_RESERVE * 2 });
+	rb_table_init(&g->retries,
+		      &(struct rb_desc){ .ratio_permille =
+						 g->settings.retry_ratio *
+						 GW_RETRY_SHARE * GW_PERMILLE,
+					 .reserve = GW_RETRY_RESERVE,
+					 .max = GW_RETRY_UNSHARED });
 	return rw_init(
 		&g->store,
 		&(struct rw_desc){ .loop = g->kernel.loop,
@@ -204,6 +206,7 @@
 	fl_finish(&g->fleet);
 	pe_held_finish(&g->held);
 	pe_load_finish(&g->others);
+	rb_table_finish(&g->retries);
 	rw_finish(&g->store);
 	ca_catalog_unref(g->catalog);
 	gw_weights_finish(&g->weights);
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -67,7 +67,7 @@
  * @requests: of callers, not over yet.
  * @pooled_bytes: that answers hold beyond what each may hold anyway.
  * @config_fresh_ms: nothing newer than @catalog existed then.
- * @retries: budget of this host for second sends.
+ * @retries: budgets of this host for second sends, by service.
  * @started_ms: of the process.
  * @early: requests held until the first read of the store.
  * @stop_ms: when SIGTERM came, 0 before.
@@ -89,7 +89,7 @@
 	struct pe_load others;
 	uint64_t pooled_bytes;
 	int64_t config_fresh_ms;
-	struct rb_budget retries;
+	struct rb_table retries;
 	int64_t started_ms;
 	uint32_t early;
 	int64_t stop_ms;
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -184,13 +184,17 @@
 	       r->terms.route->is_resumable;
 }
 
+static struct rb_budget *gw_budget_of(const struct gw_request *r)
+{
+	return rb_table_of(&r->gateway->retries, r->service->name);
+}
+
 bool gw_request_may_repeat(const struct gw_request *r)
 {
 	const struct ca_route *route = r->terms.route;
 
 	return (route->kind == CA_IDEMPOTENT || gw_is_resumable(r)) &&
-	       r->sends < route->max_sends &&
-	       rb_budget_has(&r->gateway->retries);
+	       r->sends < route->max_sends && rb_budget_has(gw_budget_of(r));
 }
 
 void gw_request_failed(struct gw_request *r, const char *reason)
@@ -207,7 +211,7 @@
 				    ? r->sends
 				    : RB_MAX_ATTEMPTS,
 		.deadline_ms = r->end_ms,
-		.has_budget = rb_budget_has(&r->gateway->retries),
+		.has_budget = rb_budget_has(gw_budget_of(r)),
 	};
 
 	gw_events_clear(&r->events);
@@ -217,7 +221,7 @@
 	case RB_RETRY:
 	case RB_RESUME:
 	case RB_CONTINUE:
-		rb_budget_take(&r->gateway->retries);
+		rb_budget_take(gw_budget_of(r));
 		mt_count(&gw_repeats, r->service->name);
 		gw_request_place(r);
 		return;
@@ -410,7 +414,7 @@
 		return;
 	}
 	r->content = gw_content_of(r);
-	rb_budget_earn(&g->retries);
+	rb_budget_earn(gw_budget_of(r));
 	gw_find_prefix(r);
 	r->prefix.seed = gw_split_hash(r);
 	gw_set_times(r);
--- a/src/limits/rb.c
+++ b/src/limits/rb.c
@@ -84,3 +84,41 @@
 	budget->_permille -= RB_PERMILLE;
 	return true;
 }
+
+void rb_table_init(struct rb_table *table, const struct rb_desc *desc)
+{
+	table->_desc = *desc;
+	table->_budgets =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void rb_table_finish(struct rb_table *table)
+{
+	if (table->_budgets)
+		g_hash_table_destroy(table->_budgets);
+	table->_budgets = NULL;
+}
+
+struct rb_budget *rb_table_of(struct rb_table *table, const char *service)
+{
+	struct rb_budget *budget =
+		g_hash_table_lookup(table->_budgets, service);
+
+	if (budget)
+		return budget;
+	budget = g_new0(struct rb_budget, 1);
+	rb_budget_init(budget, &table->_desc);
+	g_hash_table_insert(table->_budgets, g_strdup(service), budget);
+	return budget;
+}
+
+void rb_table_limit(struct rb_table *table, uint32_t max)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	table->_desc.max = max;
+	g_hash_table_iter_init(&iter, table->_budgets);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct rb_budget *)value)->desc.max = max;
+}
--- a/src/limits/rb.h
+++ b/src/limits/rb.h
@@ -9,7 +9,8 @@
  *
  *	The retry budget is a token bucket that successes fill: at most a tenth
  *	of them, and a small reserve, may be tried again, so that retries do
- *	not multiply the load while upstreams fail.
+ *	not multiply the load while upstreams fail. A table has a budget for
+ *	each service: what one of them earns is none of another's.
  *
  * Use
  *	switch (rb_decide(&attempt, now_ms)) {
@@ -20,6 +21,7 @@
 #ifndef RB_H
 #define RB_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -100,4 +102,19 @@
 /** rb_budget_take() - a retry is made; false if there is none left. */
 bool rb_budget_take(struct rb_budget *budget);
 
+/** struct rb_table - budgets by name of the service. */
+struct rb_table {
+	struct rb_desc _desc;
+	GHashTable *_budgets;
+};
+
+void rb_table_init(struct rb_table *table, const struct rb_desc *desc);
+void rb_table_finish(struct rb_table *table);
+
+/** rb_table_of() - the budget of a service; made when it is first asked for. */
+struct rb_budget *rb_table_of(struct rb_table *table, const char *service);
+
+/** rb_table_limit() - each may save up @max from now on. */
+void rb_table_limit(struct rb_table *table, uint32_t max);
+
 #endif
--- a/tests/sessions/gateway_test.cc
+++ b/tests/sessions/gateway_test.cc
@@ -428,6 +428,29 @@
 	}
 }
 
+// What other services' requests allow is no allowance for this one.
+TEST_F(Gateway, RepeatsAreBoundedForEachService)
+{
+	static const int rounds = 8, beside = 60, failing = 10;
+	/* The settings' defaults: a share of the requests, and a floor. */
+	static const double ratio = 0.2, floor = 20;
+	size_t arrivals = 0;
+
+	both("a1", "a2", Behaviour::fail);
+	for (int round = 0; round < rounds; round++) {
+		std::string n = std::to_string(round) + "-";
+
+		for (int i = 0; i < beside; i++)
+			ask("grade", "b" + n + std::to_string(i));
+		for (int i = 0; i < failing; i++)
+			ask("look", "f" + n + std::to_string(i));
+	}
+	for (const Arrival &a : fleet.arrivals())
+		arrivals += a.target.rfind("/look/", 0) == 0;
+	EXPECT_LE(arrivals - rounds * failing,
+		  ratio * rounds * failing + floor);
+}
+
 // From a request's id to its cause by one command, as docs/OPERATIONS.md says.
 class Logs : public Gateway
 {
--- a/tests/unit/retry_test.cc
+++ b/tests/unit/retry_test.cc
@@ -133,4 +133,29 @@
 	}
 }
 
+// One service's requests are no allowance for another one.
+TEST(Retry, EachServiceEarnsItsOwn)
+{
+	struct rb_table table;
+	struct rb_desc desc = {};
+
+	desc.ratio_permille = 100;
+	desc.reserve = 1;
+	desc.max = 5;
+	rb_table_init(&table, &desc);
+	for (int i = 0; i < 1000; i++)
+		rb_budget_earn(rb_table_of(&table, "a"));
+	EXPECT_TRUE(rb_budget_take(rb_table_of(&table, "b")));
+	EXPECT_FALSE(rb_budget_take(rb_table_of(&table, "b")));
+	for (int i = 0; i < 5; i++)
+		EXPECT_TRUE(rb_budget_take(rb_table_of(&table, "a")));
+	EXPECT_FALSE(rb_budget_take(rb_table_of(&table, "a")));
+	rb_table_limit(&table, 1);
+	for (int i = 0; i < 1000; i++)
+		rb_budget_earn(rb_table_of(&table, "a"));
+	EXPECT_TRUE(rb_budget_take(rb_table_of(&table, "a")));
+	EXPECT_FALSE(rb_budget_take(rb_table_of(&table, "a")));
+	rb_table_finish(&table);
+}
+
 } // namespace
