suspects: a request with rivals is tried by one host, one try at a time

Cause: the pause ended for all hosts in the same moment, and a host tried again as the broken engine seemed to live (a connection was taken, by what stood in front of it) before its end was known. Change: from the third crash on the first home of a content alone tries it, and a try that broke counts as unsettled, whatever takes connections there.

--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -206,7 +206,11 @@
 		ps_check(&g->poison->table, content, ck_now_ms());
 
 	if (answer.verdict == PS_REFUSE && gw_may_probe(g, content))
-		answer = (struct ps_answer){ PS_APART, 0 };
+		answer.verdict = PS_APART;
+	else if (answer.verdict == PS_APART && answer.by_one_host &&
+		 gw_peers_home_turn(g, content) != 0)
+		answer = (struct ps_answer){ PS_HOLD, PS_RUNNING_RETRY_MS,
+					     false };
 	return answer;
 }
 
--- a/src/limits/ps.c
+++ b/src/limits/ps.c
@@ -226,11 +226,16 @@
 	return kept < before;
 }
 
-/* Engines on which it broke of late, of which no crash is known (yet). */
+/*
+ * Engines on which it broke of late, of which no crash is known (yet). One
+ * that is watched is not trusted for a connection that its engine took: that
+ * may have been the next incarnation.
+ */
 static uint32_t ps_broken(const struct ps_table *table, uint64_t fingerprint,
 			  const struct _ps_suspect *suspect, int64_t now_ms,
 			  int64_t *last_ms)
 {
+	bool is_watched = suspect && suspect->count >= PS_POISON_CRASHES;
 	uint32_t count = 0;
 
 	for (uint32_t i = 0; i < table->_runs->len; i++) {
@@ -238,7 +243,7 @@
 		struct ps_crash crash = { run->engine, run->incarnation, 0 };
 
 		if (run->fingerprint != fingerprint || !run->is_broken ||
-		    run->lives || run->was_left ||
+		    (run->lives && !is_watched) || run->was_left ||
 		    now_ms - run->broken_ms > PS_HOLD_MS)
 			continue;
 		if (suspect && ps_was_at(suspect, &crash))
@@ -280,8 +285,8 @@
 
 static struct ps_answer ps_hold(int64_t left_ms)
 {
-	return (struct ps_answer){ PS_HOLD,
-				   left_ms > 0 ? (uint32_t)left_ms : 1 };
+	return (struct ps_answer){ PS_HOLD, left_ms > 0 ? (uint32_t)left_ms : 1,
+				   false };
 }
 
 /* It was answered in full shortly before the first crash it was at. */
@@ -328,19 +333,20 @@
 	if (s && ps_is_proven(table, s)) {
 		/* Kept for as long as it is sent again. */
 		s->last_ms = now_ms;
-		return (struct ps_answer){ PS_REFUSE, 0 };
+		return (struct ps_answer){ PS_REFUSE, 0, false };
 	}
 	if (crashes + broken == 0)
-		return (struct ps_answer){ PS_RUN, 0 };
+		return (struct ps_answer){ PS_RUN, 0, false };
 	if (ps_is_running(table, fingerprint))
-		return (struct ps_answer){ PS_HOLD, PS_RUNNING_RETRY_MS };
+		return ps_hold(PS_RUNNING_RETRY_MS);
 	if (is_watched && ps_apart_pause_ms(s, now_ms) > 0)
 		return ps_hold(ps_apart_pause_ms(s, now_ms));
 	if (is_watched && broken == 0)
-		return (struct ps_answer){ PS_APART, 0 };
+		return (struct ps_answer){ PS_APART, 0,
+					   crashes > PS_POISON_CRASHES };
 	if (crashes + broken >= PS_POISON_CRASHES)
 		return ps_hold(last_ms + PS_HOLD_MS - now_ms);
-	return (struct ps_answer){ PS_RUN, 0 };
+	return (struct ps_answer){ PS_RUN, 0, false };
 }
 
 bool ps_probe(struct ps_table *table, uint64_t fingerprint, int64_t now_ms)
--- a/src/limits/ps.h
+++ b/src/limits/ps.h
@@ -81,10 +81,16 @@
  */
 enum ps_verdict { PS_RUN = 0, PS_APART, PS_HOLD, PS_REFUSE };
 
-/** struct ps_answer - @retry_after_ms: 0 if trying again is of no use. */
+/**
+ * struct ps_answer
+ * @retry_after_ms: 0 if trying again is of no use.
+ * @by_one_host: it ended engines often enough: of several hosts only one
+ *	should run it.
+ */
 struct ps_answer {
 	enum ps_verdict verdict;
 	uint32_t retry_after_ms;
+	bool by_one_host;
 };
 
 /**
