entry: what is known of requests that crash engines is told again

Callers saw: nothing; engines would: an entry that had started anew, or missed one datagram, ran such a request as if it were the first time. Change: the homes of a fingerprint (peers/pe_home.h) tell what two crashes and more say against it to the entries of all zones, every 2 s. Before: entry_peers_test AnEntryThatStartsAnewIsToldWhatCrashesEngines: not told within 10 s. After: told with the next tick.

--- a/src/entry/en_dispatch.h
+++ b/src/entry/en_dispatch.h
@@ -33,9 +33,12 @@
 #define EN_WRONG_WEIGHTS_MS  1000
 #define EN_MAX_WRONG_WEIGHTS 4096
 /** Parked requests that are looked at in one turn. */
-#define EN_PARKED_TRIES	      64
-#define EN_CRASH_SCAN_MS      500
-#define EN_EXPIRE_MS	      60000
+#define EN_PARKED_TRIES	 64
+#define EN_CRASH_SCAN_MS 500
+#define EN_EXPIRE_MS	 60000
+/** Requests that crash engines are told again that often, so many at a time. */
+#define EN_TELL_PERIOD_MS     2000
+#define EN_MAX_TOLD	      16
 #define EN_USAGE_FANOUT	      16
 #define EN_RECORD_DEADLINE_MS 1000
 
@@ -76,6 +79,7 @@
 	uint32_t usage_turn;
 	int64_t next_report_ms;
 	int64_t next_scan_ms;
+	int64_t next_tell_ms;
 	int64_t next_expire_ms;
 	bool is_started;
 };
--- a/src/entry/en_peers.c
+++ b/src/entry/en_peers.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "entry/en_dispatch.h"
+#include "peers/pe_home.h"
 
 MT_COUNTER(en_records_dropped, "balsampin_entry_records_dropped_total",
 	   "records for the index that had no owner or no room")
@@ -107,17 +108,99 @@
 		      from, EN_USAGE_FANOUT);
 }
 
+static void en_tell_poison(struct en_dispatch *d, const char *zone,
+			   const bp_poison *message)
+{
+	uint32_t turn = d->usage_turn;
+
+	en_to_entries(d, zone, BP_POISON, (xdrproc_t)xdr_bp_poison, message, 0,
+		      UINT32_MAX / 2);
+	d->usage_turn = turn;
+}
+
+/* Entries of all zones that may keep something, this one first. */
+static GPtrArray *en_list_entries(const struct en_dispatch *d, GArray *ids)
+{
+	GPtrArray *entries = g_ptr_array_new();
+	uint64_t self = px_id(d->process->settings.self.name);
+
+	g_ptr_array_add(entries, NULL);
+	g_array_append_val(ids, self);
+	for (const struct mb_member *m =
+		     mb_next(d->process->members, MB_ENTRY, NULL, NULL);
+	     m; m = mb_next(d->process->members, MB_ENTRY, NULL, m)) {
+		if (m->id == self || !mb_may_get_work(m) ||
+		    m->state == MB_UNKNOWN)
+			continue;
+		g_ptr_array_add(entries, (gpointer)m);
+		g_array_append_val(ids, m->id);
+	}
+	return entries;
+}
+
+/* Homes of a fingerprint; NULL stands for this entry. */
+static uint32_t en_find_homes(const struct en_dispatch *d, uint64_t fingerprint,
+			      const struct mb_member *homes[PE_HOMES])
+{
+	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GPtrArray *entries = en_list_entries(d, ids);
+	uint32_t places[PE_HOMES];
+	uint32_t count = pe_homes((const uint64_t *)(void *)ids->data, ids->len,
+				  fingerprint, places);
+
+	for (uint32_t i = 0; i < count; i++)
+		homes[i] = entries->pdata[places[i]];
+	g_ptr_array_free(entries, TRUE);
+	g_array_free(ids, TRUE);
+	return count;
+}
+
+static bool en_is_home(const struct en_dispatch *d, uint64_t fingerprint)
+{
+	const struct mb_member *homes[PE_HOMES];
+	uint32_t count = en_find_homes(d, fingerprint, homes);
+
+	for (uint32_t i = 0; i < count; i++)
+		if (!homes[i])
+			return true;
+	return false;
+}
+
+static void en_tell_suspect(struct en_dispatch *d, const struct ps_suspect *s,
+			    int64_t now_ms)
+{
+	for (uint32_t i = 0; i < s->count; i++) {
+		const struct ps_crash *crash = &s->crashes[i];
+
+		en_tell_poison(d, NULL,
+			       &(bp_poison){
+				       .fingerprint = s->fingerprint,
+				       .engine = crash->engine,
+				       .incarnation = crash->incarnation,
+				       .age_ms = MAX(now_ms - crash->at_ms, 0),
+			       });
+	}
+}
+
+/* The homes make up for lost messages and for entries that started anew. */
+static void en_tell_again(struct en_dispatch *d, int64_t now_ms)
+{
+	struct ps_suspect suspects[EN_MAX_TOLD];
+	uint32_t count = ps_list(&d->poison, suspects, EN_MAX_TOLD);
+
+	for (uint32_t i = 0; i < count; i++)
+		if (en_is_home(d, suspects[i].fingerprint))
+			en_tell_suspect(d, &suspects[i], now_ms);
+}
+
 void en_peers_poison(struct en_dispatch *d, uint64_t fingerprint,
 		     uint64_t engine, uint64_t incarnation)
 {
 	bp_poison message = { .fingerprint = fingerprint,
 			      .engine = engine,
 			      .incarnation = incarnation };
-	uint32_t turn = d->usage_turn;
 
-	en_to_entries(d, d->process->settings.self.zone, BP_POISON,
-		      (xdrproc_t)xdr_bp_poison, &message, 0, UINT32_MAX / 2);
-	d->usage_turn = turn;
+	en_tell_poison(d, d->process->settings.self.zone, &message);
 }
 
 static void en_on_usage(void *arg, struct rp_request *request, const void *args)
@@ -210,6 +293,10 @@
 		d->next_scan_ms = now_ms + EN_CRASH_SCAN_MS;
 		en_scan_engines(d, now_ms);
 	}
+	if (now_ms >= d->next_tell_ms) {
+		d->next_tell_ms = now_ms + EN_TELL_PERIOD_MS;
+		en_tell_again(d, now_ms);
+	}
 	if (now_ms >= d->next_expire_ms) {
 		d->next_expire_ms = now_ms + EN_EXPIRE_MS;
 		ps_expire(&d->poison, now_ms);
--- a/tests/unit/entry_peers_test.cc
+++ b/tests/unit/entry_peers_test.cc
@@ -136,13 +136,13 @@
 			 { MB_ENGINE, "e2", e2.port(), 7 } };
 	}
 	static void know(Host &host, enum mb_role role, const char *name,
-			 uint16_t rpc_port)
+			 uint16_t rpc_port, const char *zone = "z1")
 	{
 		struct mb_member m = {};
 
 		m.role = role;
 		g_strlcpy(m.name, name, sizeof(m.name));
-		g_strlcpy(m.zone, "z1", sizeof(m.zone));
+		g_strlcpy(m.zone, zone, sizeof(m.zone));
 		g_strlcpy(m.region, "r1", sizeof(m.region));
 		m.ipv4 = INADDR_LOOPBACK;
 		m.rpc_port = rpc_port;
@@ -171,6 +171,12 @@
 		return ps_fingerprint(px_salt("t1", "m", "v1", ""), &chain, "",
 				      0, "m", 1);
 	}
+	static bool refuses(Host &host)
+	{
+		return ps_check(&dispatch(host)->poison, fingerprint(),
+				ck_now_ms())
+			       .verdict == PS_REFUSE;
+	}
 	static struct en_dispatch *dispatch(Host &host)
 	{
 		return static_cast<struct en_entry *>(host.p.role_state)
@@ -275,4 +281,19 @@
 	EXPECT_EQ(e1.count("POST") + e2.count("POST"), 2);
 }
 
+// It was lost with the process that knew it, or the message was.
+TEST_F(Peers, AnEntryThatStartsAnewIsToldWhatCrashesEngines)
+{
+	std::unique_ptr<Host> late;
+
+	for (const char *engine : { "e1", "e2" })
+		ps_peer(&dispatch(*h1)->poison, fingerprint(), px_id(engine), 7,
+			0, ck_now_ms());
+	ASSERT_TRUE(refuses(*h1));
+	late.reset(new Host(l.loop, "h3", engines()));
+	know(*h1, MB_ENTRY, "h3", rp_port(&late->p.rpc));
+	EXPECT_TRUE(l.run_until([&] { return refuses(*late); }));
+	late.reset();
+}
+
 } // namespace
