entry: crashes in several zones add up

Engines saw: a request that comes in through entries of several zones ended two engines in each of them, as charges were told within a zone only. Change: a charge goes to the homes of its fingerprint in other zones, too, and a home that learns of a second one tells the entries of all zones at once. Before: entry_peers_test CrashesInSeveralZonesAddUp: neither entry refuses within 10 s. After: both do.

--- a/src/entry/en_peers.c
+++ b/src/entry/en_peers.c
@@ -193,6 +193,21 @@
 			en_tell_suspect(d, &suspects[i], now_ms);
 }
 
+/* Those of other zones, so that crashes in several zones add up. */
+static void en_tell_homes(struct en_dispatch *d, const bp_poison *message)
+{
+	const struct mb_member *homes[PE_HOMES];
+	uint32_t count = en_find_homes(d, message->fingerprint, homes);
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (!homes[i] ||
+		    !strcmp(homes[i]->zone, d->process->settings.self.zone))
+			continue;
+		en_send_datagram(d, homes[i], BP_POISON,
+				 (xdrproc_t)xdr_bp_poison, message);
+	}
+}
+
 void en_peers_poison(struct en_dispatch *d, uint64_t fingerprint,
 		     uint64_t engine, uint64_t incarnation)
 {
@@ -201,6 +216,7 @@
 			      .incarnation = incarnation };
 
 	en_tell_poison(d, d->process->settings.self.zone, &message);
+	en_tell_homes(d, &message);
 }
 
 static void en_on_usage(void *arg, struct rp_request *request, const void *args)
@@ -229,8 +245,16 @@
 	struct en_dispatch *d = arg;
 	const bp_poison *message = args;
 
+	struct ps_suspect before = { 0 }, after = { 0 };
+	int64_t now_ms = ck_now_ms();
+
+	ps_find(&d->poison, message->fingerprint, &before);
 	ps_peer(&d->poison, message->fingerprint, message->engine,
-		message->incarnation, message->age_ms, ck_now_ms());
+		message->incarnation, message->age_ms, now_ms);
+	ps_find(&d->poison, message->fingerprint, &after);
+	if (after.count > before.count && after.count >= PS_POISON_CRASHES &&
+	    en_is_home(d, message->fingerprint))
+		en_tell_suspect(d, &after, now_ms);
 	rp_drop(request);
 }
 
--- a/tests/unit/entry_peers_test.cc
+++ b/tests/unit/entry_peers_test.cc
@@ -281,6 +281,33 @@
 	EXPECT_EQ(e1.count("POST") + e2.count("POST"), 2);
 }
 
+// One engine ends under it at each of two entries, which are of two zones.
+TEST_F(Peers, CrashesInSeveralZonesAddUp)
+{
+	struct {
+		Host *host;
+		const char *engine;
+	} runs[] = { { h1.get(), "e1" }, { h2.get(), "e2" } };
+
+	g_strlcpy(h2->p.settings.self.zone, "z2",
+		  sizeof(h2->p.settings.self.zone));
+	know(*h1, MB_ENTRY, "h2", rp_port(&h2->p.rpc), "z2");
+	know(*h2, MB_ENTRY, "h1", rp_port(&h1->p.rpc), "z1");
+	for (auto &run : runs) {
+		struct en_dispatch *d = dispatch(*run.host);
+		uint64_t engine = px_id(run.engine);
+
+		/* The entry has seen the engine before it ends. */
+		ASSERT_TRUE(l.run_until(
+			[&] { return en_load(d, engine)->incarnation == 7; }));
+		ps_started(&d->poison, fingerprint(), engine, 7, ck_now_ms());
+		mb_answered(&run.host->members, MB_ENGINE, run.engine, 8,
+			    ck_now_ms());
+	}
+	for (auto &run : runs)
+		EXPECT_TRUE(l.run_until([&] { return refuses(*run.host); }));
+}
+
 // It was lost with the process that knew it, or the message was.
 TEST_F(Peers, AnEntryThatStartsAnewIsToldWhatCrashesEngines)
 {
