entry: bytes without end that are no event end an attempt

Callers without a deadline saw: no end. An engine that refuses, or keeps a stream open with comments, and never stops sending held the attempt for good. Cause: silence was looked for, and an event or an answer over its bound; bytes that are neither were not counted. Change: so many bytes since the last event, or of a refusal, are a fault. The endless server is shared with the gateway's test.

--- a/src/upstream/up.c
+++ b/src/upstream/up.c
@@ -72,6 +72,7 @@
 	struct up_event out = { .sequence = event->sequence,
 				.is_done = event->is_done };
 
+	a->_idle_bytes = 0;
 	if (!event->is_done) {
 		struct json_object *field;
 
@@ -149,7 +150,10 @@
 {
 	struct up_attempt *a = arg;
 
+	a->_idle_bytes += bytes;
 	a->_ops->data(a, http_status, data, bytes);
+	if (a->_idle_bytes > UP_MAX_IDLE_BYTES)
+		sd_reject(&a->_decoder, SD_TOO_LARGE);
 	if (a->_decoder.fault == SD_FINE || ev_is_active(&a->_fail_later))
 		return;
 	ev_timer_set(&a->_fail_later, 0.0, 0.0);
--- a/src/upstream/up.h
+++ b/src/upstream/up.h
@@ -42,8 +42,10 @@
 #define UP_VERSION_BYTES   64
 #define UP_PATH_BYTES	   2048
 #define UP_MAX_ERROR_BYTES 65536
-#define UP_MAX_HEADERS	   64
-#define UP_MAX_JSON_DEPTH  64
+/** Of a stream without an event, or of a refusal; over the largest event. */
+#define UP_MAX_IDLE_BYTES (2u << 20)
+#define UP_MAX_HEADERS	  64
+#define UP_MAX_JSON_DEPTH 64
 
 /**
  * enum up_end - how an attempt ended.
@@ -217,6 +219,7 @@
 	struct hc_call _call;
 	ev_timer _fail_later;
 	GString *_refusal;
+	uint64_t _idle_bytes;
 	GPtrArray *_headers;
 	struct json_object *_json;
 	struct _up_link *_link;
--- a/tests/sessions/gateway_endless_test.cc
+++ b/tests/sessions/gateway_endless_test.cc
@@ -2,11 +2,7 @@
 // closes: the caller gets an answer in time, and memory stays bounded.
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
-#include <poll.h>
 #include <signal.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <atomic>
 #include <chrono>
@@ -14,6 +10,7 @@
 #include <thread>
 
 #include "cluster.h"
+#include "endless.h"
 #include "fleet.h"
 #include "http.h"
 #include "process.h"
@@ -34,118 +31,6 @@
 const long most_resident_kb = 64 * 1024;
 #endif
 
-// Answers each request with @start, then with @part over and over.
-class EndlessEngine
-{
-      public:
-	std::atomic<uint64_t> sent{ 0 };
-	std::atomic<int> open{ 0 };
-
-	EndlessEngine(std::string start, std::string part)
-	    : start(std::move(start)), part(std::move(part))
-	{
-		struct sockaddr_in at = {};
-		socklen_t bytes = sizeof(at);
-
-		while (this->part.size() < 4096)
-			this->part += this->part;
-		at.sin_family = AF_INET;
-		at.sin_addr.s_addr = inet_addr(Fleet::store_ip().c_str());
-		listener = socket(AF_INET, SOCK_STREAM, 0);
-		EXPECT_EQ(bind(listener, (struct sockaddr *)&at, sizeof(at)),
-			  0);
-		EXPECT_EQ(listen(listener, 64), 0);
-		getsockname(listener, (struct sockaddr *)&at, &bytes);
-		address = Fleet::store_ip() + ":" +
-			  std::to_string(ntohs(at.sin_port));
-		acceptor = std::thread([this] { accept_all(); });
-	}
-
-	~EndlessEngine()
-	{
-		is_over = true;
-		acceptor.join();
-		for (auto &thread : threads)
-			thread.join();
-		close(listener);
-	}
-
-	std::string address;
-
-      private:
-	std::string start, part;
-	int listener;
-	std::atomic<bool> is_over{ false };
-	std::thread acceptor;
-	std::vector<std::thread> threads;
-
-	static bool is_ready(int fd, short events)
-	{
-		struct pollfd p = { fd, events, 0 };
-
-		return poll(&p, 1, 50) > 0;
-	}
-
-	void accept_all()
-	{
-		while (!is_over) {
-			if (!is_ready(listener, POLLIN))
-				continue;
-			int fd = accept(listener, nullptr, nullptr);
-			threads.emplace_back([this, fd] { serve(fd); });
-		}
-	}
-
-	// The id of the attempt, for answers that must name it.
-	static std::string fill(std::string text, const std::string &request)
-	{
-		size_t at = request.find("X-Attempt-Id: ");
-		size_t hole = text.find('@');
-		std::string id;
-
-		if (at != std::string::npos) {
-			at += strlen("X-Attempt-Id: ");
-			id = request.substr(at, request.find('\r', at) - at);
-		}
-		return hole == std::string::npos ? text
-						 : text.replace(hole, 1, id);
-	}
-
-	void serve(int fd)
-	{
-		char buffer[8192];
-		std::string request, text;
-
-		open++;
-		while (!is_over &&
-		       request.find("\r\n\r\n") == std::string::npos) {
-			if (!is_ready(fd, POLLIN))
-				continue;
-			ssize_t n = recv(fd, buffer, sizeof(buffer), 0);
-			if (n <= 0)
-				break;
-			request.append(buffer, n);
-		}
-		text = fill(start, request);
-		while (!is_over && !request.empty()) {
-			if (!is_ready(fd, POLLOUT))
-				continue;
-			ssize_t n = send(fd, text.data(), text.size(),
-					 MSG_NOSIGNAL | MSG_DONTWAIT);
-			if (n < 0 && errno == EAGAIN)
-				continue;
-			if (n < 0)
-				break;
-			sent += n;
-			text.erase(0, n);
-			if (text.empty())
-				text = part;
-		}
-		close(fd);
-		open--;
-	}
-};
-
 const char signed_head[] = "HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\n"
 			   "X-Response-Stamp: s\r\n";
 
@@ -296,10 +181,10 @@
 TEST_F(Endless, BytesOfAnEngineEndWithItsRequest)
 {
 	for (const EndlessCase &c : cases) {
-		EndlessEngine engine(c.start, c.part);
+		EndlessServer engine(Fleet::store_ip(), c.start, c.part);
 
-		fleet.set_address("e1", engine.address);
-		fleet.set_address("a1", engine.address);
+		fleet.set_address("e1", engine.address());
+		fleet.set_address("a1", engine.address());
 		start();
 		ask_at_once(c.what);
 		EXPECT_LE(resident_kb(), most_resident_kb) << c.what;
--- a/tests/unit/upstream_test.cc
+++ b/tests/unit/upstream_test.cc
@@ -1,4 +1,5 @@
 // Attempts at engines and services against a server on the same loop.
+#include "../harness/endless.h"
 #include "fakes.h"
 
 extern "C" {
@@ -36,7 +37,7 @@
 		server.stop();
 	}
 	void start(const char *kind, bool is_stream,
-		   const char *path = "/v1/completions")
+		   const char *path = "/v1/completions", uint16_t port = 0)
 	{
 		struct up_desc desc = {};
 
@@ -45,7 +46,7 @@
 		desc.client = &client;
 		desc.id = "a-1";
 		desc.ipv4 = INADDR_LOOPBACK;
-		desc.port = server.port();
+		desc.port = port ? port : server.port();
 		desc.path = path;
 		desc.weights = "v1";
 		desc.incarnation = 7;
@@ -277,4 +278,46 @@
 	}
 }
 
+// A call without a deadline of its caller ends all the same.
+TEST_F(Upstream, BytesWithoutEndEndTheAttempt)
+{
+	static const struct {
+		const char *what;
+		bool is_stream;
+		const char *start;
+		const char *part;
+	} cases[] = {
+		{ "no HTTP at all", true, "", "x" },
+		{ "a line of the head", true, "HTTP/1.1 200 OK\r\nA: ", "a" },
+		{ "lines of the head", true, "HTTP/1.1 200 OK\r\n",
+		  "A: a\r\n" },
+		{ "heads that are not final", true, "",
+		  "HTTP/1.1 100 Continue\r\n\r\n" },
+		{ "a whole answer", false, "HTTP/1.1 200 OK\r\n\r\n", "x" },
+		{ "an event", true, "HTTP/1.1 200 OK\r\n\r\ndata: ", "x" },
+		{ "comments", true, "HTTP/1.1 200 OK\r\n\r\n", ": x\n\n" },
+		{ "a refusal", true, "HTTP/1.1 503 Busy\r\n\r\n", "x" },
+	};
+
+	for (const auto &c : cases) {
+		std::string start_of_all = c.start;
+		size_t end_of_line = start_of_all.find('\n');
+
+		/* Those that it was routed for. */
+		if (end_of_line != std::string::npos)
+			start_of_all.insert(end_of_line + 1,
+					    "X-Weights-Version: v1\r\n"
+					    "X-Engine-Incarnation: 7\r\n");
+		harness::EndlessServer endless("127.0.0.1", start_of_all,
+					       c.part);
+
+		dones = 0;
+		start("engine", c.is_stream, "/v1/completions", endless.port());
+		EXPECT_TRUE(l.run_until([&] { return dones == 1; })) << c.what;
+		EXPECT_NE(result.end, UP_COMPLETE) << c.what;
+		EXPECT_LT(body.size(), 1u << 20) << c.what;
+		up_finish(&attempt);
+	}
+}
+
 } // namespace
