gateway: hosts that start are told of suspects, those who suspect alone are answered

Cause: told by the clock only; and a charge named one end, not all that its host knows, while the objection went to the homes and not to the host that suspects. Change: a new process is told as soon as it speaks; a charge carries all ends; objections go to whoever tells, too.

--- a/src/gateway/gw_hosts.h
+++ b/src/gateway/gw_hosts.h
@@ -22,6 +22,7 @@
 /**
  * struct gw_peer - another host.
  * @region: number of its name.
+ * @incarnation: of its process, as heard last; 0 before.
  * @has_spoken: it was heard since this process started.
  * @takes_part: the store answers it and it is not stopping, as it said last.
  * @period_ms: between two messages to it.
@@ -33,6 +34,7 @@
 	struct ad_address address;
 	uint32_t region;
 	bool is_far;
+	uint64_t incarnation;
 	bool has_spoken;
 	bool takes_part;
 	int64_t heard_ms;
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -68,6 +68,9 @@
 		peer->heard_ms = now_ms;
 		peer->has_spoken = true;
 		peer->takes_part = message->takes_part;
+		if (peer->incarnation != from->incarnation)
+			gw_poison_greet(p->gateway, from);
+		peer->incarnation = from->incarnation;
 	}
 	rp_drop(request);
 }
--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -17,6 +17,8 @@
 #define GW_TELL_PERIOD_MS 2000
 #define GW_MAX_TOLD	  16
 #define GW_EXPIRE_MS	  60000
+/* Of a call whose answer is not awaited. */
+#define GW_TELL_TIMEOUT_MS 60
 /* Hosts that keep telling of answers of the same moment change nothing. */
 #define GW_COMPLETED_STEP_MS 1000
 /* The next home writes the row when it has been out of date for so long. */
@@ -84,6 +86,33 @@
 			  (xdrproc_t)xdr_bp_gateway_suspect, &message);
 }
 
+static void gw_tell_one(struct gw_gateway *g, const struct rp_peer *peer,
+			const bp_gateway_suspect *message)
+{
+	gw_peers_call(g,
+		      &(struct rp_call_desc){
+			      .to = { .ipv4 = peer->ipv4, .port = peer->port },
+			      .number = BP_GATEWAY_SUSPECT,
+			      .args = (xdrproc_t)xdr_bp_gateway_suspect,
+			      .args_value = message,
+			      .deadline_ms = GW_TELL_TIMEOUT_MS });
+}
+
+void gw_poison_greet(struct gw_gateway *g, const struct rp_peer *peer)
+{
+	struct ps_suspect suspects[GW_MAX_TOLD];
+	uint32_t count = ps_list(&g->poison->table, suspects, GW_MAX_TOLD);
+
+	for (uint32_t i = 0; i < count; i++) {
+		bp_charge charges[PS_MAX_CRASHES];
+		bp_gateway_suspect message =
+			gw_to_wire(&suspects[i], charges, ck_now_ms());
+
+		if (gw_peers_is_home(g, suspects[i].fingerprint))
+			gw_tell_one(g, peer, &message);
+	}
+}
+
 /* A charge is new here. */
 static void gw_pass_on(struct gw_gateway *g, uint64_t content,
 		       const char *evidence)
@@ -140,17 +169,24 @@
 				  (xdrproc_t)xdr_bp_gateway_suspect, message);
 }
 
-/* This host has had a whole answer of late: that speaks for the suspect. */
-static void gw_contradict(struct gw_gateway *g,
+/*
+ * This host has had a whole answer of late: that speaks for the suspect, to the
+ * homes and to whoever suspects it.
+ */
+static void gw_contradict(struct gw_gateway *g, const struct rp_peer *from,
 			  const bp_gateway_suspect *message, int64_t now_ms)
 {
 	int64_t completed_ms =
 		ps_completed_ms(&g->poison->table, message->fingerprint);
+	bp_gateway_suspect answer = { .fingerprint = message->fingerprint,
+				      .cleared = true };
 
 	if (!message->charges.charges_len || !completed_ms ||
 	    now_ms - completed_ms > PS_SOUND_MS)
 		return;
-	gw_tell_cleared(g, message->fingerprint, now_ms - completed_ms);
+	answer.cleared_age_ms = now_ms - completed_ms;
+	gw_tell_one(g, from, &answer);
+	gw_tell_cleared(g, message->fingerprint, answer.cleared_age_ms);
 }
 
 static void gw_on_suspect(void *arg, struct rp_request *request,
@@ -170,7 +206,7 @@
 			charge->incarnation, charge->age_ms, now_ms);
 	}
 	ps_probed(&g->poison->table, message->fingerprint, message->probes);
-	gw_contradict(g, message, now_ms);
+	gw_contradict(g, rp_peer_of(request), message, now_ms);
 	if (gw_count_crashes(g, message->fingerprint) > before)
 		gw_pass_on(g, message->fingerprint, "told");
 	rp_drop(request);
@@ -246,14 +282,17 @@
 		gw_tell_cleared(g, r->content, 0);
 }
 
-static void gw_charge(struct gw_gateway *g, uint64_t content,
-		      const struct fl_engine *e)
+/* All that this host has against it, or the homes would know less than it. */
+static void gw_charge(struct gw_gateway *g, uint64_t content)
 {
-	bp_charge charge = { e->hash, fl_incarnation(e), 0 };
-	bp_gateway_suspect message = { .fingerprint = content,
-				       .charges = { 1, &charge } };
+	bp_charge charges[PS_MAX_CRASHES];
+	bp_gateway_suspect message;
+	struct ps_suspect s;
 
 	mt_add(&gw_charged, 1);
+	if (!ps_find(&g->poison->table, content, &s))
+		return;
+	message = gw_to_wire(&s, charges, ck_now_ms());
 	gw_peers_call_homes(g, content, BP_GATEWAY_SUSPECT,
 			    (xdrproc_t)xdr_bp_gateway_suspect, &message);
 	gw_pass_on(g, content, "ran_there");
@@ -277,7 +316,7 @@
 	lg_warn("engine ended with requests", "event", "engine_ended", "engine",
 		e->entry.id, "evidence", evidence, "requests", requests, NULL);
 	for (uint32_t i = 0; i < count; i++)
-		gw_charge(g, charged[i], e);
+		gw_charge(g, charged[i]);
 }
 
 void gw_poison_engine_lives(struct gw_gateway *g, const struct fl_engine *e)
--- a/src/gateway/gw_poison.h
+++ b/src/gateway/gw_poison.h
@@ -16,7 +16,8 @@
  *	- What was running there is charged. A charge goes to a few hosts, the
  *	  homes of its fingerprint (src/peers/pe_home.h). From the second one
  *	  on the homes tell all hosts, at once and then every few seconds, which
- *	  makes up for lost messages and hosts that have just started.
+ *	  makes up for lost messages. A host that starts is told as soon as it
+ *	  speaks.
  *	- A host that has had a complete answer to it since a crash says so,
  *	  which clears it.
  *	- Those that are proven lie in a row of the store, for hosts that all
@@ -42,6 +43,9 @@
 /** gw_poison_serve() - take what other hosts tell. */
 enum st_code gw_poison_serve(struct gw_gateway *g, struct rp_endpoint *rpc);
 
+/** gw_poison_greet() - a process that knows nothing yet has spoken. */
+void gw_poison_greet(struct gw_gateway *g, const struct rp_peer *peer);
+
 /** gw_poison_check() - before every attempt. */
 struct ps_answer gw_poison_check(struct gw_gateway *g, uint64_t content);
 
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -25,7 +25,7 @@
 constexpr int64_t drain_ms = 3000;
 constexpr int64_t lease_slack_ms = 700;
 /* Of a request that ends engines: so long after the third of them has ended,
- * no more than so many ends follow. */
+ * no more than so many ends follow, by hosts that ran undisturbed as long. */
 constexpr int64_t known_after_ms = 4000;
 constexpr size_t ends_before = 3;
 constexpr int ends_after = 3;
@@ -42,6 +42,7 @@
 	int key;       /* version that has this key; 0: the key of all */
 	int64_t sent_ms;
 	int64_t deadline_ms;
+	bool is_settled; /* its host ran undisturbed for known_after_ms */
 };
 
 struct Got {
@@ -97,7 +98,9 @@
 	std::set<std::string> records;
 	std::set<std::string> not_run;
 	std::set<std::string> deadly_bodies;
+	std::set<std::string> unsettled;
 
+	void note(const Sent &sent);
 	void check_body(const Sent &sent, const Got &got);
 	void check_key(const Sent &sent, const Got &got);
 	void check_orders();
