soak: what follows a lost answer on a connection is lost, too

Cause: the proxy dropped bytes for 52 ms and passed on what came later on the same connection. The fault was wrong, not the gateway. Change: a connection that lost an answer stays mute; the fault is harder now.

--- a/tests/harness/proxy.cc
+++ b/tests/harness/proxy.cc
@@ -109,6 +109,7 @@
 	fcntl(target, F_SETFL, O_NONBLOCK);
 	links.push_back({ { caller, {}, false, false },
 			  { target, {}, false, false },
+			  false,
 			  false });
 }
 
@@ -121,6 +122,8 @@
 	if (got > 0) {
 		bytes.resize(got);
 		if (now == Way::lose_answers && is_answer)
+			link.is_mute = true;
+		if (link.is_mute && is_answer)
 			return;
 		to.out.push_back(
 			{ ck_now_ms() + (now == Way::slow ? late_ms.load() : 0),
--- a/tests/harness/proxy.h
+++ b/tests/harness/proxy.h
@@ -65,6 +65,8 @@
 		Side caller;
 		Side target;
 		bool is_torn;
+		/* Bytes of an answer were lost: nothing may follow them. */
+		bool is_mute;
 	};
 
 	std::string ip;
