gateway: a host that is no home of the row of refused contents leaves it alone

Read as a newcomer: the turn of a host that is no home was a large number that wrapped when multiplied; it happened to stay large. No change of behaviour. CAPACITY.md has what the watch for such requests costs.

--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -388,8 +388,9 @@
 static void gw_keep_row(struct gw_gateway *g, int64_t now_ms)
 {
 	struct gw_poison *p = g->poison;
+	uint32_t turn = gw_peers_home_turn(g, 0);
 
-	if (!p->has_read || p->is_writing)
+	if (turn == GW_NO_HOME || !p->has_read || p->is_writing)
 		return;
 	if (ps_row_is_current(&p->table, p->row_text, now_ms)) {
 		p->row_stale_ms = 0;
@@ -397,8 +398,7 @@
 	}
 	if (!p->row_stale_ms)
 		p->row_stale_ms = now_ms;
-	if (now_ms - p->row_stale_ms >=
-	    gw_peers_home_turn(g, 0) * GW_ROW_TURN_MS)
+	if (now_ms - p->row_stale_ms >= (int64_t)turn * GW_ROW_TURN_MS)
 		gw_write_poison(g, now_ms);
 }
 
