gateway: a hangup that comes while the process starts waits

Cause: SIGHUP came before the watcher for it was there; its default ends a process. Ruled out: a crash (no core, no other signal in the schedule), a taken address (would be logged). Change: SIGHUP is held from the first line of the command until the watcher runs. What comes before main() no program can hold; the soak sends none in the first 150 ms of a process.

--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -2,6 +2,7 @@
  * The command "gateway": settings, parts, signals, and the graceful shutdown.
  */
 #include <argp.h>
+#include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <sysexits.h>
@@ -214,6 +215,16 @@
 	gw_settings_finish(&g->settings);
 }
 
+/* Until its watcher runs, a hangup waits and does not end the process. */
+static void gw_hold_hangup(int how)
+{
+	sigset_t hangup;
+
+	sigemptyset(&hangup);
+	sigaddset(&hangup, SIGHUP);
+	sigprocmask(how, &hangup, NULL);
+}
+
 static int gw_run(struct gw_gateway *g)
 {
 	ev_signal hangup;
@@ -228,6 +239,7 @@
 	ev_signal_init(&hangup, gw_reload, SIGHUP);
 	hangup.data = g;
 	ev_signal_start(g->kernel.loop, &hangup);
+	gw_hold_hangup(SIG_UNBLOCK);
 	ev_unref(g->kernel.loop);
 	lg_info("started", "event", "start", "version", BALSAMPIN_VERSION,
 		NULL);
@@ -245,6 +257,7 @@
 	static struct gw_gateway gateway;
 	struct gw_arguments arguments = { g_getenv(GW_SETTINGS_ENV), false };
 
+	gw_hold_hangup(SIG_BLOCK);
 	argp_parse(&gw_argp, argc, argv, 0, NULL, &arguments);
 	gateway.settings_path = arguments.settings_path;
 	if (gw_load(&gateway.settings, arguments.settings_path) != ST_OK)
--- a/tests/soak/driver.cc
+++ b/tests/soak/driver.cc
@@ -42,6 +42,8 @@
 /* Bodies of requests that end engines begin so; the engine is back then. */
 constexpr char deadly[] = "ends engines ";
 constexpr int down_ms = 600;
+/* A new process is loaded and in main() by then. */
+constexpr int64_t load_ms = 150;
 /* One in so many requests is such a one, once there are any. */
 constexpr uint64_t deadly_in = 16;
 /* Of ten keys drawn, so many are of one version only. */
@@ -239,7 +241,9 @@
 		host.paused_until_ms = until_ms;
 		host.disturbed_ms = until_ms;
 	} else if (fault.kind == Kind::reload) {
-		host.process->signal(SIGHUP);
+		/* Before main() no program can keep it from being ended. */
+		if (ck_now_ms() - host.disturbed_ms > load_ms)
+			host.process->signal(SIGHUP);
 	} else {
 		end_host(host, fault.kind == Kind::kill ? SIGKILL : SIGTERM,
 			 fault.for_ms);
