tests: an engine that ends accepts nothing once its connections break

Seen once, beside a busy machine: gateway_crash_test RequestThatEndsEnginesIsRefused ByItsHost, 4 ends of plain engines, 3 allowed. The log shows why: the check after a broken attempt got its connection (evidence 'replaced' 0.6 s later instead of 'refuses_connections' at once), as the stand-in broke its connections first and closed its listener a moment later. A process that ends does neither after the other. The bound stays; the fault is now what it says.

--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 #include <json-c/json.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -575,6 +576,9 @@
 void Fleet::State::crash_or_start(Engine *e, int64_t now_ms)
 {
 	if (e->is_crashing) {
+		/* As with a process that ends: nothing is accepted any more
+		 * when its connections break. */
+		shutdown(e->server._fd, SHUT_RDWR);
 		close(e);
 		crashes++;
 		e->is_crashing = false;
