gateway: an event that has not ended is searched once

Read once more: each piece of a stream searched all that was pending again for the end of an event, and moved it in memory onto itself. Seen: gateway_endless_test beside a busy machine, chunks of 4 bytes without end: answers 2.11 s after the request, 2.0 allowed, as the loop was busy. In the program alone: 256 KiB in pieces of 4 bytes took 9,721 ms of processor time. Change: the search goes on where it ended, but for the two bytes that may begin the end.

--- a/src/gateway/gw_events.c
+++ b/src/gateway/gw_events.c
@@ -7,6 +7,7 @@
 {
 	events->_pending = g_string_new(NULL);
 	events->_used = 0;
+	events->_searched = 0;
 }
 
 void gw_events_finish(struct gw_events *events)
@@ -18,15 +19,19 @@
 
 void gw_events_add(struct gw_events *events, const char *data, uint64_t bytes)
 {
-	g_string_erase(events->_pending, 0, events->_used);
+	if (events->_used)
+		g_string_erase(events->_pending, 0, events->_used);
 	events->_used = 0;
 	g_string_append_len(events->_pending, data, bytes);
 }
 
-/* Length of the first whole event, 0 if there is none. */
-static uint64_t gw_whole_event(const char *data, uint64_t bytes)
+/* An event ends with a line feed and an empty line, which may have a CR. */
+#define GW_EVENT_END_BYTES 3
+
+/* Length of the first whole event, 0 if there is none; it ends after @from. */
+static uint64_t gw_whole_event(const char *data, uint64_t from, uint64_t bytes)
 {
-	for (uint64_t i = 0; i < bytes; i++) {
+	for (uint64_t i = from; i < bytes; i++) {
 		if (data[i] != '\n')
 			continue;
 		if (i + 1 < bytes && data[i + 1] == '\n')
@@ -60,11 +65,15 @@
 bool gw_events_next(struct gw_events *events, struct gw_event *event)
 {
 	const char *data = events->_pending->str + events->_used;
-	uint64_t bytes =
-		gw_whole_event(data, events->_pending->len - events->_used);
+	uint64_t pending = gw_events_pending(events);
+	uint64_t bytes = gw_whole_event(data, events->_searched, pending);
 
-	if (!bytes)
+	if (!bytes) {
+		events->_searched =
+			pending - MIN(pending, GW_EVENT_END_BYTES - 1);
 		return false;
+	}
+	events->_searched = 0;
 	event->data = data;
 	event->bytes = bytes;
 	event->id = gw_event_id(data, bytes);
@@ -76,6 +85,7 @@
 {
 	g_string_truncate(events->_pending, 0);
 	events->_used = 0;
+	events->_searched = 0;
 }
 
 bool gw_events_is_torn(const struct gw_events *events)
--- a/src/gateway/gw_events.h
+++ b/src/gateway/gw_events.h
@@ -28,9 +28,12 @@
 	int64_t id;
 };
 
+/** struct gw_events - @_searched: of the bytes after @_used, no event ends
+ * there. */
 struct gw_events {
 	GString *_pending;
 	uint64_t _used;
+	uint64_t _searched;
 };
 
 void gw_events_init(struct gw_events *events);
--- a/tests/unit/gateway_rules_test.cc
+++ b/tests/unit/gateway_rules_test.cc
@@ -2,6 +2,7 @@
 // roll-out plan, the fleet, the age of weights.
 #include <gtest/gtest.h>
 
+#include <ctime>
 #include <set>
 #include <string>
 #include <vector>
@@ -164,6 +165,28 @@
 	}
 }
 
+// An engine may send an event without an end in pieces of a few bytes.
+TEST(Events, AnEventWithoutAnEndIsReadOnce)
+{
+	static const int pieces = 65536;
+	static const double most_s = 1.0;
+	struct gw_events events;
+	struct gw_event event;
+	clock_t start = clock();
+
+	gw_events_init(&events);
+	for (int i = 0; i < pieces; i++) {
+		gw_events_add(&events, "xxxx", 4);
+		ASSERT_FALSE(gw_events_next(&events, &event));
+	}
+	EXPECT_LT((clock() - start) / (double)CLOCKS_PER_SEC, most_s);
+	gw_events_add(&events, "\n\r\n", 3);
+	ASSERT_TRUE(gw_events_next(&events, &event));
+	EXPECT_EQ(event.bytes, 4u * pieces + 3u);
+	EXPECT_FALSE(gw_events_is_torn(&events));
+	gw_events_finish(&events);
+}
+
 TEST(Events, ATornOneIsNotHandedOn)
 {
 	std::vector<int64_t> ids;
