suspects: what two places worked out alike stands once

Read once more, behaviour as it was: en_note_entries() and the new list of homes walked the entries by the same rule, one list serves both; the gateway's homes were found by a second copy of the walk over hosts that are heard; one-way calls to a host had two time limits and three spellings (gw_peers_call_one()); telling one host and telling all were two loops; counting a fingerprint's crashes was written at the entry and at the gateway (ps_count()); a pause was computed twice, a bound was applied that ps_avoid() keeps by itself. The comment of ps_row.h is readable again. Tests of suspects, peers, entry, gateway: passed.

--- a/src/entry/en_peers.c
+++ b/src/entry/en_peers.c
@@ -72,18 +72,31 @@
 		d->usage_turn = 0;
 }
 
-static void en_note_entries(struct en_dispatch *d, int64_t now_ms)
+/* Entries of all zones that get work, this one first, as NULL. */
+static GPtrArray *en_list_entries(const struct en_dispatch *d, GArray *ids)
 {
-	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GPtrArray *entries = g_ptr_array_new();
 	uint64_t self = px_id(d->process->settings.self.name);
 
+	g_ptr_array_add(entries, NULL);
 	g_array_append_val(ids, self);
 	for (const struct mb_member *m =
 		     mb_next(d->process->members, MB_ENTRY, NULL, NULL);
-	     m; m = mb_next(d->process->members, MB_ENTRY, NULL, m))
-		if (m->id != self && mb_may_get_work(m) &&
-		    m->state != MB_UNKNOWN)
-			g_array_append_val(ids, m->id);
+	     m; m = mb_next(d->process->members, MB_ENTRY, NULL, m)) {
+		if (m->id == self || !mb_may_get_work(m) ||
+		    m->state == MB_UNKNOWN)
+			continue;
+		g_ptr_array_add(entries, (gpointer)m);
+		g_array_append_val(ids, m->id);
+	}
+	return entries;
+}
+
+static void en_note_entries(struct en_dispatch *d, int64_t now_ms)
+{
+	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+
+	g_ptr_array_free(en_list_entries(d, ids), TRUE);
 	lm_entries(&d->limits, (const uint64_t *)(void *)ids->data, ids->len,
 		   now_ms);
 	g_array_free(ids, TRUE);
@@ -118,26 +131,6 @@
 	d->usage_turn = turn;
 }
 
-/* Entries of all zones that may keep something, this one first. */
-static GPtrArray *en_list_entries(const struct en_dispatch *d, GArray *ids)
-{
-	GPtrArray *entries = g_ptr_array_new();
-	uint64_t self = px_id(d->process->settings.self.name);
-
-	g_ptr_array_add(entries, NULL);
-	g_array_append_val(ids, self);
-	for (const struct mb_member *m =
-		     mb_next(d->process->members, MB_ENTRY, NULL, NULL);
-	     m; m = mb_next(d->process->members, MB_ENTRY, NULL, m)) {
-		if (m->id == self || !mb_may_get_work(m) ||
-		    m->state == MB_UNKNOWN)
-			continue;
-		g_ptr_array_add(entries, (gpointer)m);
-		g_array_append_val(ids, m->id);
-	}
-	return entries;
-}
-
 /* Homes of a fingerprint; NULL stands for this entry. */
 static uint32_t en_find_homes(const struct en_dispatch *d, uint64_t fingerprint,
 			      const struct mb_member *homes[PE_HOMES])
@@ -244,15 +237,14 @@
 {
 	struct en_dispatch *d = arg;
 	const bp_poison *message = args;
-
-	struct ps_suspect before = { 0 }, after = { 0 };
+	uint32_t before = ps_count(&d->poison, message->fingerprint);
 	int64_t now_ms = ck_now_ms();
+	struct ps_suspect after;
 
-	ps_find(&d->poison, message->fingerprint, &before);
 	ps_peer(&d->poison, message->fingerprint, message->engine,
 		message->incarnation, message->age_ms, now_ms);
-	ps_find(&d->poison, message->fingerprint, &after);
-	if (after.count > before.count && after.count >= PS_POISON_CRASHES &&
+	if (ps_find(&d->poison, message->fingerprint, &after) &&
+	    after.count > before && after.count >= PS_POISON_CRASHES &&
 	    en_is_home(d, message->fingerprint))
 		en_tell_suspect(d, &after, now_ms);
 	rp_drop(request);
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -152,6 +152,10 @@
 void gw_peers_call_homes(struct gw_gateway *g, uint64_t key, uint32_t number,
 			 xdrproc_t args, const void *value);
 
+/** gw_peers_call_one() - a one-way call to the host at that address. */
+void gw_peers_call_one(struct gw_gateway *g, const struct rp_peer *peer,
+		       uint32_t number, xdrproc_t args, const void *value);
+
 /** gw_peers_call_all() - a one-way call to all other hosts. */
 void gw_peers_call_all(struct gw_gateway *g, uint32_t number, xdrproc_t args,
 		       const void *value);
--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -17,8 +17,6 @@
 #define GW_TELL_PERIOD_MS 2000
 #define GW_MAX_TOLD	  16
 #define GW_EXPIRE_MS	  60000
-/* Of a call whose answer is not awaited. */
-#define GW_TELL_TIMEOUT_MS 60
 /* Hosts that keep telling of answers of the same moment change nothing. */
 #define GW_COMPLETED_STEP_MS 1000
 /* The next home writes the row when it has been out of date for so long. */
@@ -77,40 +75,45 @@
 		NULL);
 }
 
-static void gw_tell_all(struct gw_gateway *g, const struct ps_suspect *s)
+/* @peer: NULL for all hosts. */
+static void gw_tell(struct gw_gateway *g, const struct rp_peer *peer,
+		    const bp_gateway_suspect *message)
 {
-	bp_charge charges[PS_MAX_CRASHES];
-	bp_gateway_suspect message = gw_to_wire(s, charges, ck_now_ms());
+	xdrproc_t encode = (xdrproc_t)xdr_bp_gateway_suspect;
 
-	gw_peers_call_all(g, BP_GATEWAY_SUSPECT,
-			  (xdrproc_t)xdr_bp_gateway_suspect, &message);
+	if (peer)
+		gw_peers_call_one(g, peer, BP_GATEWAY_SUSPECT, encode, message);
+	else
+		gw_peers_call_all(g, BP_GATEWAY_SUSPECT, encode, message);
 }
 
-static void gw_tell_one(struct gw_gateway *g, const struct rp_peer *peer,
-			const bp_gateway_suspect *message)
+static void gw_tell_suspect(struct gw_gateway *g, const struct rp_peer *peer,
+			    const struct ps_suspect *s)
 {
-	gw_peers_call(g,
-		      &(struct rp_call_desc){
-			      .to = { .ipv4 = peer->ipv4, .port = peer->port },
-			      .number = BP_GATEWAY_SUSPECT,
-			      .args = (xdrproc_t)xdr_bp_gateway_suspect,
-			      .args_value = message,
-			      .deadline_ms = GW_TELL_TIMEOUT_MS });
+	bp_charge charges[PS_MAX_CRASHES];
+	bp_gateway_suspect message = gw_to_wire(s, charges, ck_now_ms());
+
+	gw_tell(g, peer, &message);
 }
 
-void gw_poison_greet(struct gw_gateway *g, const struct rp_peer *peer)
+/* Those of which this host is a home; returns how many are proven in all. */
+static uint32_t gw_tell_known(struct gw_gateway *g, const struct rp_peer *peer)
 {
 	struct ps_suspect suspects[GW_MAX_TOLD];
 	uint32_t count = ps_list(&g->poison->table, suspects, GW_MAX_TOLD);
+	uint32_t proven = 0;
 
 	for (uint32_t i = 0; i < count; i++) {
-		bp_charge charges[PS_MAX_CRASHES];
-		bp_gateway_suspect message =
-			gw_to_wire(&suspects[i], charges, ck_now_ms());
-
+		proven += suspects[i].is_proven;
 		if (gw_peers_is_home(g, suspects[i].fingerprint))
-			gw_tell_one(g, peer, &message);
+			gw_tell_suspect(g, peer, &suspects[i]);
 	}
+	return proven;
+}
+
+void gw_poison_greet(struct gw_gateway *g, const struct rp_peer *peer)
+{
+	gw_tell_known(g, peer);
 }
 
 /* A charge is new here. */
@@ -124,7 +127,7 @@
 	if (s.count >= PS_POISON_CRASHES)
 		gw_log_suspect("request_suspected", &s, evidence);
 	if (s.count >= PS_POISON_CRASHES && gw_peers_is_home(g, content))
-		gw_tell_all(g, &s);
+		gw_tell_suspect(g, NULL, &s);
 }
 
 static void gw_tell_cleared(struct gw_gateway *g, uint64_t content,
@@ -138,26 +141,19 @@
 			    (xdrproc_t)xdr_bp_gateway_suspect, &message);
 }
 
-static uint32_t gw_count_crashes(const struct gw_gateway *g, uint64_t content)
-{
-	struct ps_suspect s;
-
-	return ps_find(&g->poison->table, content, &s) ? s.count : 0;
-}
-
 /* A suspect has been told to all hosts, and so is what speaks for it. */
 static void gw_take_cleared(struct gw_gateway *g,
 			    const bp_gateway_suspect *message)
 {
 	struct ps_table *table = &g->poison->table;
 	uint64_t content = message->fingerprint;
-	uint32_t before = gw_count_crashes(g, content);
+	uint32_t before = ps_count(table, content);
 	int64_t completed_ms = ps_completed_ms(table, content);
 	struct ps_suspect s;
 
 	ps_peer(table, content, 0, 0, message->cleared_age_ms, ck_now_ms());
 	if (before < PS_POISON_CRASHES ||
-	    (gw_count_crashes(g, content) == before &&
+	    (ps_count(table, content) == before &&
 	     ps_completed_ms(table, content) - completed_ms <
 		     GW_COMPLETED_STEP_MS))
 		return;
@@ -165,8 +161,7 @@
 		s = (struct ps_suspect){ .fingerprint = content };
 	gw_log_suspect("request_cleared", &s, "completed_elsewhere");
 	if (gw_peers_is_home(g, content))
-		gw_peers_call_all(g, BP_GATEWAY_SUSPECT,
-				  (xdrproc_t)xdr_bp_gateway_suspect, message);
+		gw_tell(g, NULL, message);
 }
 
 /*
@@ -185,7 +180,7 @@
 	    now_ms - completed_ms > PS_SOUND_MS)
 		return;
 	answer.cleared_age_ms = now_ms - completed_ms;
-	gw_tell_one(g, from, &answer);
+	gw_tell(g, from, &answer);
 	gw_tell_cleared(g, message->fingerprint, answer.cleared_age_ms);
 }
 
@@ -194,7 +189,8 @@
 {
 	struct gw_gateway *g = arg;
 	const bp_gateway_suspect *message = args;
-	uint32_t before = gw_count_crashes(g, message->fingerprint);
+	struct ps_table *table = &g->poison->table;
+	uint32_t before = ps_count(table, message->fingerprint);
 	int64_t now_ms = ck_now_ms();
 
 	if (message->cleared)
@@ -202,12 +198,12 @@
 	for (uint32_t i = 0; i < message->charges.charges_len; i++) {
 		const bp_charge *charge = &message->charges.charges_val[i];
 
-		ps_peer(&g->poison->table, message->fingerprint, charge->engine,
+		ps_peer(table, message->fingerprint, charge->engine,
 			charge->incarnation, charge->age_ms, now_ms);
 	}
-	ps_probed(&g->poison->table, message->fingerprint, message->probes);
+	ps_probed(table, message->fingerprint, message->probes);
 	gw_contradict(g, rp_peer_of(request), message, now_ms);
-	if (gw_count_crashes(g, message->fingerprint) > before)
+	if (ps_count(table, message->fingerprint) > before)
 		gw_pass_on(g, message->fingerprint, "told");
 	rp_drop(request);
 }
@@ -232,7 +228,7 @@
 	    !ps_find(&g->poison->table, content, &s))
 		return false;
 	gw_log_suspect("request_probed", &s, "pause_over");
-	gw_tell_all(g, &s);
+	gw_tell_suspect(g, NULL, &s);
 	return true;
 }
 
@@ -253,10 +249,7 @@
 uint32_t gw_poison_avoid(const struct gw_gateway *g, uint64_t content,
 			 uint64_t *engines, uint32_t capacity)
 {
-	uint32_t count =
-		ps_avoid(&g->poison->table, content, engines, capacity);
-
-	return MIN(count, capacity);
+	return ps_avoid(&g->poison->table, content, engines, capacity);
 }
 
 void gw_poison_sent(struct gw_request *r)
@@ -402,20 +395,6 @@
 		gw_write_poison(g, now_ms);
 }
 
-static void gw_tell_again(struct gw_gateway *g)
-{
-	struct ps_suspect suspects[GW_MAX_TOLD];
-	uint32_t count = ps_list(&g->poison->table, suspects, GW_MAX_TOLD);
-	uint32_t proven = 0;
-
-	for (uint32_t i = 0; i < count; i++) {
-		proven += suspects[i].is_proven;
-		if (gw_peers_is_home(g, suspects[i].fingerprint))
-			gw_tell_all(g, &suspects[i]);
-	}
-	mt_set(&gw_proven, proven);
-}
-
 void gw_poison_sweep(struct gw_gateway *g, int64_t now_ms)
 {
 	struct gw_poison *p = g->poison;
@@ -423,7 +402,7 @@
 	gw_keep_row(g, now_ms);
 	if (now_ms >= p->next_tell_ms) {
 		p->next_tell_ms = now_ms + GW_TELL_PERIOD_MS;
-		gw_tell_again(g);
+		mt_set(&gw_proven, gw_tell_known(g, NULL));
 	}
 	if (now_ms >= p->next_expire_ms) {
 		p->next_expire_ms = now_ms + GW_EXPIRE_MS;
--- a/src/gateway/gw_roles.c
+++ b/src/gateway/gw_roles.c
@@ -22,8 +22,9 @@
 		       GW_READER_SILENT_MS + 2 * peer->period_ms;
 }
 
-/* This host first, then those that are heard. */
-static uint32_t gw_list_hosts(const struct gw_gateway *g, struct pe_host *hosts)
+/* This host first, then those that are heard; @peers may be NULL. */
+static uint32_t gw_list_hosts(const struct gw_gateway *g, struct pe_host *hosts,
+			      const struct gw_peer **peers)
 {
 	const struct gw_settings *s = &g->settings;
 	const struct gw_peers *p = g->peers;
@@ -36,10 +37,12 @@
 	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++) {
 		const struct gw_peer *peer = p->hosts.peers->pdata[i];
 
-		if (count < GW_MAX_HOSTS && gw_is_heard(peer, now_ms))
-			hosts[count++] =
-				(struct pe_host){ peer->hash, peer->region,
-						  peer->takes_part };
+		if (count == GW_MAX_HOSTS || !gw_is_heard(peer, now_ms))
+			continue;
+		if (peers)
+			peers[count] = peer;
+		hosts[count++] = (struct pe_host){ peer->hash, peer->region,
+						   peer->takes_part };
 	}
 	return count;
 }
@@ -47,7 +50,7 @@
 bool gw_peers_is_reader(const struct gw_gateway *g)
 {
 	struct pe_host hosts[GW_MAX_HOSTS];
-	uint32_t count = gw_list_hosts(g, hosts);
+	uint32_t count = gw_list_hosts(g, hosts, NULL);
 
 	return pe_reader_of(hosts, count, hosts[0].region) <= 0;
 }
@@ -55,29 +58,37 @@
 uint32_t gw_peers_rank(const struct gw_gateway *g)
 {
 	struct pe_host hosts[GW_MAX_HOSTS];
-	uint32_t count = gw_list_hosts(g, hosts);
+	uint32_t count = gw_list_hosts(g, hosts, NULL);
 
 	return pe_rank_of(hosts, count, hosts[0].hash);
 }
 
-static void gw_call_peer(struct gw_peers *p, const struct gw_peer *peer,
+void gw_peers_call_one(struct gw_gateway *g, const struct rp_peer *peer,
+		       uint32_t number, xdrproc_t args, const void *value)
+{
+	gw_peers_call(g,
+		      &(struct rp_call_desc){
+			      .to = { .ipv4 = peer->ipv4, .port = peer->port },
+			      .number = number,
+			      .args = args,
+			      .args_value = value,
+			      .deadline_ms = GW_ONE_WAY_MS });
+}
+
+static void gw_call_peer(struct gw_gateway *g, const struct gw_peer *peer,
 			 uint32_t number, xdrproc_t args, const void *value)
 {
-	rp_call(&p->rpc,
-		&(struct rp_call_desc){ .to = { .ipv4 = peer->address.ipv4,
-						.port = peer->address.port },
-					.number = number,
-					.args = args,
-					.args_value = value,
-					.deadline_ms = GW_ONE_WAY_MS },
-		NULL);
+	gw_peers_call_one(g,
+			  &(struct rp_peer){ .ipv4 = peer->address.ipv4,
+					     .port = peer->address.port },
+			  number, args, value);
 }
 
 void gw_peers_call_told(struct gw_gateway *g, uint32_t number, xdrproc_t args,
 			const void *value)
 {
 	struct pe_host hosts[GW_MAX_HOSTS];
-	uint32_t count = gw_list_hosts(g, hosts);
+	uint32_t count = gw_list_hosts(g, hosts, NULL);
 	struct gw_peers *p = g->peers;
 	uint32_t region = 0;
 	bool reads_for_region = false;
@@ -94,7 +105,7 @@
 		}
 		if (!reads_for_region)
 			continue;
-		gw_call_peer(p, peer, number, args, value);
+		gw_call_peer(g, peer, number, args, value);
 	}
 }
 
@@ -105,22 +116,15 @@
 static uint32_t gw_find_homes(const struct gw_gateway *g, uint64_t key,
 			      const struct gw_peer *homes[PE_HOMES])
 {
-	const struct gw_peers *p = g->peers;
 	const struct gw_peer *peers[GW_MAX_HOSTS] = { NULL };
+	struct pe_host hosts[GW_MAX_HOSTS];
 	uint64_t hashes[GW_MAX_HOSTS];
 	uint32_t places[PE_HOMES];
-	uint32_t count = 1, found;
-	int64_t now_ms = ck_now_ms();
+	uint32_t count = gw_list_hosts(g, hosts, peers);
+	uint32_t found;
 
-	hashes[0] = gw_name_hash(g->settings.host);
-	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++) {
-		const struct gw_peer *peer = p->hosts.peers->pdata[i];
-
-		if (count == GW_MAX_HOSTS || !gw_is_heard(peer, now_ms))
-			continue;
-		peers[count] = peer;
-		hashes[count++] = peer->hash;
-	}
+	for (uint32_t i = 0; i < count; i++)
+		hashes[i] = hosts[i].hash;
 	found = pe_homes(hashes, count, key, places);
 	for (uint32_t i = 0; i < found; i++)
 		homes[i] = peers[places[i]];
@@ -146,7 +150,7 @@
 
 	for (uint32_t i = 0; i < count; i++)
 		if (homes[i])
-			gw_call_peer(g->peers, homes[i], number, args, value);
+			gw_call_peer(g, homes[i], number, args, value);
 }
 
 void gw_peers_call_all(struct gw_gateway *g, uint32_t number, xdrproc_t args,
@@ -155,5 +159,5 @@
 	struct gw_peers *p = g->peers;
 
 	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++)
-		gw_call_peer(p, p->hosts.peers->pdata[i], number, args, value);
+		gw_call_peer(g, p->hosts.peers->pdata[i], number, args, value);
 }
--- a/src/limits/ps.c
+++ b/src/limits/ps.c
@@ -332,6 +332,7 @@
 	int64_t last_ms = now_ms;
 	uint32_t broken = ps_broken(table, fingerprint, s, now_ms, &last_ms);
 	bool is_watched = crashes >= PS_POISON_CRASHES;
+	int64_t pause_ms = is_watched ? ps_apart_pause_ms(table, s, now_ms) : 0;
 
 	if (s && ps_is_proven(table, s)) {
 		/* Kept for as long as it is sent again. */
@@ -342,8 +343,8 @@
 		return (struct ps_answer){ PS_RUN, 0, false };
 	if (ps_is_running(table, fingerprint))
 		return ps_hold(PS_RUNNING_RETRY_MS);
-	if (is_watched && ps_apart_pause_ms(table, s, now_ms) > 0)
-		return ps_hold(ps_apart_pause_ms(table, s, now_ms));
+	if (pause_ms > 0)
+		return ps_hold(pause_ms);
 	if (is_watched && broken == 0)
 		return (struct ps_answer){ PS_APART, 0,
 					   crashes > PS_POISON_CRASHES };
@@ -532,6 +533,14 @@
 	return true;
 }
 
+uint32_t ps_count(const struct ps_table *table, uint64_t fingerprint)
+{
+	const struct _ps_suspect *s =
+		g_hash_table_lookup(table->_suspects, &fingerprint);
+
+	return s ? s->count : 0;
+}
+
 static gint ps_newer_first(gconstpointer a, gconstpointer b)
 {
 	const struct _ps_suspect *x = *(const struct _ps_suspect *const *)a;
--- a/src/limits/ps.h
+++ b/src/limits/ps.h
@@ -214,6 +214,9 @@
 bool ps_find(const struct ps_table *table, uint64_t fingerprint,
 	     struct ps_suspect *suspect);
 
+/** ps_count() - crashes that it is charged with. */
+uint32_t ps_count(const struct ps_table *table, uint64_t fingerprint);
+
 /** ps_list() - those with PS_POISON_CRASHES and more, the newest first. */
 uint32_t ps_list(const struct ps_table *table, struct ps_suspect *suspects,
 		 uint32_t capacity);
--- a/src/limits/ps_row.h
+++ b/src/limits/ps_row.h
@@ -3,9 +3,9 @@
  *
  * Overview
  *	A line for each crash: fingerprint, time on the store's steady clock,
- *	engine, incarnation, and how often it was tried since. The newest
- *PS_ROW_MAX fingerprints are kept, so the row is bounded; crashes older than
- *PS_EXPIRE_MS are left out.
+ *	engine, incarnation, and how often it was tried since. The row is
+ *	bounded by PS_ROW_MAX fingerprints, the newest ones, and has no crash
+ *	older than PS_EXPIRE_MS.
  *
  * Use
  *	ps_row_read(&table, text, now_ms, store_ms);
