tests: one configuration and one start of gateways for four programs

Read once more: three session tests and the soak each spelled out the same routes, services and team as JSON, and three the same way to start a gateway.

--- a/tests/sessions/gateway_crash_test.cc
+++ b/tests/sessions/gateway_crash_test.cc
@@ -9,6 +9,7 @@
 
 #include "cluster.h"
 #include "fleet.h"
+#include "fleet_config.h"
 #include "http.h"
 #include "process.h"
 
@@ -23,26 +24,15 @@
 const int most_crashes = 3;
 const char *const deadly = "ends engines";
 
-std::string route(const char *name, const char *kind, const char *service,
-		  int sends, bool is_resumable)
-{
-	return std::string("{\"name\":\"") + name +
-	       "\",\"host\":\"h\",\"prefix\":\"/" + name + "/\",\"kind\":\"" +
-	       kind + "\",\"timeout_ms\":3000,\"service\":\"" + service +
-	       "\",\"max_attempts\":" + std::to_string(sends) +
-	       ",\"resumable\":" + (is_resumable ? "true" : "false") + "}";
-}
-
 std::string config()
 {
-	return "{\"version\":1,\"routes\":[" +
-	       route("grade", "streaming", "llm", 2, true) + "," +
-	       route("draft", "streaming", "llm", 1, false) + "," +
-	       route("record", "non_idempotent", "app", 1, false) + "," +
-	       route("look", "idempotent", "app", 2, false) +
-	       "],\"services\":[{\"name\":\"llm\",\"engine\":{\"slots\":8}},"
-	       "{\"name\":\"app\"}],\"tenants\":[{\"name\":\"t1\","
-	       "\"api_keys\":[\"k1\"]}]}";
+	return fleet_config(
+		1,
+		{ { "grade", "streaming", "llm", 2, true, 3000 },
+		  { "draft", "streaming", "llm", 1, false, 3000 },
+		  { "record", "non_idempotent", "app", 1, false, 3000 },
+		  { "look", "idempotent", "app", 2, false, 3000 } },
+		"\"k1\"");
 }
 
 class Crash : public testing::Test
@@ -66,11 +56,8 @@
 
 	void start(const std::string &host, const Place &place)
 	{
-		hosts[host] = std::make_unique<Process>(
-			std::vector<std::string>{
-				BALSAMPIN_PROGRAM, "gateway", "--settings",
-				fleet.settings(directory.path, host, place) },
-			directory.path + "/" + host + ".log");
+		hosts[host] = start_gateway(fleet, directory.path, host, place,
+					    host + ".log");
 		ASSERT_TRUE(wait_until([&] {
 			return call(Fleet::readiness(host)).status == 200;
 		}));
--- a/tests/sessions/gateway_endless_test.cc
+++ b/tests/sessions/gateway_endless_test.cc
@@ -12,6 +12,7 @@
 #include "cluster.h"
 #include "endless.h"
 #include "fleet.h"
+#include "fleet_config.h"
 #include "http.h"
 #include "process.h"
 
@@ -74,25 +75,13 @@
 
 std::string config()
 {
-	auto route = [](const char *name, const char *kind, const char *service,
-			int sends) {
-		return std::string("{\"name\":\"") + name +
-		       "\",\"host\":\"h\",\"prefix\":\"/" + name +
-		       "/\",\"kind\":\"" + kind +
-		       "\",\"timeout_ms\":" + std::to_string(timeout_ms) +
-		       ",\"service\":\"" + service +
-		       "\",\"max_attempts\":" + std::to_string(sends) +
-		       ",\"resumable\":" + (sends > 1 ? "true" : "false") + "}";
-	};
-
-	return "{\"version\":1,\"routes\":[" +
-	       route("grade", "streaming", "llm", 2) + "," +
-	       route("record", "non_idempotent", "app", 1) + "," +
-	       route("look", "idempotent", "app", 2) + "," +
-	       route("sound", "idempotent", "sound", 1) +
-	       "],\"services\":[{\"name\":\"llm\",\"engine\":{\"slots\":8}},"
-	       "{\"name\":\"app\"},{\"name\":\"sound\"}],"
-	       "\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"k1\"]}]}";
+	return fleet_config(
+		1,
+		{ { "grade", "streaming", "llm", 2, true, timeout_ms },
+		  { "record", "non_idempotent", "app", 1, false, timeout_ms },
+		  { "look", "idempotent", "app", 2, true, timeout_ms },
+		  { "sound", "idempotent", "sound", 1, false, timeout_ms } },
+		"\"k1\"");
 }
 
 class Endless : public testing::Test
@@ -113,11 +102,7 @@
 
 	void start()
 	{
-		process = std::make_unique<Process>(
-			std::vector<std::string>{
-				BALSAMPIN_PROGRAM, "gateway", "--settings",
-				fleet.settings(directory.path, "h1") },
-			directory.path + "/log");
+		process = start_gateway(fleet, directory.path, "h1");
 		ASSERT_TRUE(wait_until([] {
 			return call(Fleet::readiness("h1")).status == 200;
 		}));
--- a/tests/sessions/gateway_test.cc
+++ b/tests/sessions/gateway_test.cc
@@ -10,6 +10,7 @@
 
 #include "cluster.h"
 #include "fleet.h"
+#include "fleet_config.h"
 #include "http.h"
 #include "process.h"
 #include "proxy.h"
@@ -23,28 +24,14 @@
 // one that may not, a call that runs once at most and one that may be repeated.
 std::string config(int version, const std::string &keys = "\"k1\",\"k2\"")
 {
-	auto route = [](const char *name, const char *kind, const char *service,
-			int sends, bool is_resumable, int timeout_ms = 1500) {
-		return std::string("{\"name\":\"") + name +
-		       "\",\"host\":\"h\",\"prefix\":\"/" + name +
-		       "/\",\"kind\":\"" + kind +
-		       "\",\"timeout_ms\":" + std::to_string(timeout_ms) +
-		       ",\"service\":\"" + service +
-		       "\",\"max_attempts\":" + std::to_string(sends) +
-		       ",\"resumable\":" + (is_resumable ? "true" : "false") +
-		       "}";
-	};
-
-	return "{\"version\":" + std::to_string(version) + ",\"routes\":[" +
-	       route("grade", "streaming", "llm", 2, true) + "," +
-	       route("patient", "streaming", "llm", 2, true, 6000) + "," +
-	       route("draft", "streaming", "llm", 1, false) + "," +
-	       route("record", "non_idempotent", "app", 2, false) + "," +
-	       route("look", "idempotent", "app", 2, false) +
-	       "],\"services\":[{\"name\":\"llm\",\"engine\":{\"slots\":8}},"
-	       "{\"name\":\"app\"}],\"tenants\":[{\"name\":\"t1\","
-	       "\"api_keys\":[" +
-	       keys + "]}]}";
+	return fleet_config(
+		version,
+		{ { "grade", "streaming", "llm", 2, true, 1500 },
+		  { "patient", "streaming", "llm", 2, true, 6000 },
+		  { "draft", "streaming", "llm", 1, false, 1500 },
+		  { "record", "non_idempotent", "app", 2, false, 1500 },
+		  { "look", "idempotent", "app", 2, false, 1500 } },
+		keys);
 }
 
 class Gateway : public testing::Test
@@ -66,11 +53,7 @@
 
 	void start()
 	{
-		process = std::make_unique<Process>(
-			std::vector<std::string>{
-				BALSAMPIN_PROGRAM, "gateway", "--settings",
-				fleet.settings(directory.path, "h1") },
-			directory.path + "/log");
+		process = start_gateway(fleet, directory.path, "h1");
 		ASSERT_TRUE(wait_until([] { return is_ready(); }));
 	}
 
--- a/tests/soak/driver.cc
+++ b/tests/soak/driver.cc
@@ -9,6 +9,7 @@
 #include <iostream>
 #include <sstream>
 
+#include "fleet_config.h"
 #include "http.h"
 
 extern "C" {
@@ -49,17 +50,11 @@
 /* Of ten keys drawn, so many are of one version only. */
 constexpr uint64_t version_keys_in_ten = 4;
 
-const struct {
-	const char *name;
-	const char *kind;
-	const char *service;
-	int sends;
-	bool is_resumable;
-} routes[] = {
-	{ "grade", "streaming", "llm", 3, true },
-	{ "draft", "streaming", "llm", 1, false },
-	{ "record", "non_idempotent", "app", 2, false },
-	{ "look", "idempotent", "app", 3, false },
+const std::vector<harness::RouteText> routes = {
+	{ "grade", "streaming", "llm", 3, true, 1500 },
+	{ "draft", "streaming", "llm", 1, false, 1500 },
+	{ "record", "non_idempotent", "app", 2, false, 1500 },
+	{ "look", "idempotent", "app", 3, false, 1500 },
 };
 
 std::string key_of(int version)
@@ -69,23 +64,9 @@
 
 std::string configuration(int version)
 {
-	std::string text =
-		"{\"version\":" + std::to_string(version) + ",\"routes\":[";
-
-	for (const auto &r : routes)
-		text += std::string(r.name == routes[0].name ? "" : ",") +
-			"{\"name\":\"" + r.name +
-			"\",\"host\":\"h\",\"prefix\":\"/" + r.name +
-			"/\",\"kind\":\"" + r.kind +
-			"\",\"timeout_ms\":1500,\"service\":\"" + r.service +
-			"\",\"max_attempts\":" + std::to_string(r.sends) +
-			",\"resumable\":" +
-			(r.is_resumable ? "true" : "false") + "}";
-	return text +
-	       "],\"services\":[{\"name\":\"llm\",\"engine\":{\"slots\":8}},"
-	       "{\"name\":\"app\"}],\"tenants\":[{\"name\":\"t1\","
-	       "\"api_keys\":[\"" +
-	       key_of(0) + "\",\"" + key_of(version) + "\"]}]}";
+	return harness::fleet_config(version, routes,
+				     "\"" + key_of(0) + "\",\"" +
+					     key_of(version) + "\"");
 }
 
 Way way_of(Kind kind)
@@ -337,8 +318,7 @@
 	bool is_back = true;
 
 	for (auto &routes_of_host : answered_since)
-		is_back &= routes_of_host.size() ==
-			   sizeof(routes) / sizeof(routes[0]);
+		is_back &= routes_of_host.size() == routes.size();
 	if (is_back) {
 		is_over = true;
 	} else if (now_ms > recover_by_ms) {
