--- a/tests/unit/poison_test.cc
+++ b/tests/unit/poison_test.cc
@@ -33,6 +33,17 @@
 	enum ps_verdict verdict;
 };
 
+// On one that was at four crashes, and another that was at three of them.
+std::vector<Step> beside_one_at_four(const std::vector<Step> &more)
+{
+	std::vector<Step> steps = { { 'p', 1, 1 }, { 'p', 1, 2 }, { 'p', 1, 3 },
+				    { 'p', 1, 4 }, { 'p', 2, 1 }, { 'p', 2, 2 },
+				    { 'p', 2, 4 } };
+
+	steps.insert(steps.end(), more.begin(), more.end());
+	return steps;
+}
+
 const PoisonCase cases[] = {
 	{ "unknown", {}, 1, PS_RUN },
 	{ "one crash is no proof",
@@ -119,51 +130,16 @@
 	  1,
 	  PS_REFUSE },
 	{ "beside one that ended more engines: tried after a pause",
-	  { { 'p', 1, 1 },
-	    { 'p', 1, 2 },
-	    { 'p', 1, 3 },
-	    { 'p', 1, 4 },
-	    { 'p', 2, 1 },
-	    { 'p', 2, 2 },
-	    { 'p', 2, 4 } },
-	  2,
-	  PS_HOLD },
-	{ "which passes",
-	  { { 'p', 1, 1 },
-	    { 'p', 1, 2 },
-	    { 'p', 1, 3 },
-	    { 'p', 1, 4 },
-	    { 'p', 2, 1 },
-	    { 'p', 2, 2 },
-	    { 'p', 2, 4 },
-	    { 'w', 0, 2 } },
-	  2,
-	  PS_APART },
+	  beside_one_at_four({}), 2, PS_HOLD },
+	{ "which passes", beside_one_at_four({ { 'w', 0, 2 } }), 2, PS_APART },
 	{ "then broken at an engine that seems to live: not again at once",
-	  { { 'p', 1, 1 },
-	    { 'p', 1, 2 },
-	    { 'p', 1, 3 },
-	    { 'p', 1, 4 },
-	    { 'p', 2, 1 },
-	    { 'p', 2, 2 },
-	    { 'p', 2, 4 },
-	    { 'w', 0, 2 },
-	    { '+', 2, 5 },
-	    { '!', 2, 5 },
-	    { 'l', 0, 5 } },
-	  2,
-	  PS_HOLD },
+	  beside_one_at_four({ { 'w', 0, 2 },
+			       { '+', 2, 5 },
+			       { '!', 2, 5 },
+			       { 'l', 0, 5 } }),
+	  2, PS_HOLD },
 	{ "and the one that ended more is refused",
-	  { { 'p', 1, 1 },
-	    { 'p', 1, 2 },
-	    { 'p', 1, 3 },
-	    { 'p', 1, 4 },
-	    { 'p', 2, 1 },
-	    { 'p', 2, 2 },
-	    { 'p', 2, 4 },
-	    { 'w', 0, 2 } },
-	  1,
-	  PS_REFUSE },
+	  beside_one_at_four({ { 'w', 0, 2 } }), 1, PS_REFUSE },
 	{ "beside one that ended more than there is room for",
 	  { { 'p', 1, 1 },
 	    { 'p', 1, 2 },
