gateway: a report that took too long is given longer the next time

Cause: the holder of the lease reads an engine's count of orders before it gives one, within 300 ms for the connection and 400 ms in all, and starts anew with another connection. Class: a bound that each new try starts from, so that a path that is slower than it is never used.

Before: AnEngineBehindASlowLinkIsBroughtToTheWeights (300 ms each way): no order in 20 s. After: ordered in 1.9 s. An order itself keeps its 400 ms, which the lease counts on; it goes over the connection of the report.

--- a/src/gateway/gw_rollout.c
+++ b/src/gateway/gw_rollout.c
@@ -21,6 +21,10 @@
 #define GW_ORDER_TIMEOUT_MS 400
 /* Several round trips between regions. */
 #define GW_CONNECT_TIMEOUT_MS 300
+/* A report that got no answer in time is given twice as long the next time, so
+ * that an engine behind a link with a long queue is reached at last. */
+#define GW_REPORT_TIMEOUT_MS	 400
+#define GW_REPORT_MAX_TIMEOUT_MS 1600
 /* A few hosts look at the lease that often, with up to half of it more, so that
  * a lost holder is replaced before the bound for new weights. */
 #define GW_LEASE_READ_MS  600
@@ -59,6 +63,7 @@
 	uint64_t version;
 	uint64_t orders;
 	int64_t next_ms;
+	int64_t report_timeout_ms;
 	bool knows_orders;
 	bool is_ordering;
 	bool is_reporting;
@@ -98,6 +103,7 @@
 	job = g_new0(struct gw_job, 1);
 	job->rollout = ro;
 	job->engine = e;
+	job->report_timeout_ms = GW_REPORT_TIMEOUT_MS;
 	fl_ref(e);
 	job->body = g_string_new(NULL);
 	g_ptr_array_add(ro->jobs, job);
@@ -143,7 +149,8 @@
 }
 
 static void gw_job_call(struct gw_job *job, const char *method,
-			const char *target, const char *body)
+			const char *target, const char *body,
+			int64_t connect_timeout_ms, int64_t timeout_ms)
 {
 	struct gw_gateway *g = job->rollout->gateway;
 	struct h1_headers headers;
@@ -155,8 +162,7 @@
 	if (body)
 		g->dialect->write_order_headers(job->engine->entry.id,
 						&headers);
-	ev_timer_init(&job->timer, gw_job_timeout, GW_ORDER_TIMEOUT_MS / 1000.0,
-		      0.0);
+	ev_timer_init(&job->timer, gw_job_timeout, timeout_ms / 1000.0, 0.0);
 	job->timer.data = job;
 	ev_timer_start(g->kernel.loop, &job->timer);
 	h1_call_start(&job->call,
@@ -167,7 +173,7 @@
 			      .headers = &headers,
 			      .body = body,
 			      .body_bytes = body ? strlen(body) : 0,
-			      .connect_timeout_ms = GW_CONNECT_TIMEOUT_MS,
+			      .connect_timeout_ms = connect_timeout_ms,
 			      .max_answer_bytes = GW_MAX_REPORT_BYTES,
 			      .on_head = gw_job_on_head,
 			      .on_body = gw_job_on_body,
@@ -181,7 +187,7 @@
 	mt_add(&gw_reports, 1);
 	job->is_reporting = true;
 	gw_job_call(job, "GET", job->rollout->gateway->dialect->report_target,
-		    NULL);
+		    NULL, job->report_timeout_ms, job->report_timeout_ms);
 }
 
 static void gw_job_order(struct gw_job *job, const struct gw_wanted *wanted)
@@ -201,7 +207,8 @@
 	job->rollout->last_order_ms = ck_now_ms();
 	job->is_ordering = true;
 	job->version = wanted->version;
-	gw_job_call(job, "POST", g->dialect->order_target, body);
+	gw_job_call(job, "POST", g->dialect->order_target, body,
+		    GW_CONNECT_TIMEOUT_MS, GW_ORDER_TIMEOUT_MS);
 	g_free(body);
 }
 
@@ -264,6 +271,9 @@
 		job->next_ms = ck_now_ms() + GW_ORDER_RETRY_MS;
 		gw_job_log(job, was_report ? "report" : "order",
 			   h1_outcome_name(outcome));
+		if (was_report)
+			job->report_timeout_ms = MIN(2 * job->report_timeout_ms,
+						     GW_REPORT_MAX_TIMEOUT_MS);
 		return;
 	}
 	if (was_report)
--- a/tests/sessions/gateway_test.cc
+++ b/tests/sessions/gateway_test.cc
@@ -257,6 +257,24 @@
 	EXPECT_EQ(fleet.orders().size(), 2u);
 }
 
+// A queue before a link between regions delays each packet by that much.
+TEST_F(Gateway, AnEngineBehindASlowLinkIsBroughtToTheWeights)
+{
+	Proxy link(Fleet::store_ip(), Fleet::store_ip(),
+		   fleet.engine_port("e1"));
+
+	link.set(Way::slow, 300);
+	fleet.set_address("e1", link.address());
+	fleet.put("op", "version/m", "{\"model\":\"m\",\"version\":2}");
+	EXPECT_TRUE(wait_until([&] {
+		int taken = 0;
+
+		for (const Order &order : fleet.orders())
+			taken += order.engine == "e1" && order.is_taken;
+		return taken == 1;
+	}));
+}
+
 TEST_F(Gateway, EntryThatIsRemovedGetsNoRequest)
 {
 	fleet.put("servers", "a1", "");
