gateway: a host whose holder was killed takes its lease back at once

Cause: the row named a former process of a host that was back. Its orders cannot follow any more, but the host waited for the lease to lapse, and for orders of another host to be long enough ago.

Why it is safe: a process that can order listens for callers, and only one process of a host can; one that stops gives no order from now on, though it may still hold the lease. What the former one sent arrives within the timeout of an order, which is waited for. The fencing number grows as before. The entry's control process does not set the flag: it has no such port.

Before: AHolderThatWasKilledOrdersAgainWithinALease: no order within 2 s of the next version. After: ordered; the test takes 1.0 s. lease_test has the times, and that another host still waits.

--- a/src/control/ls.c
+++ b/src/control/ls.c
@@ -30,6 +30,13 @@
 	       !strcmp(row->holder, lease->_desc.holder);
 }
 
+static bool ls_is_of_former_process(const struct ls_lease *lease,
+				    const struct ls_row *row)
+{
+	return lease->_desc.is_only_process && !ls_is_own(lease, row) &&
+	       !strcmp(row->holder, lease->_desc.holder);
+}
+
 static void ls_lose(struct ls_lease *lease)
 {
 	lease->state = LS_FOLLOWING;
@@ -40,7 +47,8 @@
 /* The row did not change for as long as its holder may count on it. */
 static bool ls_has_lapsed(const struct ls_lease *lease, int64_t now_ms)
 {
-	if (!lease->row.revision || !lease->row.holder[0])
+	if (!lease->row.revision || !lease->row.holder[0] ||
+	    ls_is_of_former_process(lease, &lease->row))
 		return true;
 	return now_ms - lease->_seen_since_ms >=
 	       lease->_desc.duration_ms + lease->_desc.margin_ms;
@@ -155,6 +163,17 @@
 		lease->_is_fresh = false;
 }
 
+/* Until orders of the holder before are long enough ago. */
+static int64_t ls_quiet_ms(const struct ls_lease *lease,
+			   const struct ls_row *before)
+{
+	if (ls_is_of_former_process(lease, before))
+		return lease->_desc.order_timeout_ms;
+	if (before->holder[0])
+		return lease->_desc.lapsed_quiet_ms;
+	return lease->_desc.quiet_ms - before->idle_ms;
+}
+
 /*
  * A first holding follows another one, unless there was no row before or the
  * row still named this process, so that nobody held it in between.
@@ -166,12 +185,8 @@
 
 	lease->state = LS_HELD;
 	lease->fencing = lease->_attempt.fencing;
-	if (!had_other)
-		return;
-	lease->_quiet_until_ms =
-		now_ms + (before->holder[0]
-				  ? lease->_desc.lapsed_quiet_ms
-				  : lease->_desc.quiet_ms - before->idle_ms);
+	if (had_other)
+		lease->_quiet_until_ms = now_ms + ls_quiet_ms(lease, before);
 }
 
 bool ls_release(struct ls_lease *lease, int64_t idle_ms)
--- a/src/control/ls.h
+++ b/src/control/ls.h
@@ -75,6 +75,9 @@
  * @lapsed_quiet_ms: the same after a holder whose lease lapsed, whose last
  *order is older than that of one that gave it up; by default the same.
  * @read_period_ms: how often the others read the row.
+ * @is_only_process: no former process of this host lives any more. A row that
+ *	one of them left is taken over at once, and only its orders that may be
+ *	under way are waited for.
  */
 struct ls_desc {
 	const char *holder;
@@ -85,6 +88,7 @@
 	int64_t quiet_ms;
 	int64_t lapsed_quiet_ms;
 	int64_t read_period_ms;
+	bool is_only_process;
 };
 
 /**
--- a/src/gateway/gw_rollout.c
+++ b/src/gateway/gw_rollout.c
@@ -324,7 +324,7 @@
 	struct gw_gateway *g = ro->gateway;
 
 	gw_drop_jobs(ro);
-	if (!ls_may_order(&ro->lease, false, now_ms))
+	if (g->stop_ms || !ls_may_order(&ro->lease, false, now_ms))
 		return;
 	fl_for_each (&g->fleet, e) {
 		const struct gw_wanted *wanted =
@@ -479,7 +479,10 @@
 			.margin_ms = GW_LEASE_MARGIN_MS,
 			.order_timeout_ms = GW_ORDER_TIMEOUT_MS,
 			.quiet_ms = g->settings.lease_ms,
-			.lapsed_quiet_ms = gw_lapsed_quiet_ms(&g->settings) });
+			.lapsed_quiet_ms = gw_lapsed_quiet_ms(&g->settings),
+			/* Only one process of a host can listen for callers,
+			 * and one that has stopped listening gives no order. */
+			.is_only_process = true });
 	ev_timer_init(&ro->tick, gw_on_tick, GW_TICK_S, GW_TICK_S);
 	ro->tick.data = ro;
 	ev_timer_start(g->kernel.loop, &ro->tick);
--- a/tests/sessions/gateway_test.cc
+++ b/tests/sessions/gateway_test.cc
@@ -257,6 +257,21 @@
 	EXPECT_EQ(fleet.orders().size(), 2u);
 }
 
+TEST_F(Gateway, AHolderThatWasKilledOrdersAgainWithinALease)
+{
+	const int lease_ms = 2000;
+
+	fleet.put("op", "version/m", "{\"model\":\"m\",\"version\":2}");
+	EXPECT_TRUE(wait_until([&] { return fleet.orders().size() >= 2; }));
+	process->signal(SIGKILL);
+	process->wait();
+	start();
+	fleet.put("op", "version/m", "{\"model\":\"m\",\"version\":3}");
+	EXPECT_TRUE(wait_until([&] { return fleet.orders().size() >= 4; },
+			       lease_ms));
+	EXPECT_EQ(fleet.orders().back().fencing, 2);
+}
+
 // A queue before a link between regions delays each packet by that much.
 TEST_F(Gateway, AnEngineBehindASlowLinkIsBroughtToTheWeights)
 {
--- a/tests/unit/lease_test.cc
+++ b/tests/unit/lease_test.cc
@@ -216,6 +216,23 @@
 	EXPECT_EQ(again.lease.fencing, 2u);
 }
 
+TEST(Lease, AHostWhoseHolderWasKilledGoesOnOnceItsOrdersHaveEnded)
+{
+	Store store;
+	Holder a(&store, "a", 1), again(&store, "a", 2), b(&store, "b", 3);
+
+	again.lease._desc.is_only_process = true;
+	b.lease._desc.is_only_process = true;
+	a.Run(0, 1000);
+	b.Run(1000, 1200);
+	EXPECT_EQ(b.lease.state, LS_FOLLOWING) << "the row names another host";
+	again.Run(1000, 1200);
+	EXPECT_EQ(again.lease.state, LS_HELD);
+	EXPECT_EQ(again.lease.fencing, 2u);
+	EXPECT_FALSE(again.May(1000 + T - 100, false));
+	EXPECT_TRUE(again.May(1200 + T, false));
+}
+
 TEST(Lease, AnEngineThatKnowsAHigherNumberEndsTheHolding)
 {
 	Store store;
