gateway: the rest of a bound on old weights counts from the start

Cause: a process that starts does not know when the present version was named and gives older weights 5 s less a margin of 1.5 s, counted from its first read of the store. The delay of the read says nothing about when the version was named, which was before the start.

Before: age of version 1 at the first read, 2 s after the start, with a bound of 8 s: 3,000 ms. After: 5,000 ms (gateway_rules_test). The same knowledge is carried by nothing: a host tells others no age of a version.

--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -87,8 +87,9 @@
 		gw_log_bad(row->key);
 		return;
 	}
-	named_ms = gw_weights_named_ms(!g->config_fresh_ms,
-				       g->settings.weights_ms, ck_now_ms());
+	named_ms =
+		gw_weights_named_ms(!g->config_fresh_ms, g->settings.weights_ms,
+				    g->started_ms, ck_now_ms());
 	if (!gw_weights_learn(&g->weights, weights.model, weights.version,
 			      named_ms))
 		return;
--- a/src/gateway/gw_weights.c
+++ b/src/gateway/gw_weights.c
@@ -4,8 +4,9 @@
 
 /*
  * When a version was named is not known of those before the start: older
- * weights stay in use for so long less the margin of gw_place.c, which is what
- * a restart of all hosts needs to bring the first engines to the version.
+ * weights stay in use for so long after the start, less the margin of
+ * gw_place.c, which is what a restart of all hosts needs to bring the first
+ * engines to the version.
  */
 #define GW_UNKNOWN_AGE_LEFT_MS 5000
 
@@ -40,10 +41,10 @@
 }
 
 int64_t gw_weights_named_ms(bool is_first_read, int64_t bound_ms,
-			    int64_t now_ms)
+			    int64_t started_ms, int64_t now_ms)
 {
 	return is_first_read
-		       ? now_ms - MAX(bound_ms - GW_UNKNOWN_AGE_LEFT_MS, 0)
+		       ? started_ms - MAX(bound_ms - GW_UNKNOWN_AGE_LEFT_MS, 0)
 		       : now_ms;
 }
 
--- a/src/gateway/gw_weights.h
+++ b/src/gateway/gw_weights.h
@@ -7,8 +7,9 @@
  *	last versions was named.
  *
  *	What a host finds in its first read of the store was named at some time
- *	before; it is taken to be old, so that the bound holds. A version that
- *	appears afterwards is new, also if it is the first one of its model.
+ *	before its start, however late that read is; it is taken to be old, so
+ *	that the bound holds. A version that appears afterwards is new, also if
+ *	it is the first one of its model.
  *
  *	Plain functions, no clock.
  *
@@ -61,11 +62,12 @@
 
 /**
  * gw_weights_named_ms() - when a version found now is taken to be named.
- * @is_first_read: this host has just started and never read the table before.
+ * @is_first_read: this process never read the table before.
  * @bound_ms: no request begins on older weights after that.
+ * @started_ms: of this process.
  */
 int64_t gw_weights_named_ms(bool is_first_read, int64_t bound_ms,
-			    int64_t now_ms);
+			    int64_t started_ms, int64_t now_ms);
 
 /** gw_weights_learn() - @version was named; false if it is not newer. */
 bool gw_weights_learn(struct gw_weights *weights, const char *model,
--- a/tests/unit/gateway_rules_test.cc
+++ b/tests/unit/gateway_rules_test.cc
@@ -359,18 +359,21 @@
 
 // Load: all engines run version 1, and the first version ever named appears
 // under full load. The engines of a host that has watched since its start keep
-// serving for the whole bound, not for the rest that a fresh host takes.
+// serving for the whole bound, not for the rest that a fresh host takes. A
+// first read that is late, as the store was far away, does not lengthen that
+// rest.
 TEST(Weights, NamedWhileTheHostWatchesIsNew)
 {
 	const struct {
 		bool is_first_read;
 		int64_t bound_ms;
+		int64_t up_ms;
 		int64_t age_ms;
 	} cases[] = {
-		{ false, 8000, 1 },
-		{ true, 8000, 3000 },
-		{ true, 10000, 5000 },
-		{ true, 4000, 1 },
+		{ false, 8000, 0, 1 },	     { true, 8000, 0, 3000 },
+		{ true, 10000, 0, 5000 },    { true, 4000, 0, 1 },
+		{ false, 8000, 2000, 1 },    { true, 8000, 2000, 5000 },
+		{ true, 10000, 2000, 7000 }, { true, 4000, 2000, 2000 },
 	};
 
 	for (const auto &c : cases) {
@@ -380,11 +383,12 @@
 		EXPECT_TRUE(gw_weights_learn(
 			&weights, "m", 2,
 			gw_weights_named_ms(c.is_first_read, c.bound_ms,
-					    100000)));
+					    100000 - c.up_ms, 100000)));
 		EXPECT_EQ(gw_weights_age_ms(gw_weights_of(&weights, "m"), 1,
 					    100000),
 			  c.age_ms)
-			<< c.is_first_read << " " << c.bound_ms;
+			<< c.is_first_read << " " << c.bound_ms << " "
+			<< c.up_ms;
 		gw_weights_finish(&weights);
 	}
 }
