entry: each model and service has its own budget of repeats

Before: AStreamIsContinuedWhileAServiceHasNoRepeatsLeft: after 20 calls that the service lost the stream whose engine ended was broken off (fail_uncertain).

Names are of the configuration, a request with another one is refused before.

--- a/src/entry/en_call.c
+++ b/src/entry/en_call.c
@@ -152,6 +152,17 @@
 		call->excluded[call->excluded_count++] = upstream;
 }
 
+struct rb_budget *en_call_budget(struct en_call *call)
+{
+	char *name = g_strdup_printf(
+		"%s/%s", call->ask->kind == EN_SERVICE ? "service" : "model",
+		call->ask->name);
+	struct rb_budget *budget = rb_table_of(&call->d->retries, name);
+
+	g_free(name);
+	return budget;
+}
+
 void en_call_drop_attempt(struct en_call *call)
 {
 	en_load_uncount(call);
--- a/src/entry/en_dispatch.c
+++ b/src/entry/en_dispatch.c
@@ -257,7 +257,7 @@
 	rt_router_init(&d->router, &(struct rt_desc){ 0 });
 	lm_init(&d->limits, &limits);
 	lm_engine_init(&d->engine_limits, &(struct lm_engine_desc){ 0 });
-	rb_budget_init(&d->budget, &(struct rb_desc){ 0 });
+	rb_table_init(&d->retries, &(struct rb_desc){ 0 });
 	ps_init(&d->poison);
 	ug_init(&d->urgency);
 	d->is_started = true;
@@ -290,6 +290,7 @@
 	rt_router_finish(&d->router);
 	lm_finish(&d->limits);
 	lm_engine_finish(&d->engine_limits);
+	rb_table_finish(&d->retries);
 	ps_finish(&d->poison);
 	ug_finish(&d->urgency);
 }
--- a/src/entry/en_dispatch.h
+++ b/src/entry/en_dispatch.h
@@ -65,7 +65,7 @@
 	const struct rt_policy *policy;
 	struct lm_limits limits;
 	struct lm_engine_table engine_limits;
-	struct rb_budget budget;
+	struct rb_table retries;
 	struct ps_table poison;
 	struct ug_table urgency;
 	GHashTable *calls;
@@ -168,6 +168,8 @@
 void en_call_drop_attempt(struct en_call *call);
 /** en_call_exclude() - this upstream is not to be met again. */
 void en_call_exclude(struct en_call *call, uint64_t upstream);
+/** en_call_budget() - of repeats of its model or service. */
+struct rb_budget *en_call_budget(struct en_call *call);
 /** en_call_is_late() - the deadline has passed; nothing more is sent. */
 bool en_call_is_late(const struct en_call *call);
 int64_t en_call_time_left_ms(const struct en_call *call);
--- a/src/entry/en_engine.c
+++ b/src/entry/en_engine.c
@@ -129,7 +129,7 @@
 	if (!call->ask->is_stream)
 		en_answer_plain(call, result);
 	mt_add(&en_completed, 1);
-	rb_budget_earn(&call->d->budget);
+	rb_budget_earn(en_call_budget(call));
 	en_peers_record(call, BP_IX_ENDED);
 	tl_record(TL_REQUEST_DONE, call->ask->request_id,
 		  "engine=%s ms=%" G_GINT64_FORMAT " attempts=%u",
@@ -184,7 +184,7 @@
 static void en_send_elsewhere(struct en_call *call)
 {
 	if (!call->is_retry_free)
-		rb_budget_take(&call->d->budget);
+		rb_budget_take(en_call_budget(call));
 	en_call_exclude(call, call->upstream_id);
 	en_abandon(call);
 	en_call_change(call, EN_SEND_ELSEWHERE);
@@ -298,7 +298,7 @@
 static bool en_may_retry(struct en_call *call, const struct up_result *result)
 {
 	call->is_retry_free = en_lacks_weights(result) && !call->is_resuming;
-	return call->is_retry_free || rb_budget_has(&call->d->budget);
+	return call->is_retry_free || rb_budget_has(en_call_budget(call));
 }
 
 static enum en_step en_after(struct en_call *call,
--- a/src/entry/en_service.c
+++ b/src/entry/en_service.c
@@ -155,7 +155,7 @@
 		g_string_new_len(result->body, (gssize)result->body_bytes));
 	if (call->is_once)
 		en_tell_once(call, EN_ONCE_WHOLE, result, type);
-	rb_budget_earn(&call->d->budget);
+	rb_budget_earn(en_call_budget(call));
 	tl_record(TL_REQUEST_DONE, call->ask->request_id,
 		  "service=%s status=%u", call->upstream, result->http_status);
 	en_call_end(call);
@@ -200,7 +200,7 @@
 		.rb = { .is_idempotent = call->is_idempotent,
 			.attempts = call->attempts,
 			.deadline_ms = call->deadline_ms,
-			.has_budget = rb_budget_has(&d->budget) },
+			.has_budget = rb_budget_has(en_call_budget(call)) },
 	};
 	enum en_step step;
 
@@ -220,7 +220,7 @@
 	if (call->is_once) {
 		en_service_once_failed(call, result);
 	} else if (step == EN_RETRY) {
-		rb_budget_take(&d->budget);
+		rb_budget_take(en_call_budget(call));
 		en_service_elsewhere(call);
 		en_service_place(call);
 	} else {
--- a/tests/sessions/failure_test.cc
+++ b/tests/sessions/failure_test.cc
@@ -2,7 +2,13 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <thread>
+
 #include "cluster.h"
+
+extern "C" {
+#include "limits/rb.h"
+}
 #include "load.h"
 
 using namespace harness;
@@ -40,6 +46,38 @@
 	EXPECT_TRUE(cluster.stop());
 }
 
+// A service that loses its answers, and so uses up its repeats, must leave
+// those of the engines alone.
+TEST(FailureTest, AStreamIsContinuedWhileAServiceHasNoRepeatsLeft)
+{
+	Cluster cluster(options_of(1, 3));
+
+	cluster.start();
+	cluster.stand_ins->fault(
+		"service", "{\"service\":\"dispatch\",\"lose_answers\":1000}");
+	std::vector<std::thread> callers;
+	for (uint32_t i = 0; i < 2 * RB_DEFAULT_RESERVE; i++)
+		callers.emplace_back([&cluster] {
+			call(cluster.entry_url(0) +
+				     "/v1/services/dispatch/look",
+			     "", Cluster::team(), "GET");
+		});
+	for (std::thread &caller : callers)
+		caller.join();
+	ASSERT_GT(cluster.stand_ins->number("/services/dispatch/runs"),
+		  RB_DEFAULT_RESERVE);
+	Stream stream(cluster.entry_url(0) + "/v1/completions",
+		      completion("abc", 100, true), Cluster::team());
+	ASSERT_TRUE(stream.wait_events(5));
+	int engine = cluster.stand_ins->engine_with("decode");
+	ASSERT_GE(engine, 0);
+	cluster.stand_ins->fault("crash", "{\"engine\":\"engine" +
+						  std::to_string(engine) +
+						  "\",\"down_ms\":3000}");
+	expect_whole(stream, "abc", 100);
+	EXPECT_TRUE(cluster.stop());
+}
+
 TEST(FailureTest, SilentConnectionIsResumedOnANewOne)
 {
 	Cluster cluster(options_of(1, 2));
