tests: an answer that comes before a long body is read

The gateway's client keeps a connection only if all of the request was sent; no test said so. With that condition taken out the test fails: the next request goes into the rest of the body. No change of behaviour.

--- a/tests/unit/http1_test.cc
+++ b/tests/unit/http1_test.cc
@@ -301,7 +301,7 @@
 	std::string expected_id;
 };
 
-void start(Call *c, struct h1_peer *peer)
+void start(Call *c, struct h1_peer *peer, const std::string &body = "")
 {
 	static struct h1_headers headers;
 	struct h1_call_desc desc = {};
@@ -312,6 +312,8 @@
 	desc.method = "POST";
 	desc.target = "/x";
 	desc.headers = &headers;
+	desc.body = body.data();
+	desc.body_bytes = body.size();
 	desc.connect_timeout_ms = 500;
 	desc.on_head = [](void *arg, uint32_t status,
 			  const struct h1_headers *answer) {
@@ -423,6 +425,43 @@
 	EXPECT_EQ(peer.peer.open, 0u);
 }
 
+// The peer keeps the connection and reads on: only the rest of that body, or
+// the end, may follow there.
+TEST_F(Http1, AnAnswerBeforeTheBodyIsReadEndsTheConnection)
+{
+	const std::string body(16 << 20, 'b');
+	ScriptedPeer peer(
+		loop, { "HTTP/1.1 413 Long\r\nContent-Length: 2\r\n\r\nno" });
+	Call first, second;
+	std::string rest;
+	char buffer[65536];
+	ssize_t n = 0;
+
+	start(&first, &peer.peer, body);
+	run_until([&] {
+		if (!peer.requests)
+			peer.serve();
+		return first.is_done;
+	});
+	EXPECT_EQ(first.outcome, H1_DONE);
+	EXPECT_EQ(first.status, 413u);
+	start(&second, &peer.peer);
+	run_until([&] {
+		while ((n = recv(peer.open_fds[0], buffer, sizeof(buffer), 0)) >
+		       0)
+			rest.append(buffer, n);
+		return n == 0 || errno != EAGAIN;
+	});
+	EXPECT_LT(rest.size(), body.size());
+	EXPECT_EQ(rest.find_first_not_of('b'), std::string::npos);
+	run_until([&] {
+		peer.serve();
+		return second.is_done;
+	});
+	EXPECT_EQ(second.status, 413u);
+	EXPECT_EQ(peer.peer.made, 2u);
+}
+
 TEST_F(Http1, NoConnectionMeansNotSent)
 {
 	struct h1_peer peer;
