--- a/tests/unit/net_test.cc
+++ b/tests/unit/net_test.cc
@@ -340,6 +340,97 @@
 	}
 };
 
+// A server that answers once it has the head of a request, keeps the connection
+// and reads on.
+class AnswersEarly
+{
+      public:
+	std::vector<std::string> texts;
+
+	AnswersEarly()
+	{
+		struct sockaddr_in a = {};
+
+		a.sin_family = AF_INET;
+		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		EXPECT_EQ(bind(listener, reinterpret_cast<sockaddr *>(&a),
+			       sizeof(a)),
+			  0);
+		listen(listener, 8);
+	}
+	~AnswersEarly()
+	{
+		for (int fd : fds)
+			close(fd);
+		close(listener);
+	}
+	std::string url() const
+	{
+		struct sockaddr_in a = {};
+		socklen_t bytes = sizeof(a);
+
+		getsockname(listener, reinterpret_cast<sockaddr *>(&a), &bytes);
+		return "http://127.0.0.1:" + std::to_string(ntohs(a.sin_port)) +
+		       "/early";
+	}
+	// Reads a little at a time, so that the answer is far ahead of it.
+	void serve()
+	{
+		int fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+		char buffer[65536];
+
+		if (fd >= 0) {
+			fds.push_back(fd);
+			texts.emplace_back();
+		}
+		for (size_t i = 0; i < fds.size(); i++) {
+			ssize_t n = recv(fds[i], buffer, sizeof(buffer), 0);
+
+			if (n <= 0)
+				continue;
+			texts[i].append(buffer, n);
+			if (texts[i].compare(texts[i].size() - n, 4, "POST") ==
+			    0)
+				::send(fds[i], ok, sizeof(ok) - 1,
+				       MSG_NOSIGNAL);
+		}
+	}
+
+      private:
+	static constexpr char ok[] = "HTTP/1.1 200 OK\r\n"
+				     "Content-Length: 2\r\n\r\nok";
+	int listener;
+	std::vector<int> fds;
+};
+
+// On that connection only the rest of the body, or the end, may follow.
+TEST_F(Net, AnAnswerBeforeTheBodyIsReadIsWholeAndTheNextOneIsItsOwn)
+{
+	const std::string body(16 << 20, 'b');
+	AnswersEarly server;
+	Outcome first, second;
+
+	send(&first, server.url(), body);
+	run_until([&] {
+		server.serve();
+		return first.is_done;
+	});
+	EXPECT_EQ(first.outcome, HC_DONE);
+	EXPECT_EQ(first.body, "ok");
+	send(&second, server.url(), "x");
+	run_until([&] {
+		server.serve();
+		return second.is_done;
+	});
+	EXPECT_EQ(second.outcome, HC_DONE);
+	EXPECT_EQ(second.body, "ok");
+	std::string rest = server.texts[0];
+	rest = rest.substr(rest.find("\r\n\r\n") + 4);
+	EXPECT_EQ(rest.substr(0, body.size()).find_first_not_of('b'),
+		  std::string::npos);
+}
+
 // libcurl repeats the second call, whose reused connection closed, unless the
 // call asked for a connection of its own.
 TEST_F(Net, FreshConnectionIsNeverRepeated)
