gateway: late news of a version does not lengthen the use of old weights

Cause: a host counts the bound from the moment at which it learns of a version. The host that reads the store for a region tells the others one after the other.

Now a version counts from the last moment at which the table was known to be without it, at most so far back that 5 s of the bound are left, as for a process that starts; the line weights_wanted tells the age. Up to a second of the use of old weights is lost, as a feed waits for a second.

Before: age 1 ms of a version learned of 1 s late. After: 1,000 ms (gateway_rules_test).

--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -78,8 +78,8 @@
 static void gw_take_weights(struct gw_gateway *g, const struct rw_row *row)
 {
 	struct dl_weights weights;
-	int64_t named_ms;
-	char version[24];
+	int64_t now_ms = ck_now_ms(), named_ms;
+	char version[24], age[24];
 
 	if (!row->value ||
 	    g->dialect->decode_weights(row->value, row->value_bytes,
@@ -88,16 +88,17 @@
 		return;
 	}
 	named_ms =
-		gw_weights_named_ms(!g->config_fresh_ms, g->settings.weights_ms,
-				    g->started_ms, ck_now_ms());
+		gw_weights_named_ms(g->config_fresh_ms, g->settings.weights_ms,
+				    g->started_ms, now_ms);
 	if (!gw_weights_learn(&g->weights, weights.model, weights.version,
 			      named_ms))
 		return;
 	g_snprintf(version, sizeof(version), "%" G_GUINT64_FORMAT,
 		   weights.version);
+	g_snprintf(age, sizeof(age), "%" G_GINT64_FORMAT, now_ms - named_ms);
 	lg_info("weights wanted", "event", "weights_wanted", "model",
 		weights.model, "version", version, "since_start",
-		g->config_fresh_ms ? "yes" : "no", NULL);
+		g->config_fresh_ms ? "yes" : "no", "age_ms", age, NULL);
 }
 
 static void gw_release_early(struct gw_gateway *g)
--- a/src/gateway/gw_weights.c
+++ b/src/gateway/gw_weights.c
@@ -3,10 +3,10 @@
 #include <string.h>
 
 /*
- * When a version was named is not known of those before the start: older
- * weights stay in use for so long after the start, less the margin of
- * gw_place.c, which is what a restart of all hosts needs to bring the first
- * engines to the version.
+ * When a version was named is not known of those before the start or during a
+ * long time without news: older weights stay in use for so long after it, less
+ * the margin of gw_place.c, which is what a restart of all hosts needs to bring
+ * the first engines to the version.
  */
 #define GW_UNKNOWN_AGE_LEFT_MS 5000
 
@@ -40,12 +40,13 @@
 	return gw_find_wanted(weights, model);
 }
 
-int64_t gw_weights_named_ms(bool is_first_read, int64_t bound_ms,
+int64_t gw_weights_named_ms(int64_t fresh_ms, int64_t bound_ms,
 			    int64_t started_ms, int64_t now_ms)
 {
-	return is_first_read
-		       ? started_ms - MAX(bound_ms - GW_UNKNOWN_AGE_LEFT_MS, 0)
-		       : now_ms;
+	int64_t most_ms = MAX(bound_ms - GW_UNKNOWN_AGE_LEFT_MS, 0);
+
+	return fresh_ms ? MAX(fresh_ms, now_ms - most_ms)
+			: started_ms - most_ms;
 }
 
 bool gw_weights_learn(struct gw_weights *weights, const char *model,
--- a/src/gateway/gw_weights.h
+++ b/src/gateway/gw_weights.h
@@ -8,8 +8,10 @@
  *
  *	What a host finds in its first read of the store was named at some time
  *	before its start, however late that read is; it is taken to be old, so
- *	that the bound holds. A version that appears afterwards is new, also if
- *	it is the first one of its model.
+ *	that the bound holds. A version that appears afterwards was named once
+ *	the host had last known the table to be without it, which is a while
+ *	ago if the news was lost on its way. This holds also for the first
+ *	version of a model.
  *
  *	Plain functions, no clock.
  *
@@ -62,11 +64,12 @@
 
 /**
  * gw_weights_named_ms() - when a version found now is taken to be named.
- * @is_first_read: this process never read the table before.
+ * @fresh_ms: the table was last known to be without it; 0 if this process
+ *	never read the table before.
  * @bound_ms: no request begins on older weights after that.
  * @started_ms: of this process.
  */
-int64_t gw_weights_named_ms(bool is_first_read, int64_t bound_ms,
+int64_t gw_weights_named_ms(int64_t fresh_ms, int64_t bound_ms,
 			    int64_t started_ms, int64_t now_ms);
 
 /** gw_weights_learn() - @version was named; false if it is not newer. */
--- a/tests/unit/gateway_rules_test.cc
+++ b/tests/unit/gateway_rules_test.cc
@@ -361,34 +361,44 @@
 // under full load. The engines of a host that has watched since its start keep
 // serving for the whole bound, not for the rest that a fresh host takes. A
 // first read that is late, as the store was far away, does not lengthen that
-// rest.
+// rest, nor does news that was lost with the host that told it.
 TEST(Weights, NamedWhileTheHostWatchesIsNew)
 {
+	const int64_t now_ms = 100000;
 	const struct {
-		bool is_first_read;
+		bool has_read;
+		int64_t fresh_age_ms;
 		int64_t bound_ms;
 		int64_t up_ms;
 		int64_t age_ms;
 	} cases[] = {
-		{ false, 8000, 0, 1 },	     { true, 8000, 0, 3000 },
-		{ true, 10000, 0, 5000 },    { true, 4000, 0, 1 },
-		{ false, 8000, 2000, 1 },    { true, 8000, 2000, 5000 },
-		{ true, 10000, 2000, 7000 }, { true, 4000, 2000, 2000 },
+		{ true, 0, 8000, 0, 1 },
+		{ true, 0, 8000, 2000, 1 },
+		{ true, 1000, 8000, 9000, 1000 },
+		{ true, 30000, 8000, 90000, 3000 },
+		{ true, 1000, 4000, 9000, 1 },
+		{ false, 0, 8000, 0, 3000 },
+		{ false, 0, 10000, 0, 5000 },
+		{ false, 0, 4000, 0, 1 },
+		{ false, 0, 8000, 2000, 5000 },
+		{ false, 0, 10000, 2000, 7000 },
+		{ false, 0, 4000, 2000, 2000 },
 	};
 
 	for (const auto &c : cases) {
 		struct gw_weights weights;
+		int64_t fresh_ms = c.has_read ? now_ms - c.fresh_age_ms : 0;
 
 		gw_weights_init(&weights);
 		EXPECT_TRUE(gw_weights_learn(
 			&weights, "m", 2,
-			gw_weights_named_ms(c.is_first_read, c.bound_ms,
-					    100000 - c.up_ms, 100000)));
+			gw_weights_named_ms(fresh_ms, c.bound_ms,
+					    now_ms - c.up_ms, now_ms)));
 		EXPECT_EQ(gw_weights_age_ms(gw_weights_of(&weights, "m"), 1,
-					    100000),
+					    now_ms),
 			  c.age_ms)
-			<< c.is_first_read << " " << c.bound_ms << " "
-			<< c.up_ms;
+			<< c.has_read << " " << c.fresh_age_ms << " "
+			<< c.bound_ms << " " << c.up_ms;
 		gw_weights_finish(&weights);
 	}
 }
