tests: the soak's network refuses connections to an engine that has ended

Two harmless contents were charged with eight ends each.

Trace: 52 engines ended by deadly requests. The logs show, e.g. at 8.27 s, a deadly request end e4, and at 8.84 s a harmless one sent to e4, broken after 0 ms, and charged when the next incarnation of e4 appeared at 8.87 s; the same at 10.88 s with e1, which had ended at 10.46 s. The engine of the soak stands behind a proxy that plays the network. It went on accepting connections while the engine was down and then closed them, which no network does: a connection to an address without a process is refused, and a request that was not sent is charged with nothing.

The proxy closes its listener before the engine's connections break, and opens it when the engine listens again; if the engine got another port, it leads there, which it did not. All promises, bounds and faults stay.

--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -154,6 +154,7 @@
 	bool is_crashing = false;
 	int64_t down_until_ms = 0;
 	Behaviour behaviour = Behaviour::answer;
+	std::function<void(uint16_t)> on_port = [](uint16_t) {};
 	struct h1_server server = {};
 };
 
@@ -579,6 +580,7 @@
 		/* As with a process that ends: nothing is accepted any more
 		 * when its connections break. */
 		shutdown(e->server._fd, SHUT_RDWR);
+		e->on_port(0);
 		close(e);
 		crashes++;
 		e->is_crashing = false;
@@ -587,6 +589,7 @@
 		e->down_until_ms = 0;
 		e->born++;
 		listen(e);
+		e->on_port(e->port);
 		write_entry(*e);
 	}
 }
@@ -735,6 +738,12 @@
 	});
 }
 
+void Fleet::follow_engine(const std::string &id,
+			  std::function<void(uint16_t)> on_port)
+{
+	run([&] { state->engines[id]->on_port = std::move(on_port); });
+}
+
 uint16_t Fleet::engine_port(const std::string &id)
 {
 	uint16_t port = 0;
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -91,6 +91,13 @@
 	 */
 	void set_address(const std::string &id, const std::string &address);
 	void set_draining(const std::string &id);
+
+	/**
+	 * follow_engine() - @on_port is told 0 before the connections of the
+	 * engine break as it ends, and the port when it listens again.
+	 */
+	void follow_engine(const std::string &id,
+			   std::function<void(uint16_t port)> on_port);
 	uint16_t engine_port(const std::string &id);
 
 	/** remove_engine() - entry and process are gone, its runs torn. */
--- a/tests/harness/proxy.cc
+++ b/tests/harness/proxy.cc
@@ -31,21 +31,36 @@
 	return at;
 }
 
+/* On any port if @port is 0; -1 if that is taken. */
+int listen_at(const std::string &ip, uint16_t port)
+{
+	struct sockaddr_in at = address_of(ip, port);
+	int one = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (!bind(fd, reinterpret_cast<sockaddr *>(&at), sizeof(at)) &&
+	    !listen(fd, 64))
+		return fd;
+	close(fd);
+	return -1;
+}
+
 } // namespace
 
 Proxy::Proxy(const std::string &own_ip, const std::string &to, uint16_t to_port)
     : ip(own_ip), target_ip(to), target_port(to_port)
 {
-	struct sockaddr_in at = address_of(ip, 0);
+	struct sockaddr_in at = {};
 	socklen_t length = sizeof(at);
 
-	listener =
-		socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	listener = listen_at(ip, 0);
 	if (listener < 0 ||
-	    bind(listener, reinterpret_cast<sockaddr *>(&at), sizeof(at)) ||
-	    listen(listener, 64) ||
 	    getsockname(listener, reinterpret_cast<sockaddr *>(&at), &length))
 		throw std::runtime_error("the proxy cannot listen");
+	is_listening = true;
 	port = ntohs(at.sin_port);
 	thread = std::thread([this] { loop(); });
 }
@@ -56,7 +71,8 @@
 	thread.join();
 	for (Link &link : links)
 		close_link(link);
-	close(listener);
+	if (listener >= 0)
+		close(listener);
 }
 
 std::string Proxy::address() const
@@ -75,6 +91,24 @@
 	is_tearing = true;
 }
 
+void Proxy::set_target_port(uint16_t to_port)
+{
+	target_port = to_port;
+	while (!to_port && is_listening)
+		usleep(100);
+}
+
+void Proxy::listen_or_refuse()
+{
+	if (!target_port && listener >= 0) {
+		close(listener);
+		listener = -1;
+	} else if (target_port && listener < 0) {
+		listener = listen_at(ip, port);
+	}
+	is_listening = listener >= 0;
+}
+
 /* Closed with bytes unread or with a zero linger time, both ends see a reset.
  */
 void Proxy::close_link(Link &link)
@@ -160,6 +194,7 @@
 void Proxy::loop()
 {
 	while (!is_over) {
+		listen_or_refuse();
 		std::vector<pollfd> fds = { { listener, POLLIN, 0 } };
 		bool tears = is_tearing.exchange(false) || way == Way::reset;
 		bool is_quiet = way == Way::silent;
--- a/tests/harness/proxy.h
+++ b/tests/harness/proxy.h
@@ -50,6 +50,13 @@
 	/** tear() - reset the connections of this moment. */
 	void tear();
 
+	/**
+	 * set_target_port() - the target's process ended (0), or listens there.
+	 * As no network accepts for it, neither does this: with 0 the listener
+	 * is closed on return.
+	 */
+	void set_target_port(uint16_t to_port);
+
       private:
 	struct Piece {
 		int64_t due_ms;
@@ -71,9 +78,10 @@
 
 	std::string ip;
 	std::string target_ip;
-	uint16_t target_port;
+	std::atomic<uint16_t> target_port;
 	uint16_t port = 0;
-	int listener;
+	int listener = -1;
+	std::atomic<bool> is_listening{ false };
 	std::atomic<Way> way{ Way::pass };
 	std::atomic<int64_t> late_ms{ slow_ms };
 	std::atomic<bool> is_tearing{ false };
@@ -81,6 +89,7 @@
 	std::list<Link> links;
 	std::thread thread;
 
+	void listen_or_refuse();
 	void loop();
 	void take();
 	void read_side(Link &link, Side &from, Side &to, bool is_answer);
--- a/tests/soak/driver.cc
+++ b/tests/soak/driver.cc
@@ -195,6 +195,9 @@
 						    fleet.engine_port(slot.id));
 	slot.way_until_ms = 0;
 	slot.behaves_until_ms = 0;
+	fleet.follow_engine(slot.id, [way = slot.way.get()](uint16_t port) {
+		way->set_target_port(port);
+	});
 	fleet.set_address(slot.id, slot.way->address());
 }
 
--- a/tests/soak/driver.h
+++ b/tests/soak/driver.h
@@ -87,11 +87,12 @@
 	std::string folder;
 	std::mt19937_64 dice;
 	struct ev_loop *loop;
+	/* These outlive the fleet, which tells them of its engines. */
+	std::vector<std::unique_ptr<EngineSlot>> engines;
+	std::vector<std::unique_ptr<harness::Proxy>> ways_of_drained;
 	harness::Fleet fleet;
 	Promises promises;
 	std::vector<std::unique_ptr<Host>> hosts;
-	std::vector<std::unique_ptr<EngineSlot>> engines;
-	std::vector<std::unique_ptr<harness::Proxy>> ways_of_drained;
 	std::vector<std::unique_ptr<Caller>> callers;
 	std::deque<Fault> faults;
 	std::vector<std::string> deadly_bodies;
