tests: a failing service is called in several waves

Trace: three calls of twenty arrived and failed before the others were placed, and a service that fails gets no calls for a moment; so the budget was not used up. The condition stays; calls come in waves until it is met. Before: one wave.

--- a/tests/sessions/failure_test.cc
+++ b/tests/sessions/failure_test.cc
@@ -55,17 +55,25 @@
 	cluster.start();
 	cluster.stand_ins->fault(
 		"service", "{\"service\":\"dispatch\",\"lose_answers\":1000}");
-	std::vector<std::thread> callers;
-	for (uint32_t i = 0; i < 2 * RB_DEFAULT_RESERVE; i++)
-		callers.emplace_back([&cluster] {
-			call(cluster.entry_url(0) +
-				     "/v1/services/dispatch/look",
-			     "", Cluster::team(), "GET");
-		});
-	for (std::thread &caller : callers)
-		caller.join();
-	ASSERT_GT(cluster.stand_ins->number("/services/dispatch/runs"),
-		  RB_DEFAULT_RESERVE);
+	/* A service that fails gets no calls for a moment. */
+	ASSERT_TRUE(wait_until(
+		[&] {
+			std::vector<std::thread> callers;
+
+			for (uint32_t i = 0; i < 2 * RB_DEFAULT_RESERVE; i++)
+				callers.emplace_back([&cluster] {
+					call(cluster.entry_url(0) +
+						     "/v1/services/dispatch/"
+						     "look",
+					     "", Cluster::team(), "GET");
+				});
+			for (std::thread &caller : callers)
+				caller.join();
+			return cluster.stand_ins->number(
+				       "/services/dispatch/runs") >
+			       RB_DEFAULT_RESERVE;
+		},
+		3 * default_wait_ms));
 	Stream stream(cluster.entry_url(0) + "/v1/completions",
 		      completion("abc", 100, true), Cluster::team());
 	ASSERT_TRUE(stream.wait_events(5));
