ps: charge no request that was sent after another one had broken there

Cause: behind a proxy that takes connections for an engine that is down, what is sent after the crash breaks as the cause did, and the next incarnation charged both. Now an attempt that began after another one had broken at the same incarnation is charged only if the engine answered something in between. Ruled out: the accepted connection as a sign of life (the proxy accepts).

The list of suspects is filtered by owner before it is cut.

--- a/src/entry/en_engine.c
+++ b/src/entry/en_engine.c
@@ -75,6 +75,8 @@
 	int64_t took_ms = ck_now_ms() - call->sent_ms;
 
 	call->incarnation = up_incarnation(&call->attempt);
+	ps_engine_answered(&call->d->poison, call->upstream_id,
+			   call->incarnation);
 	en_load_first_token(call);
 	lm_engine_first_token(&call->d->engine_limits, call->upstream_id,
 			      (uint32_t)took_ms, call->new_tokens,
--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -16,7 +16,11 @@
 /* Period of the broadcasts of an owner, and limit of suspects in each. */
 #define GW_ANNOUNCE_PERIOD_MS 2000
 #define GW_MAX_ANNOUNCED      16
-#define GW_EXPIRE_MS	      60000
+/* Suspects considered for a broadcast; those of other owners are skipped. */
+#define GW_MAX_LISTED 256
+/* A suspect that no owner has broadcast for this time may have been cleared. */
+#define GW_UNCONFIRMED_MS (3 * GW_ANNOUNCE_PERIOD_MS)
+#define GW_EXPIRE_MS	  60000
 /* A complete answer within this time of the previous one changes nothing. */
 #define GW_COMPLETED_STEP_MS 1000
 /* The next owner writes the row if it has been out of date for that long. */
@@ -98,23 +102,20 @@
 	gw_send_report(g, peer, &message);
 }
 
-/*
- * Sends those of the GW_MAX_ANNOUNCED newest suspects that this host owns.
- * Returns how many of the newest are proven, owned or not.
- */
-static uint32_t gw_send_known_suspects(struct gw_gateway *g,
-				       const struct rp_peer *peer)
+/* Sends the newest suspects that this host owns, to all hosts or to @peer. */
+static void gw_send_known_suspects(struct gw_gateway *g,
+				   const struct rp_peer *peer)
 {
-	struct ps_suspect suspects[GW_MAX_ANNOUNCED];
-	uint32_t count = ps_list(&g->poison->table, suspects, GW_MAX_ANNOUNCED);
-	uint32_t proven = 0;
+	struct ps_suspect suspects[GW_MAX_LISTED];
+	uint32_t count = ps_list(&g->poison->table, suspects, GW_MAX_LISTED);
+	uint32_t sent = 0;
 
-	for (uint32_t i = 0; i < count; i++) {
-		proven += suspects[i].is_proven;
-		if (gw_peers_is_owner(g, suspects[i].fingerprint))
-			gw_send_suspect(g, peer, &suspects[i]);
+	for (uint32_t i = 0; i < count && sent < GW_MAX_ANNOUNCED; i++) {
+		if (!gw_peers_is_owner(g, suspects[i].fingerprint))
+			continue;
+		gw_send_suspect(g, peer, &suspects[i]);
+		sent++;
 	}
-	return proven;
 }
 
 void gw_poison_sync_peer(struct gw_gateway *g, const struct rp_peer *peer)
@@ -215,6 +216,7 @@
 			       record->incarnation, record->age_ms, now_ms);
 	}
 	ps_peer_probes(table, message->fingerprint, message->probes);
+	ps_confirm(table, message->fingerprint, now_ms);
 	gw_send_counter_evidence(g, rp_peer_of(request), message, now_ms);
 	if (ps_crash_count(table, message->fingerprint) > before)
 		gw_announce_crash(g, message->fingerprint, "told");
@@ -288,19 +290,49 @@
 		gw_send_cleared(g, r->content, 0);
 }
 
+static void gw_send_to_owners(struct gw_gateway *g, const struct ps_suspect *s)
+{
+	bp_charge records[PS_MAX_CRASHES];
+	bp_gateway_suspect message = gw_to_wire(s, records, ck_now_ms());
+
+	gw_peers_call_owners(g, s->fingerprint, BP_GATEWAY_SUSPECT,
+			     (xdrproc_t)xdr_bp_gateway_suspect, &message);
+}
+
+/*
+ * A host that missed the message which cleared a suspect keeps refusing it. The
+ * owners either record the suspect and broadcast it again, or answer with the
+ * evidence that cleared it.
+ */
+static uint32_t gw_check_suspects(struct gw_gateway *g, int64_t now_ms)
+{
+	struct ps_suspect suspects[GW_MAX_LISTED];
+	uint32_t count = ps_list(&g->poison->table, suspects, GW_MAX_LISTED);
+	uint32_t proven = 0, sent = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		proven += suspects[i].is_proven;
+		if (sent == GW_MAX_ANNOUNCED ||
+		    now_ms - suspects[i].confirmed_ms < GW_UNCONFIRMED_MS ||
+		    gw_peers_is_owner(g, suspects[i].fingerprint))
+			continue;
+		gw_log_suspect("suspect_unconfirmed", &suspects[i],
+			       "no_owner_reports_it");
+		gw_send_to_owners(g, &suspects[i]);
+		sent++;
+	}
+	return proven;
+}
+
 /* Sends all crash records of this host, so that the owners know no fewer. */
 static void gw_report_crash(struct gw_gateway *g, uint64_t content)
 {
-	bp_charge records[PS_MAX_CRASHES];
-	bp_gateway_suspect message;
 	struct ps_suspect s;
 
 	mt_add(&gw_crash_records, 1);
 	if (!ps_find(&g->poison->table, content, &s))
 		return;
-	message = gw_to_wire(&s, records, ck_now_ms());
-	gw_peers_call_owners(g, content, BP_GATEWAY_SUSPECT,
-			     (xdrproc_t)xdr_bp_gateway_suspect, &message);
+	gw_send_to_owners(g, &s);
 	gw_announce_crash(g, content, "ran_there");
 }
 
@@ -331,6 +363,11 @@
 	ps_engine_alive(&g->poison->table, e->hash, fl_incarnation(e));
 }
 
+void gw_poison_engine_answered(struct gw_gateway *g, const struct fl_engine *e)
+{
+	ps_engine_answered(&g->poison->table, e->hash, fl_incarnation(e));
+}
+
 bool gw_poison_has_broken_attempt(const struct gw_gateway *g,
 				  const struct fl_engine *e)
 {
@@ -418,7 +455,8 @@
 	gw_refresh_poison_row(g, now_ms);
 	if (now_ms >= p->next_announce_ms) {
 		p->next_announce_ms = now_ms + GW_ANNOUNCE_PERIOD_MS;
-		mt_set(&gw_proven, gw_send_known_suspects(g, NULL));
+		gw_send_known_suspects(g, NULL);
+		mt_set(&gw_proven, gw_check_suspects(g, now_ms));
 	}
 	if (now_ms >= p->next_expire_ms) {
 		p->next_expire_ms = now_ms + GW_EXPIRE_MS;
--- a/src/gateway/gw_poison.h
+++ b/src/gateway/gw_poison.h
@@ -70,6 +70,9 @@
 /** gw_poison_engine_alive() - record that @e accepted a connection. */
 void gw_poison_engine_alive(struct gw_gateway *g, const struct fl_engine *e);
 
+/** gw_poison_engine_answered() - record that @e answered a request. */
+void gw_poison_engine_answered(struct gw_gateway *g, const struct fl_engine *e);
+
 /**
  * gw_poison_has_broken_attempt() - whether an attempt at @e broke recently, or
  * was given up while @e was silent, for an unknown reason.
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -186,6 +186,8 @@
 	    strcmp(answer.attempt, r->in.attempt) != 0)
 		return false;
 	r->is_awaiting_head = false;
+	if (answer.is_signed)
+		gw_poison_engine_answered(r->gateway, r->engine);
 	r->answer = answer;
 	r->answer.attempt = NULL;
 	r->status = status;
--- a/src/limits/ps.c
+++ b/src/limits/ps.c
@@ -11,12 +11,16 @@
 	uint32_t probes;
 	int64_t last_ms;
 	int64_t cleared_ms;
+	int64_t confirmed_ms;
 };
 
 /*
  * An attempt that is running, or that broke at @broken_ms.
  * @is_engine_alive: the engine accepted a connection after the attempt broke.
  * @is_abandoned: this side cancelled the attempt while the engine was silent.
+ * @is_answered: the engine answered some request after the attempt broke.
+ * @is_after_break: the attempt began after another one had broken there, and
+ *	the engine has answered nothing since, so it may never have run.
  */
 struct _ps_run {
 	uint64_t fingerprint;
@@ -26,6 +30,8 @@
 	bool is_broken;
 	bool is_engine_alive;
 	bool is_abandoned;
+	bool is_answered;
+	bool is_after_break;
 };
 
 void ps_init(struct ps_table *table)
@@ -186,6 +192,7 @@
 	s = g_new0(struct _ps_suspect, 1);
 	s->fingerprint = fingerprint;
 	s->cleared_ms = INT64_MIN;
+	s->confirmed_ms = INT64_MIN;
 	g_hash_table_insert(table->_suspects, &s->fingerprint, s);
 	return s;
 }
@@ -200,6 +207,7 @@
 	    s->count == PS_MAX_CRASHES)
 		return false;
 	s->crashes[s->count++] = *crash;
+	s->confirmed_ms = MAX(s->confirmed_ms, crash->at_ms);
 	if (crash->at_ms > s->last_ms)
 		s->last_ms = crash->at_ms;
 	return true;
@@ -414,12 +422,28 @@
 	return count;
 }
 
+/* Whether an attempt broke at the engine, which has answered nothing since. */
+static bool ps_broke_unanswered(const struct ps_table *table, uint64_t engine,
+				uint64_t incarnation)
+{
+	for (uint32_t i = 0; i < table->_runs->len; i++) {
+		const struct _ps_run *run = ps_run_at(table, i);
+
+		if (run->is_broken && !run->is_abandoned && !run->is_answered &&
+		    run->engine == engine && run->incarnation == incarnation)
+			return true;
+	}
+	return false;
+}
+
 void ps_started(struct ps_table *table, uint64_t fingerprint, uint64_t engine,
 		uint64_t incarnation, int64_t now_ms)
 {
 	struct _ps_run run = { .fingerprint = fingerprint,
 			       .engine = engine,
-			       .incarnation = incarnation };
+			       .incarnation = incarnation,
+			       .is_after_break = ps_broke_unanswered(
+				       table, engine, incarnation) };
 
 	if (table->_runs->len >= PS_MAX_RUNS)
 		ps_expire(table, now_ms);
@@ -468,6 +492,7 @@
 		g_array_remove_index_fast(table->_runs, index);
 	if (end != PS_COMPLETED)
 		return false;
+	ps_engine_answered(table, engine, incarnation);
 	ps_remove_broken(table, fingerprint);
 	ps_record_completion(table, fingerprint, now_ms);
 	return ps_clear(table, fingerprint, now_ms);
@@ -495,7 +520,7 @@
 		if (run.engine != engine || run.incarnation != incarnation)
 			continue;
 		g_array_remove_index_fast(table->_runs, i);
-		if (ps_is_stale(&run, now_ms))
+		if (ps_is_stale(&run, now_ms) || run.is_after_break)
 			continue;
 		if (ps_add_crash(table, run.fingerprint, &crash) &&
 		    count < capacity)
@@ -516,6 +541,21 @@
 	}
 }
 
+void ps_engine_answered(struct ps_table *table, uint64_t engine,
+			uint64_t incarnation)
+{
+	for (uint32_t i = 0; i < table->_runs->len; i++) {
+		struct _ps_run *run = ps_run_at(table, i);
+
+		if (run->engine != engine || run->incarnation != incarnation)
+			continue;
+		if (run->is_broken)
+			run->is_answered = true;
+		else
+			run->is_after_break = false;
+	}
+}
+
 bool ps_has_broken_attempt(const struct ps_table *table, uint64_t engine,
 			   uint64_t incarnation, int64_t now_ms)
 {
@@ -537,6 +577,7 @@
 				    .count = suspect->count,
 				    .probes = suspect->probes,
 				    .is_proven = ps_is_proven(table, suspect) };
+	out->confirmed_ms = suspect->confirmed_ms;
 	memcpy(out->crashes, suspect->crashes, sizeof(out->crashes));
 }
 
@@ -609,6 +650,15 @@
 		ps_add_crash(table, fingerprint, &crash);
 }
 
+void ps_confirm(struct ps_table *table, uint64_t fingerprint, int64_t now_ms)
+{
+	struct _ps_suspect *s =
+		g_hash_table_lookup(table->_suspects, &fingerprint);
+
+	if (s)
+		s->confirmed_ms = MAX(s->confirmed_ms, now_ms);
+}
+
 void ps_expire(struct ps_table *table, int64_t now_ms)
 {
 	GHashTableIter iter;
--- a/src/limits/ps.h
+++ b/src/limits/ps.h
@@ -24,6 +24,10 @@
  *	A refused request cannot complete, so one that was wrongly blamed would
  *	stay refused: one host probes it, a bounded number of times.
  *
+ *	An attempt that began at an engine after another one had broken there
+ *	is not charged with its crash unless the engine answered in between:
+ *	a proxy takes connections for an engine that is down.
+ *
  *	A broken connection is no proof of a crash. After two broken
  *	connections on different engines, a request is held back until it is
  *	known whether the engines crashed.
@@ -133,6 +137,7 @@
  * struct ps_suspect - a fingerprint that was running at crashes.
  * @probes: attempts allowed since it was refused.
  * @is_proven: it is refused.
+ * @confirmed_ms: time of the last crash or ps_confirm().
  */
 struct ps_suspect {
 	uint64_t fingerprint;
@@ -140,6 +145,7 @@
 	uint32_t count;
 	uint32_t probes;
 	bool is_proven;
+	int64_t confirmed_ms;
 };
 
 struct ps_table {
@@ -229,6 +235,13 @@
 void ps_engine_alive(struct ps_table *table, uint64_t engine,
 		     uint64_t incarnation);
 
+/**
+ * ps_engine_answered() - record that the engine answered a request: it was
+ * running after the attempts that broke there until now.
+ */
+void ps_engine_answered(struct ps_table *table, uint64_t engine,
+			uint64_t incarnation);
+
 /**
  * ps_has_broken_attempt() - whether an attempt there broke or was abandoned
  * recently.
@@ -261,6 +274,12 @@
 		    uint64_t engine, uint64_t incarnation, int64_t age_ms,
 		    int64_t now_ms);
 
+/**
+ * ps_confirm() - record that a peer that collects crash records has reported
+ * the fingerprint now.
+ */
+void ps_confirm(struct ps_table *table, uint64_t fingerprint, int64_t now_ms);
+
 /** ps_expire() - drop expired records; call it about once a minute. */
 void ps_expire(struct ps_table *table, int64_t now_ms);
 
--- a/tests/unit/poison_test.cc
+++ b/tests/unit/poison_test.cc
@@ -20,8 +20,8 @@
 // breaks, '/' is cancelled, '<' is abandoned while the engine is silent, 'x'
 // the incarnation of the engine is known to have crashed, 'p' a peer reports a
 // crash of engine, 'o' a peer reports one that is 5 s old, 'c' a peer reports
-// that it completed, 'l' the engine accepted a connection, 'w' wait; engine is
-// the number of seconds.
+// that it completed, 'l' the engine accepted a connection, 'a' the engine
+// answered a request, 'w' wait; engine is the number of seconds.
 struct Step {
 	char what;
 	uint64_t fingerprint;
@@ -285,6 +285,53 @@
 	  { { '+', 1, 3 }, { '-', 1, 3 }, { 'o', 1, 1 }, { 'o', 1, 2 } },
 	  1,
 	  PS_RUN },
+	{ "sent to engines after another request had broken there",
+	  { { '+', 2, 1 },
+	    { '!', 2, 1 },
+	    { '+', 1, 1 },
+	    { '!', 1, 1 },
+	    { 'x', 0, 1 },
+	    { '+', 3, 2 },
+	    { '!', 3, 2 },
+	    { '+', 1, 2 },
+	    { '!', 1, 2 },
+	    { 'x', 0, 2 } },
+	  1,
+	  PS_RUN },
+	{ "the request that broke first is charged",
+	  { { '+', 2, 1 },
+	    { '!', 2, 1 },
+	    { '+', 1, 1 },
+	    { 'x', 0, 1 },
+	    { '+', 2, 2 },
+	    { '!', 2, 2 },
+	    { '+', 3, 2 },
+	    { 'x', 0, 2 } },
+	  2,
+	  PS_REFUSE },
+	{ "the engine answered between the break and the request",
+	  { { '+', 2, 1 },
+	    { '!', 2, 1 },
+	    { 'a', 0, 1 },
+	    { '+', 1, 1 },
+	    { '!', 1, 1 },
+	    { 'x', 0, 1 },
+	    { '+', 1, 2 },
+	    { '!', 1, 2 },
+	    { 'x', 0, 2 } },
+	  1,
+	  PS_REFUSE },
+	{ "the engine answered while the request ran there",
+	  { { '+', 2, 1 },
+	    { '!', 2, 1 },
+	    { '+', 1, 1 },
+	    { 'a', 0, 1 },
+	    { 'x', 0, 1 },
+	    { '+', 1, 2 },
+	    { '!', 1, 2 },
+	    { 'x', 0, 2 } },
+	  1,
+	  PS_REFUSE },
 	{ "crash records expire",
 	  { { 'p', 1, 1 }, { 'p', 1, 2 }, { 'w', 0, 1801 } },
 	  1,
@@ -333,6 +380,9 @@
 		case 'l':
 			ps_engine_alive(table, s.engine, 1);
 			break;
+		case 'a':
+			ps_engine_answered(table, s.engine, 1);
+			break;
 		case 'w':
 			*at += (int64_t)s.engine * 1000;
 			break;
@@ -452,6 +502,27 @@
 
 // A host without any records reads the row that another host wrote to the
 // store.
+// A host that missed the message which cleared a suspect finds it by the time
+// since an owner last reported it.
+TEST(Poison, ConfirmationFollowsCrashesAndReports)
+{
+	struct ps_table table;
+	struct ps_suspect s;
+
+	ps_init(&table);
+	ps_peer_report(&table, 1, 1, 1, 0, now);
+	ps_peer_report(&table, 1, 2, 1, 100, now + 500);
+	ASSERT_TRUE(ps_find(&table, 1, &s));
+	EXPECT_EQ(s.confirmed_ms, now + 400);
+	ps_confirm(&table, 1, now + 2000);
+	ps_confirm(&table, 1, now + 1000);
+	ps_confirm(&table, 7, now + 1000);
+	ASSERT_TRUE(ps_find(&table, 1, &s));
+	EXPECT_EQ(s.confirmed_ms, now + 2000);
+	EXPECT_FALSE(ps_find(&table, 7, &s));
+	ps_finish(&table);
+}
+
 TEST(Poison, RowHoldsOnlyProvenSuspects)
 {
 	static const struct {
