gateway: sum the load of each zone at a collector

With 195 hosts the load of a host of the region is heard every 0.58 s and of the other every 5.9 s; a request runs about as long, so hosts place blindly and meet at the same engines.

Change: a host of each zone collects the load of its members, exchanges sums with the other zones and sends each member the sum over all but itself ten times a second; announced prefixes are relayed the same way. Its standby gets the reports, too. Without recent sums the old reports serve.

--- a/src/gateway/gw_hosts.c
+++ b/src/gateway/gw_hosts.c
@@ -128,6 +128,7 @@
 	    !ad_parse(address, &peer->address) || !peer->address.port)
 		return false;
 	peer->region = g_quark_from_string(region);
+	peer->zone = g_quark_from_string(zone);
 	peer->is_far = strcmp(region, g->settings.region) != 0;
 	return true;
 }
@@ -156,6 +157,7 @@
 	}
 	peer->address = parsed.address;
 	peer->region = parsed.region;
+	peer->zone = parsed.zone;
 	peer->is_far = parsed.is_far;
 }
 
--- a/src/gateway/gw_hosts.h
+++ b/src/gateway/gw_hosts.h
@@ -23,7 +23,12 @@
  * struct gw_peer - another host.
  * @hash: gw_name_hash() of its name.
  * @region: quark of the name of its region.
+ * @zone: quark of the name of its availability zone.
  * @is_far: it is in another region than this host.
+ * @is_collector: the load of this host is reported to it; see gw_collect.h.
+ * @chosen_ms: since when @is_collector holds.
+ * @distrusted_until_ms: not chosen as a collector before.
+ * @relayed_end: end of the announcements relayed to it; see gw_collect.h.
  * @incarnation: incarnation of its process in its last message, 0 before one.
  * @is_seen: a message from it was received since this process started.
  * @takes_part: according to its last message, the store answers it and it is
@@ -38,7 +43,12 @@
 	uint64_t hash;
 	struct ad_address address;
 	uint32_t region;
+	uint32_t zone;
 	bool is_far;
+	bool is_collector;
+	int64_t chosen_ms;
+	int64_t distrusted_until_ms;
+	uint64_t relayed_end;
 	uint64_t incarnation;
 	bool is_seen;
 	bool takes_part;
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -63,10 +63,15 @@
 	pe_load_receive(&p->gateway->peer_load, from->incarnation,
 			message->sequence, shares, message->shares.shares_len,
 			now_ms);
-	for (uint32_t i = 0; i < message->held.held_len; i++)
-		pe_held_add(&p->gateway->held, message->held.held_val[i].key,
-			    message->held.held_val[i].engine, now_ms);
 	peer = gw_hosts_find(&p->hosts, from->ipv4, from->port);
+	for (uint32_t i = 0; i < message->held.held_len; i++) {
+		const bp_held *held = &message->held.held_val[i];
+
+		if (pe_held_add(&p->gateway->held, held->key, held->engine,
+				now_ms) &&
+		    peer && gw_collect_is_member(p, peer))
+			gw_collect_relay(p, held, true);
+	}
 	if (peer) {
 		peer->received_ms = now_ms;
 		peer->is_seen = true;
@@ -74,6 +79,8 @@
 		if (peer->incarnation != from->incarnation)
 			gw_poison_sync_peer(p->gateway, from);
 		peer->incarnation = from->incarnation;
+		gw_collect_member(p, peer, message->sequence, shares,
+				  message->shares.shares_len, now_ms);
 	}
 	rp_drop(request);
 }
@@ -143,16 +150,23 @@
 	return far;
 }
 
-/* @similar_peers: number of peers that are far, or not far, like @peer. */
+/*
+ * @similar_peers: number of peers that are far, or not far, like @peer.
+ * @report_ms: period of the messages to a collector.
+ */
 static int64_t gw_send_period_ms(const struct gw_peer *peer,
-				 int64_t similar_peers, int64_t now_ms)
+				 int64_t similar_peers, int64_t report_ms,
+				 int64_t now_ms)
 {
+	int64_t period_ms = peer->is_far
+				    ? MAX(GW_FAR_PERIOD_MS,
+					  similar_peers * GW_FAR_PER_PEER_MS)
+				    : MAX(GW_NEAR_PERIOD_MS,
+					  similar_peers * GW_NEAR_PER_PEER_MS);
+
 	if (now_ms - peer->received_ms > GW_SILENT_MS)
 		return GW_SILENT_PERIOD_MS;
-	return peer->is_far ? MAX(GW_FAR_PERIOD_MS,
-				  similar_peers * GW_FAR_PER_PEER_MS)
-			    : MAX(GW_NEAR_PERIOD_MS,
-				  similar_peers * GW_NEAR_PER_PEER_MS);
+	return peer->is_collector ? MIN(period_ms, report_ms) : period_ms;
 }
 
 /* Cache memory of all engines according to the configuration. */
@@ -208,18 +222,21 @@
 {
 	struct gw_peers *p = w->data;
 	int64_t now_ms = ck_now_ms();
+	int64_t report_ms;
 	uint32_t far;
 
 	gw_hosts_step(&p->hosts, now_ms);
 	if (now_ms >= p->next_sweep_ms)
 		gw_sweep_peers(p, now_ms);
+	gw_collect_step(p, now_ms);
+	report_ms = gw_collect_report_ms(p);
 	far = gw_count_far_peers(p);
 	for (uint32_t i = 0; p->is_open && i < p->hosts.peers->len; i++) {
 		struct gw_peer *peer = p->hosts.peers->pdata[i];
 
 		peer->period_ms = gw_send_period_ms(
 			peer, peer->is_far ? far : p->hosts.peers->len - far,
-			now_ms);
+			report_ms, now_ms);
 		if (now_ms - peer->sent_ms >= peer->period_ms)
 			gw_send_load(p, peer, now_ms);
 	}
@@ -258,6 +275,8 @@
 					.args_bytes = sizeof(bp_gateway_load),
 					.handler = gw_on_load,
 					.arg = p });
+	if (code == ST_OK)
+		code = gw_collect_serve(p);
 	if (code == ST_OK)
 		code = gw_relay_serve(p->gateway, &p->rpc);
 	if (code == ST_OK)
@@ -282,6 +301,7 @@
 				     GW_MAX_ANNOUNCEMENTS / 2);
 	g_array_append_val(p->announcements, held);
 	p->announcements_end++;
+	gw_collect_relay(p, &held, true);
 }
 
 void gw_peers_apply_rows(struct gw_gateway *g, const struct rw_rows *rows)
@@ -318,6 +338,7 @@
 		      &(struct gw_hosts_desc){ .gateway = g,
 					       .on_key = gw_open_endpoint,
 					       .arg = p });
+	gw_collect_init(&p->collect);
 	p->announcements = g_array_new(FALSE, FALSE, sizeof(bp_held));
 	ev_timer_init(&p->tick, gw_on_peers_tick, GW_PEERS_TICK_S,
 		      GW_PEERS_TICK_S);
@@ -337,6 +358,7 @@
 	if (p->is_open)
 		rp_finish(&p->rpc);
 	gw_hosts_finish(&p->hosts);
+	gw_collect_finish(&p->collect);
 	g_array_free(p->announcements, TRUE);
 	g_free(p);
 	g->peers = NULL;
--- a/src/gateway/gw_peers.h
+++ b/src/gateway/gw_peers.h
@@ -2,12 +2,14 @@
  * gw_peers - private state of the messages between hosts.
  *
  *	gw_peers.c	load and held prefixes
+ *	gw_collect.c	the same through a collector in each zone
  *	gw_roles.c	which hosts read the store, poll the lease, and own the
  *			crash records of a request
  */
 #ifndef GW_PEERS_H
 #define GW_PEERS_H
 
+#include "gateway/gw_collect.h"
 #include "gateway/gw_hosts.h"
 #include "peers/pe_kept.h"
 
@@ -27,6 +29,7 @@
 	uint64_t announcements_end;
 	uint64_t sequence;
 	struct pe_kept kept;
+	struct gw_collect collect;
 	int64_t next_sweep_ms;
 };
 
--- a/src/gateway/gw_place.c
+++ b/src/gateway/gw_place.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "gateway/gw_peers.h"
+
 #define GW_MAX_CANDIDATES 1024
 /*
  * Margin within the bound for new weights: the time that a request may wait at
@@ -61,7 +63,7 @@
 					int64_t weights_age_ms, int64_t now_ms)
 {
 	const struct pc_request *prefix = &request->prefix;
-	struct pe_share others = pe_load_sum(&g->peer_load, e->hash);
+	struct pe_share others = gw_collect_others(g, e->hash, now_ms);
 	struct pc_candidate c = {
 		.hash = e->hash,
 		.running = e->running + others.running,
--- a/src/gateway/gw_rollout.c
+++ b/src/gateway/gw_rollout.c
@@ -6,6 +6,7 @@
 
 #include "control/ls.h"
 #include "gateway/gw.h"
+#include "gateway/gw_peers.h"
 #include "gateway/gw_plan.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
@@ -299,7 +300,8 @@
 				   const struct fl_engine *e, int64_t now_ms)
 {
 	return now_ms - e->updating_since_ms < GW_ORDER_WAIT_MS &&
-	       e->waiting_tokens + pe_load_sum(&g->peer_load, e->hash).tokens >
+	       e->waiting_tokens +
+			       gw_collect_others(g, e->hash, now_ms).tokens >
 		       0;
 }
 
--- a/src/peers/pe_load.c
+++ b/src/peers/pe_load.c
@@ -92,6 +92,16 @@
 	}
 }
 
+void pe_load_remove(struct pe_load *load, uint64_t id)
+{
+	struct pe_peer *peer = g_hash_table_lookup(load->_peers, &id);
+
+	if (!peer)
+		return;
+	pe_remove_shares(load, peer);
+	g_hash_table_remove(load->_peers, &id);
+}
+
 void pe_load_expire(struct pe_load *load, int64_t before_ms)
 {
 	GHashTableIter iter;
@@ -115,6 +125,42 @@
 	return sum ? *sum : (struct pe_share){ .engine = engine };
 }
 
+static struct pe_share pe_subtracted(struct pe_share sum,
+				     const struct pe_peer *peer)
+{
+	for (uint32_t i = 0; peer && i < peer->count; i++) {
+		if (peer->shares[i].engine != sum.engine)
+			continue;
+		sum.running -= peer->shares[i].running;
+		sum.tokens -= peer->shares[i].tokens;
+	}
+	return sum;
+}
+
+struct pe_share pe_load_sum_without(const struct pe_load *load, uint64_t engine,
+				    uint64_t peer)
+{
+	return pe_subtracted(pe_load_sum(load, engine),
+			     g_hash_table_lookup(load->_peers, &peer));
+}
+
+void pe_load_list(const struct pe_load *load, uint64_t peer, GArray *out)
+{
+	const struct pe_peer *without =
+		g_hash_table_lookup(load->_peers, &peer);
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, load->_sums);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pe_share sum =
+			pe_subtracted(*(struct pe_share *)value, without);
+
+		if (sum.running || sum.tokens)
+			g_array_append_val(out, sum);
+	}
+}
+
 uint32_t pe_load_peer_count(const struct pe_load *load)
 {
 	return g_hash_table_size(load->_peers);
--- a/src/peers/pe_load.h
+++ b/src/peers/pe_load.h
@@ -47,12 +47,25 @@
 		     const struct pe_share *shares, uint32_t count,
 		     int64_t now_ms);
 
+/** pe_load_remove() - drop what a peer has reported. */
+void pe_load_remove(struct pe_load *load, uint64_t peer);
+
 /** pe_load_expire() - remove peers without a report since @before_ms. */
 void pe_load_expire(struct pe_load *load, int64_t before_ms);
 
 /** pe_load_sum() - sum of the shares of all peers at an upstream. */
 struct pe_share pe_load_sum(const struct pe_load *load, uint64_t engine);
 
+/** pe_load_sum_without() - the same without the shares of one peer. */
+struct pe_share pe_load_sum_without(const struct pe_load *load, uint64_t engine,
+				    uint64_t peer);
+
+/**
+ * pe_load_list() - append the sums of all upstreams with load to @out, an
+ * array of struct pe_share, without the shares of @peer (0: of all peers).
+ */
+void pe_load_list(const struct pe_load *load, uint64_t peer, GArray *out);
+
 uint32_t pe_load_peer_count(const struct pe_load *load);
 
 #endif
--- a/src/rpc/balsampin.x
+++ b/src/rpc/balsampin.x
@@ -151,6 +151,23 @@
 	bp_held held<BP_MAX_HELD>;
 };
 
+const BP_MAX_SUM_SHARES = 44;
+
+/*
+ * Load of many hosts, in @parts messages with the same @sequence; see
+ * src/peers/pe_zone.h. @zone: hash of the zone whose hosts are summed; 0: the
+ * sum is over all hosts but the receiver. @period_ms: between two sums.
+ */
+struct bp_gateway_sums {
+	unsigned hyper sequence;
+	unsigned hyper zone;
+	unsigned int part;
+	unsigned int parts;
+	unsigned int period_ms;
+	bp_share shares<BP_MAX_SUM_SHARES>;
+	bp_held held<BP_MAX_HELD>;
+};
+
 const BP_MAX_CHARGES = 8;
 
 /* A crash that a request was running at; see src/limits/ps.h. */
@@ -366,5 +383,6 @@
 		void BP_GATEWAY_ROWS(bp_gateway_rows) = 10;
 		bp_gateway_table BP_GATEWAY_TABLE(unsigned int) = 11;
 		void BP_GATEWAY_SUSPECT(bp_gateway_suspect) = 12;
+		void BP_GATEWAY_SUMS(bp_gateway_sums) = 13;
 	} = 1;
 } = 0x20426d70;
--- a/src/rpc/gen/balsampin.h
+++ b/src/rpc/gen/balsampin.h
@@ -180,6 +180,24 @@
 	} held;
 };
 typedef struct bp_gateway_load bp_gateway_load;
+#define BP_MAX_SUM_SHARES 44
+
+struct bp_gateway_sums {
+	u_quad_t sequence;
+	u_quad_t zone;
+	u_int part;
+	u_int parts;
+	u_int period_ms;
+	struct {
+		u_int shares_len;
+		bp_share *shares_val;
+	} shares;
+	struct {
+		u_int held_len;
+		bp_held *held_val;
+	} held;
+};
+typedef struct bp_gateway_sums bp_gateway_sums;
 #define BP_MAX_CHARGES 8
 
 struct bp_charge {
@@ -443,6 +461,9 @@
 #define BP_GATEWAY_SUSPECT 12
 extern  enum clnt_stat bp_gateway_suspect_1(bp_gateway_suspect *, void *, CLIENT *);
 extern  bool_t bp_gateway_suspect_1_svc(bp_gateway_suspect *, void *, struct svc_req *);
+#define BP_GATEWAY_SUMS 13
+extern  enum clnt_stat bp_gateway_sums_1(bp_gateway_sums *, void *, CLIENT *);
+extern  bool_t bp_gateway_sums_1_svc(bp_gateway_sums *, void *, struct svc_req *);
 extern int balsampin_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -482,6 +503,9 @@
 #define BP_GATEWAY_SUSPECT 12
 extern  enum clnt_stat bp_gateway_suspect_1();
 extern  bool_t bp_gateway_suspect_1_svc();
+#define BP_GATEWAY_SUMS 13
+extern  enum clnt_stat bp_gateway_sums_1();
+extern  bool_t bp_gateway_sums_1_svc();
 extern int balsampin_1_freeresult ();
 #endif /* K&R C */
 
@@ -505,6 +529,7 @@
 extern  bool_t xdr_bp_share (XDR *, bp_share*);
 extern  bool_t xdr_bp_held (XDR *, bp_held*);
 extern  bool_t xdr_bp_gateway_load (XDR *, bp_gateway_load*);
+extern  bool_t xdr_bp_gateway_sums (XDR *, bp_gateway_sums*);
 extern  bool_t xdr_bp_charge (XDR *, bp_charge*);
 extern  bool_t xdr_bp_gateway_suspect (XDR *, bp_gateway_suspect*);
 extern  bool_t xdr_bp_row (XDR *, bp_row*);
@@ -544,6 +569,7 @@
 extern bool_t xdr_bp_share ();
 extern bool_t xdr_bp_held ();
 extern bool_t xdr_bp_gateway_load ();
+extern bool_t xdr_bp_gateway_sums ();
 extern bool_t xdr_bp_charge ();
 extern bool_t xdr_bp_gateway_suspect ();
 extern bool_t xdr_bp_row ();
--- a/src/rpc/gen/balsampin_xdr.c
+++ b/src/rpc/gen/balsampin_xdr.c
@@ -492,6 +492,85 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bp_gateway_sums (XDR *xdrs, bp_gateway_sums *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->zone))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->part))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->parts))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->period_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->part);
+		IXDR_PUT_U_LONG(buf, objp->parts);
+		IXDR_PUT_U_LONG(buf, objp->period_ms);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->shares.shares_val, (u_int *) &objp->shares.shares_len, BP_MAX_SUM_SHARES,
+			sizeof (bp_share), (xdrproc_t) xdr_bp_share))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, BP_MAX_HELD,
+			sizeof (bp_held), (xdrproc_t) xdr_bp_held))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->zone))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->part))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->parts))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->period_ms))
+				 return FALSE;
+
+		} else {
+		objp->part = IXDR_GET_U_LONG(buf);
+		objp->parts = IXDR_GET_U_LONG(buf);
+		objp->period_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->shares.shares_val, (u_int *) &objp->shares.shares_len, BP_MAX_SUM_SHARES,
+			sizeof (bp_share), (xdrproc_t) xdr_bp_share))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, BP_MAX_HELD,
+			sizeof (bp_held), (xdrproc_t) xdr_bp_held))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->part))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->parts))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->period_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->shares.shares_val, (u_int *) &objp->shares.shares_len, BP_MAX_SUM_SHARES,
+		sizeof (bp_share), (xdrproc_t) xdr_bp_share))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, BP_MAX_HELD,
+		sizeof (bp_held), (xdrproc_t) xdr_bp_held))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bp_charge (XDR *xdrs, bp_charge *objp)
 {
