tests: collectors of a fleet of 20 hosts, one of them frozen

A real session of gateway_collect: one collector a zone, every host receives sums, a frozen collector is replaced within 5 s, and one remains after it thaws.

--- /dev/null
+++ b/tests/sessions/gateway_collect_test.cc
@@ -0,0 +1,118 @@
+// Collectors of load in a fleet that is large enough to have them.
+#include <gtest/gtest.h>
+
+#include <signal.h>
+
+#include "cluster.h"
+#include "fleet.h"
+#include "fleet_config.h"
+#include "http.h"
+#include "process.h"
+
+using namespace harness;
+
+namespace
+{
+
+// More than GW_DIRECT_PEERS, in two zones of different regions.
+const int host_count = 20;
+
+class Collect : public testing::Test
+{
+      protected:
+	TemporaryDirectory directory;
+	Fleet fleet;
+	std::map<std::string, std::unique_ptr<Process>> hosts;
+
+	void SetUp() override
+	{
+		fleet.add_engine("a1", "app");
+		fleet.put("op", "config",
+			  fleet_config(1,
+				       { { "look", "idempotent", "app", 1,
+					   false, 1500 } },
+				       "\"k1\""));
+		for (int i = 0; i < host_count; i++) {
+			std::string name = "h" + std::to_string(i);
+			Place place = { zone_of(i), i % 2 ? "r1" : "r2", "" };
+
+			hosts[name] = start_gateway(fleet, directory.path, name,
+						    place, name + ".log");
+		}
+	}
+
+	void TearDown() override
+	{
+		for (auto &host : hosts)
+			kill(host.second->pid(), SIGCONT);
+	}
+
+	static std::string zone_of(int i)
+	{
+		return i % 2 ? "z1" : "z2";
+	}
+
+	static double metric(const std::string &host, const std::string &name)
+	{
+		std::string page = call(Fleet::metrics(host)).body;
+		size_t at = page.find("\n" + name + " ");
+
+		return at == std::string::npos
+			       ? -1
+			       : std::stod(page.substr(at + name.size() + 2));
+	}
+
+	// The hosts of @zone that act as its collector; @except is not asked.
+	std::vector<std::string> collectors(const std::string &zone,
+					    const std::string &except = "")
+	{
+		std::vector<std::string> found;
+
+		for (int i = 0; i < host_count; i++) {
+			std::string name = "h" + std::to_string(i);
+
+			if (zone_of(i) == zone && name != except &&
+			    metric(name, "balsampin_gateway_collects_load") > 0)
+				found.push_back(name);
+		}
+		return found;
+	}
+
+	bool receives_sums(const std::string &host)
+	{
+		const char *name = "balsampin_gateway_sums_received_total";
+		double before = metric(host, name);
+
+		return wait_until([&] { return metric(host, name) > before; },
+				  3000);
+	}
+};
+
+TEST_F(Collect, EachZoneHasOneCollectorAndReplacesAFrozenOne)
+{
+	ASSERT_TRUE(wait_until(
+		[&] {
+			return collectors("z1").size() == 1 &&
+			       collectors("z2").size() == 1;
+		},
+		20000));
+	std::string frozen = collectors("z1")[0];
+	std::string other = collectors("z2")[0];
+
+	for (int i = 0; i < host_count; i++)
+		EXPECT_TRUE(receives_sums("h" + std::to_string(i))) << i;
+	kill(hosts[frozen]->pid(), SIGSTOP);
+	ASSERT_TRUE(wait_until(
+		[&] { return collectors("z1", frozen).size() == 1; }, 5000));
+	for (int i = 0; i < host_count; i++) {
+		std::string name = "h" + std::to_string(i);
+
+		EXPECT_TRUE(name == frozen || receives_sums(name)) << name;
+	}
+	EXPECT_EQ(collectors("z2"), std::vector<std::string>{ other });
+	kill(hosts[frozen]->pid(), SIGCONT);
+	EXPECT_TRUE(wait_until([&] { return collectors("z1").size() == 1; },
+			       10000));
+}
+
+} // namespace
