pu: let late prompts count a twentieth, not a quarter

Late prompts wait up to 3.2 s until their callers leave; a quarter of that backlog was added to each prediction, so each new prompt was marked late, too, and joined it. Urgent prompts are admitted first: late ones delay them by the chunk being read, however many wait.

BacklogOfLatePromptsDoesNotMakeNewOnesLate replays it and fails on a quarter.

--- a/src/placement/pu.c
+++ b/src/placement/pu.c
@@ -5,8 +5,9 @@
 #define PU_TARGET_FRACTION 0.6
 /* Priorities per class; lower ranks share the last one. */
 #define PU_RANKS_PER_CLASS (PU_PRIORITIES / 2)
-/* Late requests run in idle gaps; some of them still delay a new request. */
-#define PU_LATE_WEIGHT 0.25
+/* Late requests run in idle gaps: however many wait, a new urgent request is
+ * delayed by at most the prompt chunk that is being prefilled. */
+#define PU_LATE_WEIGHT 0.05
 
 struct pu_urgency pu_decide(double predicted_ms, int64_t target_ms,
 			    uint32_t rank)
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -344,6 +344,21 @@
 	EXPECT_GT(by_urgency, 150);
 }
 
+// Load: after a quarter of the engines is lost, ten prompts that are late
+// anyway wait at each engine that is left. They run in idle gaps, so a new
+// prompt can still be on time and must not join them.
+TEST(Urgency, BacklogOfLatePromptsDoesNotMakeNewOnesLate)
+{
+	const double tokens = 6050, tokens_per_ms = 40;
+	const int64_t target_ms = 800;
+	double waiting = 0;
+
+	for (int i = 0; i < 10; i++)
+		waiting += tokens * pu_decide(2000, target_ms, 0).weight;
+	double predicted_ms = (waiting + tokens) / tokens_per_ms;
+	EXPECT_FALSE(pu_decide(predicted_ms, target_ms, 0).is_late);
+}
+
 // Placement has to stay cheap at the design size of 600 engines.
 TEST(Placement, HandlesSixHundredEngines)
 {
