gateway: count store calls by reason; order the hosts that call a lost store

The rank of a host counted only hosts that take part, so with the store away each of 195 hosts ranked first and read the lease every 0.6 s; each retried two feeds every second.

Change: hosts that take part rank first, the others after them, by hash; the six lowest ranks call a lost store once a second, the others less often the larger the fleet (16 ms a host, 5 s at most); what the six learn is relayed.

--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -141,6 +141,9 @@
 /** gw_peers_rank() - number of live hosts that rank before this one. */
 uint32_t gw_peers_rank(const struct gw_gateway *g);
 
+/** gw_peers_count() - number of other hosts, live or not. */
+uint32_t gw_peers_count(const struct gw_gateway *g);
+
 /** gw_peers_read_rows() - read the gateway's own rows with the next step. */
 void gw_peers_read_rows(struct gw_gateway *g);
 
--- a/src/gateway/gw_hosts.c
+++ b/src/gateway/gw_hosts.c
@@ -53,7 +53,8 @@
 	hosts->_next_read_ms = now_ms + gw_rows_period_ms(hosts);
 	rw_get(&g->store,
 	       &(struct rw_query){ .table = g->dialect->own_table,
-				   .timeout_ms = GW_ROWS_TIMEOUT_MS },
+				   .timeout_ms = GW_ROWS_TIMEOUT_MS,
+				   .reason = "own_rows" },
 	       gw_on_own_rows, hosts, &hosts->_read_call);
 }
 
@@ -80,7 +81,8 @@
 				     .key = key,
 				     .value = value,
 				     .version = version,
-				     .timeout_ms = GW_ROWS_TIMEOUT_MS },
+				     .timeout_ms = GW_ROWS_TIMEOUT_MS,
+				     .reason = "own_rows_write" },
 		 gw_on_row_written, hosts, &hosts->_write_call);
 }
 
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -17,6 +17,12 @@
 /* Engines restore entries that lapsed in a store outage within two seconds. */
 #define GW_LAPSED_GRACE_MS 2300
 #define GW_SWEEP_S	   0.1
+/* Longest pause between two calls of a host to a store that does not answer: of
+ * the hosts that try for all, and of the others. */
+#define GW_RETRYING_HOSTS    6
+#define GW_RETRY_MAX_MS	     1000
+#define GW_RETRY_MS_PER_HOST 16
+#define GW_RETRY_IDLE_MAX_MS 5000
 
 MT_COUNTER(gw_configs, "balsampin_gateway_configurations_total",
 	   "configurations put in force")
@@ -247,6 +253,21 @@
 	return gw_peers_is_reader(((struct gw_knowledge *)arg)->gateway);
 }
 
+/*
+ * The hosts of the lowest ranks learn soon that the store answers again, and
+ * relay its rows to the others; a large fleet would otherwise spend the limit
+ * of the store's calls on retries.
+ */
+static int64_t gw_store_retry_max_ms(void *arg)
+{
+	const struct gw_gateway *g = ((struct gw_knowledge *)arg)->gateway;
+
+	if (gw_peers_rank(g) < GW_RETRYING_HOSTS)
+		return GW_RETRY_MAX_MS;
+	return CLAMP((int64_t)gw_peers_count(g) * GW_RETRY_MS_PER_HOST,
+		     GW_RETRY_MAX_MS, GW_RETRY_IDLE_MAX_MS);
+}
+
 static void gw_on_operator_read(void *arg, uint64_t from,
 				const struct rw_rows *rows, bool is_reload)
 {
@@ -372,6 +393,7 @@
 					 .table = g->dialect->operator_table,
 					 .wait_ms = GW_ROWS_WAIT_MS,
 					 .is_reader = gw_is_reader,
+					 .retry_max_ms = gw_store_retry_max_ms,
 					 .on_rows = gw_on_operator_rows,
 					 .on_read = gw_on_operator_read,
 					 .on_lost = gw_on_lost,
@@ -384,6 +406,7 @@
 					 .table = g->dialect->engines_table,
 					 .wait_ms = GW_ROWS_WAIT_MS,
 					 .is_reader = gw_is_reader,
+					 .retry_max_ms = gw_store_retry_max_ms,
 					 .on_rows = gw_on_engine_rows,
 					 .on_read = gw_on_engines_read,
 					 .on_lost = gw_on_lost,
--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -424,7 +424,8 @@
 				     .key = GW_POISON_ROW,
 				     .value = text,
 				     .version = p->row_version,
-				     .timeout_ms = GW_ROW_TIMEOUT_MS },
+				     .timeout_ms = GW_ROW_TIMEOUT_MS,
+				     .reason = "poison_write" },
 		 gw_on_poison_written, g, &p->write);
 	g_free(text);
 }
--- a/src/gateway/gw_roles.c
+++ b/src/gateway/gw_roles.c
@@ -65,6 +65,11 @@
 	return pe_reader_rank(hosts, count, hosts[0].hash);
 }
 
+uint32_t gw_peers_count(const struct gw_gateway *g)
+{
+	return g->peers ? g->peers->hosts.peers->len : 0;
+}
+
 void gw_peers_call_one(struct gw_gateway *g, const struct rp_peer *peer,
 		       uint32_t number, xdrproc_t args, const void *value)
 {
--- a/src/gateway/gw_rollout.c
+++ b/src/gateway/gw_rollout.c
@@ -389,7 +389,8 @@
 				     .key = GW_LEASE_KEY,
 				     .value = text,
 				     .version = row->revision,
-				     .timeout_ms = GW_STORE_TIMEOUT_MS },
+				     .timeout_ms = GW_STORE_TIMEOUT_MS,
+				     .reason = "lease_write" },
 		 gw_on_lease_written, ro, &ro->store_call);
 	g_free(text);
 }
@@ -411,7 +412,8 @@
 		rw_get(&ro->gateway->store,
 		       &(struct rw_query){
 			       .table = ro->gateway->dialect->own_table,
-			       .timeout_ms = GW_STORE_TIMEOUT_MS },
+			       .timeout_ms = GW_STORE_TIMEOUT_MS,
+			       .reason = "lease" },
 		       gw_on_lease_rows, ro, &ro->store_call);
 		break;
 	case LS_WRITE:
--- a/src/gateway/gw_watch.c
+++ b/src/gateway/gw_watch.c
@@ -8,9 +8,9 @@
 
 /* Time that a call gets beyond wait_ms; covers a slow store. */
 #define GW_ANSWER_TIMEOUT_MS 1200
-/* Retry delay while the store does not answer; doubled up to the maximum. */
-#define GW_RETRY_MS	250
-#define GW_RETRY_MAX_MS 1000
+/* First retry delay while the store does not answer; doubled up to the maximum
+ * that the owner of the watch gives. */
+#define GW_RETRY_MS 250
 /* A host that is not the reader polls the store if its rows are older than
  * this: the reader's own call may take a second, and a message may be lost. */
 #define GW_RELAYED_MAX_AGE_MS 2000
@@ -64,7 +64,8 @@
 		watch->_desc.on_lost(watch->_desc.arg, st_message());
 	}
 	gw_watch_schedule(watch, watch->_retry_ms * jitter / 1000.0);
-	watch->_retry_ms = MIN(2 * watch->_retry_ms, GW_RETRY_MAX_MS);
+	watch->_retry_ms = MIN(2 * watch->_retry_ms,
+			       watch->_desc.retry_max_ms(watch->_desc.arg));
 }
 
 /* Advances the version in the feed; see gw_watch.h on answers without rows. */
@@ -118,13 +119,14 @@
 	gw_watch_schedule(watch, 0.0);
 }
 
-static void gw_watch_call(struct gw_watch *watch)
+static void gw_watch_call(struct gw_watch *watch, const char *reason)
 {
 	struct rw_query query = {
 		.table = watch->_desc.table,
 		.after = watch->version,
 		.wait_ms = watch->_desc.wait_ms,
 		.timeout_ms = watch->_desc.wait_ms + GW_ANSWER_TIMEOUT_MS,
+		.reason = watch->_has_table ? reason : "whole_table",
 	};
 
 	rw_cancel(watch->_desc.store, &watch->_call);
@@ -142,19 +144,27 @@
 	return watch->_lost_ms != 0;
 }
 
-static bool gw_watch_must_poll(const struct gw_watch *watch)
+/* Returns why this host has to poll the store, or NULL. */
+static const char *gw_watch_poll_reason(const struct gw_watch *watch)
 {
-	return !watch->_has_table || watch->_lost_ms ||
-	       watch->_desc.is_reader(watch->_desc.arg) ||
-	       ck_now_ms() - watch->fresh_ms > GW_RELAYED_MAX_AGE_MS;
+	if (watch->_lost_ms)
+		return "retry";
+	if (!watch->_has_table)
+		return "whole_table";
+	if (watch->_desc.is_reader(watch->_desc.arg))
+		return "reader";
+	return ck_now_ms() - watch->fresh_ms > GW_RELAYED_MAX_AGE_MS
+		       ? "nothing_relayed"
+		       : NULL;
 }
 
 static void gw_watch_on_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct gw_watch *watch = w->data;
+	const char *reason = gw_watch_poll_reason(watch);
 
-	if (gw_watch_must_poll(watch))
-		gw_watch_call(watch);
+	if (reason)
+		gw_watch_call(watch, reason);
 	else
 		gw_watch_schedule(watch, GW_RELAYED_CHECK_S);
 }
@@ -165,7 +175,7 @@
 	if (watch->_lost_ms)
 		return false;
 	if (!watch->_call._call || !watch->_has_table)
-		gw_watch_call(watch);
+		gw_watch_call(watch, "missing_rows");
 	return true;
 }
 
@@ -207,7 +217,7 @@
 	watch->_desc = *desc;
 	ev_timer_init(&watch->_timer, gw_watch_on_timer, 0.0, 0.0);
 	watch->_timer.data = watch;
-	gw_watch_call(watch);
+	gw_watch_call(watch, "whole_table");
 }
 
 void gw_watch_stop(struct gw_watch *watch)
--- a/src/gateway/gw_watch.h
+++ b/src/gateway/gw_watch.h
@@ -49,6 +49,8 @@
  * @loop, @store, @table: required.
  * @wait_ms: how long the store may hold a call for changes.
  * @is_reader: returns whether this host polls the store for its region.
+ * @retry_max_ms: returns the longest pause between two calls to a store that
+ *	does not answer.
  * @on_rows: receives all rows of the table (@is_whole) or the changed ones.
  * @on_read: a call to the store returned the rows that changed after @from or,
  *	except for the first read, the whole table (@is_reload).
@@ -62,6 +64,7 @@
 	const char *table;
 	int64_t wait_ms;
 	bool (*is_reader)(void *arg);
+	int64_t (*retry_max_ms)(void *arg);
 	void (*on_rows)(void *arg, const struct rw_rows *rows, bool is_whole);
 	void (*on_read)(void *arg, uint64_t from, const struct rw_rows *rows,
 			bool is_reload);
--- a/src/peers/pe_reader.c
+++ b/src/peers/pe_reader.c
@@ -24,9 +24,13 @@
 uint32_t pe_reader_rank(const struct pe_host *hosts, uint32_t count,
 			uint64_t hash)
 {
+	bool takes_part = false;
 	uint32_t rank = 0;
 
 	for (uint32_t i = 0; i < count; i++)
-		rank += hosts[i].takes_part && hosts[i].hash < hash;
+		takes_part |= hosts[i].hash == hash && hosts[i].takes_part;
+	for (uint32_t i = 0; i < count; i++)
+		rank += hosts[i].takes_part == takes_part ? hosts[i].hash < hash
+							  : hosts[i].takes_part;
 	return rank;
 }
--- a/src/peers/pe_reader.h
+++ b/src/peers/pe_reader.h
@@ -17,7 +17,7 @@
  *	of its name is the reader. A region without such a host uses a reader
  *	of another region. A zone that is cut off receives messages only from
  *	its own hosts, and so has a reader of its own. The hosts with the lowest
- *	ranks poll the lease often.
+ *	ranks poll the lease often, and call a store that does not answer often.
  *
  *	There is no election: each host computes the choice from the last
  *	messages of the others. Two readers for a moment only cost extra calls.
@@ -50,7 +50,11 @@
 int32_t pe_reader_index(const struct pe_host *hosts, uint32_t count,
 			uint32_t region);
 
-/** pe_reader_rank() - number of hosts that take part with a lower hash. */
+/**
+ * pe_reader_rank() - number of hosts before the one with @hash: hosts that take
+ * part come first, each group in the order of the hashes. So only few hosts
+ * have a low rank while the store answers none of them.
+ */
 uint32_t pe_reader_rank(const struct pe_host *hosts, uint32_t count,
 			uint64_t hash);
 
--- a/src/rows/rw.c
+++ b/src/rows/rw.c
@@ -3,6 +3,10 @@
 #include <glib.h>
 
 #include "kernel/kn_registry.h"
+#include "kernel/mt_family.h"
+
+MT_COUNTERS(rw_calls, "balsampin_store_calls_total",
+	    "calls to the row store by the reason for them", "reason")
 
 void rw_row_clear(struct rw_row *row)
 {
@@ -29,18 +33,21 @@
 void rw_get(struct rw_store *store, const struct rw_query *query, rw_rows_fn fn,
 	    void *arg, struct rw_call *call)
 {
+	mt_count(&rw_calls, query->reason);
 	store->_ops->get(store->_impl, query, fn, arg, call);
 }
 
 void rw_feed(struct rw_store *store, const struct rw_query *query,
 	     rw_rows_fn fn, void *arg, struct rw_call *call)
 {
+	mt_count(&rw_calls, query->reason);
 	store->_ops->feed(store->_impl, query, fn, arg, call);
 }
 
 void rw_write(struct rw_store *store, const struct rw_write *write,
 	      rw_write_fn fn, void *arg, struct rw_call *call)
 {
+	mt_count(&rw_calls, write->reason);
 	store->_ops->write(store->_impl, write, fn, arg, call);
 }
 
--- a/src/rows/rw.h
+++ b/src/rows/rw.h
@@ -63,17 +63,20 @@
  * @after: feed only: version after which changes are returned.
  * @wait_ms: feed only: how long the store waits for a change.
  * @timeout_ms: limit on the whole call.
+ * @reason: why the caller reads, a constant for the metrics; required.
  */
 struct rw_query {
 	const char *table;
 	uint64_t after;
 	int64_t wait_ms;
 	int64_t timeout_ms;
+	const char *reason;
 };
 
 /**
  * struct rw_write - a conditional write of one row.
  * @version: the row must still have this version; 0: it must not exist.
+ * @reason: see struct rw_query.
  */
 struct rw_write {
 	const char *table;
@@ -81,6 +84,7 @@
 	const char *value;
 	uint64_t version;
 	int64_t timeout_ms;
+	const char *reason;
 };
 
 typedef void (*rw_rows_fn)(void *arg, enum st_code code,
--- a/tests/unit/peers_test.cc
+++ b/tests/unit/peers_test.cc
@@ -164,6 +164,23 @@
 	EXPECT_EQ(pe_reader_rank(hosts.data(), hosts.size(), 7), 1u);
 	EXPECT_EQ(pe_reader_rank(hosts.data(), hosts.size(), 9), 2u);
 	EXPECT_EQ(pe_reader_rank(hosts.data(), hosts.size(), 4), 0u);
+	EXPECT_EQ(pe_reader_rank(hosts.data(), hosts.size(), 1), 3u);
+	EXPECT_EQ(pe_reader_rank(hosts.data(), hosts.size(), 3), 4u);
+}
+
+// Load: the store answers none of 195 hosts for eight seconds. Without an order
+// among them each would poll the lease as if it were first.
+TEST(Rank, IsDistinctWhileTheStoreAnswersNoHost)
+{
+	std::vector<pe_host> hosts;
+	int first = 0;
+
+	for (uint64_t i = 1; i <= 195; i++)
+		hosts.push_back({ i * 7919 % 1009, 1, false });
+	for (const pe_host &host : hosts)
+		first += pe_reader_rank(hosts.data(), hosts.size(), host.hash) <
+			 3;
+	EXPECT_EQ(first, 3);
 }
 
 TEST(Address, AcceptsOnlyCompleteIpv4AndPort)
--- a/tests/unit/watch_test.cc
+++ b/tests/unit/watch_test.cc
@@ -82,6 +82,7 @@
 	std::vector<std::string> received_keys;
 	int whole_reads = 0;
 	int reloads_reported = 0;
+	int64_t retry_max_ms = 1000;
 	int losses = 0;
 
 	void SetUp() override
@@ -97,6 +98,9 @@
 		desc.is_reader = [](void *arg) {
 			return static_cast<Watch *>(arg)->is_reader;
 		};
+		desc.retry_max_ms = [](void *arg) {
+			return static_cast<Watch *>(arg)->retry_max_ms;
+		};
 		desc.on_rows = [](void *arg, const struct rw_rows *rows,
 				  bool is_whole) {
 			auto *self = static_cast<Watch *>(arg);
