--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -71,7 +71,7 @@
 static void gw_log_end(const struct gw_request *r, const char *outcome,
 		       uint32_t status)
 {
-	char status_text[12], ms[24], sends[12], events[12];
+	char status_text[12], ms[24], sends[12], events[12], first[24];
 
 	mt_count(&gw_ended, outcome);
 	mt_observe(&gw_answer_ms, gw_request_kind(r),
@@ -81,13 +81,15 @@
 		   ck_now_ms() - r->arrived_ms);
 	g_snprintf(sends, sizeof(sends), "%u", r->sends);
 	g_snprintf(events, sizeof(events), "%u", r->event_count);
+	g_snprintf(first, sizeof(first), "%" G_GINT64_FORMAT,
+		   r->first_event_ms);
 	lg_info("request ended", "event", "request_ended", "request",
 		r->in.attempt ? r->in.attempt : "", "route",
 		r->terms.route ? r->terms.route->name : "", "team",
 		r->terms.team ? r->terms.team->name : "", "engine",
 		r->engine ? r->engine->entry.id : "", "outcome", outcome,
 		"status", status_text, "ms", ms, "sends", sends, "events",
-		events, NULL);
+		events, "first_event_ms", first, NULL);
 }
 
 static void gw_free(struct gw_request *r)
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -49,6 +49,8 @@
  * @failed_connects: upstreams that accepted no connection.
  * @retry_after_ms: for a refusal; 0: a short random time, see gw_request.c.
  * @may_have_begun: some upstream may have run it.
+ * @predicted_ms: from sending to the first event, as placement predicted it.
+ * @first_event_ms: from sending to the first event of the attempt; -1 before.
  * @last_byte_ms: when it was sent, or the last byte of the answer arrived.
  * @pooled_bytes: taken from the gateway's memory for answers, see gw_send.c.
  * @answer: parsed headers of the upstream's answer.
@@ -88,6 +90,8 @@
 	int64_t retry_after_ms;
 	bool may_have_begun;
 	int64_t sent_ms;
+	double predicted_ms;
+	int64_t first_event_ms;
 	int64_t last_byte_ms;
 
 	enum gw_answer_mode mode;
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -38,6 +38,10 @@
 	      "from a request's arrival to its first event", "kind")
 MT_HISTOGRAMS(gw_between_events_ms, "balsampin_gateway_between_events_ms",
 	      "between two events of a stream", "kind")
+MT_HISTOGRAMS(gw_predicted_short_ms, "balsampin_gateway_predicted_short_ms",
+	      "time to the first event beyond the predicted one", "kind")
+MT_HISTOGRAMS(gw_predicted_long_ms, "balsampin_gateway_predicted_long_ms",
+	      "predicted time to the first event beyond the actual one", "kind")
 MT_COUNTERS(gw_attempt_failures, "balsampin_gateway_attempt_failures_total",
 	    "attempts at an upstream that failed", "outcome")
 
@@ -217,12 +221,28 @@
 		gw_announce_held(r, r->prefix.root_hash, holder);
 }
 
+/* Compares the predicted time to the first event with the actual one. */
+static void gw_check_prediction(struct gw_request *r)
+{
+	int64_t late_ms;
+
+	r->first_event_ms = ck_now_ms() - r->sent_ms;
+	late_ms = r->first_event_ms - (int64_t)r->predicted_ms;
+	if (!r->in.model)
+		return;
+	if (late_ms > 0)
+		mt_observe(&gw_predicted_short_ms, gw_request_kind(r), late_ms);
+	else
+		mt_observe(&gw_predicted_long_ms, gw_request_kind(r), -late_ms);
+}
+
 /* With the first event, the engine has read the prompt and holds its prefix. */
 static void gw_on_first_event(struct gw_request *r)
 {
 	r->engine->waiting_tokens -= r->read_tokens;
 	r->read_tokens = 0;
 	r->is_awaiting_event = false;
+	gw_check_prediction(r);
 	if (!r->prefix.prefix_hash)
 		return;
 	gw_announce_prefix(r, r->engine->hash);
@@ -428,6 +448,8 @@
 	r->is_awaiting_event = true;
 	r->sends++;
 	r->sent_ms = ck_now_ms();
+	r->predicted_ms = to->cost_ms;
+	r->first_event_ms = -1;
 	r->last_byte_ms = r->sent_ms;
 	mt_observe(&gw_placed_ms, gw_request_kind(r),
 		   r->sent_ms - r->arrived_ms);
