ls: a follower with a long period asks a lost store no more often

A follower whose read failed asked again after the margin of 0.3 s, whatever its period, so 192 idle hosts called a store that was away 40 times as often as one that answers.

Change: a follower waits half its period after a failed read.

IdleFollowerDoesNotCallALostStoreOften fails on the old code (12 reads, 3 allowed).

--- a/src/control/ls.c
+++ b/src/control/ls.c
@@ -142,12 +142,23 @@
 	lease->_is_fresh = true;
 }
 
+/*
+ * A follower with a long period would otherwise call a store that is away more
+ * often than one that answers.
+ */
+static int64_t ls_retry_ms(const struct ls_lease *lease)
+{
+	if (lease->state != LS_FOLLOWING)
+		return lease->_desc.margin_ms;
+	return MAX(lease->_desc.margin_ms, lease->_desc.read_period_ms / 2);
+}
+
 void ls_on_read(struct ls_lease *lease, enum st_code code,
 		const struct ls_row *row, int64_t now_ms)
 {
 	lease->_is_in_flight = false;
 	if (code != ST_OK) {
-		lease->_next_ms = now_ms + lease->_desc.margin_ms;
+		lease->_next_ms = now_ms + ls_retry_ms(lease);
 		return;
 	}
 	ls_observe_row(lease, row, now_ms);
--- a/tests/unit/lease_test.cc
+++ b/tests/unit/lease_test.cc
@@ -289,6 +289,33 @@
 
 // After a lapse the last order is older than after a release, so the new holder
 // need not wait as long.
+// Load: the store answers none of 195 hosts for eight seconds, and all but
+// three of them read the lease every twelve seconds.
+TEST(Lease, IdleFollowerDoesNotCallALostStoreOften)
+{
+	static const struct {
+		int64_t period_ms;
+		int most, least;
+	} cases[] = { { 12000, 3, 1 }, { 600, 65, 12 } };
+
+	for (const auto &c : cases) {
+		Store store;
+		Holder holder(&store, "a");
+		Holder follower(&store, "b");
+		int reads = 0;
+
+		for (int64_t t = 0; t < 25000; t += 100) {
+			holder.Step(t);
+			ls_set_read_period(&follower.lease, c.period_ms, t);
+			follower.Step(t);
+		}
+		for (int64_t t = 25000; t < 38000; t += 100)
+			reads += follower.Step(t, DOWN) == LS_READ;
+		EXPECT_LE(reads, c.most);
+		EXPECT_GE(reads, c.least);
+	}
+}
+
 TEST(Lease, QuietPeriodIsShorterAfterALapsedHolder)
 {
 	Store store;
