pu: how much of the target a prediction may use follows from the load

Change: a prompt is urgent up to 0.9 of its target while nothing waits, down to 0.6 when the waiting prompts take 150 ms to read, over the usable engines.

--- a/src/gateway/gw_place.c
+++ b/src/gateway/gw_place.c
@@ -152,5 +152,6 @@
 		.is_to_store = answer.is_to_store,
 		.read_tokens = answer.prefill_tokens,
 		.cost_ms = answer.cost_ms,
+		.mean_wait_ms = answer.mean_wait_ms,
 	};
 }
--- a/src/gateway/gw_place.h
+++ b/src/gateway/gw_place.h
@@ -36,7 +36,8 @@
  * @engine: NULL if no upstream can run the request.
  * @source: engine to copy the prefix from, or NULL.
  * @store: store of cached prompts; NULL if none is used.
- * @is_from_store, @is_to_store, @read_tokens, @cost_ms: see pc.h.
+ * @is_from_store, @is_to_store, @read_tokens, @cost_ms, @mean_wait_ms: see
+ *	pc.h.
  */
 struct gw_place_answer {
 	struct fl_engine *engine;
@@ -46,6 +47,7 @@
 	bool is_to_store;
 	uint32_t read_tokens;
 	double cost_ms;
+	double mean_wait_ms;
 };
 
 /** gw_store_hash() - key of a store among the holders of prefixes. */
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -433,7 +433,8 @@
 	struct fl_engine *engine = to->engine;
 
 	struct pu_urgency urgency =
-		pu_decide(to->cost_ms, gw_target_left_ms(r), r->terms.priority);
+		pu_decide(to->cost_ms, gw_target_left_ms(r), to->mean_wait_ms,
+			  r->terms.priority);
 
 	r->engine = engine;
 	r->priority = urgency.priority;
--- a/src/placement/pc.c
+++ b/src/placement/pc.c
@@ -346,6 +346,20 @@
 	return ms;
 }
 
+static double pc_mean_wait_ms(const struct pc_view *view)
+{
+	uint64_t tokens = 0;
+	uint32_t usable = 0;
+
+	for (uint32_t i = 0; i < view->count; i++) {
+		if (!pc_is_usable(&view->candidates[i]))
+			continue;
+		tokens += view->candidates[i].waiting_tokens;
+		usable++;
+	}
+	return usable ? tokens / (usable * PC_PREFILL_TOKENS_PER_MS) : 0.0;
+}
+
 struct pc_answer pc_place(const struct pc_request *request,
 			  const struct pc_candidate *candidates, uint32_t count)
 {
@@ -365,6 +379,7 @@
 	}
 	if (answer.chosen < 0)
 		return answer;
+	answer.mean_wait_ms = pc_mean_wait_ms(&view);
 	answer.prefill_tokens =
 		pc_prefill(&view, &candidates[answer.chosen]).prefill_tokens;
 	if (!request->prefix_hash)
--- a/src/placement/pc.h
+++ b/src/placement/pc.h
@@ -128,6 +128,8 @@
  * @is_to_store: the chosen engine shall save the prompt to the store.
  * @prefill_tokens: tokens that the chosen engine is expected to compute.
  * @cost_ms: predicted time to the first token.
+ * @mean_wait_ms: time until the waiting prompts of the usable candidates are
+ *	prefilled, on average.
  */
 struct pc_answer {
 	int32_t chosen;
@@ -136,6 +138,7 @@
 	bool is_to_store;
 	uint32_t prefill_tokens;
 	double cost_ms;
+	double mean_wait_ms;
 };
 
 /** pc_place() - choose among @count candidates. */
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -281,17 +281,27 @@
 	static const struct {
 		double predicted_ms;
 		int64_t target_ms;
+		double mean_wait_ms;
 		uint32_t rank;
 		uint32_t priority;
 		bool is_late;
 	} cases[] = {
-		{ 100, 800, 0, 0, false }, { 100, 800, 3, 3, false },
-		{ 700, 800, 0, 5, true },  { 700, 800, 9, 9, true },
-		{ 9000, 0, 1, 1, false },
+		{ 100, 800, 200, 0, 0, false },
+		{ 100, 800, 200, 3, 3, false },
+		{ 700, 800, 200, 0, 5, true },
+		{ 700, 800, 200, 9, 9, true },
+		{ 9000, 0, 200, 1, 1, false },
+		/* Predictions are short under load, and exact without. */
+		{ 550, 800, 200, 0, 5, true },
+		{ 550, 800, 75, 0, 0, false },
+		{ 650, 800, 75, 0, 5, true },
+		{ 650, 800, 0, 0, 0, false },
+		{ 750, 800, 0, 0, 5, true },
 	};
 
 	for (const auto &c : cases) {
-		pu_urgency u = pu_decide(c.predicted_ms, c.target_ms, c.rank);
+		pu_urgency u = pu_decide(c.predicted_ms, c.target_ms,
+					 c.mean_wait_ms, c.rank);
 
 		EXPECT_EQ(u.priority, c.priority);
 		EXPECT_EQ(u.is_late, c.is_late);
@@ -324,8 +334,8 @@
 		run_until(now_ms);
 		double wait_ms = std::max(free_ms - now_ms, 0.0) +
 				 urgent.size() * prefill_ms;
-		pu_urgency u =
-			pu_decide(wait_ms + prefill_ms, int64_t(target_ms), 0);
+		pu_urgency u = pu_decide(wait_ms + prefill_ms,
+					 int64_t(target_ms), wait_ms, 0);
 		(uses_urgency && u.is_late ? late : urgent).push_back(now_ms);
 	}
 	run_until(1e9);
@@ -354,9 +364,10 @@
 	double waiting = 0;
 
 	for (int i = 0; i < 10; i++)
-		waiting += tokens * pu_decide(2000, target_ms, 0).weight;
+		waiting += tokens * pu_decide(2000, target_ms, 200, 0).weight;
 	double predicted_ms = (waiting + tokens) / tokens_per_ms;
-	EXPECT_FALSE(pu_decide(predicted_ms, target_ms, 0).is_late);
+	double wait_ms = waiting / tokens_per_ms;
+	EXPECT_FALSE(pu_decide(predicted_ms, target_ms, wait_ms, 0).is_late);
 }
 
 // Placement has to stay cheap at the design size of 600 engines.
