--- a/src/placement/pu.h
+++ b/src/placement/pu.h
@@ -14,7 +14,7 @@
  *	never grows beyond the target. Predictions are exact while little waits
  *	and too short under full load, so the part of the target that a
  *	prediction may use shrinks with the load. Within each class, requests
- *are ordered by the rank of team and route.
+ *	are ordered by the rank of team and route.
  *
  *	pu_decide() depends on its arguments only: no clock, no sockets.
  *
