--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -31,6 +31,9 @@
 constexpr int load_ms = 50;
 constexpr int events_before_a_stall = 2;
 constexpr int pace_ms = 15;
+/* Below the two seconds after which a stream counts as hung. */
+constexpr int slow_pace_ms = 1500;
+constexpr int trickle_ms = 200;
 constexpr size_t garbage_bytes = 256 << 10;
 constexpr int hosts_of_an_address_range = 14;
 constexpr int first_port = 8080;
@@ -437,6 +440,8 @@
 	switch (e->behaviour) {
 	case Behaviour::pace:
 	case Behaviour::pace_stall:
+	case Behaviour::pace_slow:
+	case Behaviour::trickle:
 	case Behaviour::endless:
 		on_pace(e, x, arrival.headers["X-Attempt-Id"], after);
 		return;
@@ -519,6 +524,12 @@
 	if (run.engine->behaviour == Behaviour::pace_stall &&
 	    run.events >= events_before_a_stall)
 		return false;
+	if (run.engine->behaviour == Behaviour::trickle &&
+	    run.events >= events_before_a_stall) {
+		h1_write(run.x, ":", 1);
+		run.due_ms += trickle_ms;
+		return false;
+	}
 	if (run.engine->model.empty()) {
 		respond(run.x, 200, paced_answer(run.attempt, false),
 			{ { "X-Attempt-Id", run.attempt },
@@ -532,7 +543,9 @@
 	std::string text = paced_event(run.attempt, ++run.events);
 
 	h1_write(run.x, text.data(), text.size());
-	run.due_ms += pace_ms;
+	run.due_ms += run.engine->behaviour == Behaviour::pace_slow
+			      ? slow_pace_ms
+			      : pace_ms;
 	return false;
 }
 
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -39,6 +39,8 @@
 	stall,	    /* two events, then nothing */
 	pace,	    /* in full, an event after the other; names the request */
 	pace_stall, /* the same, but no more than two events */
+	pace_slow,  /* in full, with long pauses between the events */
+	trickle,    /* two events, then a byte of a comment now and then */
 	endless,    /* a signed head, then bytes without end */
 };
 
--- a/tests/sessions/gateway_test.cc
+++ b/tests/sessions/gateway_test.cc
@@ -29,6 +29,7 @@
 		version,
 		{ { "grade", "streaming", "llm", 2, true, 1500 },
 		  { "patient", "streaming", "llm", 2, true, 6000 },
+		  { "slow", "streaming", "llm", 2, true, 20000 },
 		  { "draft", "streaming", "llm", 1, false, 1500 },
 		  { "record", "non_idempotent", "app", 2, false, 1500 },
 		  { "look", "idempotent", "app", 2, false, 1500 } },
@@ -70,10 +71,11 @@
 	{
 		Headers headers = { "Host: h", "Authorization: Bearer " + key,
 				    "X-Attempt-Id: " + id,
-				    "X-Deadline-Ms: 6000" };
+				    route == "slow" ? "X-Deadline-Ms: 20000"
+						    : "X-Deadline-Ms: 6000" };
 
 		if (route == "grade" || route == "draft" ||
-		    route == "patient") {
+		    route == "patient" || route == "slow") {
 			headers.push_back("X-Model: m");
 			headers.push_back("X-Token-Usage: 100,8");
 			headers.push_back("X-Prefix-Hash: aa:50,bb:30,cc:20");
@@ -206,6 +208,32 @@
 	EXPECT_EQ(r.body, stream_answer(0).substr(0, r.body.size()));
 }
 
+TEST_F(Gateway, SlowButSoundStreamIsNotCut)
+{
+	both("e1", "e2", Behaviour::pace_slow);
+	Reply r = ask("slow", "slow");
+
+	EXPECT_EQ(r.status, 200);
+	EXPECT_TRUE(r.complete);
+	EXPECT_EQ(arrived("slow").size(), 1u);
+}
+
+// Bytes that are no event are no sign of life: the stream goes on elsewhere
+// after two seconds and is answered in full.
+TEST_F(Gateway, StalledStreamThatSendsAByteNowAndThenIsEnded)
+{
+	auto start = std::chrono::steady_clock::now();
+
+	both("e1", "e2", Behaviour::trickle);
+	Reply r = ask("patient", "trickle");
+	auto took = std::chrono::steady_clock::now() - start;
+
+	EXPECT_FALSE(r.complete);
+	EXPECT_EQ(arrived("trickle").size(), 2u);
+	/* The caller's deadline of 6 s ends it at the second engine. */
+	EXPECT_LT(took, std::chrono::milliseconds(6500));
+}
+
 TEST_F(Gateway, NonResumableBrokenStreamIsTruncated)
 {
 	both("e1", "e2", Behaviour::break_off);
