--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -19,6 +19,7 @@
  *	gw_hosts.c	list of the other hosts, from the gateway's own rows
  *	gw_catchup.c	copy of a store table from another host
  *	gw_peers.c	messages between hosts: load, held prefixes
+ *	gw_collect.c	load summed by a collector in each zone
  *	gw_roles.c	assignment of shared duties to hosts
  *	gw_poison.c	requests that crash engines
  *	gw_place.c	candidates for src/placement
--- a/src/gateway/gw_watch.c
+++ b/src/gateway/gw_watch.c
@@ -179,9 +179,33 @@
 	return true;
 }
 
+/* Applies those rows of the update that are newer than the known ones. */
+static void gw_watch_apply_newer(struct gw_watch *watch,
+				 const struct gw_table_update *update,
+				 uint64_t known)
+{
+	GArray *newer = g_array_new(FALSE, FALSE, sizeof(struct rw_row));
+	struct rw_rows rows = update->rows;
+
+	for (uint32_t i = 0; i < update->rows.count; i++) {
+		const struct rw_row *row = &update->rows.rows[i];
+
+		/* Whether a row without a version is newer is not known. */
+		if (!row->version || row->version > known)
+			g_array_append_vals(newer, row, 1);
+	}
+	rows.rows = (const struct rw_row *)(void *)newer->data;
+	rows.count = newer->len;
+	if (rows.count)
+		watch->_desc.on_rows(watch->_desc.arg, &rows, false);
+	g_array_free(newer, TRUE);
+}
+
 bool gw_watch_apply_update(struct gw_watch *watch,
 			   const struct gw_table_update *update)
 {
+	uint64_t known = watch->version;
+
 	if (!watch->_has_offset || update->rows.version < watch->version)
 		return true;
 	if (update->is_reload && watch->_has_table) {
@@ -195,8 +219,7 @@
 		return gw_watch_fetch_missing(watch);
 	watch->version = update->rows.version;
 	gw_watch_update_freshness(watch, update->rows.store_ms);
-	if (update->rows.count)
-		watch->_desc.on_rows(watch->_desc.arg, &update->rows, false);
+	gw_watch_apply_newer(watch, update, known);
 	return true;
 }
 
--- a/tests/unit/watch_test.cc
+++ b/tests/unit/watch_test.cc
@@ -222,6 +222,22 @@
 
 // Freshness is measured on the store's clock, so a delayed update does not make
 // the rows look fresh.
+// An update may arrive twice, and begin with rows that are already known.
+TEST_F(Watch, RepeatedRowsAreAppliedOnceAndFillAGap)
+{
+	is_reader = false;
+	answer(ST_OK, 10, ck_now_ms(), "a");
+	int before = calls;
+	receive_update(10, 11, ck_now_ms(), "b");
+	receive_update(10, 11, ck_now_ms(), "b");
+	EXPECT_EQ(received_keys, (std::vector<std::string>{ "a", "b" }));
+	/* The update from 11 to 12 is lost; the next one begins with it. */
+	receive_update(11, 13, ck_now_ms(), "d");
+	EXPECT_EQ(watch.version, 13u);
+	EXPECT_EQ(calls, before);
+	EXPECT_EQ(received_keys, (std::vector<std::string>{ "a", "b", "d" }));
+}
+
 TEST_F(Watch, DelayedUpdatesDoNotRaiseFreshness)
 {
 	is_reader = false;
