relay: two hosts of each zone forward rows to the others

Change: in a fleet with collectors the reader sends to its own zone and to two hosts of each other zone that take part; these forward to their zones.

--- a/src/gateway/gw_collect.c
+++ b/src/gateway/gw_collect.c
@@ -60,6 +60,11 @@
 	return g_quark_from_string(p->gateway->settings.zone);
 }
 
+bool gw_collect_is_used(const struct gw_peers *p)
+{
+	return p->hosts.peers->len > GW_DIRECT_PEERS;
+}
+
 bool gw_collect_is_member(const struct gw_peers *p, const struct gw_peer *peer)
 {
 	return peer->zone == gw_own_zone(p);
@@ -146,7 +151,7 @@
 	uint32_t found = 0;
 	bool is_collecting = false;
 
-	if (p->hosts.peers->len > GW_DIRECT_PEERS)
+	if (gw_collect_is_used(p))
 		found = pe_zone_collectors(hosts, count, hosts[0].zone,
 					   indexes);
 
--- a/src/gateway/gw_collect.h
+++ b/src/gateway/gw_collect.h
@@ -52,6 +52,9 @@
 /** gw_collect_step() - choose collectors; send sums that are due. */
 void gw_collect_step(struct gw_peers *p, int64_t now_ms);
 
+/** gw_collect_is_used() - whether the fleet is large enough for collectors. */
+bool gw_collect_is_used(const struct gw_peers *p);
+
 /** gw_collect_is_member() - whether @peer is in the zone of this host. */
 bool gw_collect_is_member(const struct gw_peers *p, const struct gw_peer *peer);
 
--- a/src/gateway/gw_relay.c
+++ b/src/gateway/gw_relay.c
@@ -13,6 +13,8 @@
 
 MT_COUNTER(gw_relay_sent, "balsampin_gateway_rows_told_total",
 	   "messages with store rows sent to other hosts")
+MT_COUNTER(gw_relay_forwarded, "balsampin_gateway_rows_forwarded_total",
+	   "messages with store rows forwarded to the hosts of the zone")
 MT_COUNTER(gw_relay_received, "balsampin_gateway_rows_heard_total",
 	   "messages with store rows from the reader of the region")
 
@@ -36,7 +38,7 @@
 static void gw_relay_send(struct gw_gateway *g, bp_gateway_rows *message)
 {
 	mt_add(&gw_relay_sent, 1);
-	gw_peers_call_followers(g, BP_GATEWAY_ROWS,
+	gw_peers_call_followers(g, BP_GATEWAY_ROWS, BP_GATEWAY_FORWARD_ROWS,
 				(xdrproc_t)xdr_bp_gateway_rows, message);
 }
 
@@ -130,12 +132,31 @@
 	rp_drop(request);
 }
 
+static void gw_on_forward(void *arg, struct rp_request *request,
+			  const void *args)
+{
+	mt_add(&gw_relay_forwarded, 1);
+	gw_peers_call_zone(arg, BP_GATEWAY_ROWS, (xdrproc_t)xdr_bp_gateway_rows,
+			   args);
+	gw_on_relayed(arg, request, args);
+}
+
 enum st_code gw_relay_serve(struct gw_gateway *g, struct rp_endpoint *rpc)
 {
+	enum st_code code = rp_serve(
+		rpc,
+		&(struct rp_procedure){ .number = BP_GATEWAY_ROWS,
+					.args = (xdrproc_t)xdr_bp_gateway_rows,
+					.args_bytes = sizeof(bp_gateway_rows),
+					.handler = gw_on_relayed,
+					.arg = g });
+
+	if (code != ST_OK)
+		return code;
 	return rp_serve(rpc, &(struct rp_procedure){
-				     .number = BP_GATEWAY_ROWS,
+				     .number = BP_GATEWAY_FORWARD_ROWS,
 				     .args = (xdrproc_t)xdr_bp_gateway_rows,
 				     .args_bytes = sizeof(bp_gateway_rows),
-				     .handler = gw_on_relayed,
+				     .handler = gw_on_forward,
 				     .arg = g });
 }
--- a/src/gateway/gw_relay.h
+++ b/src/gateway/gw_relay.h
@@ -9,7 +9,10 @@
  * Overview
  *	Each region has one reader; src/peers/pe_reader.h selects it. The reader
  *	sends the rows that its calls return to the other hosts, in datagrams,
- *	and several times a second the time at which they were current. When the
+ *	and several times a second the time at which they were current. In a
+ *	large fleet it sends them to the hosts of its own zone and to two hosts
+ *	of each other zone, which forward them; its link would be full in a
+ *	roll-out, and hosts that miss a datagram call the store. When the
  *	reader falls silent, the other hosts poll the store themselves. A region
  *	whose hosts the store does not answer is served by a reader in another
  *	region.
@@ -54,8 +57,15 @@
 /**
  * gw_peers_call_followers() - make a one-way call to each host for which this
  * host reads the store.
+ * @forward_number: procedure that asks a host of another zone to make the call
+ *	to each host of its own; see gw_peers_call_zone().
  */
 void gw_peers_call_followers(struct gw_gateway *g, uint32_t number,
-			     xdrproc_t args, const void *value);
+			     uint32_t forward_number, xdrproc_t args,
+			     const void *value);
+
+/** gw_peers_call_zone() - make a one-way call to each host of the own zone. */
+void gw_peers_call_zone(struct gw_gateway *g, uint32_t number, xdrproc_t args,
+			const void *value);
 
 #endif
--- a/src/gateway/gw_roles.c
+++ b/src/gateway/gw_roles.c
@@ -91,12 +91,56 @@
 			  number, args, value);
 }
 
+/*
+ * Finds the hosts that forward rows to their zone. They take part, so that a
+ * host which misses rows can get the table from them.
+ */
+static uint32_t gw_find_forwarders(const struct gw_peers *p, uint32_t zone,
+				   const struct gw_peer *found[PE_COLLECTORS])
+{
+	struct pe_zone_host hosts[GW_MAX_HOSTS];
+	uint32_t indexes[PE_COLLECTORS];
+	uint32_t count = MIN(p->hosts.peers->len, GW_MAX_HOSTS);
+	int64_t now_ms = ck_now_ms();
+
+	for (uint32_t i = 0; i < count; i++) {
+		const struct gw_peer *peer = p->hosts.peers->pdata[i];
+
+		hosts[i] = (struct pe_zone_host){
+			peer->hash, peer->zone,
+			peer->takes_part && gw_is_alive(peer, now_ms)
+		};
+	}
+	count = pe_zone_collectors(hosts, count, zone, indexes);
+	for (uint32_t i = 0; i < count; i++)
+		found[i] = p->hosts.peers->pdata[indexes[i]];
+	return count;
+}
+
+/* Calls hosts of @zone that forward to it; false if there are none. */
+static bool gw_call_forwarders(struct gw_gateway *g, uint32_t zone,
+			       uint32_t number, xdrproc_t args,
+			       const void *value)
+{
+	const struct gw_peer *found[PE_COLLECTORS];
+	uint32_t count = 0;
+
+	if (gw_collect_is_used(g->peers) &&
+	    zone != g_quark_from_string(g->settings.zone))
+		count = gw_find_forwarders(g->peers, zone, found);
+	for (uint32_t i = 0; i < count; i++)
+		gw_call_peer(g, found[i], number, args, value);
+	return count > 0;
+}
+
 void gw_peers_call_followers(struct gw_gateway *g, uint32_t number,
-			     xdrproc_t args, const void *value)
+			     uint32_t forward_number, xdrproc_t args,
+			     const void *value)
 {
 	struct pe_host hosts[GW_MAX_HOSTS];
 	uint32_t count = gw_list_live_hosts(g, hosts, NULL);
 	struct gw_peers *p = g->peers;
+	GHashTable *forwarded = g_hash_table_new(NULL, NULL);
 	uint32_t region = 0;
 	bool reads_for_region = false;
 
@@ -112,7 +156,29 @@
 		}
 		if (!reads_for_region)
 			continue;
-		gw_call_peer(g, peer, number, args, value);
+		if (g_hash_table_contains(forwarded,
+					  GUINT_TO_POINTER(peer->zone)))
+			continue;
+		if (gw_call_forwarders(g, peer->zone, forward_number, args,
+				       value))
+			g_hash_table_add(forwarded,
+					 GUINT_TO_POINTER(peer->zone));
+		else
+			gw_call_peer(g, peer, number, args, value);
+	}
+	g_hash_table_destroy(forwarded);
+}
+
+void gw_peers_call_zone(struct gw_gateway *g, uint32_t number, xdrproc_t args,
+			const void *value)
+{
+	struct gw_peers *p = g->peers;
+
+	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++) {
+		const struct gw_peer *peer = p->hosts.peers->pdata[i];
+
+		if (gw_collect_is_member(p, peer))
+			gw_call_peer(g, peer, number, args, value);
 	}
 }
 
--- a/src/rpc/balsampin.x
+++ b/src/rpc/balsampin.x
@@ -384,5 +384,6 @@
 		bp_gateway_table BP_GATEWAY_TABLE(unsigned int) = 11;
 		void BP_GATEWAY_SUSPECT(bp_gateway_suspect) = 12;
 		void BP_GATEWAY_SUMS(bp_gateway_sums) = 13;
+		void BP_GATEWAY_FORWARD_ROWS(bp_gateway_rows) = 14;
 	} = 1;
 } = 0x20426d70;
--- a/src/rpc/gen/balsampin.h
+++ b/src/rpc/gen/balsampin.h
@@ -464,6 +464,9 @@
 #define BP_GATEWAY_SUMS 13
 extern  enum clnt_stat bp_gateway_sums_1(bp_gateway_sums *, void *, CLIENT *);
 extern  bool_t bp_gateway_sums_1_svc(bp_gateway_sums *, void *, struct svc_req *);
+#define BP_GATEWAY_FORWARD_ROWS 14
+extern  enum clnt_stat bp_gateway_forward_rows_1(bp_gateway_rows *, void *, CLIENT *);
+extern  bool_t bp_gateway_forward_rows_1_svc(bp_gateway_rows *, void *, struct svc_req *);
 extern int balsampin_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -506,6 +509,9 @@
 #define BP_GATEWAY_SUMS 13
 extern  enum clnt_stat bp_gateway_sums_1();
 extern  bool_t bp_gateway_sums_1_svc();
+#define BP_GATEWAY_FORWARD_ROWS 14
+extern  enum clnt_stat bp_gateway_forward_rows_1();
+extern  bool_t bp_gateway_forward_rows_1_svc();
 extern int balsampin_1_freeresult ();
 #endif /* K&R C */
 
--- a/tests/sessions/gateway_collect_test.cc
+++ b/tests/sessions/gateway_collect_test.cc
@@ -24,17 +24,24 @@
 	Fleet fleet;
 	std::map<std::string, std::unique_ptr<Process>> hosts;
 
-	void SetUp() override
+	void configure(int version, const std::string &route)
 	{
-		fleet.add_engine("a1", "app");
 		fleet.put("op", "config",
-			  fleet_config(1,
-				       { { "look", "idempotent", "app", 1,
-					   false, 1500 } },
+			  fleet_config(version,
+				       { { route.c_str(), "idempotent", "app",
+					   1, false, 1500 } },
 				       "\"k1\""));
+	}
+
+	// @other_region: of zone z2; z1 is in r1.
+	void start(const std::string &other_region)
+	{
+		fleet.add_engine("a1", "app");
+		configure(1, "look");
 		for (int i = 0; i < host_count; i++) {
 			std::string name = "h" + std::to_string(i);
-			Place place = { zone_of(i), i % 2 ? "r1" : "r2", "" };
+			Place place = { zone_of(i), i % 2 ? "r1" : other_region,
+					"" };
 
 			hosts[name] = start_gateway(fleet, directory.path, name,
 						    place, name + ".log");
@@ -90,6 +97,7 @@
 
 TEST_F(Collect, EachZoneHasOneCollectorAndReplacesAFrozenOne)
 {
+	start("r2");
 	ASSERT_TRUE(wait_until(
 		[&] {
 			return collectors("z1").size() == 1 &&
@@ -115,4 +123,49 @@
 			       10000));
 }
 
+// The reader of a region sends rows to two hosts of each other zone, which
+// forward them to theirs. One of the two is frozen.
+TEST_F(Collect, RowsReachBothZonesOfARegionWhileAForwarderIsFrozen)
+{
+	const char *forwarded = "balsampin_gateway_rows_forwarded_total";
+	std::vector<std::string> forwarders;
+
+	start("r1");
+	ASSERT_TRUE(wait_until(
+		[&] {
+			forwarders.clear();
+			for (int i = 0; i < host_count; i++) {
+				std::string name = "h" + std::to_string(i);
+
+				if (metric(name, forwarded) > 0)
+					forwarders.push_back(name);
+			}
+			return forwarders.size() >= 2;
+		},
+		20000));
+	kill(hosts[forwarders[0]]->pid(), SIGSTOP);
+	int calls = fleet.store_calls();
+	configure(2, "find");
+	for (int i = 0; i < host_count; i++) {
+		std::string name = "h" + std::to_string(i);
+
+		if (name == forwarders[0])
+			continue;
+		EXPECT_TRUE(wait_until(
+			[&] {
+				return call(Fleet::url(name, "/find/x"), "",
+					    { "Host: h",
+					      "Authorization: Bearer k1",
+					      "X-Attempt-Id: f" + name,
+					      "X-Deadline-Ms: 1500" },
+					    "POST")
+					       .status == 200;
+			},
+			2000))
+			<< name;
+	}
+	/* Without forwarding, half of the hosts would read the change. */
+	EXPECT_LT(fleet.store_calls() - calls, host_count / 2);
+}
+
 } // namespace
