--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -229,6 +229,7 @@
 	if (now_ms >= p->next_sweep_ms)
 		gw_sweep_peers(p, now_ms);
 	gw_collect_step(p, now_ms);
+	gw_relay_step(p->gateway);
 	report_ms = gw_collect_report_ms(p);
 	far = gw_count_far_peers(p);
 	for (uint32_t i = 0; p->is_open && i < p->hosts.peers->len; i++) {
@@ -339,6 +340,7 @@
 					       .on_key = gw_open_endpoint,
 					       .arg = p });
 	gw_collect_init(&p->collect);
+	pe_pace_init(&p->pace);
 	p->announcements = g_array_new(FALSE, FALSE, sizeof(bp_held));
 	ev_timer_init(&p->tick, gw_on_peers_tick, GW_PEERS_TICK_S,
 		      GW_PEERS_TICK_S);
@@ -357,6 +359,7 @@
 	ev_timer_stop(g->kernel.loop, &p->tick);
 	if (p->is_open)
 		rp_finish(&p->rpc);
+	gw_relay_clear(g);
 	gw_hosts_finish(&p->hosts);
 	gw_collect_finish(&p->collect);
 	g_array_free(p->announcements, TRUE);
--- a/src/gateway/gw_peers.h
+++ b/src/gateway/gw_peers.h
@@ -12,12 +12,14 @@
 #include "gateway/gw_collect.h"
 #include "gateway/gw_hosts.h"
 #include "peers/pe_kept.h"
+#include "peers/pe_pace.h"
 
 /**
  * struct gw_peers - state of the messages to and from other hosts.
  * @announcements: the newest held prefixes to send, as bp_held.
  * @announcements_end: number of announcements ever added; a peer whose
  *	announced_end is lower lacks the last ones.
+ * @pace: rows to relay that wait for their turn.
  */
 struct gw_peers {
 	struct gw_gateway *gateway;
@@ -30,6 +32,7 @@
 	uint64_t sequence;
 	struct pe_kept kept;
 	struct gw_collect collect;
+	struct pe_pace pace;
 	int64_t next_sweep_ms;
 };
 
--- a/src/gateway/gw_relay.c
+++ b/src/gateway/gw_relay.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #include "gateway/gw_catchup.h"
+#include "gateway/gw_peers.h"
+#include "kernel/lg.h"
 #include "kernel/mt.h"
 #include "rpc/gen/balsampin.h"
 
@@ -35,13 +37,77 @@
 	};
 }
 
-static void gw_relay_send(struct gw_gateway *g, bp_gateway_rows *message)
+static void gw_relay_send_now(struct gw_gateway *g,
+			      const bp_gateway_rows *message)
 {
 	mt_add(&gw_relay_sent, 1);
 	gw_peers_call_followers(g, BP_GATEWAY_ROWS, BP_GATEWAY_FORWARD_ROWS,
 				(xdrproc_t)xdr_bp_gateway_rows, message);
 }
 
+static bp_gateway_rows *gw_relay_copy(const bp_gateway_rows *message)
+{
+	bp_gateway_rows *copy = g_memdup2(message, sizeof(*message));
+
+	copy->rows.rows_val = g_new0(bp_row, message->rows.rows_len);
+	for (uint32_t i = 0; i < message->rows.rows_len; i++) {
+		const bp_row *from = &message->rows.rows_val[i];
+		bp_row *to = &copy->rows.rows_val[i];
+
+		*to = *from;
+		to->key = g_strdup(from->key);
+		to->value.value_val =
+			g_memdup2(from->value.value_val, from->value.value_len);
+	}
+	return copy;
+}
+
+static void gw_relay_free(bp_gateway_rows *message)
+{
+	for (uint32_t i = 0; i < message->rows.rows_len; i++) {
+		g_free(message->rows.rows_val[i].key);
+		g_free(message->rows.rows_val[i].value.value_val);
+	}
+	g_free(message->rows.rows_val);
+	g_free(message);
+}
+
+static void gw_relay_send(struct gw_gateway *g, const bp_gateway_rows *message)
+{
+	bp_gateway_rows *copy;
+
+	if (!g->peers || !g->peers->is_open)
+		return;
+	if (pe_pace_is_full(&g->peers->pace)) {
+		lg_warn("too many rows to relay; hosts will read the store",
+			"event", "relay_full", "outcome", "dropped", NULL);
+		return;
+	}
+	copy = gw_relay_copy(message);
+	if (!pe_pace_offer(&g->peers->pace, copy))
+		return;
+	gw_relay_send_now(g, copy);
+	gw_relay_free(copy);
+}
+
+void gw_relay_step(struct gw_gateway *g)
+{
+	bp_gateway_rows *message = pe_pace_next(&g->peers->pace);
+
+	if (!message)
+		return;
+	gw_relay_send_now(g, message);
+	gw_relay_free(message);
+}
+
+void gw_relay_clear(struct gw_gateway *g)
+{
+	bp_gateway_rows *message;
+
+	while ((message = pe_pace_take(&g->peers->pace)))
+		gw_relay_free(message);
+}
+
 /* Encodes the rows from @first on that fit a datagram; 0 if the first is too
  * large. */
 static uint32_t gw_relay_fill(const struct rw_rows *rows, uint32_t first,
--- a/src/gateway/gw_relay.h
+++ b/src/gateway/gw_relay.h
@@ -17,6 +17,9 @@
  *	whose hosts the store does not answer is served by a reader in another
  *	region.
  *
+ *	Messages that come in a burst are spread over time; see
+ *	src/peers/pe_pace.h.
+ *
  *	Rows that do not fit a datagram are only announced; each receiver then
  *	reads them from the store.
  */
@@ -39,6 +42,12 @@
 void gw_relay_send_reload(struct gw_gateway *g, enum gw_table table,
 			  const struct rw_rows *rows, int64_t lapse_left_ms);
 
+/** gw_relay_step() - send a waiting message, once a period of gw_peers.c. */
+void gw_relay_step(struct gw_gateway *g);
+
+/** gw_relay_clear() - drop the waiting messages. */
+void gw_relay_clear(struct gw_gateway *g);
+
 /** gw_relay_serve() - accept rows from the reader of the region. */
 enum st_code gw_relay_serve(struct gw_gateway *g, struct rp_endpoint *rpc);
 
