gateway: read the list of hosts as often as before

In both a host knew 2 of 19 others, or none, for over five seconds: it had read the list before the others wrote their rows, each later read doubled the period, and no read followed the write of its own row. Callers would have seen refusals on a host that the store had just lost.

--- a/src/gateway/gw_hosts.c
+++ b/src/gateway/gw_hosts.c
@@ -14,8 +14,8 @@
 /* The list of hosts changes rarely. The messages of a new host are received
  * before its row is read. */
 #define GW_ROWS_PERIOD_MS 20000
-/* Just after a host has started, other hosts often start, too: the period
- * begins with this and doubles with each read. */
+/* Just after a host has started, other hosts often start, too. */
+#define GW_ROWS_START_MS	10000
 #define GW_ROWS_START_PERIOD_MS 3000
 #define GW_ROWS_RETRY_MS	500
 /* Covers a store that is sixty times slower than usual. */
@@ -26,12 +26,11 @@
 	return XXH3_64bits(name, strlen(name));
 }
 
-static int64_t gw_rows_period_ms(struct gw_hosts *hosts)
+static int64_t gw_rows_period_ms(const struct gw_hosts *hosts)
 {
-	int64_t period_ms = hosts->_period_ms;
-
-	hosts->_period_ms = MIN(2 * period_ms, GW_ROWS_PERIOD_MS);
-	return period_ms;
+	return ck_now_ms() - hosts->_started_ms < GW_ROWS_START_MS
+		       ? GW_ROWS_START_PERIOD_MS
+		       : GW_ROWS_PERIOD_MS;
 }
 
 static void gw_on_own_rows(void *arg, enum st_code code,
@@ -51,7 +50,7 @@
 
 	if (now_ms < hosts->_next_read_ms || hosts->_read_call._call)
 		return;
-	hosts->_next_read_ms = now_ms + GW_ROWS_PERIOD_MS;
+	hosts->_next_read_ms = now_ms + gw_rows_period_ms(hosts);
 	rw_get(&g->store,
 	       &(struct rw_query){ .table = g->dialect->own_table,
 				   .timeout_ms = GW_ROWS_TIMEOUT_MS,
@@ -64,9 +63,6 @@
 	struct gw_hosts *hosts = arg;
 
 	hosts->_is_writing = false;
-	/* Only a host that has no key yet learns something from its own row. */
-	if (code == ST_OK && hosts->_has_key)
-		return;
 	hosts->_next_read_ms =
 		ck_now_ms() +
 		(code == ST_OK || code == ST_CONFLICT ? 0 : GW_ROWS_RETRY_MS);
@@ -180,7 +176,7 @@
 		const struct rw_row *row = &rows->rows[i];
 
 		if (!strcmp(row->key, GW_KEY_ROW) && row->value) {
-			has_key = hosts->_has_key = true;
+			has_key = true;
 			hosts->_desc.on_key(hosts->_desc.arg, row->value);
 		} else if (!strcmp(row->key, own)) {
 			own_version = row->version;
@@ -202,7 +198,7 @@
 
 	memset(hosts, 0, sizeof(*hosts));
 	hosts->_desc = *desc;
-	hosts->_period_ms = GW_ROWS_START_PERIOD_MS;
+	hosts->_started_ms = ck_now_ms();
 	hosts->peers = g_ptr_array_new_with_free_func(g_free);
 	snprintf(hosts->_address, sizeof(hosts->_address), "%s:%u %s %s",
 		 s->peers.address, s->peers.port, s->region, s->zone);
--- a/src/gateway/gw_hosts.h
+++ b/src/gateway/gw_hosts.h
@@ -76,8 +76,7 @@
 	bool _is_writing;
 	struct rw_call _read_call;
 	struct rw_call _write_call;
-	bool _has_key;
-	int64_t _period_ms;
+	int64_t _started_ms;
 	int64_t _next_read_ms;
 	char _address[3 * DL_ID_BYTES];
 };
