collect: count the silence of a collector in its own periods

Found in reading the change. Cause: a member replaced its collector after five periods of the reports (0.5 s), while the collector stretches the period of its sums with members and datagrams, to 1 s with 72 members and 600 engines; members would drop a sound collector again and again. A constant that fits one size.

Change: the period that a collector announces counts, if it is longer. At the sizes of today (100 ms) nothing changes.

SilenceIsCountedInPeriodsOfTheCollector is new with the function that it tests; a failing run on the old code was not made.

--- a/src/gateway/gw_collect.c
+++ b/src/gateway/gw_collect.c
@@ -19,10 +19,8 @@
 #define GW_SUMS_FAR_PERIOD_MS	200
 #define GW_SUMS_MS_PER_DATAGRAM 1
 #define GW_REPORT_MS_PER_MEMBER 1
-/* A collector that sends nothing for so many of its periods is replaced, and
- * not chosen again for a while. */
-#define GW_SILENT_PERIODS 5
-#define GW_DISTRUST_MS	  3000
+/* A silent collector is not chosen again for this time. */
+#define GW_DISTRUST_MS 3000
 /* Another host may be chosen if it was heard within this time. */
 #define GW_CANDIDATE_SILENT_MS 1500
 /* Announcements waiting to be relayed; older ones are dropped. */
@@ -95,7 +93,8 @@
 	int64_t since_ms = MAX(peer->received_ms, peer->chosen_ms);
 
 	if (!peer->is_collector ||
-	    now_ms - since_ms <= GW_SILENT_PERIODS * gw_collect_report_ms(p))
+	    !pe_zone_is_silent(now_ms - since_ms, gw_collect_report_ms(p),
+			       peer->sums_period_ms))
 		return;
 	peer->distrusted_until_ms = now_ms + GW_DISTRUST_MS;
 	lg_info("collector of the zone is silent", "event", "load_collector",
@@ -410,8 +409,10 @@
 		if (message->zone)
 			gw_collect_relay(p, held, false);
 	}
-	if (peer)
+	if (peer) {
 		peer->received_ms = now_ms;
+		peer->sums_period_ms = message->period_ms;
+	}
 	rp_drop(request);
 }
 
--- a/src/gateway/gw_hosts.h
+++ b/src/gateway/gw_hosts.h
@@ -27,6 +27,7 @@
  * @is_far: it is in another region than this host.
  * @is_collector: the load of this host is reported to it; see gw_collect.h.
  * @chosen_ms: since when @is_collector holds.
+ * @sums_period_ms: of the sums that it sends, according to the last one.
  * @distrusted_until_ms: not chosen as a collector before.
  * @relayed_end: end of the announcements relayed to it; see gw_collect.h.
  * @incarnation: incarnation of its process in its last message, 0 before one.
@@ -47,6 +48,7 @@
 	bool is_far;
 	bool is_collector;
 	int64_t chosen_ms;
+	int64_t sums_period_ms;
 	int64_t distrusted_until_ms;
 	uint64_t relayed_end;
 	uint64_t incarnation;
--- a/src/peers/pe_zone.c
+++ b/src/peers/pe_zone.c
@@ -11,6 +11,8 @@
 /* Sums are used for this many of their periods after the last one. */
 #define PE_FRESH_PERIODS 5
 #define PE_MAX_PERIOD_MS 2000
+/* A collector that sends nothing for so many of its periods is replaced. */
+#define PE_SILENT_PERIODS 5
 
 /**
  * struct pe_sender - the collector that sums a zone.
@@ -86,6 +88,11 @@
 	return found;
 }
 
+bool pe_zone_is_silent(int64_t silent_ms, int64_t report_ms, int64_t sums_ms)
+{
+	return silent_ms > PE_SILENT_PERIODS * MAX(report_ms, sums_ms);
+}
+
 void pe_zone_add_member(struct pe_zone *zone, uint64_t host, uint64_t sequence,
 			const struct pe_share *shares, uint32_t count,
 			int64_t now_ms)
--- a/src/peers/pe_zone.h
+++ b/src/peers/pe_zone.h
@@ -94,6 +94,15 @@
 uint32_t pe_zone_collectors(const struct pe_zone_host *hosts, uint32_t count,
 			    uint32_t zone, uint32_t indexes[PE_COLLECTORS]);
 
+/**
+ * pe_zone_is_silent() - whether a collector has sent nothing for too long.
+ * @silent_ms: time since its last message, or since it was chosen.
+ * @report_ms: period of the reports to it.
+ * @sums_ms: period of its sums according to the last one; 0: none received. It
+ *	grows with members and upstreams.
+ */
+bool pe_zone_is_silent(int64_t silent_ms, int64_t report_ms, int64_t sums_ms);
+
 /** pe_zone_add_member() - record the report of a member of the zone. */
 void pe_zone_add_member(struct pe_zone *zone, uint64_t host, uint64_t sequence,
 			const struct pe_share *shares, uint32_t count,
--- a/tests/unit/zone_test.cc
+++ b/tests/unit/zone_test.cc
@@ -103,6 +103,27 @@
 	}
 }
 
+// A collector of 72 members and 600 engines sends a sum each second: members
+// must not replace it in between.
+TEST(Collectors, SilenceIsCountedInPeriodsOfTheCollector)
+{
+	static const struct {
+		int64_t silent_ms, report_ms, sums_ms;
+		bool is_silent;
+	} cases[] = {
+		{ 400, 100, 0, false },	    { 600, 100, 0, true },
+		{ 600, 100, 100, true },    { 600, 100, 1008, false },
+		{ 4000, 100, 1008, false }, { 5100, 100, 1008, true },
+		{ 900, 200, 100, false },
+	};
+
+	for (const auto &c : cases)
+		EXPECT_EQ(
+			pe_zone_is_silent(c.silent_ms, c.report_ms, c.sums_ms),
+			c.is_silent)
+			<< c.silent_ms << " " << c.sums_ms;
+}
+
 TEST_F(Zone, MemberIsToldOfAllHostsButItself)
 {
 	member(PE_SELF, 1, 1);
