kernel_test: let the state of a task outlive the kernel

Cause: TearDown() calls kn_finish(), which stops tasks whose state, a Recorder, stood on the stack of the test's body. That frame is gone then; stopped++ wrote into the frame of kn_stop_slot().

Ruled out: the kernel itself, whose slots and generations are right in gdb before the write.

No assertion changed.

Conclusion: the fixture owns the states.

--- a/tests/unit/kernel_test.cc
+++ b/tests/unit/kernel_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <deque>
 #include <string>
 #include <vector>
 
@@ -50,8 +51,16 @@
 class Kernel : public testing::Test
 {
       protected:
+	// TearDown() stops the tasks, so their state must outlive the test
+	// body.
+	std::deque<Recorder> states;
 	struct kn_kernel kernel;
 
+	Recorder &add_state()
+	{
+		return states.emplace_back();
+	}
+
 	void SetUp() override
 	{
 		struct kn_desc desc = {};
@@ -75,7 +84,7 @@
 
 TEST_F(Kernel, MessagesArriveInOrderWhileTheQueueGrows)
 {
-	Recorder r;
+	Recorder &r = add_state();
 	struct kn_handle h;
 	const uint64_t count = 3000;
 
@@ -92,7 +101,7 @@
 
 TEST_F(Kernel, MessageToAStoppedTaskNeverReachesItsSuccessor)
 {
-	Recorder first, second;
+	Recorder &first = add_state(), &second = add_state();
 	struct kn_handle old, fresh;
 
 	ASSERT_EQ(kn_spawn(&kernel, &recorder_ops, &first, &old), ST_OK);
@@ -112,7 +121,7 @@
 
 TEST_F(Kernel, DrainWaitsForTheLastTask)
 {
-	Recorder r;
+	Recorder &r = add_state();
 	struct kn_handle h;
 	ev_timer timer;
 
