ps: parts of a prompt that crash engines are recognized

Cause: a request was known by a fingerprint of its whole content. Requests that share one part of the prompt and nothing else are different contents; each is at one or two crashes and never comes again.

Change: each part but the last has a fingerprint of its own, which runs, is charged, told to owners and hosts, cleared and stored like a content. What differs is in ps.h: parts are shared by sound requests, so a suspect is not held back; one that was answered in full within 10 s is not charged; crashes at one moment count once; and it is refused only if nothing else was at all its crashes. An error of an engine clears no part. A request that waits at an engine is withdrawn when its part is proven. A content whose crashes a foreign part explains is not refused.

Logs name the parts of each request that was sent.

--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -76,6 +76,7 @@
 		   s->fingerprint);
 	g_snprintf(crashes, sizeof(crashes), "%u", s->count);
 	lg_info("request under suspicion", "event", event, "content", content,
+		"kind", ps_is_part(s->fingerprint) ? "part" : "content",
 		"crashes", crashes, "outcome",
 		s->is_proven ? "refused" : "watched", "evidence", evidence,
 		NULL);
@@ -247,11 +248,46 @@
 	return true;
 }
 
-struct ps_answer gw_poison_check(struct gw_gateway *g, uint64_t content)
+bool gw_poison_has_proven_part(const struct gw_request *r)
 {
-	struct ps_answer answer =
-		ps_check(&g->poison->table, content, ck_now_ms());
+	return ps_find_proven(&r->gateway->poison->table, r->parts,
+			      r->part_count, ck_now_ms());
+}
+
+static void gw_log_part_refused(const struct gw_request *r, uint64_t part)
+{
+	char text[20];
+
+	g_snprintf(text, sizeof(text), "%" G_GINT64_MODIFIER "x", part);
+	lg_info("part of the prompt crashes engines", "event", "part_refused",
+		"request", r->in.attempt ? r->in.attempt : "", "part", text,
+		NULL);
+}
 
+/* The verdict that follows from a part which crashes engines. */
+static struct ps_answer gw_check_part(struct gw_request *r, uint64_t part)
+{
+	enum ps_verdict verdict =
+		gw_may_probe(r->gateway, part) ? PS_ISOLATE : PS_REFUSE;
+
+	if (verdict == PS_REFUSE)
+		gw_log_part_refused(r, part);
+	return (struct ps_answer){ .verdict = verdict };
+}
+
+struct ps_answer gw_poison_check(struct gw_request *r)
+{
+	struct gw_gateway *g = r->gateway;
+	struct ps_table *table = &g->poison->table;
+	int64_t now_ms = ck_now_ms();
+	uint64_t content = r->content;
+	uint64_t part = ps_find_proven(table, r->parts, r->part_count, now_ms);
+	struct ps_answer answer;
+
+	if (part)
+		return gw_check_part(r, part);
+	answer = ps_check_request(table, content, r->parts, r->part_count,
+				  now_ms);
 	if (answer.verdict == PS_REFUSE && gw_may_probe(g, content))
 		answer.verdict = PS_ISOLATE;
 	else if (answer.verdict == PS_ISOLATE && answer.single_host_only &&
@@ -269,15 +305,29 @@
 
 void gw_poison_attempt_started(struct gw_request *r)
 {
+	struct ps_table *table = &r->gateway->poison->table;
+	uint64_t engine = r->engine->hash;
+	uint64_t incarnation = fl_incarnation(r->engine);
+	int64_t now_ms = ck_now_ms();
+
 	r->is_counted = true;
-	ps_started(&r->gateway->poison->table, r->content, r->engine->hash,
-		   fl_incarnation(r->engine), ck_now_ms());
+	ps_started(table, r->content, engine, incarnation, now_ms);
+	for (uint32_t i = 0; i < r->part_count; i++)
+		ps_started(table, r->parts[i], engine, incarnation, now_ms);
 }
 
-void gw_poison_attempt_ended(struct gw_request *r, enum ps_end end)
+static void gw_record_end(struct gw_request *r, uint64_t fingerprint,
+			  enum ps_end end)
 {
 	struct gw_gateway *g = r->gateway;
 
+	if (ps_ended(&g->poison->table, fingerprint, r->engine->hash,
+		     fl_incarnation(r->engine), end, ck_now_ms()))
+		gw_send_cleared(g, fingerprint, 0);
+}
+
+void gw_poison_attempt_ended(struct gw_request *r, enum ps_end end)
+{
 	if (!r->is_counted)
 		return;
 	r->is_counted = false;
@@ -285,9 +335,12 @@
 	if (end == PS_BROKEN &&
 	    (r->engine->is_gone || r->engine->entry.is_draining))
 		end = PS_CANCELLED;
-	if (ps_ended(&g->poison->table, r->content, r->engine->hash,
-		     fl_incarnation(r->engine), end, ck_now_ms()))
-		gw_send_cleared(g, r->content, 0);
+	gw_record_end(r, r->content, end);
+	/* An error is no answer that the engine wrote on the prompt. */
+	if (end == PS_COMPLETED && r->status / 100 != 2)
+		end = PS_CANCELLED;
+	for (uint32_t i = 0; i < r->part_count; i++)
+		gw_record_end(r, r->parts[i], end);
 }
 
 static void gw_send_to_owners(struct gw_gateway *g, const struct ps_suspect *s)
--- a/src/gateway/gw_poison.h
+++ b/src/gateway/gw_poison.h
@@ -3,7 +3,8 @@
  *
  * Load pattern
  *	A caller keeps sending the same request, to any host, and each engine
- *	that begins to run it crashes, with all requests that it runs.
+ *	that begins to run it crashes, with all requests that it runs. Or many
+ *	different requests do, which share one part of their prompts.
  *
  * Overview
  *	src/limits/ps.h decides. This module supplies its evidence and shares
@@ -21,11 +22,14 @@
  *	  after its first message.
  *	- A host that has received a complete answer to the request since a
  *	  crash reports that, which clears the request.
+ *	- The parts of a request's prompt are suspects as its content is, and
+ *	  all of the above holds for them, too. A request that waits at an
+ *	  engine is withdrawn as soon as one of its parts is proven.
  *	- Proven requests are stored in a row of the store, for the case that
  *	  all hosts restart.
  *
  * Use
- *	answer = gw_poison_check(g, content);
+ *	answer = gw_poison_check(r);
  *	gw_poison_attempt_started(r);
  *	gw_poison_attempt_ended(r, PS_BROKEN);
  */
@@ -47,8 +51,12 @@
 /** gw_poison_sync_peer() - send known suspects to a process that started. */
 void gw_poison_sync_peer(struct gw_gateway *g, const struct rp_peer *peer);
 
-/** gw_poison_check() - decide whether @content may run, before each attempt. */
-struct ps_answer gw_poison_check(struct gw_gateway *g, uint64_t content);
+/** gw_poison_check() - decide whether @r may run, before each attempt. */
+struct ps_answer gw_poison_check(struct gw_request *r);
+
+/** gw_poison_has_proven_part() - whether part of @r is known to crash engines.
+ */
+bool gw_poison_has_proven_part(const struct gw_request *r);
 
 /** gw_poison_avoid() - hashes of engines at which @content may not run now. */
 uint32_t gw_poison_avoid(const struct gw_gateway *g, uint64_t content,
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -264,7 +264,7 @@
  */
 static bool gw_apply_poison_verdict(struct gw_request *r)
 {
-	struct ps_answer answer = gw_poison_check(r->gateway, r->content);
+	struct ps_answer answer = gw_poison_check(r);
 
 	switch (answer.verdict) {
 	case PS_HOLD:
@@ -303,6 +303,21 @@
 		gw_send(r, &answer);
 }
 
+/*
+ * Ends a request that waits at an engine, if it holds a part that has been
+ * found to crash engines since it was sent. Returns whether it was freed.
+ */
+static bool gw_withdraw(struct gw_request *r)
+{
+	if (!r->is_awaiting_head || !gw_poison_has_proven_part(r))
+		return false;
+	gw_send_log_failure(r, "withdrawn");
+	r->may_have_begun = true;
+	gw_send_cancel(r);
+	gw_give_up(r, "crashes_engines");
+	return true;
+}
+
 /* The request waits at an engine whose weights may no longer begin one. */
 static bool gw_is_outdated(const struct gw_request *r, int64_t now_ms)
 {
@@ -318,7 +333,7 @@
 void gw_requests_sweep(struct gw_gateway *g, int64_t now_ms)
 {
 	gw_for_each_request (g, r) {
-		if (!gw_is_outdated(r, now_ms))
+		if (gw_withdraw(r) || !gw_is_outdated(r, now_ms))
 			continue;
 		gw_send_cancel(r);
 		r->may_have_begun = true;
@@ -362,6 +377,16 @@
 			: 0;
 }
 
+static void gw_find_parts(struct gw_request *r)
+{
+	const struct dl_request *in = &r->in;
+	const char *model = in->model ? in->model : "";
+
+	for (uint32_t i = 0; i + 1 < in->part_count; i++)
+		r->parts[r->part_count++] =
+			ps_part_fingerprint(model, in->parts[i].id);
+}
+
 static void gw_set_times(struct gw_request *r)
 {
 	int64_t budget_ms =
@@ -438,6 +463,7 @@
 	}
 	r->content = gw_content_of(r);
 	rb_budget_earn(gw_budget_of(r));
+	gw_find_parts(r);
 	gw_find_prefix(r);
 	r->prefix.seed = gw_split_hash(r);
 	gw_set_times(r);
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -36,6 +36,7 @@
  * @deadline_ms: when the request times out.
  * @prefix: prompt prefix shared with other requests, see src/placement/pc.h.
  * @content: fingerprint, the same when the caller sends the request again.
+ * @parts: fingerprints of the parts of its prompt that it may share.
  * @scope: cached prompts are shared within this scope.
  * @read_tokens: counted as waiting at the engine; 0 after its first token.
  * @priority: at the engine, see src/placement/pu.h.
@@ -69,6 +70,8 @@
 	int64_t deadline_ms;
 	struct pc_request prefix;
 	uint64_t content;
+	uint64_t parts[DL_MAX_PARTS];
+	uint32_t part_count;
 	char scope[2 * DL_ID_BYTES];
 	ev_timer timer;
 	GList link;
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -32,6 +32,9 @@
 #define GW_ANSWER_RESERVED_BYTES (64u << 10)
 #define GW_ANSWER_POOL_BYTES	 (8u << 20)
 
+/* A fingerprint has 16 digits and a comma. */
+#define GW_LOGGED_PARTS_BYTES (DL_MAX_PARTS * 17 + 1)
+
 MT_HISTOGRAMS(gw_placed_ms, "balsampin_gateway_placed_ms",
 	      "from a request's arrival to each send", "kind")
 MT_HISTOGRAMS(gw_first_event_ms, "balsampin_gateway_first_event_ms",
@@ -61,14 +64,28 @@
 		ms, "content", content, NULL);
 }
 
+/* Formats the fingerprints of the parts, separated by commas. */
+static void gw_format_parts(const struct gw_request *r, char *text,
+			    uint32_t bytes)
+{
+	uint32_t used = 0;
+
+	text[0] = '\0';
+	for (uint32_t i = 0; i < r->part_count && used < bytes; i++)
+		used += g_snprintf(text + used, bytes - used,
+				   "%s%" G_GINT64_MODIFIER "x", i ? "," : "",
+				   r->parts[i]);
+}
+
 /* Logs the placement decision and its inputs. */
 static void gw_log_sent(const struct gw_request *r,
 			const struct gw_place_answer *to)
 {
 	char weights[24], running[12], subject[20], root[20], left[24];
 	char cost[24], reads[12], shared[12], priority[12];
-	char content[20], sends[12];
+	char content[20], sends[12], parts[GW_LOGGED_PARTS_BYTES];
 
+	gw_format_parts(r, parts, sizeof(parts));
 	g_snprintf(weights, sizeof(weights), "%" G_GUINT64_FORMAT,
 		   to->engine->entry.weights);
 	g_snprintf(running, sizeof(running), "%u", to->engine->running);
@@ -94,7 +111,7 @@
 		"subject", subject, "root", root, "weights", weights, "running",
 		running, "left_ms", left, "predicted_ms", cost, "priority",
 		priority, "read_tokens", reads, "shared_tokens", shared,
-		"content", content, "sends", sends, NULL);
+		"content", content, "parts", parts, "sends", sends, NULL);
 }
 
 static void gw_detach_engine(struct gw_request *r)
--- a/src/limits/ps.c
+++ b/src/limits/ps.c
@@ -50,6 +50,11 @@
 	g_hash_table_destroy(table->_completed);
 }
 
+static uint64_t ps_of_content(uint64_t hash)
+{
+	return hash & ~PS_PART_BIT;
+}
+
 uint64_t ps_fingerprint(uint64_t salt, const struct px_chain *chain,
 			const void *tail, uint64_t tail_bytes,
 			const void *params, uint64_t params_bytes)
@@ -57,7 +62,7 @@
 	uint64_t key = chain->count ? chain->keys[chain->count - 1] : salt;
 
 	key = XXH3_64bits_withSeed(tail, tail_bytes, key ^ chain->bytes);
-	return XXH3_64bits_withSeed(params, params_bytes, key);
+	return ps_of_content(XXH3_64bits_withSeed(params, params_bytes, key));
 }
 
 static uint64_t ps_hash_text(const char *text, uint64_t key)
@@ -71,7 +76,13 @@
 
 	key = ps_hash_text(call->target, key);
 	key = ps_hash_text(call->caller, key);
-	return XXH3_64bits_withSeed(call->body, call->body_bytes, key);
+	return ps_of_content(
+		XXH3_64bits_withSeed(call->body, call->body_bytes, key));
+}
+
+uint64_t ps_part_fingerprint(const char *model, uint64_t part)
+{
+	return ps_hash_text(model, part) | PS_PART_BIT;
 }
 
 static struct _ps_run *ps_run_at(const struct ps_table *table, uint32_t i)
@@ -99,17 +110,32 @@
 	return last_ms;
 }
 
-/* A full record does not show whether the request was at later crashes. */
+static int64_t ps_first_crash_ms(const struct _ps_suspect *suspect)
+{
+	int64_t first_ms = INT64_MAX;
+
+	for (uint32_t i = 0; i < suspect->count; i++)
+		first_ms = MIN(first_ms, suspect->crashes[i].at_ms);
+	return first_ms;
+}
+
+/*
+ * A full record does not show whether the request was at later crashes, and
+ * that of a part not whether it was at others since its first.
+ */
 static bool ps_may_omit_crash(const struct _ps_suspect *suspect,
 			      const struct ps_crash *crash)
 {
-	return suspect->count == PS_MAX_CRASHES &&
-	       crash->at_ms >= ps_last_crash_ms(suspect);
+	int64_t complete_ms = ps_is_part(suspect->fingerprint)
+				      ? ps_first_crash_ms(suspect)
+				      : ps_last_crash_ms(suspect);
+
+	return suspect->count == PS_MAX_CRASHES && crash->at_ms >= complete_ms;
 }
 
 /* Whether @other may have been present at all crashes of @suspect. */
-static bool ps_is_rival(const struct _ps_suspect *suspect,
-			const struct _ps_suspect *other)
+static bool ps_was_at_all_crashes(const struct _ps_suspect *suspect,
+				  const struct _ps_suspect *other)
 {
 	uint32_t shared = 0;
 
@@ -126,6 +152,22 @@
 	return shared > 0;
 }
 
+/*
+ * Whether @other may be the cause of all crashes of @suspect instead. A part is
+ * no rival of a content here: most contents that hold it are not known.
+ */
+static bool ps_is_rival(const struct _ps_suspect *suspect,
+			const struct _ps_suspect *other)
+{
+	if (!ps_is_part(suspect->fingerprint))
+		return !ps_is_part(other->fingerprint) &&
+		       ps_was_at_all_crashes(suspect, other);
+	if (suspect->count >= PS_PART_SURE_CRASHES &&
+	    other->count <= suspect->count)
+		return false;
+	return ps_was_at_all_crashes(suspect, other);
+}
+
 static bool ps_has_rival(const struct ps_table *table,
 			 const struct _ps_suspect *suspect)
 {
@@ -197,6 +239,33 @@
 	return s;
 }
 
+/*
+ * Drops one of two crashes at the same moment from a full record, for a crash
+ * at a later moment: a part that crashes many engines within a second would
+ * never be seen at enough moments. Returns whether there is room.
+ */
+static bool ps_make_room(struct _ps_suspect *s, const struct ps_crash *crash)
+{
+	if (s->count < PS_MAX_CRASHES)
+		return true;
+	if (!ps_is_part(s->fingerprint) ||
+	    crash->at_ms - ps_last_crash_ms(s) < PS_SAME_CAUSE_MS)
+		return false;
+	for (uint32_t i = 0; i < s->count; i++) {
+		for (uint32_t j = 0; j < s->count; j++) {
+			int64_t later_ms =
+				s->crashes[i].at_ms - s->crashes[j].at_ms;
+
+			if (i == j || later_ms < 0 ||
+			    later_ms >= PS_SAME_CAUSE_MS)
+				continue;
+			s->crashes[i] = s->crashes[--s->count];
+			return true;
+		}
+	}
+	return false;
+}
+
 /* Returns whether the crash was not recorded before. */
 static bool ps_add_crash(struct ps_table *table, uint64_t fingerprint,
 			 const struct ps_crash *crash)
@@ -204,7 +273,7 @@
 	struct _ps_suspect *s = ps_get_suspect(table, fingerprint);
 
 	if (crash->at_ms < s->cleared_ms || ps_has_crash(s, crash) ||
-	    s->count == PS_MAX_CRASHES)
+	    !ps_make_room(s, crash))
 		return false;
 	s->crashes[s->count++] = *crash;
 	s->confirmed_ms = MAX(s->confirmed_ms, crash->at_ms);
@@ -321,10 +390,37 @@
 	return true;
 }
 
+/* Crashes at least PS_SAME_CAUSE_MS apart. */
+static uint32_t ps_count_moments(const struct _ps_suspect *suspect)
+{
+	int64_t from_ms = INT64_MIN;
+	uint32_t moments = 0;
+
+	for (;;) {
+		int64_t next_ms = INT64_MAX;
+
+		for (uint32_t i = 0; i < suspect->count; i++)
+			if (suspect->crashes[i].at_ms >= from_ms)
+				next_ms =
+					MIN(next_ms, suspect->crashes[i].at_ms);
+		if (next_ms == INT64_MAX)
+			return moments;
+		moments++;
+		from_ms = next_ms + PS_SAME_CAUSE_MS;
+	}
+}
+
+static bool ps_has_enough_crashes(const struct _ps_suspect *suspect)
+{
+	if (ps_is_part(suspect->fingerprint))
+		return ps_count_moments(suspect) >= PS_PART_CRASHES;
+	return suspect->count >= PS_POISON_CRASHES;
+}
+
 static bool ps_is_proven(const struct ps_table *table,
 			 const struct _ps_suspect *suspect)
 {
-	if (suspect->count < PS_POISON_CRASHES || ps_has_rival(table, suspect))
+	if (!ps_has_enough_crashes(suspect) || ps_has_rival(table, suspect))
 		return false;
 	return suspect->count == PS_MAX_CRASHES ||
 	       !ps_completed_recently(table, suspect);
@@ -344,8 +440,62 @@
 	return ps_last_crash_ms(suspect) + pause_ms - now_ms;
 }
 
-struct ps_answer ps_check(struct ps_table *table, uint64_t fingerprint,
-			  int64_t now_ms)
+uint64_t ps_find_proven(struct ps_table *table, const uint64_t *parts,
+			uint32_t count, int64_t now_ms)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		struct _ps_suspect *s =
+			ps_find_current(table, parts[i], now_ms);
+
+		if (!s || !ps_is_proven(table, s))
+			continue;
+		/* The record is kept as long as the part is sent again. */
+		s->last_ms = now_ms;
+		return parts[i];
+	}
+	return 0;
+}
+
+static bool ps_contains(const uint64_t *parts, uint32_t count,
+			uint64_t fingerprint)
+{
+	for (uint32_t i = 0; i < count; i++)
+		if (parts[i] == fingerprint)
+			return true;
+	return false;
+}
+
+/*
+ * Which part that the content lacks was present at all its crashes: a proven
+ * one if there is one, else any; NULL: none.
+ */
+static const struct _ps_suspect *
+ps_find_foreign_part(const struct ps_table *table,
+		     const struct _ps_suspect *content, const uint64_t *parts,
+		     uint32_t count, bool *is_proven)
+{
+	const struct _ps_suspect *found = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	*is_proven = false;
+	g_hash_table_iter_init(&iter, table->_suspects);
+	while (!*is_proven && g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct _ps_suspect *other = value;
+
+		if (!ps_is_part(other->fingerprint) ||
+		    ps_contains(parts, count, other->fingerprint) ||
+		    !ps_was_at_all_crashes(content, other))
+			continue;
+		found = other;
+		*is_proven = ps_is_proven(table, other);
+	}
+	return found;
+}
+
+struct ps_answer ps_check_request(struct ps_table *table, uint64_t fingerprint,
+				  const uint64_t *parts, uint32_t count,
+				  int64_t now_ms)
 {
 	struct _ps_suspect *s = ps_find_current(table, fingerprint, now_ms);
 	uint32_t crashes = s ? s->count : 0;
@@ -355,8 +505,14 @@
 	bool is_watched = crashes >= PS_POISON_CRASHES;
 	int64_t pause_ms =
 		is_watched ? ps_isolate_pause_ms(table, s, now_ms) : 0;
+	bool is_explained = false;
+	bool has_foreign =
+		is_watched &&
+		ps_find_foreign_part(table, s, parts, count, &is_explained);
 
-	if (s && ps_is_proven(table, s)) {
+	if (is_explained)
+		return (struct ps_answer){ PS_RUN, 0, false };
+	if (s && !has_foreign && ps_is_proven(table, s)) {
 		/* The record is kept as long as the request is sent again. */
 		s->last_ms = now_ms;
 		return (struct ps_answer){ PS_REFUSE, 0, false };
@@ -379,7 +535,8 @@
 		    int64_t now_ms)
 {
 	struct _ps_suspect *s = ps_find_current(table, fingerprint, now_ms);
-	int64_t pause_ms = PS_PROBE_MS;
+	int64_t pause_ms =
+		ps_is_part(fingerprint) ? PS_PART_PROBE_MS : PS_PROBE_MS;
 
 	if (!s || s->probes >= PS_MAX_PROBES ||
 	    ps_is_running(table, fingerprint))
@@ -507,6 +664,16 @@
 	return run->is_broken && now_ms - run->broken_ms > kept_ms;
 }
 
+/* Whether an answer in full speaks against charging the part with a crash. */
+static bool ps_is_answered_part(const struct ps_table *table,
+				uint64_t fingerprint, int64_t crash_ms)
+{
+	int64_t completed_ms = ps_completed_ms(table, fingerprint);
+
+	return ps_is_part(fingerprint) && completed_ms &&
+	       crash_ms - completed_ms < PS_PART_ANSWERED_MS;
+}
+
 uint32_t ps_crashed(struct ps_table *table, uint64_t engine,
 		    uint64_t incarnation, uint64_t *fingerprints,
 		    uint32_t capacity, int64_t now_ms)
@@ -520,7 +687,8 @@
 		if (run.engine != engine || run.incarnation != incarnation)
 			continue;
 		g_array_remove_index_fast(table->_runs, i);
-		if (ps_is_stale(&run, now_ms) || run.is_after_break)
+		if (ps_is_stale(&run, now_ms) || run.is_after_break ||
+		    ps_is_answered_part(table, run.fingerprint, now_ms))
 			continue;
 		if (ps_add_crash(table, run.fingerprint, &crash) &&
 		    count < capacity)
@@ -646,7 +814,8 @@
 		return;
 	}
 	if (age_ms <= PS_EXPIRE_MS &&
-	    ps_completed_ms(table, fingerprint) < crash.at_ms)
+	    ps_completed_ms(table, fingerprint) < crash.at_ms &&
+	    !ps_is_answered_part(table, fingerprint, crash.at_ms))
 		ps_add_crash(table, fingerprint, &crash);
 }
 
--- a/src/limits/ps.h
+++ b/src/limits/ps.h
@@ -32,6 +32,24 @@
  *	connections on different engines, a request is held back until it is
  *	known whether the engines crashed.
  *
+ *	A request may also crash engines by one part of its prompt, whatever
+ *	else it holds, and come with different contents. Its parts have
+ *	fingerprints of their own, with runs, crashes and clearings like those
+ *	of contents, but other rules (ps_find_proven()):
+ *
+ *	- Sound requests share parts, so a suspected part is neither held back
+ *	  nor isolated; it runs until it is proven.
+ *	- A part that was answered in full within PS_PART_ANSWERED_MS is not
+ *	  charged.
+ *	- A part is proven by PS_PART_CRASHES crashes at different moments:
+ *	  many engines that fail at once have one cause.
+ *	- Nothing else was present at all these crashes. Parts that always come
+ *	  together cannot be told apart: from PS_PART_SURE_CRASHES on, only
+ *	  what was present at further crashes too counts as a rival.
+ *
+ *	A content whose crashes a proven part explains, and that lacks this
+ *	part, may run.
+ *
  *	An entry reports the crashes that it records to its peers (BP_POISON),
  *	and clearings as reports without an engine. The tables are bounded, and
  *	old records expire. Gateways keep the crash record of a fingerprint on
@@ -39,6 +57,10 @@
  *	gw_poison.h.
  *
  * Use
+ *	part = ps_part_fingerprint(model, id);
+ *	if (ps_find_proven(&table, parts, count, now_ms)) ...refuse
+ *	answer = ps_check_request(&table, content, parts, count, now_ms);
+ *
  *	fingerprint = ps_fingerprint(salt, &chain, tail, tail_bytes, params, n);
  *	answer = ps_check(&table, fingerprint, now_ms);
  *	ps_started(&table, fingerprint, engine, incarnation, now_ms);
@@ -87,9 +109,18 @@
  * A refused request is probed this long after its last crash; the pause grows
  * by PS_PROBE_GROWTH with each probe.
  */
-#define PS_PROBE_MS	10000
-#define PS_PROBE_GROWTH 6
-#define PS_MAX_PROBES	2
+#define PS_PROBE_MS	 10000
+#define PS_PART_PROBE_MS 30000
+#define PS_PROBE_GROWTH	 6
+#define PS_MAX_PROBES	 2
+#define PS_PART_BIT	 (UINT64_C(1) << 63)
+/** Crashes that prove a part, and that prove parts which come together. */
+#define PS_PART_CRASHES	     3
+#define PS_PART_SURE_CRASHES 5
+/** Crashes of one part that are closer to each other have one cause. */
+#define PS_SAME_CAUSE_MS 500
+/** A part that was answered in full this recently is not charged. */
+#define PS_PART_ANSWERED_MS 10000
 
 /**
  * enum ps_verdict - decision on an attempt.
@@ -183,9 +214,40 @@
 /** ps_call_fingerprint() - fingerprint of what stays the same in a retry. */
 uint64_t ps_call_fingerprint(const struct ps_call *call);
 
-/** ps_check() - decide on an attempt; call it before each one. */
-struct ps_answer ps_check(struct ps_table *table, uint64_t fingerprint,
-			  int64_t now_ms);
+/**
+ * ps_part_fingerprint() - fingerprint of a part of the prompts of @model; it
+ * has PS_PART_BIT set, and those of contents have not.
+ */
+uint64_t ps_part_fingerprint(const char *model, uint64_t part);
+
+static inline bool ps_is_part(uint64_t fingerprint)
+{
+	return fingerprint & PS_PART_BIT;
+}
+
+/**
+ * ps_find_proven() - find a part that crashes engines; call it before each
+ * attempt.
+ *
+ * Return: the first proven one of @parts, 0 if there is none.
+ */
+uint64_t ps_find_proven(struct ps_table *table, const uint64_t *parts,
+			uint32_t count, int64_t now_ms);
+
+/**
+ * ps_check_request() - decide on an attempt; call it before each one.
+ * @parts: fingerprints of the parts of its prompt.
+ */
+struct ps_answer ps_check_request(struct ps_table *table, uint64_t content,
+				  const uint64_t *parts, uint32_t count,
+				  int64_t now_ms);
+
+/** ps_check() - ps_check_request() for a content without parts. */
+static inline struct ps_answer ps_check(struct ps_table *table,
+					uint64_t fingerprint, int64_t now_ms)
+{
+	return ps_check_request(table, fingerprint, NULL, 0, now_ms);
+}
 
 /**
  * ps_start_probe() - check whether a refused request may be probed now; call it
--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -177,8 +177,9 @@
 	uint64_t history_from = 0;
 	int calls = 0;
 	std::string crash_body;
+	std::string crash_part;
 	int crash_down_ms = 0;
-	int crashes = 0;
+	std::vector<int64_t> crash_times;
 	std::list<Run> running;
 	std::map<std::string, int> begun;
 	std::map<std::string, std::map<std::string, Row>> tables;
@@ -204,6 +205,7 @@
 	void on_tick();
 	void listen(Engine *e);
 	void close(Engine *e);
+	bool crashes(const Arrival &arrival) const;
 	void crash_or_start(Engine *e, int64_t now_ms);
 };
 
@@ -433,7 +435,7 @@
 		after = std::stoi(arrival.headers["Last-Event-Id"]);
 	if (e->behaviour != Behaviour::refuse)
 		begun[arrival.headers["X-Attempt-Id"]]++;
-	if (!crash_body.empty() && arrival.body.rfind(crash_body, 0) == 0) {
+	if (crashes(arrival)) {
 		e->is_crashing = true;
 		return;
 	}
@@ -587,6 +589,21 @@
 	h1_server_finish(&e->server);
 }
 
+bool Fleet::State::crashes(const Arrival &arrival) const
+{
+	auto parts = arrival.headers.find("X-Prefix-Hash");
+
+	if (!crash_body.empty() && arrival.body.rfind(crash_body, 0) == 0)
+		return true;
+	if (crash_part.empty() || parts == arrival.headers.end())
+		return false;
+	/* Each part but the last is followed by a comma. */
+	size_t at = parts->second.find(crash_part + ":");
+
+	return at != std::string::npos &&
+	       parts->second.find(',', at) != std::string::npos;
+}
+
 void Fleet::State::crash_or_start(Engine *e, int64_t now_ms)
 {
 	if (e->is_crashing) {
@@ -595,7 +612,7 @@
 		shutdown(e->server._fd, SHUT_RDWR);
 		e->on_port(0);
 		close(e);
-		crashes++;
+		crash_times.push_back(now_ms);
 		e->is_crashing = false;
 		e->down_until_ms = now_ms + crash_down_ms;
 	} else if (e->down_until_ms && now_ms >= e->down_until_ms) {
@@ -789,12 +806,25 @@
 	});
 }
 
+void Fleet::crash_on_part(const std::string &part, int down_ms)
+{
+	run([&] {
+		state->crash_part = part;
+		state->crash_down_ms = down_ms;
+	});
+}
+
 int Fleet::crashes()
 {
-	int crashes = 0;
+	return (int)crash_times().size();
+}
+
+std::vector<int64_t> Fleet::crash_times()
+{
+	std::vector<int64_t> times;
 
-	run([&] { crashes = state->crashes; });
-	return crashes;
+	run([&] { times = state->crash_times; });
+	return times;
 }
 
 int Fleet::runs(const std::string &attempt)
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -118,9 +118,18 @@
 	 */
 	void crash_on(const std::string &body, int down_ms);
 
+	/**
+	 * crash_on_part() - the same for a request whose prompt has the part
+	 * @part (its ID in hexadecimal) before the last one.
+	 */
+	void crash_on_part(const std::string &part, int down_ms);
+
 	/** crashes() - engines that ended so. */
 	int crashes();
 
+	/** crash_times() - when each of them ended, in order. */
+	std::vector<int64_t> crash_times();
+
 	/** runs() - begun for that attempt at any engine. */
 	int runs(const std::string &attempt);
 
--- a/tests/sessions/gateway_crash_test.cc
+++ b/tests/sessions/gateway_crash_test.cc
@@ -7,6 +7,10 @@
 #include <chrono>
 #include <thread>
 
+extern "C" {
+#include "kernel/ck.h"
+}
+
 #include "cluster.h"
 #include "fleet.h"
 #include "fleet_config.h"
@@ -23,6 +27,12 @@
 // Limit of the engines that one request may crash.
 const int max_crashes = 3;
 const char *const deadly = "crashes engines";
+// Part of a prompt that crashes engines, and the bound on requests with it:
+// how many may reach engines, and since how long after the fifth crash.
+const char *const deadly_part = "dead";
+const size_t bounded_crashes = 5;
+const int64_t settle_ms = 4000;
+const int max_late_arrivals = 3;
 
 std::string config()
 {
@@ -91,7 +101,8 @@
 
 	// Sends the content with a new attempt id, as a caller would.
 	Reply ask(const std::string &route, const std::string &body,
-		  const std::string &host = "h1")
+		  const std::string &host = "h1",
+		  const std::string &parts = "aa:50,bb:30,cc:20")
 	{
 		Headers headers = { "Host: h", "Authorization: Bearer k1",
 				    "X-Attempt-Id: c" +
@@ -101,12 +112,80 @@
 		if (route == "grade" || route == "draft") {
 			headers.push_back("X-Model: m");
 			headers.push_back("X-Token-Usage: 100,8");
-			headers.push_back("X-Prefix-Hash: aa:50,bb:30,cc:20");
+			headers.push_back("X-Prefix-Hash: " + parts);
 		}
 		return call(Fleet::url(host, "/" + route + "/x"), body, headers,
 			    "POST");
 	}
 
+	// Sends a request like no other; its prompt has @part in the middle.
+	Reply ask_with_part(const std::string &part, const std::string &host)
+	{
+		std::string n = std::to_string(attempts);
+
+		return ask("grade", "body " + n, host,
+			   "aa:50," + part + ":30,f" + n + ":20");
+	}
+
+	// Arrivals at engines with @part, later than @settle_ms after the
+	// crash that the bound counts from.
+	int late_arrivals(const std::string &part)
+	{
+		std::vector<int64_t> crashes = fleet.crash_times();
+		int late = 0;
+
+		if (crashes.size() < bounded_crashes)
+			return 0;
+		for (const Arrival &a : fleet.arrivals())
+			if (a.headers.count("X-Prefix-Hash") &&
+			    a.headers.at("X-Prefix-Hash")
+					    .find("," + part + ":") !=
+				    std::string::npos &&
+			    a.at_ms > crashes[bounded_crashes - 1] + settle_ms)
+				late++;
+		return late;
+	}
+
+	// Sends requests with @part to all hosts in turn for @lasts_ms, and
+	// sound ones with the same first part beside them. Returns how many of
+	// the sound ones of the last @settle_ms were answered in full, in 100.
+	int play_part(const std::string &part, int64_t lasts_ms)
+	{
+		static const char *const names[] = { "h1", "h2", "h3" };
+		std::atomic<bool> is_finished{ false };
+		std::atomic<int> asked{ 0 }, served{ 0 };
+		std::vector<std::thread> callers;
+		int64_t began_ms = ck_now_ms();
+
+		for (int i = 0; i < 3; i++)
+			callers.emplace_back([&, i] {
+				while (!is_finished) {
+					std::this_thread::sleep_for(
+						std::chrono::milliseconds(20));
+					int status =
+						ask_with_part(
+							"b" + std::to_string(i),
+							names[i])
+							.status;
+
+					if (ck_now_ms() - began_ms <
+					    lasts_ms - settle_ms)
+						continue;
+					asked++;
+					served += status == 200;
+				}
+			});
+		for (int i = 0; ck_now_ms() - began_ms < lasts_ms; i++) {
+			ask_with_part(part, names[i % 3]);
+			std::this_thread::sleep_for(
+				std::chrono::milliseconds(100));
+		}
+		is_finished = true;
+		for (auto &caller : callers)
+			caller.join();
+		return asked ? 100 * served / asked : 0;
+	}
+
 	// Sends the crashing request @times to @hosts in turn, with a pause
 	// after each answer.
 	Reply send_crashing(const std::string &route, int times,
@@ -229,6 +308,26 @@
 		EXPECT_EQ(ask("look", "poll", host).status, 200) << host;
 }
 
+// Requests that share a part of their prompt and nothing else crash one engine
+// after the other; the part is to be recognized, and sound requests beside it,
+// with the same caller and first part, are to be served.
+TEST_F(Crash, RequestsThatShareACrashingPartAreRefused)
+{
+	start_three();
+	fleet.crash_on_part(deadly_part, down_ms);
+	int served = play_part(deadly_part, 12000);
+
+	EXPECT_LE(late_arrivals(deadly_part), max_late_arrivals);
+	EXPECT_GE(served, 90);
+	for (const char *host : { "h1", "h2", "h3" }) {
+		Reply last = ask_with_part(deadly_part, host);
+
+		EXPECT_EQ(last.status, 503) << host;
+		EXPECT_EQ(last.headers.count("retry-after"), 1u) << host;
+		EXPECT_EQ(ask_with_part("b0", host).status, 200) << host;
+	}
+}
+
 // A broken connection is no evidence of a crash if the engine is alive.
 TEST_F(Crash, BrokenConnectionsToLiveEnginesAreNotEvidence)
 {
