ps: crashes of a part that is refused count for it alone

No single part was at all three, so it had no rival.

Change: a crash at which a part was present that was proven before counts for that part alone; and a part is not charged once its stream has run for a second, as such a part crashes engines when they begin to write.

Ruled out: lost reports; each host knew all three crashes.

--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -21,6 +21,8 @@
 /* A suspect that no owner has broadcast for this time may have been cleared. */
 #define GW_UNCONFIRMED_MS (3 * GW_ANNOUNCE_PERIOD_MS)
 #define GW_EXPIRE_MS	  60000
+/* A part that crashes engines does so when they begin to write an answer. */
+#define GW_ANSWERING_MS 1000
 /* A complete answer within this time of the previous one changes nothing. */
 #define GW_COMPLETED_STEP_MS 1000
 /* The next owner writes the row if it has been out of date for that long. */
@@ -311,6 +313,7 @@
 	int64_t now_ms = ck_now_ms();
 
 	r->is_counted = true;
+	r->has_answered_on = false;
 	ps_started(table, r->content, engine, incarnation, now_ms);
 	for (uint32_t i = 0; i < r->part_count; i++)
 		ps_started(table, r->parts[i], engine, incarnation, now_ms);
@@ -326,6 +329,21 @@
 		gw_send_cleared(g, fingerprint, 0);
 }
 
+static void gw_record_end_of_parts(struct gw_request *r, enum ps_end end)
+{
+	for (uint32_t i = 0; i < r->part_count; i++)
+		gw_record_end(r, r->parts[i], end);
+}
+
+void gw_poison_attempt_answering(struct gw_request *r)
+{
+	if (!r->is_counted || r->has_answered_on ||
+	    ck_now_ms() - r->sent_ms - r->first_event_ms < GW_ANSWERING_MS)
+		return;
+	r->has_answered_on = true;
+	gw_record_end_of_parts(r, PS_CANCELLED);
+}
+
 void gw_poison_attempt_ended(struct gw_request *r, enum ps_end end)
 {
 	if (!r->is_counted)
@@ -339,8 +357,8 @@
 	/* An error is no answer that the engine wrote on the prompt. */
 	if (end == PS_COMPLETED && r->status / 100 != 2)
 		end = PS_CANCELLED;
-	for (uint32_t i = 0; i < r->part_count; i++)
-		gw_record_end(r, r->parts[i], end);
+	if (!r->has_answered_on || end == PS_COMPLETED)
+		gw_record_end_of_parts(r, end);
 }
 
 static void gw_send_to_owners(struct gw_gateway *g, const struct ps_suspect *s)
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -44,6 +44,8 @@
  * @weights: version that the engine had when the request was sent.
  * @is_early: held until the first read of the store, see gw_admit.h.
  * @is_counted: gw_poison.h counts the attempt as running.
+ * @has_answered_on: the engine has written its answer for so long that the
+ *	parts of the prompt have not crashed it; see gw_poison.h.
  * @is_awaiting_head: sent, and the head of the answer has not arrived.
  * @is_awaiting_event: sent, and its first event has not arrived.
  * @sends: upstreams that the request was sent to.
@@ -83,6 +85,7 @@
 	uint64_t weights;
 	bool is_early;
 	bool is_counted;
+	bool has_answered_on;
 	bool is_awaiting_head;
 	bool is_awaiting_event;
 	struct h1_call call;
--- a/src/limits/ps.c
+++ b/src/limits/ps.c
@@ -3,7 +3,10 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* A fingerprint that was running at some crash. */
+/*
+ * A fingerprint that was running at some crash.
+ * @proven_ms: when a part was first found to be proven; 0 if it was not.
+ */
 struct _ps_suspect {
 	uint64_t fingerprint;
 	struct ps_crash crashes[PS_MAX_CRASHES];
@@ -12,6 +15,7 @@
 	int64_t last_ms;
 	int64_t cleared_ms;
 	int64_t confirmed_ms;
+	int64_t proven_ms;
 };
 
 /*
@@ -302,6 +306,7 @@
 	}
 	s->count = kept;
 	s->probes = kept ? s->probes : 0;
+	s->proven_ms = kept ? s->proven_ms : 0;
 	if (at_ms > s->cleared_ms)
 		s->cleared_ms = at_ms;
 	return kept < before;
@@ -390,8 +395,33 @@
 	return true;
 }
 
-/* Crashes at least PS_SAME_CAUSE_MS apart. */
-static uint32_t ps_count_moments(const struct _ps_suspect *suspect)
+/*
+ * Whether a part that was proven before @suspect was at the crash. A harmless
+ * part may be at the crashes of several others.
+ */
+static bool ps_is_explained(const struct ps_table *table,
+			    const struct _ps_suspect *suspect,
+			    const struct ps_crash *crash)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->_suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct _ps_suspect *other = value;
+
+		if (other != suspect && other->proven_ms &&
+		    (!suspect->proven_ms ||
+		     other->proven_ms < suspect->proven_ms) &&
+		    ps_has_crash(other, crash))
+			return true;
+	}
+	return false;
+}
+
+/* Crashes of a part that no other explains, at least PS_SAME_CAUSE_MS apart. */
+static uint32_t ps_count_moments(const struct ps_table *table,
+				 const struct _ps_suspect *suspect)
 {
 	int64_t from_ms = INT64_MIN;
 	uint32_t moments = 0;
@@ -399,10 +429,13 @@
 	for (;;) {
 		int64_t next_ms = INT64_MAX;
 
-		for (uint32_t i = 0; i < suspect->count; i++)
-			if (suspect->crashes[i].at_ms >= from_ms)
-				next_ms =
-					MIN(next_ms, suspect->crashes[i].at_ms);
+		for (uint32_t i = 0; i < suspect->count; i++) {
+			const struct ps_crash *crash = &suspect->crashes[i];
+
+			if (crash->at_ms >= from_ms && crash->at_ms < next_ms &&
+			    !ps_is_explained(table, suspect, crash))
+				next_ms = crash->at_ms;
+		}
 		if (next_ms == INT64_MAX)
 			return moments;
 		moments++;
@@ -410,17 +443,21 @@
 	}
 }
 
-static bool ps_has_enough_crashes(const struct _ps_suspect *suspect)
+static bool ps_has_enough_crashes(const struct ps_table *table,
+				  const struct _ps_suspect *suspect)
 {
-	if (ps_is_part(suspect->fingerprint))
-		return ps_count_moments(suspect) >= PS_PART_CRASHES;
-	return suspect->count >= PS_POISON_CRASHES;
+	if (suspect->count < PS_POISON_CRASHES)
+		return false;
+	return !ps_is_part(suspect->fingerprint) ||
+	       (suspect->count >= PS_PART_CRASHES &&
+		ps_count_moments(table, suspect) >= PS_PART_CRASHES);
 }
 
 static bool ps_is_proven(const struct ps_table *table,
 			 const struct _ps_suspect *suspect)
 {
-	if (!ps_has_enough_crashes(suspect) || ps_has_rival(table, suspect))
+	if (!ps_has_enough_crashes(table, suspect) ||
+	    ps_has_rival(table, suspect))
 		return false;
 	return suspect->count == PS_MAX_CRASHES ||
 	       !ps_completed_recently(table, suspect);
@@ -449,6 +486,8 @@
 
 		if (!s || !ps_is_proven(table, s))
 			continue;
+		if (!s->proven_ms)
+			s->proven_ms = now_ms;
 		/* The record is kept as long as the part is sent again. */
 		s->last_ms = now_ms;
 		return parts[i];
--- a/src/limits/ps.h
+++ b/src/limits/ps.h
@@ -43,6 +43,8 @@
  *	  charged.
  *	- A part is proven by PS_PART_CRASHES crashes at different moments:
  *	  many engines that fail at once have one cause.
+ *	- Crashes at which a part was present that was proven before count for
+ *	  that one alone.
  *	- Nothing else was present at all these crashes. Parts that always come
  *	  together cannot be told apart: from PS_PART_SURE_CRASHES on, only
  *	  what was present at further crashes too counts as a rival.
--- a/tests/unit/poison_test.cc
+++ b/tests/unit/poison_test.cc
@@ -550,6 +550,28 @@
 	}
 }
 
+// A harmless part was at one crash of a part that is refused already, and at
+// two of the next one that crashes engines.
+TEST(Poison, CrashesOfAProvenPartCountForItAlone)
+{
+	const uint64_t next = PS_PART_BIT | 3;
+	struct ps_table table;
+	int64_t at = now;
+
+	ps_init(&table);
+	run(&table, crashes(bad, 1, 3, 1), &at);
+	ASSERT_EQ(ps_find_proven(&table, &bad, 1, at), bad);
+	run(&table,
+	    crashes(sound, 3, 3, 1) + crashes(next, 4, 4, 1) +
+		    crashes(next, 5, 5, 0) + crashes(sound, 5, 5, 1) +
+		    crashes(next, 6, 6, 0) + crashes(sound, 6, 6, 1),
+	    &at);
+	EXPECT_EQ(ps_find_proven(&table, &sound, 1, at), 0u);
+	EXPECT_EQ(ps_find_proven(&table, &next, 1, at), next);
+	EXPECT_EQ(ps_find_proven(&table, &bad, 1, at), bad);
+	ps_finish(&table);
+}
+
 TEST(Poison, FingerprintsOfPartsAndContentsDiffer)
 {
 	struct ps_call call = { "POST", "/x", "team", "body", 4 };
