--- a/tests/sessions/gateway_test.cc
+++ b/tests/sessions/gateway_test.cc
@@ -335,6 +335,42 @@
 	}
 }
 
+// Another writer leaves odd entries among those of the engines. They name no
+// engine; the host goes on, and follows the list.
+TEST_F(Gateway, OddEntriesAmongTheEnginesChangeNothing)
+{
+	const std::string deep(30000, '[');
+	const std::string fields =
+		"{\"service\":\"app\",\"zone\":\"z1\",\"state\":\"ready\"";
+	const std::string odd[] = {
+		deep,
+		fields + ",\"address\":\"127.0.0.1:99999\"}",
+		fields + ",\"address\":\"127.0.0.1:1\",\"slots\":1e300}",
+		fields + ",\"address\":\"127.0.0.1:1\",\"x\":" + deep,
+		std::string("\0\xff{", 3),
+	};
+	int n = 0;
+
+	for (const std::string &text : odd)
+		fleet.put("servers", "odd" + std::to_string(n++), text);
+	fleet.add_engine("a3", "app");
+	fleet.set_draining("a1");
+	fleet.set_draining("a2");
+	EXPECT_TRUE(wait_until([&] {
+		ask("look", "l" + std::to_string(n++));
+		for (const Arrival &a : fleet.arrivals())
+			if (a.engine == "a3")
+				return true;
+		return false;
+	}));
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(ask("look", "m" + std::to_string(i)).status, 200);
+	for (const char *event : { "\"engine\":\"odd", "not_sent" })
+		EXPECT_EQ(read_file(directory.path + "/log").find(event),
+			  std::string::npos)
+			<< event;
+}
+
 TEST_F(Gateway, StopsGracefully)
 {
 	fleet.behave("a1", Behaviour::hang);
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -196,6 +196,48 @@
 	EXPECT_NE(dialect->decode_engine("i", nullptr, 0, &engine), ST_OK);
 }
 
+// Entries of another writer: a field that is sound but for one value.
+TEST_F(Adapter, RejectsEngineEntriesWithValuesOutOfRange)
+{
+	static const struct {
+		const char *field;
+		bool is_valid;
+	} cases[] = {
+		{ "\"slots\":128", true },
+		{ "\"slots\":0", true },
+		{ "\"slots\":1e300", false },
+		{ "\"slots\":-1", false },
+		{ "\"slots\":4294967296", false },
+		{ "\"slots\":NaN", false },
+		{ "\"slots\":\"128\"", false },
+		{ "\"slots\":[[[[[[[[8]]]]]]]]", false },
+		{ "\"born\":1700000000000", true },
+		{ "\"born\":123456789012345678901234567890", false },
+		{ "\"born\":-5", false },
+		{ "\"cold_remaining_ms\":1e18", false },
+		{ "\"models\":{}", false },
+		{ "\"models\":[]", true },
+		{ "\"models\":[7]", false },
+		{ "\"models\":[{\"name\":\"m\",\"version\":2}]", true },
+		{ "\"models\":[{\"name\":\"m\",\"version\":1e40}]", false },
+		{ "\"models\":[{\"name\":3,\"version\":1}]", false },
+		{ "\"other\":[{}]", true },
+	};
+	struct dl_engine engine;
+
+	for (const auto &c : cases) {
+		std::string text = std::string("{\"service\":\"s\",\"address\":"
+					       "\"1.2.3.4:5\",\"zone\":\"z\","
+					       "\"state\":\"ready\",") +
+				   c.field + "}";
+
+		EXPECT_EQ(dialect->decode_engine("i", text.data(), text.size(),
+						 &engine) == ST_OK,
+			  c.is_valid)
+			<< c.field;
+	}
+}
+
 TEST_F(Adapter, ReadsTheConfiguration)
 {
 	const std::string text =
