gateway: a refusal without an id on a kept connection proves nothing

With the id of the earlier request it is skipped, and no request is sent to the same engine twice, so an id never comes twice. But engines refuse without an id what came without one, and such a refusal written again was taken for that of the next request.

Change: without an id, and on a connection that was used before, 'not run' isn't believed; the caller gets 502, which promises nothing.

Test gateway_test RefusalWrittenTwiceIsNotThatOfTheNextRequest: 503 for a request that ran on, 502 now.

--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -206,6 +206,12 @@
 	if (answer.attempt && r->in.attempt &&
 	    strcmp(answer.attempt, r->in.attempt) != 0)
 		return false;
+	/*
+	 * Without an id it may be an earlier refusal, written once more, while
+	 * the engine runs this request.
+	 */
+	if (!answer.attempt && r->in.attempt && !h1_call_is_first(&r->call))
+		answer.has_not_run = false;
 	r->is_awaiting_head = false;
 	if (answer.is_signed)
 		gw_poison_engine_answered(r->gateway, r->engine);
--- a/src/http1/h1_client.c
+++ b/src/http1/h1_client.c
@@ -32,6 +32,7 @@
 	ev_timer timer;
 	int fd;
 	bool is_connected;
+	bool is_first;
 	bool is_head;
 	bool was_sent;
 	bool is_skipped;
@@ -406,6 +407,7 @@
 		l = h1_link_new(desc->peer);
 	l->call = call;
 	l->desc = *desc;
+	l->is_first = is_new;
 	l->is_head = !strcmp(desc->method, "HEAD");
 	l->was_sent = false;
 	l->is_complete = false;
@@ -452,6 +454,11 @@
 	h1_link_connect(l, timeout_ms);
 }
 
+bool h1_call_is_first(const struct h1_call *call)
+{
+	return call->_link && call->_link->is_first;
+}
+
 bool h1_call_was_sent(const struct h1_call *call)
 {
 	return call->_link && call->_link->was_sent;
--- a/src/http1/h1_client.h
+++ b/src/http1/h1_client.h
@@ -148,6 +148,9 @@
 /** h1_call_cancel() - no effect on one that is over. */
 void h1_call_cancel(struct h1_call *call);
 
+/** h1_call_is_first() - no call used its connection before. */
+bool h1_call_is_first(const struct h1_call *call);
+
 /** h1_call_was_sent() - a byte of it may have reached the peer. */
 bool h1_call_was_sent(const struct h1_call *call);
 
--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -402,6 +402,21 @@
 	json_object_put(root);
 }
 
+/* @after: the last event that the caller has, 0 for a new request. */
+static Behaviour behaviour_of(const Engine &e, int after)
+{
+	switch (e.behaviour) {
+	case Behaviour::break_then_fail:
+		return after ? Behaviour::fail : Behaviour::break_off;
+	case Behaviour::break_then_refuse:
+		return after ? Behaviour::refuse : Behaviour::break_off;
+	case Behaviour::break_then_unsign:
+		return after ? Behaviour::unsigned_ : Behaviour::break_off;
+	default:
+		return e.behaviour;
+	}
+}
+
 void Fleet::State::on_engine(Engine *e, struct h1_exchange *x)
 {
 	std::string target = x->target;
@@ -439,7 +454,7 @@
 		e->is_crashing = true;
 		return;
 	}
-	switch (e->behaviour) {
+	switch (behaviour_of(*e, after)) {
 	case Behaviour::pace:
 	case Behaviour::pace_stall:
 	case Behaviour::pace_slow:
@@ -480,7 +495,7 @@
 	h1_begin(x, 200, &headers, -1);
 	h1_headers_finish(&headers);
 	std::string text = stream_answer(after);
-	if (e->behaviour == Behaviour::break_off) {
+	if (behaviour_of(*e, after) == Behaviour::break_off) {
 		text = event(1) + event(2) + event(3) + "id: 4\ndata: tok";
 		h1_write(x, text.data(), text.size());
 		h1_abort(x);
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -42,6 +42,9 @@
 	pace_slow,  /* in full, with long pauses between the events */
 	trickle,    /* two events, then a byte of a comment now and then */
 	endless,    /* a signed head, then bytes without end */
+	break_then_fail,   /* break_off, but 500 for a stream that goes on */
+	break_then_refuse, /* the same, but 503, not run */
+	break_then_unsign, /* the same, but 200 without a signature */
 };
 
 /** Arrival - a request as an engine saw it. */
--- a/tests/sessions/gateway_test.cc
+++ b/tests/sessions/gateway_test.cc
@@ -14,6 +14,7 @@
 #include "http.h"
 #include "process.h"
 #include "proxy.h"
+#include "scripted.h"
 
 using namespace harness;
 
@@ -234,6 +235,109 @@
 	EXPECT_LT(took, std::chrono::milliseconds(6500));
 }
 
+// A stream has begun and breaks off, and the next engine answers with an error:
+// the caller gets whole events and a broken connection, nothing of the error.
+TEST_F(Gateway, ErrorOfTheNextEngineStaysOutOfABegunStream)
+{
+	static const struct {
+		Behaviour behaviour;
+		const char *route;
+	} cases[] = {
+		{ Behaviour::break_then_fail, "grade" },
+		{ Behaviour::break_then_refuse, "patient" },
+		{ Behaviour::break_then_unsign, "slow" },
+	};
+
+	for (const auto &c : cases) {
+		std::string id = std::string("next-") + c.route;
+
+		/* Repeats are earned by requests that need none. */
+		both("e1", "e2", Behaviour::answer);
+		for (int i = 0; i < 20; i++)
+			ask(c.route, id + std::to_string(i));
+		both("e1", "e2", c.behaviour);
+		Reply r = ask(c.route, id);
+		EXPECT_FALSE(r.complete) << id;
+		EXPECT_EQ(r.status, 200) << id;
+		EXPECT_EQ(arrived(id).size(), 2u) << id;
+		EXPECT_FALSE(r.body.empty()) << id;
+		EXPECT_EQ(stream_answer(0).rfind(r.body, 0), 0u) << r.body;
+	}
+}
+
+// An engine writes an earlier refusal once more on a kept connection, and runs
+// the request that came there. Its caller must not be told that it hasn't run,
+// and no other engine may run it.
+TEST_F(Gateway, RefusalWrittenTwiceIsNotThatOfTheNextRequest)
+{
+	static const std::string refusal =
+		"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
+		"Content-Length: 0\r\n";
+	std::atomic<bool> is_full{ true }, has_id{ true };
+	std::atomic<int> runs{ 0 };
+	std::string earlier;
+	ScriptedServer engine([&](const ScriptedServer::Request &r) {
+		std::string id =
+			"X-Attempt-Id: " + r.field("X-Attempt-Id") + "\r\n";
+
+		if (is_full) {
+			earlier = refusal + (has_id ? id : "") + "\r\n";
+			return earlier;
+		}
+		runs++;
+		return earlier + "HTTP/1.1 200 OK\r\n" + id +
+		       "X-Response-Stamp: s\r\nContent-Length: 3\r\n\r\nran";
+	});
+
+	fleet.set_draining("a2");
+	fleet.set_address("a1", engine.address());
+	ASSERT_TRUE(
+		wait_until([&] { return ask("record", "w").status == 503; }));
+	for (bool with_id : { true, false }) {
+		std::string name = with_id ? "with" : "without";
+
+		is_full = true;
+		has_id = with_id;
+		EXPECT_NE(ask("record", name + "-refused").status, 200) << name;
+		is_full = false;
+		runs = 0;
+		Reply r = ask("record", name + "-next");
+		EXPECT_EQ(runs, 1) << name;
+		EXPECT_EQ(r.status, with_id ? 200 : 502) << name;
+	}
+}
+
+// An engine's stream has neither a length nor chunks and ends with its
+// connection: complete after an event, broken off within one.
+TEST_F(Gateway, StreamThatEndsWithItsConnectionIsCompleteAfterAnEvent)
+{
+	std::atomic<bool> is_torn{ false };
+	ScriptedServer engine([&](const ScriptedServer::Request &r) {
+		std::string events = stream_answer(0);
+
+		if (is_torn)
+			events.resize(events.size() - 3);
+		return "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+		       "Content-Type: text/event-stream\r\n"
+		       "X-Response-Stamp: s\r\nX-Attempt-Id: " +
+		       r.field("X-Attempt-Id") + "\r\n\r\n" + events;
+	});
+
+	fleet.set_draining("e2");
+	fleet.set_address("e1", engine.address());
+	ASSERT_TRUE(wait_until([&] {
+		return ask("draft", "w").headers["x-response-stamp"] == "s";
+	}));
+	Reply whole = ask("draft", "whole");
+	EXPECT_TRUE(whole.complete);
+	EXPECT_EQ(whole.body, stream_answer(0));
+	is_torn = true;
+	Reply torn = ask("draft", "torn");
+	EXPECT_FALSE(torn.complete);
+	EXPECT_EQ(stream_answer(0).rfind(torn.body, 0), 0u);
+	EXPECT_EQ(torn.body.substr(torn.body.size() - 2), "\n\n");
+}
+
 TEST_F(Gateway, NonResumableBrokenStreamIsTruncated)
 {
 	both("e1", "e2", Behaviour::break_off);
