gateway: engines that leave or ask for a pause are left alone

Neither was known to the code: an engine that says Server-Leaving in its answers was sent requests until its entry told, and the Retry-After of a refusal was not read.

Change: both are decoded once (pl_headers.c), with bad values logged and counted. fl_notice.h decides: a notice belongs to an incarnation and survives the loss of its entry; one that leaves gets nothing more; in a pause it gets no requests and at most two calls of control. Placement, the plan of a roll-out, reports and orders ask it. What is refused because all pause comes back with the end of the first pause, spread. A broken connection to an engine that has said that it leaves is no crash.

Not in it: telling other hosts; a leaving engine as a source of cache; use again by evidence other than a new incarnation; the entry; the soak.

--- a/src/dialect/dl.h
+++ b/src/dialect/dl.h
@@ -91,11 +91,17 @@
  * @attempt: id of the request that was answered, NULL if absent.
  * @is_signed: the answer carries the upstream's signature.
  * @has_not_run: the upstream has not run the request and never will.
+ * @is_leaving: the upstream says that it leaves the service.
+ * @pause_ms: time for which it wants no more requests from this host; 0: none.
+ * @has_bad_notice: a field for one of the two above could not be read.
  */
 struct dl_answer {
 	const char *attempt;
 	bool is_signed;
 	bool has_not_run;
+	bool is_leaving;
+	int64_t pause_ms;
+	bool has_bad_notice;
 };
 
 /**
--- a/src/fleet/fl.c
+++ b/src/fleet/fl.c
@@ -16,6 +16,8 @@
 {
 	fleet->_loop = loop;
 	fleet->_engines = g_ptr_array_new_with_free_func(fl_drop);
+	fleet->_notices = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						g_free, g_free);
 }
 
 void fl_finish(struct fl_fleet *fleet)
@@ -23,6 +25,9 @@
 	if (fleet->_engines)
 		g_ptr_array_free(fleet->_engines, TRUE);
 	fleet->_engines = NULL;
+	if (fleet->_notices)
+		g_hash_table_destroy(fleet->_notices);
+	fleet->_notices = NULL;
 }
 
 struct fl_engine *fl_find(const struct fl_fleet *fleet, const char *id)
@@ -62,6 +67,35 @@
 	return old->ipv4 == entry->ipv4 && old->port == entry->port;
 }
 
+static uint64_t fl_notice_key(const struct fl_engine *engine)
+{
+	return engine->hash ^ engine->_incarnation;
+}
+
+/* A full table is emptied: engines that are present keep their own copies. */
+void fl_keep_notice(struct fl_fleet *fleet, const struct fl_engine *engine)
+{
+	uint64_t key = fl_notice_key(engine);
+
+	if (!engine->notice.is_leaving && !engine->notice.pause_until_ms)
+		return;
+	if (g_hash_table_size(fleet->_notices) >= FL_MAX_NOTICES)
+		g_hash_table_remove_all(fleet->_notices);
+	g_hash_table_replace(
+		fleet->_notices, g_memdup2(&key, sizeof(key)),
+		g_memdup2(&engine->notice, sizeof(engine->notice)));
+}
+
+static void fl_recall_notice(struct fl_fleet *fleet, struct fl_engine *engine)
+{
+	uint64_t key = fl_notice_key(engine);
+	const struct fl_notice *kept =
+		g_hash_table_lookup(fleet->_notices, &key);
+
+	if (kept)
+		engine->notice = *kept;
+}
+
 static struct fl_engine *fl_add(struct fl_fleet *fleet,
 				const struct dl_engine *entry)
 {
@@ -72,6 +106,7 @@
 	e->_incarnation = fl_hash_incarnation(entry);
 	e->region = "";
 	e->_references = 1;
+	fl_recall_notice(fleet, e);
 	h1_peer_init(&e->peer, fleet->_loop, entry->ipv4, entry->port);
 	g_ptr_array_add(fleet->_engines, e);
 	return e;
--- a/src/fleet/fl.h
+++ b/src/fleet/fl.h
@@ -9,7 +9,8 @@
  *	(fl_mark_missing()).
  *
  *	An upstream that restarts under the same id is a new incarnation; the
- *	state observed of the previous one is dropped.
+ *	state observed of the previous one is dropped. What an incarnation said
+ *	of itself (fl_notice.h) is kept when its entry disappears for a while.
  *
  *	An upstream stays in memory while requests refer to it.
  *
@@ -26,6 +27,7 @@
 #define FL_H
 
 #include "dialect/dl.h"
+#include "fleet/fl_notice.h"
 #include "http1/h1_client.h"
 
 /**
@@ -43,6 +45,7 @@
  * @region_number: number of the region, equal for equal names.
  * @is_updating: about to load new weights, or loading; see gw_plan.h.
  * @updating_since_ms: when @is_updating was set.
+ * @notice: what it has said of itself; change it with fl_keep_notice().
  * @is_gone: removed; kept in memory only for requests that refer to it.
  */
 struct fl_engine {
@@ -61,6 +64,7 @@
 	uint32_t region_number;
 	bool is_updating;
 	int64_t updating_since_ms;
+	struct fl_notice notice;
 	bool is_gone;
 
 	uint64_t _incarnation;
@@ -68,9 +72,13 @@
 	int64_t _missing_until_ms;
 };
 
+/** Incarnations whose notices are kept. */
+#define FL_MAX_NOTICES 4096
+
 struct fl_fleet {
 	struct ev_loop *_loop;
 	GPtrArray *_engines;
+	GHashTable *_notices;
 };
 
 void fl_init(struct fl_fleet *fleet, struct ev_loop *loop);
@@ -86,6 +94,15 @@
 void fl_mark_missing(struct fl_fleet *fleet, const char *id,
 		     int64_t keep_until_ms);
 
+/** fl_keep_notice() - keep the notice of @engine for when its entry returns. */
+void fl_keep_notice(struct fl_fleet *fleet, const struct fl_engine *engine);
+
+/** fl_is_leaving() - whether its entry or itself says that it leaves. */
+static inline bool fl_is_leaving(const struct fl_engine *engine)
+{
+	return engine->entry.is_draining || engine->notice.is_leaving;
+}
+
 /** fl_incarnation() - hash of this start of @engine, equal on all hosts. */
 uint64_t fl_incarnation(const struct fl_engine *engine);
 
--- /dev/null
+++ b/src/fleet/fl_notice.c
@@ -0,0 +1,53 @@
+#include "fleet/fl_notice.h"
+
+#include <glib.h>
+
+static bool fl_notice_is_paused(const struct fl_notice *notice, int64_t now_ms)
+{
+	return now_ms < notice->pause_until_ms;
+}
+
+enum fl_use fl_notice_use(const struct fl_notice *notice, int64_t now_ms)
+{
+	if (notice->is_leaving)
+		return FL_LEAVING;
+	return fl_notice_is_paused(notice, now_ms) ? FL_PAUSED : FL_USABLE;
+}
+
+bool fl_notice_leaving(struct fl_notice *notice)
+{
+	bool is_news = !notice->is_leaving;
+
+	notice->is_leaving = true;
+	return is_news;
+}
+
+bool fl_notice_pause(struct fl_notice *notice, int64_t pause_ms, int64_t now_ms)
+{
+	bool is_news = !fl_notice_is_paused(notice, now_ms);
+
+	if (is_news)
+		notice->pause_calls = 0;
+	notice->pause_until_ms =
+		MAX(notice->pause_until_ms,
+		    now_ms + CLAMP(pause_ms, 0, FL_MAX_PAUSE_MS));
+	return is_news;
+}
+
+bool fl_notice_end_pause(struct fl_notice *notice, int64_t now_ms)
+{
+	if (!notice->pause_until_ms || fl_notice_is_paused(notice, now_ms))
+		return false;
+	notice->pause_until_ms = 0;
+	return true;
+}
+
+bool fl_notice_take_call(struct fl_notice *notice, int64_t now_ms)
+{
+	if (!fl_notice_is_paused(notice, now_ms))
+		return true;
+	if (notice->pause_calls >= FL_PAUSE_CALLS)
+		return false;
+	notice->pause_calls++;
+	return true;
+}
--- /dev/null
+++ b/src/fleet/fl_notice.h
@@ -0,0 +1,65 @@
+/*
+ * fl_notice - what an upstream has said of itself in its answers.
+ *
+ * Load pattern
+ *	An upstream leaves while the store is away, so that its entry does not
+ *	tell; or it is overloaded, and asks each of its callers for a pause.
+ *
+ * Overview
+ *	A notice holds for one incarnation of an upstream. Having said that it
+ *	leaves, it gets nothing any more: only the next incarnation does. During
+ *	a pause it gets no requests, and FL_PAUSE_CALLS calls of control at
+ *most. A pause that is asked for again may extend the one that runs, and never
+ *	shortens it.
+ *
+ *	Plain functions, no clock.
+ *
+ * Use
+ *	if (fl_notice_pause(&notice, pause_ms, now_ms)) ...it is news
+ *	if (fl_notice_use(&notice, now_ms) != FL_USABLE) ...choose another
+ */
+#ifndef FL_NOTICE_H
+#define FL_NOTICE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define FL_PAUSE_CALLS 2
+/** Longest pause that an upstream may ask for. */
+#define FL_MAX_PAUSE_MS 86400000
+
+/** enum fl_use - whether an upstream may get a request. */
+enum fl_use { FL_USABLE = 0, FL_LEAVING, FL_PAUSED };
+
+/**
+ * struct fl_notice - zero means that nothing was said.
+ * @is_leaving: it leaves.
+ * @pause_until_ms: end of the pause; 0: none was asked for.
+ * @pause_calls: calls of control made during the pause.
+ */
+struct fl_notice {
+	bool is_leaving;
+	int64_t pause_until_ms;
+	uint32_t pause_calls;
+};
+
+enum fl_use fl_notice_use(const struct fl_notice *notice, int64_t now_ms);
+
+/** fl_notice_leaving() - it leaves; returns whether that is news. */
+bool fl_notice_leaving(struct fl_notice *notice);
+
+/**
+ * fl_notice_pause() - it asks for a pause from now on; returns whether no pause
+ * was running.
+ */
+bool fl_notice_pause(struct fl_notice *notice, int64_t pause_ms,
+		     int64_t now_ms);
+
+/** fl_notice_end_pause() - whether a pause has just ended; true once. */
+bool fl_notice_end_pause(struct fl_notice *notice, int64_t now_ms);
+
+/** fl_notice_take_call() - whether a call of control may be made, and count it.
+ */
+bool fl_notice_take_call(struct fl_notice *notice, int64_t now_ms);
+
+#endif
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -15,6 +15,7 @@
  *	gw_plan.c	decision which engines load new weights next
  *	gw_rollout.c	sends the load orders, under a lease
  *	gw_silence.c	detection of engines that stop answering
+ *	gw_notice.c	engines that say that they leave or want a pause
  *	gw_relay.c	distribution of store rows within a region
  *	gw_hosts.c	list of the other hosts, from the gateway's own rows
  *	gw_catchup.c	copy of a store table from another host
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -5,6 +5,7 @@
 
 #include "gateway/gw.h"
 #include "gateway/gw_catchup.h"
+#include "gateway/gw_notice.h"
 #include "gateway/gw_poison.h"
 #include "gateway/gw_relay.h"
 #include "gateway/gw_silence.h"
@@ -372,6 +373,7 @@
 	mt_set(&gw_config_age, ck_now_ms() - k->gateway->config_fresh_ms);
 	gw_requests_sweep(k->gateway, ck_now_ms());
 	gw_silence_sweep(k->gateway, ck_now_ms());
+	gw_notice_sweep(k->gateway, ck_now_ms());
 	if (!fl_expire(&k->gateway->fleet, ck_now_ms()))
 		return;
 	gw_rollout_changed(k->gateway);
--- a/src/gateway/gw_place.c
+++ b/src/gateway/gw_place.c
@@ -33,7 +33,7 @@
 		       const struct gw_place_request *request,
 		       const struct fl_engine *e, int64_t weights_age_ms)
 {
-	if (e->is_gone || e->entry.is_draining ||
+	if (e->is_gone || fl_is_leaving(e) ||
 	    strcmp(e->entry.service, request->service->name) != 0)
 		return false;
 	if (!request->model)
@@ -112,6 +112,12 @@
 	};
 }
 
+/* The earlier of two times, of which 0 is none. */
+static int64_t gw_earlier(int64_t a_ms, int64_t b_ms)
+{
+	return a_ms && a_ms < b_ms ? a_ms : b_ms;
+}
+
 struct gw_place_answer gw_place(const struct gw_gateway *g,
 				const struct gw_place_request *request,
 				int64_t now_ms)
@@ -126,6 +132,7 @@
 	struct pc_request prefix = request->prefix;
 	struct pc_store stored;
 	struct pc_answer answer;
+	int64_t pause_end_ms = 0;
 	uint32_t count = 0;
 
 	fl_for_each (&g->fleet, e) {
@@ -135,6 +142,11 @@
 		if (count == GW_MAX_CANDIDATES ||
 		    !gw_can_run(g, request, e, age_ms))
 			continue;
+		if (fl_notice_use(&e->notice, now_ms) == FL_PAUSED) {
+			pause_end_ms = gw_earlier(pause_end_ms,
+						  e->notice.pause_until_ms);
+			continue;
+		}
 		engines[count] = e;
 		candidates[count++] =
 			gw_candidate(g, request, e, age_ms, now_ms);
@@ -146,6 +158,7 @@
 	answer = pc_place(&prefix, candidates, count);
 	return (struct gw_place_answer){
 		.engine = answer.chosen < 0 ? NULL : engines[answer.chosen],
+		.pause_end_ms = pause_end_ms,
 		.source = answer.source < 0 ? NULL : engines[answer.source],
 		.store = store,
 		.is_from_store = answer.is_from_store,
--- a/src/gateway/gw_place.h
+++ b/src/gateway/gw_place.h
@@ -34,6 +34,8 @@
 /**
  * struct gw_place_answer - the chosen upstream and sources of its prefix.
  * @engine: NULL if no upstream can run the request.
+ * @pause_end_ms: first end of the pauses of upstreams that could run it
+ *	otherwise; 0: no such upstream.
  * @source: engine to copy the prefix from, or NULL.
  * @store: store of cached prompts; NULL if none is used.
  * @is_from_store, @is_to_store, @read_tokens, @cost_ms, @mean_wait_ms: see
@@ -41,6 +43,7 @@
  */
 struct gw_place_answer {
 	struct fl_engine *engine;
+	int64_t pause_end_ms;
 	struct fl_engine *source;
 	const struct ca_service *store;
 	bool is_from_store;
--- a/src/gateway/gw_plan.c
+++ b/src/gateway/gw_plan.c
@@ -36,8 +36,7 @@
 
 	fl_for_each (fleet, e) {
 		if (strcmp(e->entry.model, wanted->model) != 0 ||
-		    strcmp(e->region, engine->region) != 0 ||
-		    e->entry.is_draining)
+		    strcmp(e->region, engine->region) != 0 || fl_is_leaving(e))
 			continue;
 		all++;
 		if (!gw_plan_is_outdated(e, wanted))
@@ -57,7 +56,7 @@
 
 		bool was_next = e->is_updating;
 
-		e->is_updating = wanted && !e->entry.is_draining &&
+		e->is_updating = wanted && !fl_is_leaving(e) &&
 				 gw_plan_is_outdated(e, wanted) &&
 				 gw_plan_is_next(&g->fleet, wanted, e);
 		if (e->is_updating && !was_next)
--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -351,7 +351,7 @@
 	r->is_counted = false;
 	/* An engine that shuts down as planned ends the requests it runs. */
 	if (end == PS_BROKEN &&
-	    (r->engine->is_gone || r->engine->entry.is_draining))
+	    (r->engine->is_gone || fl_is_leaving(r->engine)))
 		end = PS_CANCELLED;
 	gw_record_end(r, r->content, end);
 	/* An error is no answer that the engine wrote on the prompt. */
@@ -414,7 +414,7 @@
 	char requests[12];
 	uint32_t count;
 
-	if (e->entry.is_draining)
+	if (fl_is_leaving(e))
 		return;
 	count = ps_crashed(&g->poison->table, e->hash, fl_incarnation(e),
 			   crashed, GW_MAX_CRASH_RECORDS, ck_now_ms());
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -283,6 +283,14 @@
 	}
 }
 
+/* Callers return over some time after the first pause has ended. */
+static int64_t gw_pause_retry_after_ms(int64_t pause_end_ms)
+{
+	return MAX(pause_end_ms - ck_now_ms(), 0) +
+	       g_random_int_range(GW_RETRY_AFTER_MIN_S * 1000,
+				  GW_RETRY_AFTER_MAX_S * 1000);
+}
+
 void gw_request_place(struct gw_request *r)
 {
 	struct gw_place_request request = {
@@ -297,7 +305,12 @@
 		return;
 	request.tried_count = r->tried_count;
 	answer = gw_place(r->gateway, &request, ck_now_ms());
-	if (!answer.engine || r->failed_connects >= GW_MAX_FAILED_CONNECTS)
+	if (!answer.engine && answer.pause_end_ms) {
+		r->retry_after_ms =
+			gw_pause_retry_after_ms(answer.pause_end_ms);
+		gw_give_up(r, "engines_paused");
+	} else if (!answer.engine ||
+		   r->failed_connects >= GW_MAX_FAILED_CONNECTS)
 		gw_give_up(r, "no_engine");
 	else
 		gw_send(r, &answer);
--- a/src/gateway/gw_rollout.c
+++ b/src/gateway/gw_rollout.c
@@ -7,6 +7,7 @@
 #include "control/ls.h"
 #include "gateway/gw.h"
 #include "gateway/gw_peers.h"
+#include "gateway/gw_notice.h"
 #include "gateway/gw_plan.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
@@ -125,7 +126,13 @@
 static bool gw_job_on_head(void *arg, uint32_t status,
 			   const struct h1_headers *headers)
 {
-	((struct gw_job *)arg)->status = status;
+	struct gw_job *job = arg;
+	struct gw_gateway *g = job->rollout->gateway;
+	struct dl_answer answer;
+
+	g->dialect->read_answer(status, headers, &answer);
+	gw_notice_answer(g, job->engine, &answer, "");
+	job->status = status;
 	return true;
 }
 
@@ -308,14 +315,20 @@
 static void gw_advance_job(struct gw_job *job, const struct gw_wanted *wanted,
 			   int64_t now_ms)
 {
+	bool may_order = job->knows_orders;
+
 	if (job->is_reporting || job->is_ordering || now_ms < job->next_ms)
 		return;
-	if (!job->knows_orders)
-		gw_job_report(job);
-	else if (!gw_has_waiting_prompts(job->rollout->gateway, job->engine,
-					 now_ms) &&
-		 ls_can_order(&job->rollout->lease, false, now_ms))
+	if (may_order && (gw_has_waiting_prompts(job->rollout->gateway,
+						 job->engine, now_ms) ||
+			  !ls_can_order(&job->rollout->lease, false, now_ms)))
+		return;
+	if (!fl_notice_take_call(&job->engine->notice, now_ms))
+		return;
+	if (may_order)
 		gw_job_order(job, wanted);
+	else
+		gw_job_report(job);
 }
 
 static void gw_drop_jobs(struct gw_rollout *ro)
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "gateway/gw_notice.h"
 #include "gateway/gw_poison.h"
 #include "gateway/gw_request.h"
 #include "gateway/gw_silence.h"
@@ -202,6 +203,8 @@
 	struct dl_answer answer;
 
 	r->gateway->dialect->read_answer(status, headers, &answer);
+	gw_notice_answer(r->gateway, r->engine, &answer,
+			 r->in.attempt ? r->in.attempt : "");
 	/* A late answer to an earlier request on this connection. */
 	if (answer.attempt && r->in.attempt &&
 	    strcmp(answer.attempt, r->in.attempt) != 0)
--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -147,6 +147,8 @@
 	std::string id;
 	std::string address;
 	bool is_draining = false;
+	bool is_leaving = false;
+	int64_t paused_until_ms = 0;
 	std::string service;
 	std::string model;
 	int weights = 0;
@@ -446,6 +448,15 @@
 			h1_headers_value(x->headers, i);
 	arrivals.push_back(arrival);
 	fields["X-Attempt-Id"] = arrival.headers["X-Attempt-Id"];
+	if (e->is_leaving)
+		fields["Server-Leaving"] = "1";
+	if (arrival.at_ms < e->paused_until_ms) {
+		fields["X-Not-Executed"] = "1";
+		fields["Retry-After"] = std::to_string(
+			(e->paused_until_ms - arrival.at_ms) / 1000.0);
+		respond(x, 503, "", fields);
+		return;
+	}
 	if (arrival.headers.count("Last-Event-Id"))
 		after = std::stoi(arrival.headers["Last-Event-Id"]);
 	if (e->behaviour != Behaviour::refuse)
@@ -632,6 +643,7 @@
 		e->down_until_ms = now_ms + crash_down_ms;
 	} else if (e->down_until_ms && now_ms >= e->down_until_ms) {
 		e->down_until_ms = 0;
+		e->is_leaving = false;
 		e->born++;
 		listen(e);
 		e->on_port(e->port);
@@ -775,6 +787,23 @@
 	});
 }
 
+void Fleet::say_leaving(const std::string &id)
+{
+	run([&] { state->engines[id]->is_leaving = true; });
+}
+
+void Fleet::ask_pause(const std::string &id, int pause_ms)
+{
+	run([&] {
+		state->engines[id]->paused_until_ms = ck_now_ms() + pause_ms;
+	});
+}
+
+void Fleet::write_entry(const std::string &id)
+{
+	run([&] { state->write_entry(*state->engines[id]); });
+}
+
 void Fleet::set_draining(const std::string &id)
 {
 	run([&] {
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -97,6 +97,19 @@
 	void set_address(const std::string &id, const std::string &address);
 	void set_draining(const std::string &id);
 
+	/** say_leaving() - all its answers say that it leaves; not its entry.
+	 */
+	void say_leaving(const std::string &id);
+
+	/**
+	 * ask_pause() - it refuses everything for @pause_ms, and each refusal
+	 * asks for a pause until then.
+	 */
+	void ask_pause(const std::string &id, int pause_ms);
+
+	/** write_entry() - its entry, once more. */
+	void write_entry(const std::string &id);
+
 	/**
 	 * follow_engine() - @on_port is told 0 before the connections of the
 	 * engine break as it ends, and the port when it listens again.
--- /dev/null
+++ b/tests/unit/notice_test.cc
@@ -0,0 +1,170 @@
+// What upstreams say of themselves in their answers.
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "fleet/fl.h"
+#include "fleet/fl_notice.h"
+}
+
+namespace
+{
+
+const int64_t now = 1000000;
+
+// A step: 'l' it leaves, 'p' it asks for a pause of @ms, 'w' @ms pass, 'c' a
+// call of control is made.
+struct Step {
+	char what;
+	int64_t ms;
+};
+
+TEST(Notice, UseFollowsWhatWasSaid)
+{
+	static const struct {
+		const char *what;
+		std::vector<Step> steps;
+		enum fl_use use;
+	} cases[] = {
+		{ "nothing said", {}, FL_USABLE },
+		{ "leaves", { { 'l', 0 } }, FL_LEAVING },
+		{ "leaves, an hour later",
+		  { { 'l', 0 }, { 'w', 3600000 } },
+		  FL_LEAVING },
+		{ "pause", { { 'p', 3000 }, { 'w', 2999 } }, FL_PAUSED },
+		{ "pause over", { { 'p', 3000 }, { 'w', 3000 } }, FL_USABLE },
+		{ "a later, shorter pause ends no longer one",
+		  { { 'p', 3000 }, { 'w', 100 }, { 'p', 200 }, { 'w', 2000 } },
+		  FL_PAUSED },
+		{ "a pause is extended",
+		  { { 'p', 3000 },
+		    { 'w', 2000 },
+		    { 'p', 3000 },
+		    { 'w', 2000 } },
+		  FL_PAUSED },
+		{ "a negative pause is none", { { 'p', -5 } }, FL_USABLE },
+		{ "a pause is bounded",
+		  { { 'p', INT64_MAX / 2 }, { 'w', FL_MAX_PAUSE_MS } },
+		  FL_USABLE },
+		{ "leaves in a pause",
+		  { { 'p', 3000 }, { 'l', 0 }, { 'w', 4000 } },
+		  FL_LEAVING },
+	};
+
+	for (const auto &c : cases) {
+		struct fl_notice notice = {};
+		int64_t at = now;
+
+		for (const Step &s : c.steps) {
+			if (s.what == 'l')
+				fl_notice_leaving(&notice);
+			else if (s.what == 'p')
+				fl_notice_pause(&notice, s.ms, at);
+			else
+				at += s.ms;
+		}
+		EXPECT_EQ(fl_notice_use(&notice, at), c.use) << c.what;
+	}
+}
+
+TEST(Notice, CallsInAPauseAreBounded)
+{
+	struct fl_notice notice = {};
+
+	for (int i = 0; i < 5; i++)
+		EXPECT_TRUE(fl_notice_take_call(&notice, now));
+	for (int64_t at : { now, now + 5000 }) {
+		EXPECT_TRUE(fl_notice_pause(&notice, 3000, at));
+		for (int i = 0; i < FL_PAUSE_CALLS; i++)
+			EXPECT_TRUE(fl_notice_take_call(&notice, at + 1));
+		EXPECT_FALSE(fl_notice_pause(&notice, 3000, at + 1));
+		EXPECT_FALSE(fl_notice_take_call(&notice, at + 2));
+	}
+}
+
+TEST(Notice, NewsIsToldOnce)
+{
+	struct fl_notice notice = {};
+
+	EXPECT_TRUE(fl_notice_leaving(&notice));
+	EXPECT_FALSE(fl_notice_leaving(&notice));
+	EXPECT_FALSE(fl_notice_end_pause(&notice, now));
+	EXPECT_TRUE(fl_notice_pause(&notice, 1000, now));
+	EXPECT_FALSE(fl_notice_pause(&notice, 1000, now + 10));
+	EXPECT_FALSE(fl_notice_end_pause(&notice, now + 900));
+	EXPECT_TRUE(fl_notice_end_pause(&notice, now + 1010));
+	EXPECT_FALSE(fl_notice_end_pause(&notice, now + 1010));
+}
+
+class Kept : public testing::Test
+{
+      protected:
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct fl_fleet fleet = {};
+
+	void SetUp() override
+	{
+		fl_init(&fleet, loop);
+	}
+	void TearDown() override
+	{
+		fl_finish(&fleet);
+		ev_loop_destroy(loop);
+	}
+	struct fl_engine *put(const char *id, int64_t started_ms, int port)
+	{
+		struct dl_engine entry = {};
+
+		g_strlcpy(entry.id, id, sizeof(entry.id));
+		g_strlcpy(entry.service, "s", sizeof(entry.service));
+		entry.ipv4 = 0x7f000001;
+		entry.port = (uint16_t)port;
+		entry.started_ms = started_ms;
+		return fl_put(&fleet, &entry);
+	}
+};
+
+// A notice holds for an incarnation, not for an id or an address.
+TEST_F(Kept, NoticeBelongsToTheIncarnation)
+{
+	static const struct {
+		const char *what;
+		const char *id;
+		int64_t started_ms;
+		int port;
+		bool is_leaving;
+	} cases[] = {
+		{ "the entry comes back", "i-1", 5, 80, true },
+		{ "a later start", "i-1", 6, 80, false },
+		{ "another upstream at its address", "i-2", 5, 80, false },
+		{ "another address", "i-1", 5, 81, false },
+	};
+
+	for (const auto &c : cases) {
+		struct fl_engine *e = put("i-1", 5, 80);
+
+		fl_notice_leaving(&e->notice);
+		fl_keep_notice(&fleet, e);
+		EXPECT_TRUE(put("i-1", 5, 80)->notice.is_leaving) << c.what;
+		fl_mark_missing(&fleet, "i-1", 0);
+		e = put(c.id, c.started_ms, c.port);
+		EXPECT_EQ(fl_is_leaving(e), c.is_leaving) << c.what;
+		fl_mark_missing(&fleet, c.id, 0);
+	}
+}
+
+TEST_F(Kept, NoticesAreBounded)
+{
+	for (int64_t i = 0; i < 2 * FL_MAX_NOTICES; i++) {
+		struct fl_engine *e = put("i-1", i + 1, 80);
+
+		fl_notice_leaving(&e->notice);
+		fl_keep_notice(&fleet, e);
+	}
+	EXPECT_LE(g_hash_table_size(fleet._notices), (guint)FL_MAX_NOTICES);
+}
+
+} // namespace
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -140,6 +140,65 @@
 	}
 }
 
+TEST_F(Adapter, ReadsWhatAnUpstreamSaysOfItself)
+{
+	static const struct {
+		uint32_t status;
+		std::vector<std::pair<const char *, const char *>> fields;
+		bool is_leaving;
+		int64_t pause_ms;
+		bool is_bad;
+	} cases[] = {
+		{ 200, {}, false, 0, false },
+		{ 200, { { "Server-Leaving", "1" } }, true, 0, false },
+		{ 500, { { "server-leaving", "1" } }, true, 0, false },
+		{ 200, { { "Server-Leaving", "yes" } }, false, 0, true },
+		{ 200, { { "Server-Leaving", "" } }, false, 0, true },
+		{ 503, { { "Retry-After", "3" } }, false, 3000, false },
+		{ 503, { { "Retry-After", "0.25" } }, false, 250, false },
+		{ 503, { { "Retry-After", "0" } }, false, 0, false },
+		{ 200, { { "Retry-After", "3" } }, false, 0, false },
+		{ 503, { { "Retry-After", "-3" } }, false, 0, true },
+		{ 503, { { "Retry-After", "" } }, false, 0, true },
+		{ 503, { { "Retry-After", "soon" } }, false, 0, true },
+		{ 503, { { "Retry-After", "3s" } }, false, 0, true },
+		{ 503, { { "Retry-After", "nan" } }, false, 0, true },
+		{ 503, { { "Retry-After", "1e9" } }, false, 0, true },
+		{ 503, { { "Retry-After", "86400" } }, false, 86400000, false },
+		{ 503,
+		  { { "Retry-After", "3" }, { "Retry-After", "3" } },
+		  false,
+		  3000,
+		  false },
+		{ 503,
+		  { { "Retry-After", "3" }, { "Retry-After", "4" } },
+		  false,
+		  0,
+		  true },
+		{ 503,
+		  { { "Retry-After", "-1" }, { "Server-Leaving", "1" } },
+		  true,
+		  0,
+		  true },
+	};
+
+	for (const auto &c : cases) {
+		struct dl_answer answer;
+		std::string what;
+
+		h1_headers_clear(&in);
+		for (const auto &field : c.fields) {
+			h1_headers_add(&in, field.first, field.second);
+			what += std::string(field.first) + "=" + field.second +
+				" ";
+		}
+		dialect->read_answer(c.status, &in, &answer);
+		EXPECT_EQ(answer.is_leaving, c.is_leaving) << what;
+		EXPECT_EQ(answer.pause_ms, c.pause_ms) << what;
+		EXPECT_EQ(answer.has_bad_notice, c.is_bad) << what;
+	}
+}
+
 // "seq" and "version" occur at several levels, with a different meaning at
 // each.
 TEST_F(Adapter, ReadsAnEngineAndItsReport)
