soak: parts that end engines, engines that leave or pause

Checked at the engines: at most three requests with a part later than 4 s after its fifth crash, by hosts in touch; nothing to an engine drain_ms after a host has passed on that it leaves; two requests at most in a pause, from 0.5 s after a host was told.

--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -9,6 +9,7 @@
 #include <condition_variable>
 #include <deque>
 #include <list>
+#include <set>
 
 #include "process.h"
 
@@ -179,7 +180,7 @@
 	uint64_t history_from = 0;
 	int calls = 0;
 	std::string crash_body;
-	std::string crash_part;
+	std::set<std::string> crash_parts;
 	int crash_down_ms = 0;
 	std::vector<int64_t> crash_times;
 	std::list<Run> running;
@@ -462,6 +463,7 @@
 	if (e->behaviour != Behaviour::refuse)
 		begun[arrival.headers["X-Attempt-Id"]]++;
 	if (crashes(arrival)) {
+		arrivals.back().ends_engine = !e->is_crashing;
 		e->is_crashing = true;
 		return;
 	}
@@ -532,6 +534,8 @@
 		h1_headers_add(&headers, "X-Attempt-Id", attempt.c_str());
 		h1_headers_add(&headers, "X-Response-Stamp",
 			       ("stamp-" + e->id).c_str());
+		if (e->is_leaving)
+			h1_headers_add(&headers, "Server-Leaving", "1");
 		h1_begin(x, 200, &headers, -1);
 		h1_headers_finish(&headers);
 	}
@@ -559,9 +563,14 @@
 		return false;
 	}
 	if (run.engine->model.empty()) {
-		respond(run.x, 200, paced_answer(run.attempt, false),
-			{ { "X-Attempt-Id", run.attempt },
-			  { "X-Response-Stamp", "stamp-" + run.engine->id } });
+		std::map<std::string, std::string> fields = {
+			{ "X-Attempt-Id", run.attempt },
+			{ "X-Response-Stamp", "stamp-" + run.engine->id }
+		};
+
+		if (run.engine->is_leaving)
+			fields["Server-Leaving"] = "1";
+		respond(run.x, 200, paced_answer(run.attempt, false), fields);
 		return true;
 	}
 	if (run.events == events_of_an_answer) {
@@ -621,13 +630,17 @@
 
 	if (!crash_body.empty() && arrival.body.rfind(crash_body, 0) == 0)
 		return true;
-	if (crash_part.empty() || parts == arrival.headers.end())
+	if (parts == arrival.headers.end())
 		return false;
-	/* Each part but the last is followed by a comma. */
-	size_t at = parts->second.find(crash_part + ":");
+	for (const std::string &part : crash_parts) {
+		/* Each part but the last is followed by a comma. */
+		size_t at = parts->second.find(part + ":");
 
-	return at != std::string::npos &&
-	       parts->second.find(',', at) != std::string::npos;
+		if (at != std::string::npos &&
+		    parts->second.find(',', at) != std::string::npos)
+			return true;
+	}
+	return false;
 }
 
 void Fleet::State::crash_or_start(Engine *e, int64_t now_ms)
@@ -853,7 +866,7 @@
 void Fleet::crash_on_part(const std::string &part, int down_ms)
 {
 	run([&] {
-		state->crash_part = part;
+		state->crash_parts.insert(part);
 		state->crash_down_ms = down_ms;
 	});
 }
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -55,6 +55,7 @@
 	std::string body;
 	std::map<std::string, std::string> headers;
 	int64_t at_ms;
+	bool ends_engine = false; /* the engine crashes with it */
 };
 
 /** Order - of new weights, as an engine saw it. */
@@ -136,7 +137,7 @@
 
 	/**
 	 * crash_on_part() - the same for a request whose prompt has the part
-	 * @part (its ID in hexadecimal) before the last one.
+	 * @part (its ID in hexadecimal) before the last one. Parts add up.
 	 */
 	void crash_on_part(const std::string &part, int down_ms);
 
--- a/tests/soak/driver.cc
+++ b/tests/soak/driver.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cstring>
 #include <iostream>
 #include <sstream>
 
@@ -195,6 +196,7 @@
 						    fleet.engine_port(slot.id));
 	slot.way_until_ms = 0;
 	slot.behaves_until_ms = 0;
+	slot.paused_until_ms = 0;
 	fleet.follow_engine(slot.id, [way = slot.way.get()](uint16_t port) {
 		way->set_target_port(port);
 	});
@@ -248,10 +250,22 @@
 		promises.drained(slot.id, ck_now_ms());
 		ways_of_drained.push_back(std::move(slot.way));
 		add_engine(slot);
+	} else if (fault.kind == Kind::engine_leaves) {
+		/* Its entry doesn't tell; another one takes its place. */
+		fleet.say_leaving(slot.id);
+		ways_of_drained.push_back(std::move(slot.way));
+		add_engine(slot);
+	} else if (fault.kind == Kind::engine_pauses) {
+		/* A host that the refusal doesn't reach isn't bound. */
+		if (slot.way_until_ms)
+			return;
+		fleet.ask_pause(slot.id, fault.for_ms);
+		promises.paused(slot.id, ck_now_ms(), until_ms);
+		slot.paused_until_ms = until_ms;
 	} else if (fault.kind >= Kind::engine_refuses) {
 		fleet.behave(slot.id, behaviour_of(fault.kind));
 		slot.behaves_until_ms = until_ms;
-	} else {
+	} else if (ck_now_ms() >= slot.paused_until_ms) {
 		slot.way->set(way_of(fault.kind));
 		slot.way_until_ms = until_ms;
 	}
@@ -275,6 +289,10 @@
 	} else if (fault.kind == Kind::deadly_request) {
 		deadly_bodies.push_back(deadly + std::to_string(fault.target));
 		promises.deadly(deadly_bodies.back());
+	} else if (fault.kind == Kind::tainted_part) {
+		tainted_parts.push_back("dead" + std::to_string(fault.target));
+		fleet.crash_on_part(tainted_parts.back(), down_ms);
+		promises.tainted(tainted_parts.back());
 	} else if (fault.kind >= Kind::engine_slow) {
 		begin_at_engine(fault, *engines[fault.target % engines.size()]);
 	} else {
@@ -381,6 +399,10 @@
 					   " for attempt " + c->sent.attempt);
 	c->got.status = status;
 	c->got.says_not_run = h1_headers_get(headers, "X-Not-Executed");
+	if (h1_headers_get(headers, "Server-Leaving") &&
+	    h1_headers_get(headers, "X-Response-Stamp"))
+		c->got.leaving = h1_headers_get(headers, "X-Response-Stamp") +
+				 strlen("stamp-");
 	c->got.has_retry_after = h1_headers_get(headers, "Retry-After");
 	return true;
 }
@@ -392,9 +414,20 @@
 	return deadly_bodies[draw(deadly_bodies.size())];
 }
 
+/* No two prompts with such a part are alike. */
+std::string Driver::draw_part()
+{
+	if (tainted_parts.empty() || draw(deadly_in))
+		return "";
+	return tainted_parts[draw(tainted_parts.size())];
+}
+
 void Driver::ask(Caller &c)
 {
-	std::string body = draw_body();
+	std::string part = draw_part();
+	std::string body = part.empty()
+				   ? draw_body()
+				   : "prompt " + std::to_string(next_attempt);
 	struct h1_headers headers;
 	uint32_t route = draw(4);
 	uint32_t host = draw(hosts.size());
@@ -422,7 +455,12 @@
 	if (route <= static_cast<uint32_t>(Route::draft)) {
 		h1_headers_add(&headers, "X-Model", "m");
 		h1_headers_add(&headers, "X-Token-Usage", "100,8");
-		h1_headers_add(&headers, "X-Prefix-Hash", "aa:50,bb:30,cc:20");
+		h1_headers_add(&headers, "X-Prefix-Hash",
+			       part.empty()
+				       ? "aa:50,bb:30,cc:20"
+				       : ("aa:50," + part + ":30,f" +
+					  std::to_string(next_attempt) + ":20")
+						 .c_str());
 	}
 	std::string target = std::string("/") + routes[route].name + "/x";
 	struct h1_call_desc desc = {};
--- a/tests/soak/driver.h
+++ b/tests/soak/driver.h
@@ -53,6 +53,7 @@
 	std::unique_ptr<harness::Proxy> way;
 	int64_t way_until_ms = 0;
 	int64_t behaves_until_ms = 0;
+	int64_t paused_until_ms = 0;
 };
 
 class Driver;
@@ -96,6 +97,7 @@
 	std::vector<std::unique_ptr<Caller>> callers;
 	std::deque<Fault> faults;
 	std::vector<std::string> deadly_bodies;
+	std::vector<std::string> tainted_parts;
 	ev_timer tick;
 	int64_t started_ms = 0;
 	int64_t recover_by_ms = 0;
@@ -115,6 +117,7 @@
 	void add_engine(EngineSlot &slot);
 	void put_configuration();
 	std::string draw_body();
+	std::string draw_part();
 	void begin(const Fault &fault);
 	void begin_at_host(const Fault &fault, Host &host);
 	void begin_at_engine(const Fault &fault, EngineSlot &slot);
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -49,6 +49,17 @@
 	deadly_bodies.insert(body);
 }
 
+void Promises::tainted(const std::string &part)
+{
+	tainted_parts.insert(part);
+}
+
+void Promises::paused(const std::string &engine, int64_t from_ms,
+		      int64_t until_ms)
+{
+	pauses.push_back({ engine, from_ms, until_ms });
+}
+
 void Promises::disturbed(int64_t until_ms)
 {
 	disturbed_until_ms = std::max(disturbed_until_ms, until_ms);
@@ -98,6 +109,7 @@
 		records.insert(sent.attempt);
 	if (!sent.is_settled)
 		unsettled.insert(sent.attempt);
+	sent_by_attempt[sent.attempt] = sent;
 }
 
 void Promises::answered(const Sent &sent, const Got &got)
@@ -106,6 +118,10 @@
 	outcomes[(got.is_whole ? "" : "torn ") + std::to_string(got.status)]++;
 	check_body(sent, got);
 	check_key(sent, got);
+	if (!got.leaving.empty())
+		heard_leaving_ms.insert(
+			{ { { sent.host, sent.life }, got.leaving },
+			  got.at_ms });
 	if (got.says_not_run)
 		not_run.insert(sent.attempt);
 	if (got.is_whole && got.status == 503 && !got.has_retry_after)
@@ -142,7 +158,28 @@
 	}
 }
 
-/* Whoever learns of it last, the hosts together let few more engines end. */
+/* Whoever learns of it last, the hosts together send little to engines later
+ * than @known_ms. */
+void Promises::check_late(const std::string &what, int64_t known_ms,
+			  const std::vector<const harness::Arrival *> &list)
+{
+	std::string times;
+	int late = 0;
+
+	for (const harness::Arrival *a : list) {
+		bool is_settled =
+			!unsettled.count(a->headers.at("X-Attempt-Id"));
+
+		late += a->at_ms > known_ms && is_settled;
+		times += " " + std::to_string(a->at_ms - known_ms) + " (" +
+			 a->engine + (is_settled ? ")" : ", not in touch)");
+	}
+	if (late > ends_after)
+		broken(what + " reached engines " +
+		       std::to_string(list.size()) +
+		       " times, ms since it had to be known:" + times);
+}
+
 void Promises::check_deadly()
 {
 	std::map<std::string, std::vector<const harness::Arrival *>> ends;
@@ -153,32 +190,101 @@
 			ends[a.target + " " + a.body].push_back(&a);
 	for (const auto &entry : ends) {
 		const auto &list = entry.second;
-		std::string times;
-		int late = 0;
 
-		for (size_t i = ends_before; i < list.size(); i++) {
-			int64_t after_ms =
-				list[i]->at_ms - list[ends_before - 1]->at_ms;
+		outcomes["ends by a deadly request"] += list.size();
+		if (list.size() > ends_before)
+			check_late("\"" + entry.first + "\"",
+				   list[ends_before - 1]->at_ms +
+					   known_after_ms,
+				   list);
+	}
+}
+
+void Promises::check_tainted(const std::vector<harness::Arrival> &arrivals)
+{
+	for (const std::string &part : tainted_parts) {
+		std::vector<const harness::Arrival *> list;
+		int64_t known_ms = INT64_MAX;
+		size_t ends = 0;
+
+		for (const harness::Arrival &a : arrivals) {
+			auto parts = a.headers.find("X-Prefix-Hash");
 
-			bool is_settled = !unsettled.count(
-				list[i]->headers.at("X-Attempt-Id"));
+			if (parts == a.headers.end() ||
+			    parts->second.find("," + part + ":") ==
+				    std::string::npos)
+				continue;
+			list.push_back(&a);
+			ends += a.ends_engine;
+			if (a.ends_engine && ends == part_ends_before)
+				known_ms = a.at_ms + known_after_ms;
+		}
+		outcomes["ends by a part"] += ends;
+		check_late("part " + part, known_ms, list);
+	}
+}
 
-			late += after_ms > known_after_ms && is_settled;
-			times += " " + std::to_string(after_ms) + " (" +
-				 list[i]->engine +
-				 (is_settled ? ")" : ", not in touch)");
+/* What an answer told a process binds it, whatever its store says. */
+void Promises::check_leaving(const std::vector<harness::Arrival> &arrivals)
+{
+	for (const harness::Arrival &a : arrivals) {
+		auto sent = sent_by_attempt.find(
+			a.headers.count("X-Attempt-Id")
+				? a.headers.at("X-Attempt-Id")
+				: "");
+		if (sent == sent_by_attempt.end())
+			continue;
+		Life life = { sent->second.host, sent->second.life };
+		auto heard = heard_leaving_ms.find({ life, a.engine });
+
+		if (heard != heard_leaving_ms.end() &&
+		    sent->second.sent_ms > heard->second + drain_ms)
+			broken("engine " + a.engine +
+			       " got a request after it had said that it "
+			       "leaves: " +
+			       described(sent->second));
+	}
+}
+
+void Promises::check_pauses(const std::vector<harness::Arrival> &arrivals)
+{
+	for (const Pause &pause : pauses) {
+		std::map<Life, int64_t> told_ms;
+		std::map<Life, int> late;
+
+		for (const harness::Arrival &a : arrivals) {
+			auto sent = sent_by_attempt.find(
+				a.headers.count("X-Attempt-Id")
+					? a.headers.at("X-Attempt-Id")
+					: "");
+
+			if (a.engine != pause.engine ||
+			    a.at_ms < pause.from_ms ||
+			    a.at_ms >= pause.until_ms ||
+			    sent == sent_by_attempt.end() ||
+			    !sent->second.is_settled)
+				continue;
+			Life life = { sent->second.host, sent->second.life };
+			int64_t first_ms =
+				told_ms.insert({ life, a.at_ms }).first->second;
+
+			if (a.at_ms > first_ms + pause_settle_ms &&
+			    ++late[life] == allowed_in_pause + 1)
+				broken("engine " + a.engine +
+				       " got too many requests in its pause: " +
+				       described(sent->second));
 		}
-		if (late > ends_after)
-			broken("\"" + entry.first + "\" ended " +
-			       std::to_string(list.size()) +
-			       " engines, ms after the third:" + times);
-		outcomes["ends by a deadly request"] += list.size();
 	}
 }
 
 void Promises::finish()
 {
+	std::vector<harness::Arrival> arrivals = fleet.arrivals();
+
 	check_deadly();
+	check_tainted(arrivals);
+	check_leaving(arrivals);
+	check_pauses(arrivals);
 	for (const std::string &attempt : records)
 		if (fleet.runs(attempt) > 1)
 			broken("attempt " + attempt + " ran " +
@@ -187,7 +293,7 @@
 		if (fleet.runs(attempt))
 			broken("attempt " + attempt +
 			       " was said not to have run, but did");
-	for (const harness::Arrival &a : fleet.arrivals()) {
+	for (const harness::Arrival &a : arrivals) {
 		auto it = drained_ms.find(a.engine);
 
 		if (it != drained_ms.end() &&
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -29,6 +29,11 @@
 constexpr int64_t known_after_ms = 4000;
 constexpr size_t ends_before = 3;
 constexpr int ends_after = 3;
+/* Of requests that share a part which ends engines, likewise. */
+constexpr size_t part_ends_before = 5;
+/* A pause binds a host from then on, but for so many requests. */
+constexpr int64_t pause_settle_ms = 500;
+constexpr int allowed_in_pause = 2;
 /* Between the end of a deadline and the answer that says so. */
 constexpr int64_t answer_slack_ms = 1000;
 
@@ -50,6 +55,7 @@
 	uint32_t status;
 	bool says_not_run;
 	bool has_retry_after;
+	std::string leaving; /* engine that says so in this answer, or "" */
 	std::string body;
 	int64_t at_ms;
 };
@@ -68,6 +74,13 @@
 	/** deadly() - a request with that body ends engines. */
 	void deadly(const std::string &body);
 
+	/** tainted() - requests with that part end engines. */
+	void tainted(const std::string &part);
+
+	/** paused() - the engine refuses, and asks for a pause until then. */
+	void paused(const std::string &engine, int64_t from_ms,
+		    int64_t until_ms);
+
 	/** disturbed() - hosts may know nothing new until then. */
 	void disturbed(int64_t until_ms);
 
@@ -99,12 +112,27 @@
 	std::set<std::string> not_run;
 	std::set<std::string> deadly_bodies;
 	std::set<std::string> unsettled;
+	std::set<std::string> tainted_parts;
+	struct Pause {
+		std::string engine;
+		int64_t from_ms, until_ms;
+	};
+	std::vector<Pause> pauses;
+	/* A process, by its host's number and which life of it. */
+	using Life = std::pair<uint32_t, uint32_t>;
+	std::map<std::string, Sent> sent_by_attempt;
+	std::map<std::pair<Life, std::string>, int64_t> heard_leaving_ms;
 
 	void note(const Sent &sent);
 	void check_body(const Sent &sent, const Got &got);
 	void check_key(const Sent &sent, const Got &got);
 	void check_orders();
 	void check_deadly();
+	void check_late(const std::string &what, int64_t known_ms,
+			const std::vector<const harness::Arrival *> &list);
+	void check_tainted(const std::vector<harness::Arrival> &arrivals);
+	void check_leaving(const std::vector<harness::Arrival> &arrivals);
+	void check_pauses(const std::vector<harness::Arrival> &arrivals);
 };
 
 } // namespace soak
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -17,6 +17,8 @@
 constexpr uint32_t series_length = 3;
 constexpr int64_t series_gap_ms = 60;
 constexpr int64_t longest_ms = 6000;
+/* Between two faults that are drawn apart, on average, for a host. */
+constexpr int64_t mean_later_gap_ms = 8000;
 /* One in so many faults that leave a host behind meets a new configuration. */
 constexpr uint32_t meets_configuration_in = 2;
 constexpr uint64_t meets_within_ms = 400;
@@ -50,6 +52,9 @@
 	{ "deadly_request", 2, false },
 	{ "configuration", 5, false },
 	{ "weights", 2, false },
+	{ "tainted_part", 0, false },
+	{ "engine_leaves", 0, false },
+	{ "engine_pauses", 0, true },
 };
 
 static_assert(sizeof(kinds) / sizeof(kinds[0]) ==
@@ -104,6 +109,28 @@
 	       (kind >= Kind::store_slow && kind <= Kind::store_down);
 }
 
+/* Faults of the kinds from @first on, in equal shares. */
+void draw_later_kinds(uint64_t seed, const Size &size, Kind first,
+		      std::vector<Fault> *faults)
+{
+	Dice dice(seed ^ 0xa9a27);
+	uint64_t count = static_cast<uint64_t>(Kind::count) -
+			 static_cast<uint64_t>(first);
+	int64_t gap_ms = std::max<int64_t>(mean_later_gap_ms / size.hosts, 20);
+
+	for (int64_t at_ms = 1 + dice.below(gap_ms); at_ms < size.lasts_ms;
+	     at_ms += 1 + dice.below(2 * gap_ms)) {
+		Kind kind = static_cast<Kind>(static_cast<uint64_t>(first) +
+					      dice.below(count));
+		Fault fault = { at_ms, 0, kind,
+				static_cast<uint32_t>(dice.below(1 << 20)) };
+
+		if (kinds[static_cast<size_t>(kind)].lasts)
+			fault.for_ms = 1000 + dice.below(longest_ms / 2);
+		faults->push_back(fault);
+	}
+}
+
 } // namespace
 
 const char *name_of(Kind kind)
@@ -139,6 +166,7 @@
 			faults.push_back(next);
 		}
 	}
+	draw_later_kinds(seed, size, Kind::tainted_part, &faults);
 	std::stable_sort(faults.begin(), faults.end(),
 			 [](const Fault &a, const Fault &b) {
 				 return a.at_ms < b.at_ms;
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -48,6 +48,10 @@
 	/* the operator */
 	configuration,
 	weights,
+	/* drawn apart, so that older seeds keep their schedules */
+	tainted_part, /* requests that share a part end engines */
+	engine_leaves,
+	engine_pauses,
 	count,
 };
 
