gateway: a probe of a refused part is not withdrawn

Found in reading: a request that waits at an engine is withdrawn when one of its parts is proven, and the probe that may clear a wrongly blamed part has such a part. If its engine let it wait for 0.1 s or more, it was cancelled, and the part stayed refused. A withdrawn request that has not been sent is now refused as not run.

The test PartThatNoLongerCrashesEnginesIsServedAgain holds the way back (30 s); it passes before this change as well, as the harness's engines answer at once, so the waiting probe itself is not shown by a test.

--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -269,12 +269,11 @@
 /* The verdict that follows from a part which crashes engines. */
 static struct ps_answer gw_check_part(struct gw_request *r, uint64_t part)
 {
-	enum ps_verdict verdict =
-		gw_may_probe(r->gateway, part) ? PS_ISOLATE : PS_REFUSE;
-
-	if (verdict == PS_REFUSE)
+	r->is_probe = gw_may_probe(r->gateway, part);
+	if (!r->is_probe)
 		gw_log_part_refused(r, part);
-	return (struct ps_answer){ .verdict = verdict };
+	return (struct ps_answer){ .verdict = r->is_probe ? PS_ISOLATE
+							  : PS_REFUSE };
 }
 
 struct ps_answer gw_poison_check(struct gw_request *r)
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -322,10 +322,12 @@
  */
 static bool gw_withdraw(struct gw_request *r)
 {
-	if (!r->is_awaiting_head || !gw_poison_has_proven_part(r))
+	if (!r->is_awaiting_head || r->is_probe ||
+	    !gw_poison_has_proven_part(r))
 		return false;
 	gw_send_log_failure(r, "withdrawn");
-	r->may_have_begun = true;
+	if (h1_call_was_sent(&r->call))
+		r->may_have_begun = true;
 	gw_send_cancel(r);
 	gw_give_up(r, "crashes_engines");
 	return true;
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -46,6 +46,7 @@
  * @is_counted: gw_poison.h counts the attempt as running.
  * @has_answered_on: the engine has written its answer for so long that the
  *	parts of the prompt have not crashed it; see gw_poison.h.
+ * @is_probe: sent although a part of its prompt is refused, see gw_poison.h.
  * @is_awaiting_head: sent, and the head of the answer has not arrived.
  * @is_awaiting_event: sent, and its first event has not arrived.
  * @sends: upstreams that the request was sent to.
@@ -86,6 +87,7 @@
 	bool is_early;
 	bool is_counted;
 	bool has_answered_on;
+	bool is_probe;
 	bool is_awaiting_head;
 	bool is_awaiting_event;
 	struct h1_call call;
--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -871,6 +871,11 @@
 	});
 }
 
+void Fleet::spare_parts()
+{
+	run([&] { state->crash_parts.clear(); });
+}
+
 int Fleet::crashes()
 {
 	return (int)crash_times().size();
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -141,6 +141,9 @@
 	 */
 	void crash_on_part(const std::string &part, int down_ms);
 
+	/** spare_parts() - no part ends engines any more. */
+	void spare_parts();
+
 	/** crashes() - engines that ended so. */
 	int crashes();
 
--- a/tests/sessions/gateway_crash_test.cc
+++ b/tests/sessions/gateway_crash_test.cc
@@ -186,6 +186,19 @@
 		return asked ? 100 * served / asked : 0;
 	}
 
+	// Sends requests with @part to one host for @lasts_ms.
+	void play_part(const std::string &part, const std::string &host,
+		       int64_t lasts_ms)
+	{
+		int64_t until_ms = ck_now_ms() + lasts_ms;
+
+		while (ck_now_ms() < until_ms) {
+			ask_with_part(part, host);
+			std::this_thread::sleep_for(
+				std::chrono::milliseconds(200));
+		}
+	}
+
 	// Sends the crashing request @times to @hosts in turn, with a pause
 	// after each answer.
 	Reply send_crashing(const std::string &route, int times,
@@ -328,6 +341,26 @@
 	}
 }
 
+// A part that is refused can't clear itself by an answer, so it is tried again.
+TEST_F(Crash, PartThatNoLongerCrashesEnginesIsServedAgain)
+{
+	start("h1", {});
+	fleet.crash_on_part(deadly_part, down_ms);
+	play_part(deadly_part, "h1", settle_ms);
+	int crashes = fleet.crashes();
+	play_part(deadly_part, "h1", 2 * down_ms);
+	ASSERT_EQ(fleet.crashes(), crashes);
+	fleet.spare_parts();
+	EXPECT_TRUE(wait_until(
+		[&] {
+			std::this_thread::sleep_for(
+				std::chrono::milliseconds(200));
+			return ask_with_part(deadly_part, "h1").status == 200;
+		},
+		45000));
+	EXPECT_EQ(ask_with_part(deadly_part, "h1").status, 200);
+}
+
 // A broken connection is no evidence of a crash if the engine is alive.
 TEST_F(Crash, BrokenConnectionsToLiveEnginesAreNotEvidence)
 {
