gateway: silence ends no stream that nothing else can go on with

Cause: gw_abandon_hung() gave a stream up after 2 s of silence, and only then looked for another engine. If there was none, or the content was held back because another attempt had broken shortly before, the caller's connection was closed, though its time was not up and the engine might have gone on.

Change: a stream that has begun is given up only if another engine would take it now (gw_request_can_move()); else it goes on waiting. The placement is tried for silent requests only.

--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -256,6 +256,13 @@
 			      r->part_count, ck_now_ms());
 }
 
+bool gw_poison_may_move(const struct gw_request *r)
+{
+	return !gw_poison_has_proven_part(r) &&
+	       ps_may_run_after_break(&r->gateway->poison->table, r->content,
+				      ck_now_ms());
+}
+
 static void gw_log_part_refused(const struct gw_request *r, uint64_t part)
 {
 	char text[20];
--- a/src/gateway/gw_poison.h
+++ b/src/gateway/gw_poison.h
@@ -58,6 +58,10 @@
  */
 bool gw_poison_has_proven_part(const struct gw_request *r);
 
+/** gw_poison_may_move() - whether @r may run elsewhere once its attempt breaks.
+ */
+bool gw_poison_may_move(const struct gw_request *r);
+
 /** gw_poison_avoid() - hashes of engines at which @content may not run now. */
 uint32_t gw_poison_avoid(const struct gw_gateway *g, uint64_t content,
 			 uint64_t *engines, uint32_t capacity);
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -291,20 +291,34 @@
 				  GW_RETRY_AFTER_MAX_S * 1000);
 }
 
-void gw_request_place(struct gw_request *r)
+static struct gw_place_answer gw_find_place(const struct gw_request *r)
 {
 	struct gw_place_request request = {
 		.service = r->service,
 		.model = r->in.model,
 		.prefix = r->prefix,
 		.tried = r->tried,
+		.tried_count = r->tried_count,
 	};
+
+	return gw_place(r->gateway, &request, ck_now_ms());
+}
+
+bool gw_request_can_move(const struct gw_request *r)
+{
+	if (!gw_request_can_retry(r))
+		return false;
+	return !r->has_begun ||
+	       (gw_poison_may_move(r) && gw_find_place(r).engine);
+}
+
+void gw_request_place(struct gw_request *r)
+{
 	struct gw_place_answer answer;
 
 	if (gw_apply_poison_verdict(r))
 		return;
-	request.tried_count = r->tried_count;
-	answer = gw_place(r->gateway, &request, ck_now_ms());
+	answer = gw_find_place(r);
 	if (!answer.engine && answer.pause_end_ms) {
 		r->retry_after_ms =
 			gw_pause_retry_after_ms(answer.pause_end_ms);
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -140,6 +140,12 @@
 /** gw_request_can_retry() - the request can be sent to one more upstream. */
 bool gw_request_can_retry(const struct gw_request *r);
 
+/**
+ * gw_request_can_move() - whether its attempt may be given up for a retry: a
+ * stream that has begun is lost if no other upstream takes it.
+ */
+bool gw_request_can_move(const struct gw_request *r);
+
 /** gw_request_failed() - an attempt ended without a usable answer. */
 void gw_request_failed(struct gw_request *r, const char *reason);
 
--- a/src/gateway/gw_silence.c
+++ b/src/gateway/gw_silence.c
@@ -74,7 +74,7 @@
 				       const struct fl_engine *engine)
 {
 	gw_for_each_request (g, r)
-		if (r->engine == engine && gw_request_can_retry(r))
+		if (r->engine == engine && gw_request_can_move(r))
 			gw_abandon_attempt(r, "engine_silent");
 }
 
@@ -148,14 +148,24 @@
 		gw_silence_check(g, e);
 }
 
+static enum gw_silence gw_find_silence(const struct gw_request *r,
+				       int64_t now_ms)
+{
+	enum gw_silence silence = gw_silence_of(now_ms - r->last_byte_ms,
+						r->mode != GW_NO_ANSWER, true);
+
+	/* Whether it can be moved takes a placement to tell. */
+	if (silence != GW_NOT_SILENT && !gw_request_can_move(r))
+		return GW_NOT_SILENT;
+	return silence;
+}
+
 void gw_silence_sweep(struct gw_gateway *g, int64_t now_ms)
 {
 	gw_for_each_request (g, r) {
 		if (!r->engine)
 			continue;
-		switch (gw_silence_of(now_ms - r->last_byte_ms,
-				      r->mode != GW_NO_ANSWER,
-				      gw_request_can_retry(r))) {
+		switch (gw_find_silence(r, now_ms)) {
 		case GW_CHECK:
 			gw_check_engine(g, r->engine, now_ms);
 			break;
--- a/src/limits/ps.c
+++ b/src/limits/ps.c
@@ -570,6 +570,18 @@
 	return (struct ps_answer){ PS_RUN, 0, false };
 }
 
+bool ps_may_run_after_break(struct ps_table *table, uint64_t fingerprint,
+			    int64_t now_ms)
+{
+	struct _ps_suspect *s = ps_find_current(table, fingerprint, now_ms);
+	int64_t last_ms = now_ms;
+	uint32_t crashes = s ? s->count : 0;
+	uint32_t broken =
+		ps_count_broken(table, fingerprint, s, now_ms, &last_ms);
+
+	return crashes + broken + 1 < PS_POISON_CRASHES;
+}
+
 bool ps_start_probe(struct ps_table *table, uint64_t fingerprint,
 		    int64_t now_ms)
 {
--- a/src/limits/ps.h
+++ b/src/limits/ps.h
@@ -251,6 +251,13 @@
 	return ps_check_request(table, fingerprint, NULL, 0, now_ms);
 }
 
+/**
+ * ps_may_run_after_break() - whether the request could run again at once if its
+ * present attempt broke.
+ */
+bool ps_may_run_after_break(struct ps_table *table, uint64_t fingerprint,
+			    int64_t now_ms);
+
 /**
  * ps_start_probe() - check whether a refused request may be probed now; call it
  * on one host only.
--- a/tests/sessions/gateway_test.cc
+++ b/tests/sessions/gateway_test.cc
@@ -8,6 +8,10 @@
 #include <chrono>
 #include <thread>
 
+extern "C" {
+#include "kernel/ck.h"
+}
+
 #include "cluster.h"
 #include "fleet.h"
 #include "fleet_config.h"
@@ -209,6 +213,27 @@
 	EXPECT_EQ(r.body, stream_answer(0).substr(0, r.body.size()));
 }
 
+// The only engine falls silent within a stream. Nothing else can go on with
+// it, so silence must not end it before its time is up.
+TEST_F(Gateway, SilentStreamWithoutAnotherEngineIsNotEndedEarly)
+{
+	const int64_t timeout_ms = 6000;
+
+	fleet.set_draining("e2");
+	ASSERT_TRUE(wait_until([&] {
+		return ask("patient", "w" + std::to_string(ck_now_ms()))
+			       .headers["x-response-stamp"] == "stamp-e1";
+	}));
+	std::this_thread::sleep_for(std::chrono::milliseconds(300));
+	fleet.behave("e1", Behaviour::stall);
+	int64_t began_ms = ck_now_ms();
+	Reply r = ask("patient", "alone");
+	EXPECT_EQ(r.status, 200);
+	EXPECT_FALSE(r.complete);
+	EXPECT_GE(ck_now_ms() - began_ms, timeout_ms - 200);
+	EXPECT_EQ(arrived("alone").size(), 1u);
+}
+
 TEST_F(Gateway, SlowButSoundStreamIsNotCut)
 {
 	both("e1", "e2", Behaviour::pace_slow);
