gateway: log an unreadable notice once for an engine

Found in reading: an engine that puts an unreadable Retry-After or notice of leaving into each answer filled the log with a line for each. The metric counts them all. And whether a request is a probe is settled anew before each attempt.

notice_test and gateway_notice_test pass; no test of the line itself.

--- a/src/fleet/fl_notice.h
+++ b/src/fleet/fl_notice.h
@@ -36,11 +36,13 @@
  * @is_leaving: it leaves.
  * @pause_until_ms: end of the pause; 0: none was asked for.
  * @pause_calls: calls of control made during the pause.
+ * @was_unreadable: a notice that could not be read has been logged.
  */
 struct fl_notice {
 	bool is_leaving;
 	int64_t pause_until_ms;
 	uint32_t pause_calls;
+	bool was_unreadable;
 };
 
 enum fl_use fl_notice_use(const struct fl_notice *notice, int64_t now_ms);
--- a/src/gateway/gw_notice.c
+++ b/src/gateway/gw_notice.c
@@ -43,7 +43,9 @@
 
 	if (answer->has_bad_notice) {
 		mt_add(&gw_bad_notices, 1);
-		gw_log_notice("engine_notice_ignored", e, request, -1);
+		if (!notice->was_unreadable)
+			gw_log_notice("engine_notice_ignored", e, request, -1);
+		notice->was_unreadable = true;
 	}
 	if (answer->is_leaving && fl_notice_leaving(notice)) {
 		mt_add(&gw_leaving, 1);
--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -292,6 +292,7 @@
 	uint64_t part = ps_find_proven(table, r->parts, r->part_count, now_ms);
 	struct ps_answer answer;
 
+	r->is_probe = false;
 	if (part)
 		return gw_check_part(r, part);
 	answer = ps_check_request(table, content, r->parts, r->part_count,
