ps: records of crashes and their proof in a module of their own

Moved without a change: what a record holds, rivals, moments, and when it is proven, to ps_suspect.c with a private header. The fuzz target for the platform reads answers, too.

--- /dev/null
+++ b/src/limits/ps_suspect.c
@@ -0,0 +1,321 @@
+#include "limits/ps_suspect.h"
+
+bool ps_has_crash(const struct _ps_suspect *suspect,
+		  const struct ps_crash *crash)
+{
+	for (uint32_t i = 0; i < suspect->count; i++) {
+		if (suspect->crashes[i].engine == crash->engine &&
+		    suspect->crashes[i].incarnation == crash->incarnation)
+			return true;
+	}
+	return false;
+}
+
+int64_t ps_last_crash_ms(const struct _ps_suspect *suspect)
+{
+	int64_t last_ms = INT64_MIN;
+
+	for (uint32_t i = 0; i < suspect->count; i++)
+		last_ms = MAX(last_ms, suspect->crashes[i].at_ms);
+	return last_ms;
+}
+
+static int64_t ps_first_crash_ms(const struct _ps_suspect *suspect)
+{
+	int64_t first_ms = INT64_MAX;
+
+	for (uint32_t i = 0; i < suspect->count; i++)
+		first_ms = MIN(first_ms, suspect->crashes[i].at_ms);
+	return first_ms;
+}
+
+/*
+ * A full record does not show whether the request was at later crashes, and
+ * that of a part not whether it was at others since its first.
+ */
+static bool ps_may_omit_crash(const struct _ps_suspect *suspect,
+			      const struct ps_crash *crash)
+{
+	int64_t complete_ms = ps_is_part(suspect->fingerprint)
+				      ? ps_first_crash_ms(suspect)
+				      : ps_last_crash_ms(suspect);
+
+	return suspect->count == PS_MAX_CRASHES && crash->at_ms >= complete_ms;
+}
+
+/* Whether @other may have been present at all crashes of @suspect. */
+bool ps_was_at_all_crashes(const struct _ps_suspect *suspect,
+			   const struct _ps_suspect *other)
+{
+	uint32_t shared = 0;
+
+	if (other == suspect)
+		return false;
+	for (uint32_t i = 0; i < suspect->count; i++) {
+		const struct ps_crash *crash = &suspect->crashes[i];
+
+		if (ps_has_crash(other, crash))
+			shared++;
+		else if (!ps_may_omit_crash(other, crash))
+			return false;
+	}
+	return shared > 0;
+}
+
+/*
+ * Whether @other may be the cause of all crashes of @suspect instead. A part is
+ * no rival of a content here: most contents that hold it are not known.
+ */
+bool ps_is_rival(const struct _ps_suspect *suspect,
+		 const struct _ps_suspect *other)
+{
+	if (!ps_is_part(suspect->fingerprint))
+		return !ps_is_part(other->fingerprint) &&
+		       ps_was_at_all_crashes(suspect, other);
+	if (suspect->count >= PS_PART_SURE_CRASHES &&
+	    other->count <= suspect->count)
+		return false;
+	return ps_was_at_all_crashes(suspect, other);
+}
+
+static bool ps_has_rival(const struct ps_table *table,
+			 const struct _ps_suspect *suspect)
+{
+	GHashTableIter iter;
+	gpointer other;
+
+	g_hash_table_iter_init(&iter, table->_suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &other)) {
+		if (ps_is_rival(suspect, other))
+			return true;
+	}
+	return false;
+}
+
+int64_t ps_completed_ms(const struct ps_table *table, uint64_t fingerprint)
+{
+	const int64_t *at_ms =
+		g_hash_table_lookup(table->_completed, &fingerprint);
+
+	return at_ms ? *at_ms : 0;
+}
+
+/* A full table is emptied: that loses a clearing, but never a crash. */
+void ps_record_completion(struct ps_table *table, uint64_t fingerprint,
+			  int64_t now_ms)
+{
+	if (ps_completed_ms(table, fingerprint) >= now_ms)
+		return;
+	if (g_hash_table_size(table->_completed) >= PS_MAX_COMPLETED)
+		g_hash_table_remove_all(table->_completed);
+	g_hash_table_replace(table->_completed,
+			     g_memdup2(&fingerprint, sizeof(fingerprint)),
+			     g_memdup2(&now_ms, sizeof(now_ms)));
+}
+
+static void ps_evict_suspect(struct ps_table *table)
+{
+	struct _ps_suspect *oldest = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->_suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct _ps_suspect *s = value;
+
+		if (!oldest || s->count < oldest->count ||
+		    (s->count == oldest->count && s->last_ms < oldest->last_ms))
+			oldest = s;
+	}
+	if (oldest)
+		g_hash_table_remove(table->_suspects, &oldest->fingerprint);
+}
+
+static struct _ps_suspect *ps_get_suspect(struct ps_table *table,
+					  uint64_t fingerprint)
+{
+	struct _ps_suspect *s =
+		g_hash_table_lookup(table->_suspects, &fingerprint);
+
+	if (s)
+		return s;
+	if (g_hash_table_size(table->_suspects) >= PS_MAX_SUSPECTS)
+		ps_evict_suspect(table);
+	s = g_new0(struct _ps_suspect, 1);
+	s->fingerprint = fingerprint;
+	s->cleared_ms = INT64_MIN;
+	s->confirmed_ms = INT64_MIN;
+	g_hash_table_insert(table->_suspects, &s->fingerprint, s);
+	return s;
+}
+
+/*
+ * Drops one of two crashes at the same moment from a full record, for a crash
+ * at a later moment: a part that crashes many engines within a second would
+ * never be seen at enough moments. Returns whether there is room.
+ */
+static bool ps_make_room(struct _ps_suspect *s, const struct ps_crash *crash)
+{
+	if (s->count < PS_MAX_CRASHES)
+		return true;
+	if (!ps_is_part(s->fingerprint) ||
+	    crash->at_ms - ps_last_crash_ms(s) < PS_SAME_CAUSE_MS)
+		return false;
+	for (uint32_t i = 0; i < s->count; i++) {
+		for (uint32_t j = 0; j < s->count; j++) {
+			int64_t later_ms =
+				s->crashes[i].at_ms - s->crashes[j].at_ms;
+
+			if (i == j || later_ms < 0 ||
+			    later_ms >= PS_SAME_CAUSE_MS)
+				continue;
+			s->crashes[i] = s->crashes[--s->count];
+			return true;
+		}
+	}
+	return false;
+}
+
+/* Returns whether the crash was not recorded before. */
+bool ps_add_crash(struct ps_table *table, uint64_t fingerprint,
+		  const struct ps_crash *crash)
+{
+	struct _ps_suspect *s = ps_get_suspect(table, fingerprint);
+
+	if (crash->at_ms < s->cleared_ms || ps_has_crash(s, crash) ||
+	    !ps_make_room(s, crash))
+		return false;
+	s->crashes[s->count++] = *crash;
+	s->confirmed_ms = MAX(s->confirmed_ms, crash->at_ms);
+	if (crash->at_ms > s->last_ms)
+		s->last_ms = crash->at_ms;
+	return true;
+}
+
+/*
+ * A complete answer clears a request of the crashes before it. Returns whether
+ * there were any.
+ */
+bool ps_clear(struct ps_table *table, uint64_t fingerprint, int64_t at_ms)
+{
+	struct _ps_suspect *s =
+		g_hash_table_lookup(table->_suspects, &fingerprint);
+	uint32_t kept = 0, before;
+
+	if (!s)
+		return false;
+	before = s->count;
+	for (uint32_t i = 0; i < s->count; i++) {
+		if (s->crashes[i].at_ms > at_ms)
+			s->crashes[kept++] = s->crashes[i];
+	}
+	s->count = kept;
+	s->probes = kept ? s->probes : 0;
+	s->proven_ms = kept ? s->proven_ms : 0;
+	if (at_ms > s->cleared_ms)
+		s->cleared_ms = at_ms;
+	return kept < before;
+}
+
+bool ps_is_expired(const struct _ps_suspect *suspect, int64_t now_ms)
+{
+	return now_ms - suspect->last_ms > PS_EXPIRE_MS;
+}
+
+struct _ps_suspect *ps_find_current(struct ps_table *table,
+				    uint64_t fingerprint, int64_t now_ms)
+{
+	struct _ps_suspect *s =
+		g_hash_table_lookup(table->_suspects, &fingerprint);
+
+	if (!s || !ps_is_expired(s, now_ms))
+		return s;
+	g_hash_table_remove(table->_suspects, &fingerprint);
+	return NULL;
+}
+
+/*
+ * Whether a complete answer precedes the crashes by at most
+ * PS_COMPLETED_RECENT_MS.
+ */
+bool ps_completed_recently(const struct ps_table *table,
+			   const struct _ps_suspect *suspect)
+{
+	int64_t completed_ms = ps_completed_ms(table, suspect->fingerprint);
+
+	if (!completed_ms)
+		return false;
+	for (uint32_t i = 0; i < suspect->count; i++)
+		if (completed_ms <
+		    suspect->crashes[i].at_ms - PS_COMPLETED_RECENT_MS)
+			return false;
+	return true;
+}
+
+/*
+ * Whether a part that was proven before @suspect was at the crash. A harmless
+ * part may be at the crashes of several others.
+ */
+static bool ps_is_explained(const struct ps_table *table,
+			    const struct _ps_suspect *suspect,
+			    const struct ps_crash *crash)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->_suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct _ps_suspect *other = value;
+
+		if (other != suspect && other->proven_ms &&
+		    (!suspect->proven_ms ||
+		     other->proven_ms < suspect->proven_ms) &&
+		    ps_has_crash(other, crash))
+			return true;
+	}
+	return false;
+}
+
+/* Crashes of a part that no other explains, at least PS_SAME_CAUSE_MS apart. */
+static uint32_t ps_count_moments(const struct ps_table *table,
+				 const struct _ps_suspect *suspect)
+{
+	int64_t from_ms = INT64_MIN;
+	uint32_t moments = 0;
+
+	for (;;) {
+		int64_t next_ms = INT64_MAX;
+
+		for (uint32_t i = 0; i < suspect->count; i++) {
+			const struct ps_crash *crash = &suspect->crashes[i];
+
+			if (crash->at_ms >= from_ms && crash->at_ms < next_ms &&
+			    !ps_is_explained(table, suspect, crash))
+				next_ms = crash->at_ms;
+		}
+		if (next_ms == INT64_MAX)
+			return moments;
+		moments++;
+		from_ms = next_ms + PS_SAME_CAUSE_MS;
+	}
+}
+
+static bool ps_has_enough_crashes(const struct ps_table *table,
+				  const struct _ps_suspect *suspect)
+{
+	if (suspect->count < PS_POISON_CRASHES)
+		return false;
+	return !ps_is_part(suspect->fingerprint) ||
+	       (suspect->count >= PS_PART_CRASHES &&
+		ps_count_moments(table, suspect) >= PS_PART_CRASHES);
+}
+
+bool ps_is_proven(const struct ps_table *table,
+		  const struct _ps_suspect *suspect)
+{
+	if (!ps_has_enough_crashes(table, suspect) ||
+	    ps_has_rival(table, suspect))
+		return false;
+	return suspect->count == PS_MAX_CRASHES ||
+	       !ps_completed_recently(table, suspect);
+}
--- a/tests/fuzz/platform_fuzz.c
+++ b/tests/fuzz/platform_fuzz.c
@@ -4,6 +4,7 @@
  */
 #include <stdlib.h>
 
+#include "fleet/fl_notice.h"
 #include "dialect/dl.h"
 #include "kernel/kn_registry.h"
 
@@ -32,6 +33,20 @@
 	h1_headers_finish(&headers);
 }
 
+static void read_answer(const struct dl_dialect *d, const char *text)
+{
+	struct h1_headers headers;
+	struct dl_answer answer;
+
+	h1_headers_init(&headers);
+	h1_headers_add(&headers, "Retry-After", text);
+	h1_headers_add(&headers, "Server-Leaving", text);
+	d->read_answer(503, &headers, &answer);
+	if (answer.pause_ms < 0 || answer.pause_ms > FL_MAX_PAUSE_MS)
+		abort();
+	h1_headers_finish(&headers);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	const struct dl_dialect *d = kn_plugin_find("dialect", "fleet");
@@ -58,6 +73,7 @@
 		break;
 	default:
 		read_request(d, text);
+		read_answer(d, text);
 	}
 	g_free(text);
 	return 0;
