--- a/tests/fuzz/platform_fuzz.c
+++ b/tests/fuzz/platform_fuzz.c
@@ -4,8 +4,8 @@
  */
 #include <stdlib.h>
 
-#include "fleet/fl_notice.h"
 #include "dialect/dl.h"
+#include "fleet/fl_notice.h"
 #include "kernel/kn_registry.h"
 
 static void decode_config(const struct dl_dialect *d, const char *text,
