ps: a refused part explains no crash that it was not at

Cause: a record of a part with room for no more crashes was taken to omit any crash since its first. A content that shared one crash with such a part, and ended engines on its own later, was explained by it and ran.

Change: a full record of a part omits only crashes within PS_SAME_CAUSE_MS of one that it holds; those are the ones it drops.

Evidence: poison_test ContentBesideACrashingPart..., new case 'crashes after a part with a full record was refused', fails before and passes now.

--- a/src/limits/ps_suspect.c
+++ b/src/limits/ps_suspect.c
@@ -20,27 +20,30 @@
 	return last_ms;
 }
 
-static int64_t ps_first_crash_ms(const struct _ps_suspect *suspect)
+/* Whether a crash that is as recent was recorded. */
+static bool ps_has_crash_near(const struct _ps_suspect *suspect, int64_t at_ms)
 {
-	int64_t first_ms = INT64_MAX;
+	for (uint32_t i = 0; i < suspect->count; i++) {
+		int64_t apart_ms = at_ms - suspect->crashes[i].at_ms;
 
-	for (uint32_t i = 0; i < suspect->count; i++)
-		first_ms = MIN(first_ms, suspect->crashes[i].at_ms);
-	return first_ms;
+		if (apart_ms > -PS_SAME_CAUSE_MS && apart_ms < PS_SAME_CAUSE_MS)
+			return true;
+	}
+	return false;
 }
 
 /*
  * A full record does not show whether the request was at later crashes, and
- * that of a part not whether it was at others since its first.
+ * that of a part not whether it was at others at the same moments.
  */
 static bool ps_may_omit_crash(const struct _ps_suspect *suspect,
 			      const struct ps_crash *crash)
 {
-	int64_t complete_ms = ps_is_part(suspect->fingerprint)
-				      ? ps_first_crash_ms(suspect)
-				      : ps_last_crash_ms(suspect);
-
-	return suspect->count == PS_MAX_CRASHES && crash->at_ms >= complete_ms;
+	if (suspect->count < PS_MAX_CRASHES)
+		return false;
+	if (ps_is_part(suspect->fingerprint))
+		return ps_has_crash_near(suspect, crash->at_ms);
+	return crash->at_ms >= ps_last_crash_ms(suspect);
 }
 
 /* Whether @other may have been present at all crashes of @suspect. */
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -34,6 +34,8 @@
 /* A pause binds a host from then on, but for so many requests. */
 constexpr int64_t pause_settle_ms = 500;
 constexpr int allowed_in_pause = 2;
+/* An engine that has crashed is back then, as a new incarnation. */
+constexpr int64_t engine_down_ms = 600;
 /* Between the end of a deadline and the answer that says so. */
 constexpr int64_t answer_slack_ms = 1000;
 
@@ -56,6 +58,7 @@
 	bool says_not_run;
 	bool has_retry_after;
 	std::string leaving; /* engine that says so in this answer, or "" */
+	int64_t head_ms;
 	std::string body;
 	int64_t at_ms;
 };
--- a/tests/unit/poison_test.cc
+++ b/tests/unit/poison_test.cc
@@ -529,6 +529,12 @@
 		  crashes(bad, 1, 2, 1) + crashes(7, 1, 2, 0),
 		  { sound, bad },
 		  PS_REFUSE },
+		{ "crashes after a part with a full record was refused",
+		  crashes(bad, 1, 8, 1) + crashes(7, 8, 8, 0) +
+			  std::vector<Step>{ { 'w', 0, 2 } } +
+			  crashes(7, 10, 11, 0),
+		  { sound },
+		  PS_REFUSE },
 		{ "a crash without the part",
 		  crashes(bad, 1, 3, 1) + crashes(7, 3, 4, 0),
 		  { sound },
