gateway: name a stream that has run for long as such

Read as a newcomer: has_answered_on and 'answering' did not say what they hold. Names only; the object code of gw_poison.c and gw_send.c is the same.

--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -22,7 +22,7 @@
 #define GW_UNCONFIRMED_MS (3 * GW_ANNOUNCE_PERIOD_MS)
 #define GW_EXPIRE_MS	  60000
 /* A part that crashes engines does so when they begin to write an answer. */
-#define GW_ANSWERING_MS 1000
+#define GW_LONG_STREAM_MS 1000
 /* A complete answer within this time of the previous one changes nothing. */
 #define GW_COMPLETED_STEP_MS 1000
 /* The next owner writes the row if it has been out of date for that long. */
@@ -320,7 +320,7 @@
 	int64_t now_ms = ck_now_ms();
 
 	r->is_counted = true;
-	r->has_answered_on = false;
+	r->has_streamed_long = false;
 	ps_started(table, r->content, engine, incarnation, now_ms);
 	for (uint32_t i = 0; i < r->part_count; i++)
 		ps_started(table, r->parts[i], engine, incarnation, now_ms);
@@ -342,12 +342,12 @@
 		gw_record_end(r, r->parts[i], end);
 }
 
-void gw_poison_attempt_answering(struct gw_request *r)
+void gw_poison_attempt_streaming(struct gw_request *r)
 {
-	if (!r->is_counted || r->has_answered_on ||
-	    ck_now_ms() - r->sent_ms - r->first_event_ms < GW_ANSWERING_MS)
+	if (!r->is_counted || r->has_streamed_long ||
+	    ck_now_ms() - r->sent_ms - r->first_event_ms < GW_LONG_STREAM_MS)
 		return;
-	r->has_answered_on = true;
+	r->has_streamed_long = true;
 	gw_record_end_of_parts(r, PS_CANCELLED);
 }
 
@@ -364,7 +364,7 @@
 	/* An error is no answer that the engine wrote on the prompt. */
 	if (end == PS_COMPLETED && r->status / 100 != 2)
 		end = PS_CANCELLED;
-	if (!r->has_answered_on || end == PS_COMPLETED)
+	if (!r->has_streamed_long || end == PS_COMPLETED)
 		gw_record_end_of_parts(r, end);
 }
 
--- a/src/gateway/gw_poison.h
+++ b/src/gateway/gw_poison.h
@@ -69,8 +69,8 @@
 /** gw_poison_attempt_started() - record that @r begins to run at @r->engine. */
 void gw_poison_attempt_started(struct gw_request *r);
 
-/** gw_poison_attempt_answering() - record that an event of @r has arrived. */
-void gw_poison_attempt_answering(struct gw_request *r);
+/** gw_poison_attempt_streaming() - record that an event of @r has arrived. */
+void gw_poison_attempt_streaming(struct gw_request *r);
 
 /**
  * gw_poison_attempt_ended() - record the end of an attempt. Call it while
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -44,7 +44,7 @@
  * @weights: version that the engine had when the request was sent.
  * @is_early: held until the first read of the store, see gw_admit.h.
  * @is_counted: gw_poison.h counts the attempt as running.
- * @has_answered_on: the engine has written its answer for so long that the
+ * @has_streamed_long: the engine has written its answer for so long that the
  *	parts of the prompt have not crashed it; see gw_poison.h.
  * @is_probe: sent although a part of its prompt is refused, see gw_poison.h.
  * @is_awaiting_head: sent, and the head of the answer has not arrived.
@@ -86,7 +86,7 @@
 	uint64_t weights;
 	bool is_early;
 	bool is_counted;
-	bool has_answered_on;
+	bool has_streamed_long;
 	bool is_probe;
 	bool is_awaiting_head;
 	bool is_awaiting_event;
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -293,7 +293,7 @@
 {
 	if (r->is_awaiting_event)
 		gw_on_first_event(r);
-	gw_poison_attempt_answering(r);
+	gw_poison_attempt_streaming(r);
 	if (event->id >= 0 && event->id <= r->last_event)
 		return;
 	r->last_byte_ms = ck_now_ms();
