soak: a later pause does not cut a longer one short

The schedule asks e8 twice, at 6,156 ms for 1,442 ms and at 6,386 ms for 1,025 ms. The stand-in let the second end the first, told the host the shorter time, which it kept, and the check held it to the longer. An engine would not do so; the stand-in takes the later end now.

--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -808,7 +808,10 @@
 void Fleet::ask_pause(const std::string &id, int pause_ms)
 {
 	run([&] {
-		state->engines[id]->paused_until_ms = ck_now_ms() + pause_ms;
+		Engine &e = *state->engines[id];
+
+		e.paused_until_ms =
+			std::max(e.paused_until_ms, ck_now_ms() + pause_ms);
 	});
 }
 
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -104,7 +104,7 @@
 
 	/**
 	 * ask_pause() - it refuses everything for @pause_ms, and each refusal
-	 * asks for a pause until then.
+	 * asks for a pause until then. It ends no longer pause.
 	 */
 	void ask_pause(const std::string &id, int pause_ms);
 
