--- a/src/fleet/fl_notice.h
+++ b/src/fleet/fl_notice.h
@@ -7,10 +7,11 @@
  *
  * Overview
  *	A notice holds for one incarnation of an upstream. Having said that it
- *	leaves, it gets nothing any more: only the next incarnation does. During
- *	a pause it gets no requests, and FL_PAUSE_CALLS calls of control at
- *most. A pause that is asked for again may extend the one that runs, and never
- *	shortens it.
+ *	leaves, it gets nothing any more: only the next incarnation does.
+ *
+ *	During a pause it gets no requests, and at most FL_PAUSE_CALLS calls of
+ *	control. A pause that is asked for again may extend the one that runs,
+ *	and never shortens it.
  *
  *	Plain functions, no clock.
  *
