h1_client: a call cancelled in its callback no longer needs its peer

Cause: h1_call_cancel() called from on_head or on_body left the link to be freed when the parser returned, and that frees it through its peer. The caller may be the last user of the peer: a request that is given up drops its engine, and an engine that has left the fleet is freed with it. The host then ended by SIGSEGV in ev_io_stop().

Before: the new test ends by a signal, for the head and for the body. After: passes. A cancelled call closes its connection at once, and the parser's return frees only memory of the link.

--- a/src/http1/h1_client.c
+++ b/src/http1/h1_client.c
@@ -50,7 +50,8 @@
 	void *check_arg;
 };
 
-static void h1_link_free(struct _h1_link *l)
+/* Closes the connection; the link no longer needs its peer. */
+static void h1_link_close(struct _h1_link *l)
 {
 	struct ev_loop *loop = l->peer->_loop;
 
@@ -65,6 +66,13 @@
 			l->next->idle_link = l->idle_link;
 	}
 	l->peer->open--;
+	l->peer = NULL;
+}
+
+static void h1_link_free(struct _h1_link *l)
+{
+	if (l->peer)
+		h1_link_close(l);
 	h1_collector_finish(&l->collector);
 	g_string_free(l->out, TRUE);
 	g_free(l);
@@ -437,10 +445,13 @@
 		return;
 	call->_link = NULL;
 	l->call = NULL;
-	if (l->in_callback)
-		l->is_cancelled = true;
-	else
+	if (!l->in_callback) {
 		h1_link_free(l);
+		return;
+	}
+	/* The parser still uses the link; the caller may free the peer. */
+	l->is_cancelled = true;
+	h1_link_close(l);
 }
 
 void h1_peer_check(struct h1_peer *peer, int64_t timeout_ms,
--- a/src/http1/h1_client.h
+++ b/src/http1/h1_client.h
@@ -145,7 +145,10 @@
 	return call->_link != NULL;
 }
 
-/** h1_call_cancel() - no effect on one that is over. */
+/**
+ * h1_call_cancel() - no effect on one that is over. May be called from the
+ * callbacks of the call; its peer may be finished right after.
+ */
 void h1_call_cancel(struct h1_call *call);
 
 /** h1_call_is_first() - no call used its connection before. */
--- a/tests/unit/http1_test.cc
+++ b/tests/unit/http1_test.cc
@@ -519,6 +519,63 @@
 	EXPECT_EQ(peer.peer.open, 0u);
 }
 
+// A call that is given up from one of its callbacks, by the last user of the
+// peer, as a request does whose engine has left the fleet.
+struct LastCall {
+	struct h1_call call = {};
+	struct h1_peer *peer = nullptr;
+
+	void give_up()
+	{
+		h1_call_cancel(&call);
+		h1_peer_finish(peer);
+		memset((void *)peer, 0xa5, sizeof(*peer));
+		delete peer;
+		peer = nullptr;
+	}
+};
+
+TEST_F(Http1, PeerMayEndInACallbackThatCancelsItsCall)
+{
+	for (bool is_in_head : { true, false }) {
+		ScriptedPeer peer(
+			loop,
+			{ "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhi" });
+		struct h1_headers headers;
+		struct h1_call_desc desc = {};
+		LastCall last;
+
+		SCOPED_TRACE(is_in_head ? "head" : "body");
+		h1_headers_init(&headers);
+		last.peer = new h1_peer(peer.peer);
+		desc.peer = last.peer;
+		desc.method = "GET";
+		desc.target = "/x";
+		desc.headers = &headers;
+		desc.connect_timeout_ms = 500;
+		if (is_in_head)
+			desc.on_head = [](void *arg, uint32_t,
+					  const struct h1_headers *) {
+				static_cast<LastCall *>(arg)->give_up();
+				return true;
+			};
+		desc.on_body = [](void *arg, const char *, uint64_t) {
+			static_cast<LastCall *>(arg)->give_up();
+		};
+		desc.on_done = [](void *, enum h1_outcome) {
+			ADD_FAILURE() << "called back after its end";
+		};
+		desc.arg = &last;
+		h1_call_start(&last.call, &desc);
+		run_until([&] {
+			peer.serve();
+			return !last.peer;
+		});
+		EXPECT_FALSE(h1_call_is_active(&last.call));
+		h1_headers_finish(&headers);
+	}
+}
+
 TEST(Http1Headers, FieldsOfOneConnectionAreKnown)
 {
 	struct h1_headers headers;
