ps: a content's later crashes are not explained by its first ones

Cause, found by reading what can answer PS_RUN for a content with two crashes or more, which only a proven part at all of them can: - Beside a request that crashes engines all the time a harmless part of other requests is at the same crashes. From five crashes on, what was at no more crashes was no rival of a part, and a full record counts no more: at eight the part was proven instead of the content. - A full record was frozen. The content's eight crashes stayed explained by the refused part, so it ran at once, for ever. The pause of one with rivals, counted from its eighth crash, ended for good as well.

Change: only parts stop to be rivals of parts. A full record keeps the latest moments. A crash at the moment of the last is not added to a full record, so hosts do not send each other the same crashes for ever. What is news is told by ps_peer_report(), no longer by the count of crashes, which does not grow at a full record; in the entry too.

--- a/src/entry/en_peers.c
+++ b/src/entry/en_peers.c
@@ -239,14 +239,14 @@
 {
 	struct en_dispatch *d = arg;
 	const bp_poison *message = args;
-	uint32_t before = ps_crash_count(&d->poison, message->fingerprint);
 	int64_t now_ms = ck_now_ms();
+	bool is_news = ps_peer_report(&d->poison, message->fingerprint,
+				      message->engine, message->incarnation,
+				      message->age_ms, now_ms);
 	struct ps_suspect after;
 
-	ps_peer_report(&d->poison, message->fingerprint, message->engine,
-		       message->incarnation, message->age_ms, now_ms);
-	if (ps_find(&d->poison, message->fingerprint, &after) &&
-	    after.count > before && after.count >= PS_POISON_CRASHES &&
+	if (is_news && ps_find(&d->poison, message->fingerprint, &after) &&
+	    after.count >= PS_POISON_CRASHES &&
 	    en_is_owner(d, message->fingerprint))
 		en_broadcast_suspect(d, &after, now_ms);
 	rp_drop(request);
--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -207,21 +207,22 @@
 	struct gw_gateway *g = arg;
 	const bp_gateway_suspect *message = args;
 	struct ps_table *table = &g->poison->table;
-	uint32_t before = ps_crash_count(table, message->fingerprint);
 	int64_t now_ms = ck_now_ms();
+	bool is_news = false;
 
 	if (message->cleared)
 		gw_apply_cleared(g, message);
 	for (uint32_t i = 0; i < message->charges.charges_len; i++) {
 		const bp_charge *record = &message->charges.charges_val[i];
 
-		ps_peer_report(table, message->fingerprint, record->engine,
-			       record->incarnation, record->age_ms, now_ms);
+		is_news |= ps_peer_report(table, message->fingerprint,
+					  record->engine, record->incarnation,
+					  record->age_ms, now_ms);
 	}
 	ps_peer_probes(table, message->fingerprint, message->probes);
 	ps_confirm(table, message->fingerprint, now_ms);
 	gw_send_counter_evidence(g, rp_peer_of(request), message, now_ms);
-	if (ps_crash_count(table, message->fingerprint) > before)
+	if (is_news)
 		gw_announce_crash(g, message->fingerprint, "told");
 	rp_drop(request);
 }
--- a/src/limits/ps.c
+++ b/src/limits/ps.c
@@ -519,7 +519,7 @@
 	return count;
 }
 
-void ps_peer_report(struct ps_table *table, uint64_t fingerprint,
+bool ps_peer_report(struct ps_table *table, uint64_t fingerprint,
 		    uint64_t engine, uint64_t incarnation, int64_t age_ms,
 		    int64_t now_ms)
 {
@@ -528,12 +528,12 @@
 	if (engine == 0) {
 		ps_record_completion(table, fingerprint, crash.at_ms);
 		ps_clear(table, fingerprint, crash.at_ms);
-		return;
+		return false;
 	}
-	if (age_ms <= PS_EXPIRE_MS &&
-	    ps_completed_ms(table, fingerprint) < crash.at_ms &&
-	    !ps_is_answered_part(table, fingerprint, crash.at_ms))
-		ps_add_crash(table, fingerprint, &crash);
+	return age_ms <= PS_EXPIRE_MS &&
+	       ps_completed_ms(table, fingerprint) < crash.at_ms &&
+	       !ps_is_answered_part(table, fingerprint, crash.at_ms) &&
+	       ps_add_crash(table, fingerprint, &crash);
 }
 
 void ps_confirm(struct ps_table *table, uint64_t fingerprint, int64_t now_ms)
--- a/src/limits/ps.h
+++ b/src/limits/ps.h
@@ -340,8 +340,10 @@
 /**
  * ps_peer_report() - record a crash that a peer reports, or a clearing (engine
  * 0).
+ *
+ * Return: whether a crash was recorded that was not known.
  */
-void ps_peer_report(struct ps_table *table, uint64_t fingerprint,
+bool ps_peer_report(struct ps_table *table, uint64_t fingerprint,
 		    uint64_t engine, uint64_t incarnation, int64_t age_ms,
 		    int64_t now_ms);
 
--- a/src/limits/ps_suspect.c
+++ b/src/limits/ps_suspect.c
@@ -1,5 +1,7 @@
 #include "limits/ps_suspect.h"
 
+#include <string.h>
+
 bool ps_has_crash(const struct _ps_suspect *suspect,
 		  const struct ps_crash *crash)
 {
@@ -32,18 +34,28 @@
 	return false;
 }
 
+static uint32_t ps_oldest_crash(const struct _ps_suspect *suspect)
+{
+	uint32_t oldest = 0;
+
+	for (uint32_t i = 1; i < suspect->count; i++)
+		if (suspect->crashes[i].at_ms < suspect->crashes[oldest].at_ms)
+			oldest = i;
+	return oldest;
+}
+
 /*
- * A full record does not show whether the request was at later crashes, and
- * that of a part not whether it was at others at the same moments.
+ * A full record does not show whether it was at crashes before its first, or at
+ * others at the same moments.
  */
 static bool ps_may_omit_crash(const struct _ps_suspect *suspect,
 			      const struct ps_crash *crash)
 {
 	if (suspect->count < PS_MAX_CRASHES)
 		return false;
-	if (ps_is_part(suspect->fingerprint))
-		return ps_has_crash_near(suspect, crash->at_ms);
-	return crash->at_ms >= ps_last_crash_ms(suspect);
+	return crash->at_ms <=
+		       suspect->crashes[ps_oldest_crash(suspect)].at_ms ||
+	       ps_has_crash_near(suspect, crash->at_ms);
 }
 
 /* Whether @other may have been present at all crashes of @suspect. */
@@ -67,7 +79,9 @@
 
 /*
  * Whether @other may be the cause of all crashes of @suspect instead. A part is
- * no rival of a content here: most contents that hold it are not known.
+ * no rival of a content here: most contents that hold it are not known. Parts
+ * that come together stop to be rivals in the end. A content does not: after
+ * two crashes it is held back, and misses those that have another cause.
  */
 bool ps_is_rival(const struct _ps_suspect *suspect,
 		 const struct _ps_suspect *other)
@@ -75,7 +89,8 @@
 	if (!ps_is_part(suspect->fingerprint))
 		return !ps_is_part(other->fingerprint) &&
 		       ps_was_at_all_crashes(suspect, other);
-	if (suspect->count >= PS_PART_SURE_CRASHES &&
+	if (ps_is_part(other->fingerprint) &&
+	    suspect->count >= PS_PART_SURE_CRASHES &&
 	    other->count <= suspect->count)
 		return false;
 	return ps_was_at_all_crashes(suspect, other);
@@ -152,18 +167,16 @@
 	return s;
 }
 
-/*
- * Drops one of two crashes at the same moment from a full record, for a crash
- * at a later moment: a part that crashes many engines within a second would
- * never be seen at enough moments. Returns whether there is room.
- */
-static bool ps_make_room(struct _ps_suspect *s, const struct ps_crash *crash)
+static void ps_drop_crash(struct _ps_suspect *s, uint32_t index)
+{
+	s->count--;
+	memmove(&s->crashes[index], &s->crashes[index + 1],
+		(s->count - index) * sizeof(s->crashes[0]));
+}
+
+/* Drops one of two crashes at the same moment; false if there are none. */
+static bool ps_drop_same_moment(struct _ps_suspect *s)
 {
-	if (s->count < PS_MAX_CRASHES)
-		return true;
-	if (!ps_is_part(s->fingerprint) ||
-	    crash->at_ms - ps_last_crash_ms(s) < PS_SAME_CAUSE_MS)
-		return false;
 	for (uint32_t i = 0; i < s->count; i++) {
 		for (uint32_t j = 0; j < s->count; j++) {
 			int64_t later_ms =
@@ -172,13 +185,31 @@
 			if (i == j || later_ms < 0 ||
 			    later_ms >= PS_SAME_CAUSE_MS)
 				continue;
-			s->crashes[i] = s->crashes[--s->count];
+			ps_drop_crash(s, i);
 			return true;
 		}
 	}
 	return false;
 }
 
+/*
+ * A full record keeps the latest crashes, as what explains the first ones need
+ * not explain those that follow, and as many moments as it can: many engines
+ * may crash within a second. Another crash at the last moment is not added, so
+ * hosts whose times differ a little do not send each other the same crashes
+ * again and again. Returns whether there is room.
+ */
+static bool ps_make_room(struct _ps_suspect *s, const struct ps_crash *crash)
+{
+	if (s->count < PS_MAX_CRASHES)
+		return true;
+	if (crash->at_ms - ps_last_crash_ms(s) < PS_SAME_CAUSE_MS)
+		return false;
+	if (!ps_drop_same_moment(s))
+		ps_drop_crash(s, ps_oldest_crash(s));
+	return true;
+}
+
 /* Returns whether the crash was not recorded before. */
 bool ps_add_crash(struct ps_table *table, uint64_t fingerprint,
 		  const struct ps_crash *crash)
--- a/tests/unit/poison_test.cc
+++ b/tests/unit/poison_test.cc
@@ -472,6 +472,12 @@
 	  crashes(sound, 1, 5, 1) + crashes(bad, 1, 5, 1), bad, true },
 	{ "the same content at all crashes explains them",
 	  crashes(7, 1, 3, 1) + crashes(bad, 1, 3, 1), bad, false },
+	{ "the same content at as many crashes as a record holds",
+	  crashes(7, 1, 8, 1) + crashes(bad, 1, 8, 1), bad, false },
+	{ "the same content at more crashes than a record holds",
+	  crashes(7, 1, 12, 1) + crashes(bad, 1, 12, 1), bad, false },
+	{ "a crash without that content",
+	  crashes(7, 1, 8, 1) + crashes(bad, 1, 9, 1), bad, true },
 	{ "different contents at the crashes",
 	  crashes(7, 1, 2, 1) + crashes(8, 3, 3, 1) + crashes(bad, 1, 3, 1),
 	  bad, true },
@@ -535,6 +541,10 @@
 			  crashes(7, 10, 11, 0),
 		  { sound },
 		  PS_REFUSE },
+		{ "crashes without the part after a full record beside it",
+		  crashes(bad, 1, 8, 1) + crashes(7, 1, 10, 1),
+		  { sound },
+		  PS_REFUSE },
 		{ "a crash without the part",
 		  crashes(bad, 1, 3, 1) + crashes(7, 3, 4, 0),
 		  { sound },
@@ -578,6 +588,35 @@
 	ps_finish(&table);
 }
 
+// Two hosts learnt of the same crashes, more than a record holds, at times and
+// in orders of their own, and send each other what they have.
+TEST(Poison, FullRecordsAreNotSentBackAndForth)
+{
+	struct ps_table tables[2];
+	struct ps_suspect s;
+
+	for (struct ps_table &table : tables)
+		ps_init(&table);
+	for (uint64_t i = 0; i < 12; i++) {
+		ps_peer_report(&tables[0], 7, 1 + i, 1, 0, now + 100 * i);
+		ps_peer_report(&tables[1], 7, 12 - i, 1, 0, now + 100 * i);
+	}
+	for (int round = 0; round < 10; round++) {
+		bool is_news = false;
+		int64_t at = now + 1200 + 40 * round;
+
+		ASSERT_TRUE(ps_find(&tables[round % 2], 7, &s));
+		for (uint32_t i = 0; i < s.count; i++)
+			is_news |= ps_peer_report(
+				&tables[(round + 1) % 2], 7,
+				s.crashes[i].engine, s.crashes[i].incarnation,
+				at - s.crashes[i].at_ms, at + 20);
+		EXPECT_FALSE(is_news && round >= 2) << round;
+	}
+	for (struct ps_table &table : tables)
+		ps_finish(&table);
+}
+
 TEST(Poison, FingerprintsOfPartsAndContentsDiffer)
 {
 	struct ps_call call = { "POST", "/x", "team", "body", 4 };
