gateway_collect_test: freeze a host that forwards, not the reader

Cause: the test's. It took the first host whose count of forwarded rows was not 0. While the hosts start, one that does not know the reader yet reads for the region itself and has the other zone's two first hosts forward: the reader-to-be, h1, is one of them, and the first by name. With h1 frozen all hosts poll the store themselves, as gw_relay.h says.

Ruled out: a forwarder that is frozen.

Change: the forwarders are those whose count grows over 0.8 s while the rows they send as a reader do not, and there must be two of them, as the relay chooses. The bound stays.

Before: fails whenever the start is slow enough.

--- a/tests/sessions/gateway_collect_test.cc
+++ b/tests/sessions/gateway_collect_test.cc
@@ -4,6 +4,8 @@
 #include <signal.h>
 
 #include <algorithm>
+#include <chrono>
+#include <thread>
 
 #include "cluster.h"
 #include "fleet.h"
@@ -13,6 +15,7 @@
 
 extern "C" {
 #include "gateway/gw_hosts.h"
+#include "peers/pe_zone.h"
 }
 
 using namespace harness;
@@ -23,6 +26,9 @@
 // More than GW_DIRECT_PEERS, in two zones of different regions.
 const int host_count = 20;
 
+// The reader sends the age of its rows several times a second.
+constexpr auto several_relays = std::chrono::milliseconds(800);
+
 class Collect : public testing::Test
 {
       protected:
@@ -114,6 +120,29 @@
 		return sum;
 	}
 
+	// The hosts that forward rows now. A reader may have forwarded some at
+	// the start, when another host was taken for the reader.
+	std::vector<std::string> forwarders()
+	{
+		const char *forwarded =
+			"balsampin_gateway_rows_forwarded_total";
+		const char *sent = "balsampin_gateway_rows_told_total";
+		std::map<std::string, std::pair<double, double>> before;
+		std::vector<std::string> found;
+
+		for (auto &host : hosts)
+			before[host.first] = { metric(host.first, forwarded),
+					       metric(host.first, sent) };
+		std::this_thread::sleep_for(several_relays);
+		for (auto &host : hosts)
+			if (metric(host.first, forwarded) >
+				    before[host.first].first &&
+			    metric(host.first, sent) ==
+				    before[host.first].second)
+				found.push_back(host.first);
+		return found;
+	}
+
 	// The collector on which the hosts of @zone but @except settle.
 	static std::vector<std::string> expected(const std::string &zone,
 						 const std::string &except = "")
@@ -177,29 +206,22 @@
 // forward them to theirs. One of the two is frozen.
 TEST_F(Collect, RowsReachBothZonesOfARegionWhileAForwarderIsFrozen)
 {
-	const char *forwarded = "balsampin_gateway_rows_forwarded_total";
-	std::vector<std::string> forwarders;
+	std::vector<std::string> found;
 
 	start("r1");
 	ASSERT_TRUE(wait_until(
 		[&] {
-			forwarders.clear();
-			for (int i = 0; i < host_count; i++) {
-				std::string name = "h" + std::to_string(i);
-
-				if (metric(name, forwarded) > 0)
-					forwarders.push_back(name);
-			}
-			return forwarders.size() >= 2;
+			found = forwarders();
+			return found.size() == PE_COLLECTORS;
 		},
 		20000));
-	kill(hosts[forwarders[0]]->pid(), SIGSTOP);
-	double reads = reads_of_missing_rows(forwarders[0]);
+	kill(hosts[found[0]]->pid(), SIGSTOP);
+	double reads = reads_of_missing_rows(found[0]);
 	configure(2, "find");
 	for (int i = 0; i < host_count; i++) {
 		std::string name = "h" + std::to_string(i);
 
-		if (name == forwarders[0])
+		if (name == found[0])
 			continue;
 		EXPECT_TRUE(wait_until(
 			[&] {
@@ -215,7 +237,7 @@
 			<< name;
 	}
 	/* Without forwarding, half of the hosts would read the change. */
-	EXPECT_LT(reads_of_missing_rows(forwarders[0]) - reads, host_count / 2);
+	EXPECT_LT(reads_of_missing_rows(found[0]) - reads, host_count / 2);
 }
 
 } // namespace
