gw_watch: a reader whose version lags confirms rows that are newer

Four hosts of one region refused everything with stale_config for a second, though their reader relayed once a second and they received it all.

Cause: answers without rows advance the reader's version only seconds later (a store about to drop its history omits changes). A host that has read the whole table since, as each does at its start, knows a higher version, and ignored the reader's messages, with them the time at which its rows were current. Until the reader came level, some four seconds, it called the store itself, at 2 s of age and with a wait of 1 s: at 3.1 s it was current again. Keys are accepted up to revoke_ms less 1.2 s: 3.8 s on the sites, 2 s in the tests.

Ruled out: the restarted host as the reader (it is h1, which ran on); lost messages (h3 and h4 counted 4, 6 and 8 as h2 did).

Change: the reader's message carries the version of the store at the call. Nothing changed after the reader's version, so a host that knows more is current if the store is not below what it knows; a store that begins anew is. Hosts of an older version do not exchange rows with these: each then calls the store itself.

--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -269,28 +269,19 @@
 		     GW_RETRY_MAX_MS, GW_RETRY_IDLE_MAX_MS);
 }
 
-static void gw_on_operator_read(void *arg, uint64_t from,
-				const struct rw_rows *rows, bool is_reload)
+static void gw_on_operator_read(void *arg, const struct gw_table_update *update)
 {
 	struct gw_knowledge *k = arg;
 
-	if (is_reload)
-		gw_relay_send_reload(k->gateway, GW_OPERATOR_ROWS, rows, 0);
-	else
-		gw_relay_send_rows(k->gateway, GW_OPERATOR_ROWS, from, rows, 0);
+	gw_relay_send(k->gateway, GW_OPERATOR_ROWS, update, 0);
 }
 
-static void gw_on_engines_read(void *arg, uint64_t from,
-			       const struct rw_rows *rows, bool is_reload)
+static void gw_on_engines_read(void *arg, const struct gw_table_update *update)
 {
 	struct gw_knowledge *k = arg;
-	int64_t left_ms = MAX(k->lapse_until_ms - ck_now_ms(), 0);
 
-	if (is_reload)
-		gw_relay_send_reload(k->gateway, GW_ENGINE_ROWS, rows, left_ms);
-	else
-		gw_relay_send_rows(k->gateway, GW_ENGINE_ROWS, from, rows,
-				   left_ms);
+	gw_relay_send(k->gateway, GW_ENGINE_ROWS, update,
+		      MAX(k->lapse_until_ms - ck_now_ms(), 0));
 }
 
 static struct gw_watch *gw_watch_of(struct gw_knowledge *k, enum gw_table table)
--- a/src/gateway/gw_relay.c
+++ b/src/gateway/gw_relay.c
@@ -72,7 +72,7 @@
 	g_free(message);
 }
 
-static void gw_relay_send(struct gw_gateway *g, const bp_gateway_rows *message)
+static void gw_relay_offer(struct gw_gateway *g, const bp_gateway_rows *message)
 {
 	bp_gateway_rows *copy;
 
@@ -127,42 +127,47 @@
 	return count;
 }
 
-void gw_relay_send_rows(struct gw_gateway *g, enum gw_table table,
-			uint64_t from, const struct rw_rows *rows,
-			int64_t lapse_left_ms)
+/* Sends as many messages as the rows need; only the last one reaches the end.
+ */
+static void gw_relay_send_rows(struct gw_gateway *g, bp_gateway_rows *message,
+			       const struct gw_table_update *update)
 {
+	const struct rw_rows *rows = &update->rows;
 	bp_row wire[BP_MAX_ROWS];
-	bp_gateway_rows message = { .table = table,
-				    .from = from,
-				    .store_ms = rows->store_ms,
-				    .lapse_left_ms = lapse_left_ms };
 	uint32_t first = 0;
 
 	do {
 		uint32_t count = gw_relay_fill(rows, first, wire);
 
-		message.partial = !count && rows->count;
-		first = message.partial ? rows->count : first + count;
-		message.to = first < rows->count ? rows->rows[first - 1].version
-						 : rows->version;
-		message.rows.rows_val = wire;
-		message.rows.rows_len = count;
-		gw_relay_send(g, &message);
-		message.from = message.to;
+		message->partial = !count && rows->count;
+		first = message->partial ? rows->count : first + count;
+		message->to = first < rows->count
+				      ? rows->rows[first - 1].version
+				      : rows->version;
+		message->newest =
+			first < rows->count ? message->to : update->newest;
+		message->rows.rows_val = wire;
+		message->rows.rows_len = count;
+		gw_relay_offer(g, message);
+		message->from = message->to;
 	} while (first < rows->count);
 }
 
-void gw_relay_send_reload(struct gw_gateway *g, enum gw_table table,
-			  const struct rw_rows *rows, int64_t lapse_left_ms)
+void gw_relay_send(struct gw_gateway *g, enum gw_table table,
+		   const struct gw_table_update *update, int64_t lapse_left_ms)
 {
 	bp_gateway_rows message = { .table = table,
-				    .from = rows->version,
-				    .to = rows->version,
-				    .store_ms = rows->store_ms,
-				    .lapse_left_ms = lapse_left_ms,
-				    .reload = true };
+				    .from = update->from,
+				    .store_ms = update->rows.store_ms,
+				    .lapse_left_ms = lapse_left_ms };
 
-	gw_relay_send(g, &message);
+	if (!update->is_reload) {
+		gw_relay_send_rows(g, &message, update);
+		return;
+	}
+	message.from = message.to = message.newest = update->rows.version;
+	message.reload = true;
+	gw_relay_offer(g, &message);
 }
 
 static void gw_on_relayed(void *arg, struct rp_request *request,
@@ -172,6 +177,7 @@
 	struct rw_row rows[BP_MAX_ROWS];
 	struct gw_table_update update = {
 		.from = message->from,
+		.newest = message->newest,
 		.is_partial = message->partial,
 		.is_reload = message->reload,
 		.rows = { rows, message->rows.rows_len, message->to,
--- a/src/gateway/gw_relay.h
+++ b/src/gateway/gw_relay.h
@@ -33,14 +33,9 @@
 /** enum gw_table - tables of the store, as numbered in messages. */
 enum gw_table { GW_OPERATOR_ROWS = 0, GW_ENGINE_ROWS, GW_TABLES };
 
-/** gw_relay_send_rows() - send rows that this host has read to its region. */
-void gw_relay_send_rows(struct gw_gateway *g, enum gw_table table,
-			uint64_t from, const struct rw_rows *rows,
-			int64_t lapse_left_ms);
-
-/** gw_relay_send_reload() - announce that the whole table was read again. */
-void gw_relay_send_reload(struct gw_gateway *g, enum gw_table table,
-			  const struct rw_rows *rows, int64_t lapse_left_ms);
+/** gw_relay_send() - send what this host has read to its region. */
+void gw_relay_send(struct gw_gateway *g, enum gw_table table,
+		   const struct gw_table_update *update, int64_t lapse_left_ms);
 
 /** gw_relay_step() - send a waiting message, once a period of gw_peers.c. */
 void gw_relay_step(struct gw_gateway *g);
--- a/src/gateway/gw_watch.c
+++ b/src/gateway/gw_watch.c
@@ -92,8 +92,8 @@
 {
 	struct gw_watch *watch = arg;
 	bool is_whole = !watch->_has_table;
-	uint64_t from = watch->version;
-	struct rw_rows read_rows;
+	struct gw_table_update update = { .from = watch->version,
+					  .is_reload = is_whole };
 
 	if (code != ST_OK) {
 		gw_watch_failed(watch, code);
@@ -110,11 +110,11 @@
 	watch->_has_table = true;
 	if (is_whole || rows->count)
 		watch->_desc.on_rows(watch->_desc.arg, rows, is_whole);
-	read_rows = *rows;
-	read_rows.version = watch->version;
+	update.rows = *rows;
+	update.rows.version = watch->version;
+	update.newest = MAX(rows->version, watch->version);
 	if (!is_whole || watch->_has_had_table)
-		watch->_desc.on_read(watch->_desc.arg, from, &read_rows,
-				     is_whole);
+		watch->_desc.on_read(watch->_desc.arg, &update);
 	watch->_has_had_table = true;
 	gw_watch_schedule(watch, 0.0);
 }
@@ -201,13 +201,27 @@
 	g_array_free(newer, TRUE);
 }
 
+/* Whether the known rows are those of the store at the time of the update. */
+static bool gw_watch_is_confirmed(const struct gw_watch *watch,
+				  const struct gw_table_update *update)
+{
+	return watch->_has_table && !update->is_reload && !update->is_partial &&
+	       update->from <= watch->version &&
+	       watch->version <= update->newest;
+}
+
 bool gw_watch_apply_update(struct gw_watch *watch,
 			   const struct gw_table_update *update)
 {
 	uint64_t known = watch->version;
 
-	if (!watch->_has_offset || update->rows.version < watch->version)
+	if (!watch->_has_offset)
 		return true;
+	if (update->rows.version < watch->version) {
+		if (gw_watch_is_confirmed(watch, update))
+			gw_watch_update_freshness(watch, update->rows.store_ms);
+		return true;
+	}
 	if (update->is_reload && watch->_has_table) {
 		watch->_has_table = false;
 		return gw_watch_fetch_missing(watch);
--- a/src/gateway/gw_watch.h
+++ b/src/gateway/gw_watch.h
@@ -17,7 +17,9 @@
  *
  *	A store that is about to drop its history may omit changes for a second.
  *	An answer without rows therefore advances the version in the feed only
- *	some seconds later.
+ *	some seconds later. Hosts that read the whole table in between know a
+ *	higher version than the reader, and are current if the store's version
+ *	was not below theirs.
  *
  * Use
  *	gw_watch_start(&watch, &(struct gw_watch_desc){ .loop = loop,
@@ -33,12 +35,14 @@
 /**
  * struct gw_table_update - update of a table from the reader of the region.
  * @from: version after which the rows changed.
+ * @newest: version of the store at the call, not below that of the rows.
  * @is_partial: some changed rows are left out.
  * @is_reload: the reader had to read the whole table again, and the receiver
  *	must do so too.
  */
 struct gw_table_update {
 	uint64_t from;
+	uint64_t newest;
 	bool is_partial;
 	bool is_reload;
 	struct rw_rows rows;
@@ -52,8 +56,8 @@
  * @retry_max_ms: returns the longest pause between two calls to a store that
  *	does not answer.
  * @on_rows: receives all rows of the table (@is_whole) or the changed ones.
- * @on_read: a call to the store returned the rows that changed after @from or,
- *	except for the first read, the whole table (@is_reload).
+ * @on_read: a call to the store returned rows that changed or, except for the
+ *	first read, the whole table.
  * @on_lost: the store did not answer; called once until it answers again.
  * @on_regained: the store answers again; called before on_rows.
  * @arg: first argument of all callbacks.
@@ -66,8 +70,7 @@
 	bool (*is_reader)(void *arg);
 	int64_t (*retry_max_ms)(void *arg);
 	void (*on_rows)(void *arg, const struct rw_rows *rows, bool is_whole);
-	void (*on_read)(void *arg, uint64_t from, const struct rw_rows *rows,
-			bool is_reload);
+	void (*on_read)(void *arg, const struct gw_table_update *update);
 	void (*on_lost)(void *arg, const char *reason);
 	void (*on_regained)(void *arg, int64_t lost_ms);
 	void *arg;
--- a/src/rpc/balsampin.x
+++ b/src/rpc/balsampin.x
@@ -204,7 +204,9 @@
 
 /*
  * What changed in @table after @from, up to @to, as of @store_ms of the store's
- * clock. @partial: there is more than is told, read it from the store.
+ * clock. @newest: version of the store then; the sender does not trust an answer
+ * without rows to reach so far, but a receiver that knows more than @to may be
+ * current. @partial: there is more than is told, read it from the store.
  * @reload: the whole table has to be read again.
  * @lapse_left_ms: entries that go missing may have lapsed for so long yet.
  */
@@ -217,6 +219,7 @@
 	bool partial;
 	bool reload;
 	bp_row rows<BP_MAX_ROWS>;
+	unsigned hyper newest;
 };
 
 /*
--- a/src/rpc/gen/balsampin.h
+++ b/src/rpc/gen/balsampin.h
@@ -244,6 +244,7 @@
 		u_int rows_len;
 		bp_row *rows_val;
 	} rows;
+	u_quad_t newest;
 };
 typedef struct bp_gateway_rows bp_gateway_rows;
 #define BP_MAX_TABLE_ROWS 4096
--- a/src/rpc/gen/balsampin_xdr.c
+++ b/src/rpc/gen/balsampin_xdr.c
@@ -697,6 +697,8 @@
 		 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, BP_MAX_ROWS,
 			sizeof (bp_row), (xdrproc_t) xdr_bp_row))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->newest))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_int (xdrs, &objp->table))
@@ -724,6 +726,8 @@
 		 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, BP_MAX_ROWS,
 			sizeof (bp_row), (xdrproc_t) xdr_bp_row))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->newest))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -744,6 +748,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, BP_MAX_ROWS,
 		sizeof (bp_row), (xdrproc_t) xdr_bp_row))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->newest))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/unit/watch_test.cc
+++ b/tests/unit/watch_test.cc
@@ -82,6 +82,7 @@
 	std::vector<std::string> received_keys;
 	int whole_reads = 0;
 	int reloads_reported = 0;
+	struct gw_table_update last_update = {};
 	int64_t retry_max_ms = 1000;
 	int losses = 0;
 
@@ -110,10 +111,12 @@
 				self->received_keys.push_back(
 					rows->rows[i].key);
 		};
-		desc.on_read = [](void *arg, uint64_t from,
-				  const struct rw_rows *rows, bool is_reload) {
-			static_cast<Watch *>(arg)->reloads_reported +=
-				is_reload;
+		desc.on_read = [](void *arg,
+				  const struct gw_table_update *update) {
+			auto *self = static_cast<Watch *>(arg);
+
+			self->reloads_reported += update->is_reload;
+			self->last_update = *update;
 		};
 		desc.on_lost = [](void *arg, const char *reason) {
 			static_cast<Watch *>(arg)->losses++;
@@ -155,12 +158,14 @@
 	}
 
 	void receive_update(uint64_t from, uint64_t to, int64_t store_ms,
-			    const char *key = nullptr, bool is_reload = false)
+			    const char *key = nullptr, bool is_reload = false,
+			    uint64_t newest = 0)
 	{
 		struct rw_row row = { key, "v", 1, to, false };
 		struct gw_table_update update = {};
 
 		update.from = from;
+		update.newest = std::max(newest, to);
 		update.is_reload = is_reload;
 		update.rows = { &row, key ? 1u : 0u, to, store_ms };
 		gw_watch_apply_update(&watch, &update);
@@ -253,6 +258,51 @@
 	EXPECT_LE(watch.fresh_ms, fresh_ms + 1);
 }
 
+// The reader keeps version 10 for some seconds, as the store's answers hold no
+// rows; a host that has read the whole table since then knows version 15.
+TEST_F(Watch, ReaderThatLagsConfirmsWhatTheStoreStillHas)
+{
+	static const struct {
+		const char *what;
+		uint64_t from, to, newest;
+		bool is_reload;
+		bool is_confirmed;
+	} cases[] = {
+		{ "no change after 10 in a store at 15", 10, 10, 15, false,
+		  true },
+		{ "nor in one that is further", 10, 10, 40, false, true },
+		{ "the store was at 14", 10, 10, 14, false, false },
+		{ "the store begins anew", 1, 2, 3, false, false },
+		{ "the reader has read the whole table", 10, 10, 15, true,
+		  false },
+	};
+
+	is_reader = false;
+	answer(ST_OK, 15, 1000, "a");
+	int64_t store_ms = 1000;
+	for (const auto &c : cases) {
+		int64_t before_ms = watch.fresh_ms;
+
+		spin(20);
+		store_ms += 20;
+		receive_update(c.from, c.to, store_ms, nullptr, c.is_reload,
+			       c.newest);
+		EXPECT_EQ(watch.fresh_ms > before_ms, c.is_confirmed) << c.what;
+		EXPECT_EQ(watch.version, 15u) << c.what;
+		if (!c.is_confirmed)
+			store_ms -= 20;
+	}
+}
+
+TEST_F(Watch, ReaderTellsTheVersionOfTheStore)
+{
+	answer(ST_OK, 10, 1000, "a");
+	answer(ST_OK, 12, 2000);
+	EXPECT_EQ(last_update.from, 10u);
+	EXPECT_EQ(last_update.rows.version, 10u);
+	EXPECT_EQ(last_update.newest, 12u);
+}
+
 TEST_F(Watch, StoreLossIsReportedOnceAndRetried)
 {
 	answer(ST_OK, 10, 1000, "a");
