gw_notice: hosts of a zone tell each other of leaving and pausing engines

Before: each host sends one request to an engine that asked its neighbour for a pause, and again after each start (new session test: 2 and 3 arrivals, 1 allowed).

Change: a notice that is news is sent once to the zone; in a fleet with collectors to these, and the collector passes on what is news to it. It is told to a process that starts. Hearsay only makes an engine the last choice, for 10 s at most: an engine may mean one caller, and a refusal for what another host was told would help nobody. Ruled out for that reason: to bind the host as its own notice does. A field of the load messages was ruled out too: they are sent ten times a second, and notices are rare.

--- a/src/fleet/fl_notice.c
+++ b/src/fleet/fl_notice.c
@@ -51,3 +51,25 @@
 	notice->pause_calls++;
 	return true;
 }
+
+int64_t fl_notice_left_ms(const struct fl_notice *notice, int64_t now_ms)
+{
+	if (notice->is_leaving)
+		return FL_MAX_HEARD_MS;
+	return CLAMP(notice->pause_until_ms - now_ms, 0, FL_MAX_HEARD_MS);
+}
+
+bool fl_notice_hear(struct fl_notice *notice, int64_t left_ms, int64_t now_ms)
+{
+	int64_t until_ms = now_ms + CLAMP(left_ms, 0, FL_MAX_HEARD_MS);
+	int64_t known_ms = MAX(notice->heard_until_ms,
+			       now_ms + fl_notice_left_ms(notice, now_ms));
+
+	notice->heard_until_ms = MAX(notice->heard_until_ms, until_ms);
+	return until_ms - known_ms >= FL_HEARD_STEP_MS;
+}
+
+bool fl_notice_is_heard(const struct fl_notice *notice, int64_t now_ms)
+{
+	return now_ms < notice->heard_until_ms;
+}
--- a/src/fleet/fl_notice.h
+++ b/src/fleet/fl_notice.h
@@ -13,6 +13,9 @@
  *	control. A pause that is asked for again may extend the one that runs,
  *	and never shortens it.
  *
+ *	What it said to other hosts binds this one to nothing: it is used if
+ *	there is no other, and only for FL_MAX_HEARD_MS.
+ *
  *	Plain functions, no clock.
  *
  * Use
@@ -28,6 +31,10 @@
 #define FL_PAUSE_CALLS 2
 /** Longest pause that an upstream may ask for. */
 #define FL_MAX_PAUSE_MS 86400000
+/** Longest time for which a host believes what another one was told. */
+#define FL_MAX_HEARD_MS 10000
+/** What extends that time by less is no news. */
+#define FL_HEARD_STEP_MS 500
 
 /** enum fl_use - whether an upstream may get a request. */
 enum fl_use { FL_USABLE = 0, FL_LEAVING, FL_PAUSED };
@@ -37,12 +44,14 @@
  * @is_leaving: it leaves.
  * @pause_until_ms: end of the pause; 0: none was asked for.
  * @pause_calls: calls of control made during the pause.
+ * @heard_until_ms: other hosts were told, until then, to leave it alone.
  * @was_unreadable: a notice that could not be read has been logged.
  */
 struct fl_notice {
 	bool is_leaving;
 	int64_t pause_until_ms;
 	uint32_t pause_calls;
+	int64_t heard_until_ms;
 	bool was_unreadable;
 };
 
@@ -65,4 +74,20 @@
  */
 bool fl_notice_take_call(struct fl_notice *notice, int64_t now_ms);
 
+/**
+ * fl_notice_left_ms() - for how long another host may believe what this one was
+ * told; 0: nothing was said.
+ */
+int64_t fl_notice_left_ms(const struct fl_notice *notice, int64_t now_ms);
+
+/**
+ * fl_notice_hear() - another host was told that it leaves, or pauses; returns
+ * whether that is news.
+ * @left_ms: of fl_notice_left_ms() there.
+ */
+bool fl_notice_hear(struct fl_notice *notice, int64_t left_ms, int64_t now_ms);
+
+/** fl_notice_is_heard() - whether to use it only if there is no other. */
+bool fl_notice_is_heard(const struct fl_notice *notice, int64_t now_ms);
+
 #endif
--- a/src/gateway/gw_notice.h
+++ b/src/gateway/gw_notice.h
@@ -9,6 +9,12 @@
  *	The end of a pause is spread over some time, as all hosts may have been
  *	told the same moment.
  *
+ *	A host that is told tells the others of its zone, in a large fleet
+ *	through the collector (gw_collect.h), which passes on what is news to
+ *	it: no host sends more messages in a larger fleet. One that starts is
+ *	told by those that are told of its start. The others then prefer other
+ *	upstreams.
+ *
  * Use
  *	g->dialect->read_answer(status, headers, &answer);
  *	gw_notice_answer(g, engine, &answer, request);
@@ -17,6 +23,7 @@
 #define GW_NOTICE_H
 
 #include "gateway/gw.h"
+#include "rpc/rp.h"
 
 /**
  * gw_notice_answer() - apply what @answer says of @e.
@@ -25,6 +32,12 @@
 void gw_notice_answer(struct gw_gateway *g, struct fl_engine *e,
 		      const struct dl_answer *answer, const char *request);
 
+/** gw_notice_sync_peer() - tell a process that started what is known. */
+void gw_notice_sync_peer(struct gw_gateway *g, const struct rp_peer *peer);
+
+/** gw_notice_serve() - take what other hosts were told. */
+enum st_code gw_notice_serve(struct gw_gateway *g, struct rp_endpoint *rpc);
+
 /** gw_notice_sweep() - log pauses that have ended; call several times a second.
  */
 void gw_notice_sweep(struct gw_gateway *g, int64_t now_ms);
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -6,6 +6,7 @@
 
 #include "gateway/gw.h"
 #include "gateway/gw_catchup.h"
+#include "gateway/gw_notice.h"
 #include "gateway/gw_peers.h"
 #include "gateway/gw_poison.h"
 #include "gateway/gw_relay.h"
@@ -44,6 +45,14 @@
 MT_COUNTER(gw_peer_received, "balsampin_gateway_peer_messages_heard_total",
 	   "load messages received from other hosts")
 
+static void gw_sync_started_peer(struct gw_peers *p, const struct gw_peer *peer,
+				 const struct rp_peer *from)
+{
+	gw_poison_sync_peer(p->gateway, from);
+	if (gw_collect_is_member(p, peer))
+		gw_notice_sync_peer(p->gateway, from);
+}
+
 static void gw_on_load(void *arg, struct rp_request *request, const void *args)
 {
 	struct gw_peers *p = arg;
@@ -77,7 +86,7 @@
 		peer->is_seen = true;
 		peer->takes_part = message->takes_part;
 		if (peer->incarnation != from->incarnation)
-			gw_poison_sync_peer(p->gateway, from);
+			gw_sync_started_peer(p, peer, from);
 		peer->incarnation = from->incarnation;
 		gw_collect_member(p, peer, message->sequence, shares,
 				  message->shares.shares_len, now_ms);
@@ -284,6 +293,8 @@
 		code = gw_catchup_serve(p->gateway, &p->rpc);
 	if (code == ST_OK)
 		code = gw_poison_serve(p->gateway, &p->rpc);
+	if (code == ST_OK)
+		code = gw_notice_serve(p->gateway, &p->rpc);
 	p->is_open = code == ST_OK;
 	if (!p->is_open)
 		lg_warn("endpoint for other hosts not opened", "event",
--- a/src/gateway/gw_relay.h
+++ b/src/gateway/gw_relay.h
@@ -72,4 +72,9 @@
 void gw_peers_call_zone(struct gw_gateway *g, uint32_t number, xdrproc_t args,
 			const void *value);
 
+/** gw_peers_call_collectors() - to the collector of the zone and its standby.
+ */
+void gw_peers_call_collectors(struct gw_gateway *g, uint32_t number,
+			      xdrproc_t args, const void *value);
+
 #endif
--- a/src/gateway/gw_roles.c
+++ b/src/gateway/gw_roles.c
@@ -182,6 +182,19 @@
 	}
 }
 
+void gw_peers_call_collectors(struct gw_gateway *g, uint32_t number,
+			      xdrproc_t args, const void *value)
+{
+	struct gw_peers *p = g->peers;
+
+	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++) {
+		const struct gw_peer *peer = p->hosts.peers->pdata[i];
+
+		if (peer->is_collector)
+			gw_call_peer(g, peer, number, args, value);
+	}
+}
+
 /*
  * Finds the owners of @key; NULL in @owners stands for this host. Hosts that
  * are not alive own nothing.
--- a/src/rpc/balsampin.x
+++ b/src/rpc/balsampin.x
@@ -241,6 +241,17 @@
 	bp_table_row rows<BP_MAX_TABLE_ROWS>;
 };
 
+/*
+ * An engine has said that it leaves, or asked for a pause; see
+ * src/gateway/gw_notice.h. @left_ms: for how long the receiver may believe it.
+ */
+struct bp_gateway_notice {
+	unsigned hyper engine;
+	unsigned hyper incarnation;
+	unsigned int left_ms;
+	bool is_leaving;
+};
+
 /* --- configuration (T, C) --- */
 
 struct bp_object {
@@ -388,5 +399,6 @@
 		void BP_GATEWAY_SUSPECT(bp_gateway_suspect) = 12;
 		void BP_GATEWAY_SUMS(bp_gateway_sums) = 13;
 		void BP_GATEWAY_FORWARD_ROWS(bp_gateway_rows) = 14;
+		void BP_GATEWAY_NOTICE(bp_gateway_notice) = 15;
 	} = 1;
 } = 0x20426d70;
--- a/src/rpc/gen/balsampin.h
+++ b/src/rpc/gen/balsampin.h
@@ -270,6 +270,14 @@
 };
 typedef struct bp_gateway_table bp_gateway_table;
 
+struct bp_gateway_notice {
+	u_quad_t engine;
+	u_quad_t incarnation;
+	u_int left_ms;
+	bool_t is_leaving;
+};
+typedef struct bp_gateway_notice bp_gateway_notice;
+
 struct bp_object {
 	bp_name kind;
 	bp_name name;
@@ -468,6 +476,9 @@
 #define BP_GATEWAY_FORWARD_ROWS 14
 extern  enum clnt_stat bp_gateway_forward_rows_1(bp_gateway_rows *, void *, CLIENT *);
 extern  bool_t bp_gateway_forward_rows_1_svc(bp_gateway_rows *, void *, struct svc_req *);
+#define BP_GATEWAY_NOTICE 15
+extern  enum clnt_stat bp_gateway_notice_1(bp_gateway_notice *, void *, CLIENT *);
+extern  bool_t bp_gateway_notice_1_svc(bp_gateway_notice *, void *, struct svc_req *);
 extern int balsampin_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -513,6 +524,9 @@
 #define BP_GATEWAY_FORWARD_ROWS 14
 extern  enum clnt_stat bp_gateway_forward_rows_1();
 extern  bool_t bp_gateway_forward_rows_1_svc();
+#define BP_GATEWAY_NOTICE 15
+extern  enum clnt_stat bp_gateway_notice_1();
+extern  bool_t bp_gateway_notice_1_svc();
 extern int balsampin_1_freeresult ();
 #endif /* K&R C */
 
@@ -543,6 +557,7 @@
 extern  bool_t xdr_bp_gateway_rows (XDR *, bp_gateway_rows*);
 extern  bool_t xdr_bp_table_row (XDR *, bp_table_row*);
 extern  bool_t xdr_bp_gateway_table (XDR *, bp_gateway_table*);
+extern  bool_t xdr_bp_gateway_notice (XDR *, bp_gateway_notice*);
 extern  bool_t xdr_bp_object (XDR *, bp_object*);
 extern  bool_t xdr_bp_upstream (XDR *, bp_upstream*);
 extern  bool_t xdr_bp_pull (XDR *, bp_pull*);
@@ -583,6 +598,7 @@
 extern bool_t xdr_bp_gateway_rows ();
 extern bool_t xdr_bp_table_row ();
 extern bool_t xdr_bp_gateway_table ();
+extern bool_t xdr_bp_gateway_notice ();
 extern bool_t xdr_bp_object ();
 extern bool_t xdr_bp_upstream ();
 extern bool_t xdr_bp_pull ();
--- a/src/rpc/gen/balsampin_xdr.c
+++ b/src/rpc/gen/balsampin_xdr.c
@@ -784,6 +784,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bp_gateway_notice (XDR *xdrs, bp_gateway_notice *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->engine))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_leaving))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bp_object (XDR *xdrs, bp_object *objp)
 {
--- a/tests/sessions/gateway_collect_test.cc
+++ b/tests/sessions/gateway_collect_test.cc
@@ -204,6 +204,40 @@
 
 // The reader of a region sends rows to two hosts of each other zone, which
 // forward them to theirs. One of the two is frozen.
+// One host is told of a pause. The others of its zone learn it from it through
+// the collector, with a few messages each.
+TEST_F(Collect, NoticeOfAnEngineReachesTheZone)
+{
+	const char *heard = "balsampin_gateway_notices_heard_total";
+	std::vector<std::string> found;
+
+	start("r1");
+	ASSERT_TRUE(wait_until(
+		[&] { return collectors("z1") == expected("z1"); }, 20000));
+	ASSERT_TRUE(wait_until(
+		[&] { return forwarders().size() == PE_COLLECTORS; }, 20000));
+	fleet.ask_pause("a1", 8000);
+	EXPECT_EQ(call(Fleet::url("h3", "/look/x"), "",
+		       { "Host: h", "Authorization: Bearer k1",
+			 "X-Attempt-Id: p1", "X-Deadline-Ms: 1500" },
+		       "POST")
+			  .status,
+		  503);
+	for (int i = 0; i < host_count; i++) {
+		std::string name = "h" + std::to_string(i);
+
+		if (name == "h3")
+			continue;
+		if (zone_of(i) == zone_of(3)) {
+			EXPECT_TRUE(wait_until(
+				[&] { return metric(name, heard) > 0; }, 2000))
+				<< name;
+		}
+		EXPECT_LE(metric(name, heard), zone_of(i) == zone_of(3) ? 3 : 0)
+			<< name;
+	}
+}
+
 TEST_F(Collect, RowsReachBothZonesOfARegionWhileAForwarderIsFrozen)
 {
 	std::vector<std::string> found;
--- a/tests/sessions/gateway_notice_test.cc
+++ b/tests/sessions/gateway_notice_test.cc
@@ -89,6 +89,17 @@
 			    headers, "POST");
 	}
 
+	static bool knows_others(const std::string &host)
+	{
+		std::string name =
+			"\nbalsampin_gateway_peer_messages_heard_total ";
+		std::string page = call(Fleet::metrics(host)).body;
+		size_t at = page.find(name);
+
+		return at != std::string::npos &&
+		       std::stod(page.substr(at + name.size())) > 0;
+	}
+
 	// A time after all arrivals so far, which are known in whole ms.
 	static int64_t later_ms()
 	{
@@ -268,6 +279,45 @@
 	}));
 }
 
+// A host prefers other engines to those that asked its neighbours for a pause,
+// also after it has started anew, but refuses nothing for hearsay.
+TEST_F(Notice, HostsOfAZoneTellEachOther)
+{
+	const int pause_ms = 6000;
+
+	start("h1", {});
+	start("h2", {});
+	for (const char *host : { "h1", "h2" })
+		ASSERT_TRUE(wait_until([&] { return knows_others(host); }));
+	fleet.ask_pause("a1", pause_ms);
+	int64_t began_ms = ck_now_ms();
+	ASSERT_TRUE(wait_until([&] {
+		return ask("record", "h1").status == 200 &&
+		       arrivals("a1", began_ms) > 0;
+	}));
+	std::this_thread::sleep_for(std::chrono::milliseconds(100));
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(ask("record", "h2").status, 200);
+	EXPECT_EQ(arrivals("a1", began_ms), 1);
+	hosts["h2"]->signal(SIGKILL);
+	hosts["h2"]->wait();
+	start("h2", {});
+	ASSERT_TRUE(wait_until([&] { return knows_others("h2"); }));
+	std::this_thread::sleep_for(std::chrono::milliseconds(100));
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(ask("record", "h2").status, 200);
+	EXPECT_EQ(arrivals("a1", began_ms), 1);
+	for (const char *id : { "a2", "a3" })
+		fleet.ask_pause(id, pause_ms);
+	for (int i = 0; i < 4; i++)
+		EXPECT_EQ(ask("record", "h1").status, 503);
+	int64_t from_ms = later_ms();
+	EXPECT_EQ(ask("record", "h2").status, 503);
+	EXPECT_GT(arrivals("a1", from_ms) + arrivals("a2", from_ms) +
+			  arrivals("a3", from_ms),
+		  0);
+}
+
 TEST_F(Notice, RefusalTellsWhenThePauseEnds)
 {
 	start("h1", {});
--- a/tests/unit/notice_test.cc
+++ b/tests/unit/notice_test.cc
@@ -22,6 +22,83 @@
 	int64_t ms;
 };
 
+// What another host was told.
+TEST(Notice, HearsayIsBoundedAndNewsOnlyOnce)
+{
+	static const struct {
+		const char *what;
+		std::vector<Step> own;
+		std::vector<int64_t> left_ms;
+		int64_t after_ms;
+		bool is_news;
+		bool is_heard;
+	} cases[] = {
+		{ "a pause", {}, { 3000 }, 2999, true, true },
+		{ "it is over", {}, { 3000 }, 3000, true, false },
+		{ "none is left", {}, { 0 }, 0, false, false },
+		{ "a negative one", {}, { -4000 }, 0, false, false },
+		{ "believed for a bounded time",
+		  {},
+		  { 5000000 },
+		  FL_MAX_HEARD_MS,
+		  true,
+		  false },
+		{ "the same again", {}, { 3000, 3100 }, 0, false, true },
+		{ "a longer one", {}, { 3000, 5000 }, 4999, true, true },
+		{ "a shorter one", {}, { 3000, 100 }, 2999, false, true },
+		{ "it told this host so",
+		  { { 'p', 5000 } },
+		  { 3000 },
+		  0,
+		  false,
+		  true },
+		{ "it told this host that it leaves",
+		  { { 'l', 0 } },
+		  { FL_MAX_HEARD_MS },
+		  0,
+		  false,
+		  true },
+	};
+
+	for (const auto &c : cases) {
+		struct fl_notice notice = {};
+		bool is_news = false;
+
+		for (const Step &s : c.own) {
+			if (s.what == 'l')
+				fl_notice_leaving(&notice);
+			else
+				fl_notice_pause(&notice, s.ms, now);
+		}
+		for (int64_t left_ms : c.left_ms)
+			is_news = fl_notice_hear(&notice, left_ms, now);
+		EXPECT_EQ(is_news, c.is_news) << c.what;
+		EXPECT_EQ(fl_notice_is_heard(&notice, now + c.after_ms),
+			  c.is_heard)
+			<< c.what;
+		if (c.own.empty()) {
+			EXPECT_EQ(fl_notice_use(&notice, now), FL_USABLE)
+				<< c.what;
+		}
+	}
+}
+
+TEST(Notice, OthersMayBelieveWhatIsLeftOfIt)
+{
+	struct fl_notice notice = {};
+
+	EXPECT_EQ(fl_notice_left_ms(&notice, now), 0);
+	fl_notice_hear(&notice, 3000, now);
+	EXPECT_EQ(fl_notice_left_ms(&notice, now), 0) << "hearsay";
+	fl_notice_pause(&notice, 3000, now);
+	EXPECT_EQ(fl_notice_left_ms(&notice, now + 1000), 2000);
+	EXPECT_EQ(fl_notice_left_ms(&notice, now + 4000), 0);
+	fl_notice_pause(&notice, 60000, now + 4000);
+	EXPECT_EQ(fl_notice_left_ms(&notice, now + 4000), FL_MAX_HEARD_MS);
+	fl_notice_leaving(&notice);
+	EXPECT_EQ(fl_notice_left_ms(&notice, now + 90000), FL_MAX_HEARD_MS);
+}
+
 TEST(Notice, UseFollowsWhatWasSaid)
 {
 	static const struct {
