entry: an engine that asks for a pause gets it

Its engines say that they leave in their state, which it follows already; Retry-After with a 429 or 503 was not read.

Before: an engine that refuses everything for a minute gets 10 of 20 requests, each a retry from the budget; with all of them pausing a caller is told to return in 1 s, and both engines are asked each time.

Change: up_result has the pause, lm_engine.h keeps it with the limit of the engine until that starts anew (fl_notice.h decides, as at the gateway), and candidates leave out engines that pause. If none is left the refusal tells the end of the first pause. Ruled out: a limit of zero requests, which would queue callers for max_wait_ms before their refusal.

--- a/src/entry/en_dispatch.c
+++ b/src/entry/en_dispatch.c
@@ -6,7 +6,6 @@
 #include <string.h>
 
 #define EN_TICK_S   (LM_TICK_MS / 1000.0)
-#define EN_MS_PER_S 1000
 
 MT_GAUGE(en_running, "balsampin_entry_running_requests",
 	 "requests admitted by the limits and not finished")
--- a/src/entry/en_dispatch.h
+++ b/src/entry/en_dispatch.h
@@ -30,6 +30,8 @@
 #include "upstream/up.h"
 #include "upstream/up_body.h"
 
+#define EN_MS_PER_S 1000
+
 #define EN_BYTES_PER_TOKEN   4
 #define EN_WRONG_WEIGHTS_MS  1000
 #define EN_MAX_WRONG_WEIGHTS 4096
--- a/src/entry/en_engine.c
+++ b/src/entry/en_engine.c
@@ -263,6 +263,19 @@
 	       (result->http_status == 404 || result->http_status == 409);
 }
 
+static void en_pause_engine(struct en_call *call, int64_t pause_ms)
+{
+	char text[24];
+
+	if (!lm_engine_pause(&call->d->engine_limits, call->upstream_id,
+			     pause_ms, ck_now_ms()))
+		return;
+	g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT, pause_ms);
+	lg_info("engine asks for a pause", "event", "engine_paused", "engine",
+		call->upstream, "request", call->request->request_id,
+		"pause_ms", text, NULL);
+}
+
 /* Reports to the membership and the limits what the result shows about the
  * engine; the outcome of the request does not matter here. */
 static void en_report_engine(struct en_call *call,
@@ -282,6 +295,8 @@
 		en_note_wrong_weights(call);
 	if (result->http_status == 429 || result->http_status == 503)
 		lm_engine_overloaded(&d->engine_limits, call->upstream_id);
+	if (result->pause_ms)
+		en_pause_engine(call, result->pause_ms);
 }
 
 static void en_record_attempt_end(struct en_call *call,
--- a/src/entry/en_place.c
+++ b/src/entry/en_place.c
@@ -30,6 +30,7 @@
 	struct en_lookup lookups[BP_MAX_ENGINES];
 	uint32_t lookup_count;
 	uint32_t open;
+	int64_t pause_left_ms; /* until the first engine may be used again */
 	bool has_answer;
 	bool is_starting;
 };
@@ -120,6 +121,16 @@
 	}
 }
 
+static bool en_is_paused(struct en_placing *p, uint64_t engine)
+{
+	int64_t left_ms = lm_engine_pause_left_ms(&p->call->d->engine_limits,
+						  engine, ck_now_ms());
+
+	if (left_ms && (!p->pause_left_ms || left_ms < p->pause_left_ms))
+		p->pause_left_ms = left_ms;
+	return left_ms > 0;
+}
+
 static void en_collect_candidates(struct en_placing *p)
 {
 	struct en_call *call = p->call;
@@ -138,7 +149,7 @@
 	     m = mb_next(members, MB_ENGINE, NULL, m)) {
 		if (!mb_can_get_work(m) ||
 		    !cm_names_has(&model->engines, m->name) ||
-		    en_has_wrong_weights(call, m->id))
+		    en_has_wrong_weights(call, m->id) || en_is_paused(p, m->id))
 			continue;
 		pool.engines[pool.count].engine = m->id;
 		pool.engines[pool.count].distance = en_distance(d, m);
@@ -219,11 +230,14 @@
 		return;
 	}
 	if (!engine) {
+		uint32_t retry_after_s =
+			(p->pause_left_ms + EN_MS_PER_S - 1) / EN_MS_PER_S;
+
 		en_place_cancel(call);
 		en_call_fail(call,
 			     call->may_have_run ? EN_UPSTREAM_FAILED
 						: EN_NO_UPSTREAM,
-			     NULL, 0);
+			     NULL, retry_after_s);
 		en_call_end(call);
 		return;
 	}
--- a/src/limits/lm_engine.c
+++ b/src/limits/lm_engine.c
@@ -2,6 +2,8 @@
 
 #include <math.h>
 
+#include "fleet/fl_notice.h"
+
 /* Fixed part of the time to the first token, expressed in tokens. */
 #define LM_FIXED_TOKENS 512
 /* A slowdown below this factor counts as noise ... */
@@ -23,6 +25,7 @@
 	double limit;
 	double best_us;
 	double recent_us;
+	struct fl_notice notice;
 };
 
 void lm_engine_init(struct lm_engine_table *table,
@@ -126,6 +129,23 @@
 		lm_engine_set_limit(table, state, state->limit / 2.0);
 }
 
+bool lm_engine_pause(struct lm_engine_table *table, uint64_t engine,
+		     int64_t pause_ms, int64_t now_ms)
+{
+	struct _lm_engine *state = lm_engine_get(table, engine);
+
+	return state && fl_notice_pause(&state->notice, pause_ms, now_ms);
+}
+
+int64_t lm_engine_pause_left_ms(const struct lm_engine_table *table,
+				uint64_t engine, int64_t now_ms)
+{
+	const struct _lm_engine *state =
+		g_hash_table_lookup(table->_engines, &engine);
+
+	return state ? MAX(state->notice.pause_until_ms - now_ms, 0) : 0;
+}
+
 void lm_engine_forget(struct lm_engine_table *table, uint64_t engine)
 {
 	g_hash_table_remove(table->_engines, &engine);
--- a/src/limits/lm_engine.h
+++ b/src/limits/lm_engine.h
@@ -10,6 +10,9 @@
  *	or failure due to overload halves it. The best time rises slowly by
  *	itself, so that the limit adapts to a change of model.
  *
+ *	An engine that asks for a pause with a refusal is not used until it is
+ *	over; see fleet/fl_notice.h.
+ *
  * Use
  *	candidate.max_running = lm_engine_limit(&table, engine);
  *	lm_engine_first_token(&table, engine, took_ms, new_tokens, running);
@@ -19,6 +22,7 @@
 #define LM_ENGINE_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #define LM_ENGINE_MIN		  4
@@ -59,6 +63,17 @@
 /** lm_engine_overloaded() - record a refusal for lack of capacity. */
 void lm_engine_overloaded(struct lm_engine_table *table, uint64_t engine);
 
+/**
+ * lm_engine_pause() - record that an engine asks for a pause; returns whether
+ * none was running.
+ */
+bool lm_engine_pause(struct lm_engine_table *table, uint64_t engine,
+		     int64_t pause_ms, int64_t now_ms);
+
+/** lm_engine_pause_left_ms() - rest of its pause; 0: none is running. */
+int64_t lm_engine_pause_left_ms(const struct lm_engine_table *table,
+				uint64_t engine, int64_t now_ms);
+
 /**
  * lm_engine_forget() - drop the state of an engine that restarted or is gone.
  */
--- a/src/upstream/up.h
+++ b/src/upstream/up.h
@@ -95,6 +95,7 @@
  * @body_bytes: length of @body.
  * @headers: alternating names and values, NULL-terminated, of a service's
  *	answer.
+ * @pause_ms: for how long a refusal asks to get no requests; 0 if it does not.
  * @message: human-readable reason of a failure.
  */
 struct up_result {
@@ -108,6 +109,7 @@
 	const char *body;
 	uint64_t body_bytes;
 	const char *const *headers;
+	int64_t pause_ms;
 	const char *message;
 };
 
@@ -226,6 +228,7 @@
 	uint64_t _bytes_since_event;
 	GPtrArray *_headers;
 	struct json_object *_json;
+	int64_t _pause_ms;
 	struct _up_link *_link;
 	bool _is_running;
 	bool _was_sent;
--- a/src/upstream/up_engine.c
+++ b/src/upstream/up_engine.c
@@ -10,6 +10,7 @@
 #include "upstream/up.h"
 
 #define UP_STREAM_PATH_BYTES (UP_ID_BYTES + 32)
+#define UP_MAX_PAUSE_S	     86400.0
 
 static void up_engine_add_headers(struct up_attempt *a, GPtrArray *headers)
 {
@@ -25,9 +26,23 @@
 			g_strdup_printf("X-Event-Time: %" PRIu64, stamp));
 }
 
+/* A time of day, which the field may hold too, asks for no pause here. */
+static int64_t up_parse_pause_ms(const char *value)
+{
+	char *end;
+	double seconds = g_ascii_strtod(value, &end);
+
+	/* Not a number compares false with all. */
+	if (end == value || *end || !(seconds > 0) || seconds > UP_MAX_PAUSE_S)
+		return 0;
+	return (int64_t)(seconds * 1000 + 0.5);
+}
+
 static void up_engine_header(struct up_attempt *a, const char *name,
 			     const char *value)
 {
+	if (!strcmp(name, "retry-after"))
+		a->_pause_ms = up_parse_pause_ms(value);
 	sd_header(&a->_decoder, name, value);
 }
 
@@ -95,6 +110,8 @@
 {
 	if (result->end == UP_COMPLETE && answer->http_status != 200) {
 		result->end = UP_REFUSED;
+		if (answer->http_status == 429 || answer->http_status == 503)
+			result->pause_ms = a->_pause_ms;
 		result->body = answer->body;
 		result->body_bytes = answer->body_bytes;
 		if (a->_desc.is_stream) {
--- a/tests/unit/entry_test.cc
+++ b/tests/unit/entry_test.cc
@@ -295,6 +295,42 @@
 	EXPECT_EQ(a.retry_after, "1");
 }
 
+// An engine that asks for a pause gets nothing in it; if all do, callers are
+// told when the first pause ends.
+TEST_F(Entry, PausedEngineGetsNothingAndRefusalsTellItsEnd)
+{
+	auto pause = [](const char *seconds) {
+		return [=](struct hs_exchange *x) {
+			const struct hs_header headers[] = {
+				{ "Retry-After", seconds }, {}
+			};
+
+			hs_respond(x, 503, headers, "{}", 2);
+		};
+	};
+
+	for (const char *ignored : { "-3", "nan", "soon", "1e9", "" }) {
+		restart();
+		e1.on_request = pause(ignored);
+		for (int i = 0; i < 8; i++)
+			EXPECT_EQ(post_completion(plain).status, 200u);
+		EXPECT_GT(e1.count("POST"), 1) << ignored;
+	}
+	restart();
+	e1.on_request = pause("60");
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(post_completion(plain).status, 200u);
+	EXPECT_EQ(e1.count("POST"), 1);
+	e2.on_request = pause("7.5");
+	post_completion(plain);
+	int before = posts();
+	Answer a = post_completion(plain);
+	EXPECT_EQ(a.status, 503u);
+	EXPECT_TRUE(has(a.body, "\"run\":\"not_run\"")) << a.body;
+	EXPECT_EQ(a.retry_after, "8");
+	EXPECT_EQ(posts(), before);
+}
+
 // An engine that is loading a model refuses at once without running anything,
 // so retries of such requests must not use up the retry budget.
 TEST_F(Entry, RefusalForMissingModelUsesNoRetryBudget)
