--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -1,16 +1,39 @@
 #include "promises.h"
 
+#include <time.h>
+
+#include <cstdio>
+
+extern "C" {
+#include "kernel/ck.h"
+}
+
 namespace soak
 {
 
 namespace
 {
 
+/* As the hosts' logs have it, so that a late arrival can be told from them. */
+std::string time_of_day(int64_t at_ms)
+{
+	int64_t wall_ms = ck_wall_ms() - (ck_now_ms() - at_ms);
+	time_t seconds = wall_ms / 1000;
+	struct tm utc;
+	char text[32];
+
+	gmtime_r(&seconds, &utc);
+	snprintf(text, sizeof(text), "%02d:%02d:%02d.%03d", utc.tm_hour,
+		 utc.tm_min, utc.tm_sec, (int)(wall_ms % 1000));
+	return text;
+}
+
 std::string described(const Sent &sent)
 {
 	return "attempt " + sent.attempt + " at host " +
 	       std::to_string(sent.host) + ", sent at " +
-	       std::to_string(sent.sent_ms);
+	       std::to_string(sent.sent_ms) + " (" + time_of_day(sent.sent_ms) +
+	       ")";
 }
 
 bool is_stream(Route route)
