gw_notice: an engine whose start is learnt late keeps what it said

Cause: notices are kept by incarnation.

Change: an engine that takes another one's place inherits what was said since half a second before the table was last known without it, and what an engine that is gone answers holds for its successor too.

Before: the new session test fails in its line on arrivals.

--- a/src/fleet/fl_notice.c
+++ b/src/fleet/fl_notice.c
@@ -14,10 +14,11 @@
 	return fl_notice_is_paused(notice, now_ms) ? FL_PAUSED : FL_USABLE;
 }
 
-bool fl_notice_leaving(struct fl_notice *notice)
+bool fl_notice_leaving(struct fl_notice *notice, int64_t now_ms)
 {
 	bool is_news = !notice->is_leaving;
 
+	notice->said_ms = MAX(notice->said_ms, now_ms);
 	notice->is_leaving = true;
 	return is_news;
 }
@@ -26,6 +27,7 @@
 {
 	bool is_news = !fl_notice_is_paused(notice, now_ms);
 
+	notice->said_ms = MAX(notice->said_ms, now_ms);
 	if (is_news)
 		notice->pause_calls = 0;
 	notice->pause_until_ms =
@@ -52,6 +54,22 @@
 	return true;
 }
 
+bool fl_notice_inherit(struct fl_notice *notice, const struct fl_notice *before,
+		       int64_t since_ms)
+{
+	struct fl_notice old = *notice;
+
+	if (!before->said_ms || before->said_ms < since_ms)
+		return false;
+	notice->is_leaving = notice->is_leaving || before->is_leaving;
+	notice->pause_until_ms =
+		MAX(notice->pause_until_ms, before->pause_until_ms);
+	notice->pause_calls = MAX(notice->pause_calls, before->pause_calls);
+	notice->said_ms = MAX(notice->said_ms, before->said_ms);
+	return notice->is_leaving != old.is_leaving ||
+	       notice->pause_until_ms != old.pause_until_ms;
+}
+
 int64_t fl_notice_left_ms(const struct fl_notice *notice, int64_t now_ms)
 {
 	if (notice->is_leaving)
--- a/src/fleet/fl_notice.h
+++ b/src/fleet/fl_notice.h
@@ -13,6 +13,11 @@
  *	control. A pause that is asked for again may extend the one that runs,
  *	and never shortens it.
  *
+ *	The entry of an upstream that started anew may come late, as the store
+ *	is away: until then the notice is recorded for the incarnation before.
+ *	The next one inherits what was said when its start was possible; see
+ *	fl_notice_inherit().
+ *
  *	What it said to other hosts binds this one to nothing: it is used if
  *	there is no other, and only for FL_MAX_HEARD_MS.
  *
@@ -44,6 +49,7 @@
  * @is_leaving: it leaves.
  * @pause_until_ms: end of the pause; 0: none was asked for.
  * @pause_calls: calls of control made during the pause.
+ * @said_ms: time of the last answer with a notice.
  * @heard_until_ms: other hosts were told, until then, to leave it alone.
  * @was_unreadable: a notice that could not be read has been logged.
  */
@@ -51,14 +57,16 @@
 	bool is_leaving;
 	int64_t pause_until_ms;
 	uint32_t pause_calls;
+	int64_t said_ms;
 	int64_t heard_until_ms;
 	bool was_unreadable;
 };
 
 enum fl_use fl_notice_use(const struct fl_notice *notice, int64_t now_ms);
 
-/** fl_notice_leaving() - it leaves; returns whether that is news. */
-bool fl_notice_leaving(struct fl_notice *notice);
+/** fl_notice_leaving() - it says that it leaves; returns whether that is news.
+ */
+bool fl_notice_leaving(struct fl_notice *notice, int64_t now_ms);
 
 /**
  * fl_notice_pause() - it asks for a pause from now on; returns whether no pause
@@ -74,6 +82,16 @@
  */
 bool fl_notice_take_call(struct fl_notice *notice, int64_t now_ms);
 
+/**
+ * fl_notice_inherit() - add what an incarnation is recorded to have said before
+ * this one was known.
+ * @since_ms: this one may have started then; older notices are not its own.
+ *
+ * Return: whether anything was added.
+ */
+bool fl_notice_inherit(struct fl_notice *notice, const struct fl_notice *before,
+		       int64_t since_ms);
+
 /**
  * fl_notice_left_ms() - for how long another host may believe what this one was
  * told; 0: nothing was said.
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -41,6 +41,7 @@
 	struct gw_watch engine_rows;
 	ev_timer sweep;
 	int64_t lapse_until_ms;
+	int64_t engines_fresh_ms; /* before the rows that are being applied */
 };
 
 static void gw_log_bad_row(const char *key)
@@ -159,23 +160,29 @@
 	fl_unref(e);
 }
 
-/* At most one engine can match, as addresses are not shared. */
-static void gw_report_replaced_engine(struct gw_gateway *g,
-				      const struct dl_engine *entry)
+/*
+ * At most one engine can match, as addresses are not shared. Returns what it
+ * has said of itself.
+ */
+static struct fl_notice gw_report_replaced_engine(struct gw_gateway *g,
+						  const struct dl_engine *entry)
 {
 	struct fl_engine *replaced = NULL;
 
 	fl_for_each (&g->fleet, e)
 		if (fl_is_superseded_by(e, entry))
 			replaced = e;
-	if (replaced)
-		gw_poison_engine_exited(g, replaced, "replaced");
+	if (!replaced)
+		return (struct fl_notice){ 0 };
+	gw_poison_engine_exited(g, replaced, "replaced");
+	return replaced->notice;
 }
 
 static void gw_apply_engine(struct gw_knowledge *k, const struct rw_row *row)
 {
 	struct gw_gateway *g = k->gateway;
 	struct fl_engine *known = fl_find(&g->fleet, row->key);
+	struct fl_notice before;
 	struct dl_engine entry;
 	char weights[24];
 
@@ -195,8 +202,9 @@
 			entry.zone, "state",
 			entry.is_draining ? "draining" : "ready", "weights",
 			weights, NULL);
-	gw_report_replaced_engine(g, &entry);
+	before = gw_report_replaced_engine(g, &entry);
 	known = fl_put(&g->fleet, &entry);
+	gw_notice_inherit(g, known, &before, k->engines_fresh_ms);
 	known->region = gw_region_of(&g->settings, entry.zone);
 	known->region_number = g_quark_from_string(known->region);
 }
@@ -236,6 +244,7 @@
 	}
 	if (is_whole)
 		gw_mark_unlisted_missing(k, rows);
+	k->engines_fresh_ms = k->engine_rows.fresh_ms;
 	k->gateway->has_fleet = true;
 	gw_rollout_changed(k->gateway);
 	gw_release_early(k->gateway);
@@ -361,6 +370,7 @@
 	struct gw_knowledge *k = w->data;
 
 	k->gateway->config_fresh_ms = k->operator_rows.fresh_ms;
+	k->engines_fresh_ms = k->engine_rows.fresh_ms;
 	mt_set(&gw_config_age, ck_now_ms() - k->gateway->config_fresh_ms);
 	gw_requests_sweep(k->gateway, ck_now_ms());
 	gw_silence_sweep(k->gateway, ck_now_ms());
--- a/src/gateway/gw_notice.c
+++ b/src/gateway/gw_notice.c
@@ -10,6 +10,8 @@
 /* The end of a pause is put off by a random share of it, up to a limit. */
 #define GW_PAUSE_SPREAD_DIVISOR 10
 #define GW_PAUSE_MAX_SPREAD_MS	1000
+/* Between the start of an engine and its entry. */
+#define GW_REGISTRATION_MS 500
 /* Notices that a process which started is told. */
 #define GW_MAX_SYNC_NOTICES 64
 
@@ -138,8 +140,8 @@
 	return pause_ms + g_random_int_range(0, (gint32)spread_ms + 1);
 }
 
-void gw_notice_answer(struct gw_gateway *g, struct fl_engine *e,
-		      const struct dl_answer *answer, const char *request)
+static void gw_apply_notice(struct gw_gateway *g, struct fl_engine *e,
+			    const struct dl_answer *answer, const char *request)
 {
 	struct fl_notice *notice = &e->notice;
 
@@ -149,7 +151,7 @@
 			gw_log_notice("engine_notice_ignored", e, request, -1);
 		notice->was_unreadable = true;
 	}
-	if (answer->is_leaving && fl_notice_leaving(notice)) {
+	if (answer->is_leaving && fl_notice_leaving(notice, ck_now_ms())) {
 		mt_add(&gw_leaving, 1);
 		gw_log_notice("engine_leaving", e, request, -1);
 		gw_notice_tell(g, e);
@@ -166,6 +168,37 @@
 	fl_keep_notice(&g->fleet, e);
 }
 
+static struct fl_engine *gw_find_successor(const struct gw_gateway *g,
+					   const struct fl_engine *gone)
+{
+	fl_for_each (&g->fleet, e)
+		if (fl_is_superseded_by(gone, &e->entry))
+			return e;
+	return NULL;
+}
+
+void gw_notice_answer(struct gw_gateway *g, struct fl_engine *e,
+		      const struct dl_answer *answer, const char *request)
+{
+	struct fl_engine *successor =
+		e->is_gone ? gw_find_successor(g, e) : NULL;
+
+	gw_apply_notice(g, e, answer, request);
+	if (successor)
+		gw_apply_notice(g, successor, answer, request);
+}
+
+void gw_notice_inherit(struct gw_gateway *g, struct fl_engine *e,
+		       const struct fl_notice *before, int64_t since_ms)
+{
+	if (!fl_notice_inherit(&e->notice, before,
+			       since_ms - GW_REGISTRATION_MS))
+		return;
+	gw_log_notice("engine_notice_inherited", e, "",
+		      MAX(e->notice.pause_until_ms - ck_now_ms(), 0));
+	fl_keep_notice(&g->fleet, e);
+}
+
 void gw_notice_sweep(struct gw_gateway *g, int64_t now_ms)
 {
 	fl_for_each (&g->fleet, e)
--- a/src/gateway/gw_notice.h
+++ b/src/gateway/gw_notice.h
@@ -6,6 +6,9 @@
  *	skipped, is passed to gw_notice_answer(). src/fleet/fl_notice.h decides
  *	what follows; gw_place.c and gw_rollout.c ask it before they send.
  *
+ *	An upstream whose place another one has taken may be the other one's
+ *	former name only: what it answers now holds for both.
+ *
  *	The end of a pause is spread over some time, as all hosts may have been
  *	told the same moment.
  *
@@ -32,6 +35,14 @@
 void gw_notice_answer(struct gw_gateway *g, struct fl_engine *e,
 		      const struct dl_answer *answer, const char *request);
 
+/**
+ * gw_notice_inherit() - @e has taken the place of an upstream.
+ * @before: notice of the one before it.
+ * @since_ms: last time at which @e was known not to have its place yet.
+ */
+void gw_notice_inherit(struct gw_gateway *g, struct fl_engine *e,
+		       const struct fl_notice *before, int64_t since_ms);
+
 /** gw_notice_sync_peer() - tell a process that started what is known. */
 void gw_notice_sync_peer(struct gw_gateway *g, const struct rp_peer *peer);
 
--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -815,6 +815,14 @@
 	});
 }
 
+void Fleet::start_anew(const std::string &id)
+{
+	run([&] {
+		state->engines[id]->born++;
+		state->engines[id]->is_leaving = false;
+	});
+}
+
 void Fleet::write_entry(const std::string &id)
 {
 	run([&] { state->write_entry(*state->engines[id]); });
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -111,6 +111,12 @@
 	/** write_entry() - its entry, once more. */
 	void write_entry(const std::string &id);
 
+	/**
+	 * start_anew() - as another process; its entry is not written. Nothing
+	 * tells its connections, as if none had been open.
+	 */
+	void start_anew(const std::string &id);
+
 	/**
 	 * follow_engine() - @on_port is told 0 before the connections of the
 	 * engine break as it ends, and the port when it listens again.
--- a/tests/sessions/gateway_notice_test.cc
+++ b/tests/sessions/gateway_notice_test.cc
@@ -191,6 +191,35 @@
 	expect_left_alone("grade", "e", Behaviour::answer);
 }
 
+// The engine had started anew when it said so, which the host learns later.
+TEST_F(Notice, EngineWhoseStartIsLearntLateIsLeftAlone)
+{
+	const auto some_reads = std::chrono::milliseconds(1500);
+
+	start("h1", {});
+	fleet.set_draining("a2");
+	fleet.set_draining("a3");
+	std::this_thread::sleep_for(some_reads);
+	fleet.set_store_down(true);
+	fleet.start_anew("a1");
+	fleet.say_leaving("a1");
+	ASSERT_TRUE(wait_until([&] {
+		return ask("look").headers.count("server-leaving") > 0;
+	}));
+	int64_t heard_ms = later_ms();
+	fleet.set_store_down(false);
+	fleet.write_entry("a1");
+	std::this_thread::sleep_for(some_reads);
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(ask("look").status, 503);
+	EXPECT_EQ(arrivals("a1", heard_ms), 0);
+	/* The next one has said nothing. */
+	std::this_thread::sleep_for(some_reads);
+	fleet.start_anew("a1");
+	fleet.write_entry("a1");
+	EXPECT_TRUE(wait_until([&] { return ask("look").status == 200; }));
+}
+
 // A host that starts anew may ask once more, and one that the store does not
 // answer is bound as the others are.
 TEST_F(Notice, EachLifeOfAHostLeavesAnEngineAloneThatLeaves)
--- a/tests/unit/notice_test.cc
+++ b/tests/unit/notice_test.cc
@@ -66,7 +66,7 @@
 
 		for (const Step &s : c.own) {
 			if (s.what == 'l')
-				fl_notice_leaving(&notice);
+				fl_notice_leaving(&notice, now);
 			else
 				fl_notice_pause(&notice, s.ms, now);
 		}
@@ -83,6 +83,48 @@
 	}
 }
 
+// The incarnation before is recorded to have said @said_ms ago what the next
+// one, which may have started 2 s ago, said.
+TEST(Notice, NextIncarnationInheritsWhatItMayHaveSaid)
+{
+	static const struct {
+		const char *what;
+		std::vector<Step> before;
+		int64_t said_ms;
+		enum fl_use use;
+		bool is_added;
+	} cases[] = {
+		{ "nothing was said", {}, 0, FL_USABLE, false },
+		{ "it leaves", { { 'l', 0 } }, 1999, FL_LEAVING, true },
+		{ "the one before left",
+		  { { 'l', 0 } },
+		  2001,
+		  FL_USABLE,
+		  false },
+		{ "a pause", { { 'p', 3000 } }, 1000, FL_PAUSED, true },
+		{ "a pause of the one before",
+		  { { 'p', 9000 } },
+		  2001,
+		  FL_USABLE,
+		  false },
+	};
+
+	for (const auto &c : cases) {
+		struct fl_notice before = {}, notice = {};
+
+		for (const Step &s : c.before) {
+			if (s.what == 'l')
+				fl_notice_leaving(&before, now - c.said_ms);
+			else
+				fl_notice_pause(&before, s.ms, now - c.said_ms);
+		}
+		EXPECT_EQ(fl_notice_inherit(&notice, &before, now - 2000),
+			  c.is_added)
+			<< c.what;
+		EXPECT_EQ(fl_notice_use(&notice, now), c.use) << c.what;
+	}
+}
+
 TEST(Notice, OthersMayBelieveWhatIsLeftOfIt)
 {
 	struct fl_notice notice = {};
@@ -95,7 +137,7 @@
 	EXPECT_EQ(fl_notice_left_ms(&notice, now + 4000), 0);
 	fl_notice_pause(&notice, 60000, now + 4000);
 	EXPECT_EQ(fl_notice_left_ms(&notice, now + 4000), FL_MAX_HEARD_MS);
-	fl_notice_leaving(&notice);
+	fl_notice_leaving(&notice, now);
 	EXPECT_EQ(fl_notice_left_ms(&notice, now + 90000), FL_MAX_HEARD_MS);
 }
 
@@ -137,7 +179,7 @@
 
 		for (const Step &s : c.steps) {
 			if (s.what == 'l')
-				fl_notice_leaving(&notice);
+				fl_notice_leaving(&notice, now);
 			else if (s.what == 'p')
 				fl_notice_pause(&notice, s.ms, at);
 			else
@@ -166,8 +208,8 @@
 {
 	struct fl_notice notice = {};
 
-	EXPECT_TRUE(fl_notice_leaving(&notice));
-	EXPECT_FALSE(fl_notice_leaving(&notice));
+	EXPECT_TRUE(fl_notice_leaving(&notice, now));
+	EXPECT_FALSE(fl_notice_leaving(&notice, now));
 	EXPECT_FALSE(fl_notice_end_pause(&notice, now));
 	EXPECT_TRUE(fl_notice_pause(&notice, 1000, now));
 	EXPECT_FALSE(fl_notice_pause(&notice, 1000, now + 10));
@@ -223,7 +265,7 @@
 	for (const auto &c : cases) {
 		struct fl_engine *e = put("i-1", 5, 80);
 
-		fl_notice_leaving(&e->notice);
+		fl_notice_leaving(&e->notice, now);
 		fl_keep_notice(&fleet, e);
 		EXPECT_TRUE(put("i-1", 5, 80)->notice.is_leaving) << c.what;
 		fl_mark_missing(&fleet, "i-1", 0);
@@ -238,7 +280,7 @@
 	for (int64_t i = 0; i < 2 * FL_MAX_NOTICES; i++) {
 		struct fl_engine *e = put("i-1", i + 1, 80);
 
-		fl_notice_leaving(&e->notice);
+		fl_notice_leaving(&e->notice, now);
 		fl_keep_notice(&fleet, e);
 	}
 	EXPECT_LE(g_hash_table_size(fleet._notices), (guint)FL_MAX_NOTICES);
