ps: crashes are counted while the store is away

Cause: from 3.8 s to 8.7 s the store is down. Engines crash and start anew within 0.6 s, and crash again, but their entries cannot be read: every crash has the incarnation of the first, and counts once. The five engines fell within 0.2 s, one moment of the three that prove a part. In the logs: ends of e7 found at 38.65, 39.26 and 39.91, one charged; nothing was charged from 39.9 to 43.7; refused at 44.45.

Ruled out: hosts that do not hear each other (told within 1 ms); rivals (the second such part had other crashes from 43.9 on).

Two hosts infer different ones: such crashes of one engine within 0.5 s are the same, so that one crash found twice does not refuse a harmless request.

--- a/src/fleet/fl.c
+++ b/src/fleet/fl.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "limits/ps.h"
+
 static void fl_drop(void *data)
 {
 	struct fl_engine *e = data;
@@ -49,7 +51,7 @@
 {
 	uint64_t start[] = { entry->started_ms, entry->ipv4, entry->port };
 
-	return XXH3_64bits(start, sizeof(start));
+	return XXH3_64bits(start, sizeof(start)) & ~PS_INFERRED_BIT;
 }
 
 uint64_t fl_incarnation(const struct fl_engine *engine)
@@ -57,6 +59,20 @@
 	return engine->_incarnation;
 }
 
+void fl_count_end(struct fl_engine *engine)
+{
+	engine->_ends++;
+}
+
+uint64_t fl_run_incarnation(const struct fl_engine *engine)
+{
+	if (!engine->_ends)
+		return engine->_incarnation;
+	return XXH3_64bits_withSeed(&engine->_ends, sizeof(engine->_ends),
+				    engine->_incarnation) |
+	       PS_INFERRED_BIT;
+}
+
 bool fl_is_superseded_by(const struct fl_engine *engine,
 			 const struct dl_engine *entry)
 {
--- a/src/fleet/fl.h
+++ b/src/fleet/fl.h
@@ -68,6 +68,7 @@
 	bool is_gone;
 
 	uint64_t _incarnation;
+	uint32_t _ends;
 	uint32_t _references;
 	int64_t _missing_until_ms;
 };
@@ -106,6 +107,18 @@
 /** fl_incarnation() - hash of this start of @engine, equal on all hosts. */
 uint64_t fl_incarnation(const struct fl_engine *engine);
 
+/**
+ * fl_count_end() - a crash of @engine was found; the next process at its
+ * address may answer before its entry is known here.
+ */
+void fl_count_end(struct fl_engine *engine);
+
+/**
+ * fl_run_incarnation() - fl_incarnation(), or after a crash an inferred one
+ * (PS_INFERRED_BIT), which each host chooses for itself.
+ */
+uint64_t fl_run_incarnation(const struct fl_engine *engine);
+
 /**
  * fl_is_superseded_by() - whether @entry is another incarnation of @engine, or
  * another upstream at its address.
--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -317,7 +317,7 @@
 {
 	struct ps_table *table = &r->gateway->poison->table;
 	uint64_t engine = r->engine->hash;
-	uint64_t incarnation = fl_incarnation(r->engine);
+	uint64_t incarnation = fl_run_incarnation(r->engine);
 	int64_t now_ms = ck_now_ms();
 
 	r->is_counted = true;
@@ -333,7 +333,7 @@
 	struct gw_gateway *g = r->gateway;
 
 	if (ps_ended(&g->poison->table, fingerprint, r->engine->hash,
-		     fl_incarnation(r->engine), end, ck_now_ms()))
+		     fl_run_incarnation(r->engine), end, ck_now_ms()))
 		gw_send_cleared(g, fingerprint, 0);
 }
 
@@ -415,7 +415,7 @@
 	gw_announce_crash(g, content, "ran_there");
 }
 
-void gw_poison_engine_exited(struct gw_gateway *g, const struct fl_engine *e,
+void gw_poison_engine_exited(struct gw_gateway *g, struct fl_engine *e,
 			     const char *evidence)
 {
 	uint64_t crashed[GW_MAX_CRASH_RECORDS];
@@ -424,10 +424,11 @@
 
 	if (fl_is_leaving(e))
 		return;
-	count = ps_crashed(&g->poison->table, e->hash, fl_incarnation(e),
+	count = ps_crashed(&g->poison->table, e->hash, fl_run_incarnation(e),
 			   crashed, GW_MAX_CRASH_RECORDS, ck_now_ms());
 	if (!count)
 		return;
+	fl_count_end(e);
 	mt_add(&gw_crashed_engines, 1);
 	g_snprintf(requests, sizeof(requests), "%u", count);
 	lg_warn("engine exited while running requests", "event", "engine_ended",
@@ -439,19 +440,19 @@
 
 void gw_poison_engine_alive(struct gw_gateway *g, const struct fl_engine *e)
 {
-	ps_engine_alive(&g->poison->table, e->hash, fl_incarnation(e));
+	ps_engine_alive(&g->poison->table, e->hash, fl_run_incarnation(e));
 }
 
 void gw_poison_engine_answered(struct gw_gateway *g, const struct fl_engine *e)
 {
-	ps_engine_answered(&g->poison->table, e->hash, fl_incarnation(e));
+	ps_engine_answered(&g->poison->table, e->hash, fl_run_incarnation(e));
 }
 
 bool gw_poison_has_broken_attempt(const struct gw_gateway *g,
 				  const struct fl_engine *e)
 {
 	return ps_has_broken_attempt(&g->poison->table, e->hash,
-				     fl_incarnation(e), ck_now_ms());
+				     fl_run_incarnation(e), ck_now_ms());
 }
 
 void gw_poison_apply_rows(struct gw_gateway *g, const struct rw_rows *rows)
--- a/src/gateway/gw_poison.h
+++ b/src/gateway/gw_poison.h
@@ -79,7 +79,7 @@
 void gw_poison_attempt_ended(struct gw_request *r, enum ps_end end);
 
 /** gw_poison_engine_exited() - record that this incarnation has exited. */
-void gw_poison_engine_exited(struct gw_gateway *g, const struct fl_engine *e,
+void gw_poison_engine_exited(struct gw_gateway *g, struct fl_engine *e,
 			     const char *evidence);
 
 /** gw_poison_engine_alive() - record that @e accepted a connection. */
--- a/src/limits/ps.h
+++ b/src/limits/ps.h
@@ -28,6 +28,10 @@
  *	is not charged with its crash unless the engine answered in between:
  *	a proxy takes connections for an engine that is down.
  *
+ *	An engine may crash again before its new entry is known, as the store
+ *	is away. Each host then infers an incarnation of its own; crashes of
+ *	such ones within PS_SAME_CAUSE_MS are the same.
+ *
  *	A broken connection is no proof of a crash. After two broken
  *	connections on different engines, a request is held back until it is
  *	known whether the engines crashed.
@@ -116,10 +120,12 @@
 #define PS_PROBE_GROWTH	 6
 #define PS_MAX_PROBES	 2
 #define PS_PART_BIT	 (UINT64_C(1) << 63)
+/** Of an incarnation that a host inferred from a crash before it. */
+#define PS_INFERRED_BIT (UINT64_C(1) << 63)
 /** Crashes that prove a part, and that prove parts which come together. */
 #define PS_PART_CRASHES	     3
 #define PS_PART_SURE_CRASHES 5
-/** Crashes of one part that are closer to each other have one cause. */
+/** Crashes that are closer to each other have one cause, for parts. */
 #define PS_SAME_CAUSE_MS 500
 /** A part that was answered in full this recently is not charged. */
 #define PS_PART_ANSWERED_MS 10000
--- a/src/limits/ps_suspect.c
+++ b/src/limits/ps_suspect.c
@@ -2,14 +2,24 @@
 
 #include <string.h>
 
+static bool ps_is_same_crash(const struct ps_crash *a, const struct ps_crash *b)
+{
+	int64_t apart_ms = a->at_ms - b->at_ms;
+
+	if (a->engine != b->engine)
+		return false;
+	if (a->incarnation == b->incarnation)
+		return true;
+	return ((a->incarnation | b->incarnation) & PS_INFERRED_BIT) &&
+	       apart_ms > -PS_SAME_CAUSE_MS && apart_ms < PS_SAME_CAUSE_MS;
+}
+
 bool ps_has_crash(const struct _ps_suspect *suspect,
 		  const struct ps_crash *crash)
 {
-	for (uint32_t i = 0; i < suspect->count; i++) {
-		if (suspect->crashes[i].engine == crash->engine &&
-		    suspect->crashes[i].incarnation == crash->incarnation)
+	for (uint32_t i = 0; i < suspect->count; i++)
+		if (ps_is_same_crash(&suspect->crashes[i], crash))
 			return true;
-	}
 	return false;
 }
 
--- a/tests/unit/poison_test.cc
+++ b/tests/unit/poison_test.cc
@@ -668,6 +668,35 @@
 	ps_finish(&table);
 }
 
+// Two hosts find the same crashes of an engine whose entry they cannot read.
+TEST(Poison, InferredIncarnationsOfTwoHostsAreTheSameCrash)
+{
+	static const struct {
+		const char *what;
+		uint64_t first, second;
+		int64_t apart_ms;
+		uint32_t crashes;
+	} cases[] = {
+		{ "both inferred", 11, 12, 100, 1 },
+		{ "both inferred, another crash", 11, 12, 700, 2 },
+		{ "inferred by one host", 11, 3, -100, 1 },
+		{ "the next crash is found by the entry", 11, 3, 900, 2 },
+		{ "the same one, told late", 11, 11, 5000, 1 },
+	};
+
+	for (const auto &c : cases) {
+		struct ps_table table;
+		uint64_t second =
+			c.second > 10 ? c.second | PS_INFERRED_BIT : c.second;
+
+		ps_init(&table);
+		ps_peer_report(&table, 5, 1, c.first | PS_INFERRED_BIT, 0, now);
+		ps_peer_report(&table, 5, 1, second, 0, now + c.apart_ms);
+		EXPECT_EQ(ps_crash_count(&table, 5), c.crashes) << c.what;
+		ps_finish(&table);
+	}
+}
+
 // Many suspects with one crash must not evict a proven one.
 TEST(Poison, TableIsBoundedAndKeepsProvenSuspects)
 {
