ps: look for a rival before the moments of a part are counted

Cause: for each part at all the content's crashes its moments were counted, which scans all suspects for each crash, before a rival was looked for, which is found at once where many suspects share crashes.

Change: only the order of two conditions; what is proven is the same.

--- a/src/gateway/gw_notice.h
+++ b/src/gateway/gw_notice.h
@@ -6,17 +6,16 @@
  *	skipped, is passed to gw_notice_answer(). src/fleet/fl_notice.h decides
  *	what follows; gw_place.c and gw_rollout.c ask it before they send.
  *
- *	An upstream whose place another one has taken may be the other one's
- *	former name only: what it answers now holds for both.
+ *	When another upstream has taken the place of one, a late answer of the
+ *	latter may come from either, so it holds for both.
  *
  *	The end of a pause is spread over some time, as all hosts may have been
  *	told the same moment.
  *
  *	A host that is told tells the others of its zone, in a large fleet
  *	through the collector (gw_collect.h), which passes on what is news to
- *	it: no host sends more messages in a larger fleet. One that starts is
- *	told by those that are told of its start. The others then prefer other
- *	upstreams.
+ *	it: no host sends more messages in a larger fleet. A host that starts
+ *	is told, too. Those that only heard of it prefer other upstreams.
  *
  * Use
  *	g->dialect->read_answer(status, headers, &answer);
--- a/src/gateway/gw_relay.c
+++ b/src/gateway/gw_relay.c
@@ -127,8 +127,7 @@
 	return count;
 }
 
-/* Sends as many messages as the rows need; only the last one reaches the end.
- */
+/* Sends as many messages as the rows need; only the last one has @newest. */
 static void gw_relay_send_rows(struct gw_gateway *g, bp_gateway_rows *message,
 			       const struct gw_table_update *update)
 {
--- a/src/limits/ps_suspect.c
+++ b/src/limits/ps_suspect.c
@@ -344,21 +344,22 @@
 	}
 }
 
-static bool ps_has_enough_crashes(const struct ps_table *table,
+static bool ps_has_enough_moments(const struct ps_table *table,
 				  const struct _ps_suspect *suspect)
 {
-	if (suspect->count < PS_POISON_CRASHES)
-		return false;
 	return !ps_is_part(suspect->fingerprint) ||
-	       (suspect->count >= PS_PART_CRASHES &&
-		ps_count_moments(table, suspect) >= PS_PART_CRASHES);
+	       ps_count_moments(table, suspect) >= PS_PART_CRASHES;
 }
 
 bool ps_is_proven(const struct ps_table *table,
 		  const struct _ps_suspect *suspect)
 {
-	if (!ps_has_enough_crashes(table, suspect) ||
-	    ps_has_rival(table, suspect))
+	uint32_t least = ps_is_part(suspect->fingerprint) ? PS_PART_CRASHES
+							  : PS_POISON_CRASHES;
+
+	/* The cheapest first: a rival is mostly found at once. */
+	if (suspect->count < least || ps_has_rival(table, suspect) ||
+	    !ps_has_enough_moments(table, suspect))
 		return false;
 	return suspect->count == PS_MAX_CRASHES ||
 	       !ps_completed_recently(table, suspect);
