soak: a caller does not wait while its process stands still

Cause: the check's. By the time of day, which the message has of late, no host got a request from 14:44:20.375 to 14:44:23.260: the soak's process, with its callers, the store and the engines, did not run for 2.9 s (h4 lost its store at 21.9 and regained it at 23.256). When it ran again the callers' timers came first.

Change: a caller whose driver stood still for more than 0.2 s waits that much longer. Without a standstill nothing changes, and an answer that never comes is found as before.

--- a/tests/sessions/gateway_crash_test.cc
+++ b/tests/sessions/gateway_crash_test.cc
@@ -341,6 +341,24 @@
 	}
 }
 
+// Engines start anew and crash again before their entries can be read.
+TEST_F(Crash, SharedPartIsRefusedWhenTheStoreIsAway)
+{
+	start_three();
+	fleet.crash_on_part(deadly_part, down_ms);
+	std::thread outage([&] {
+		fleet.set_store_down(true);
+		std::this_thread::sleep_for(
+			std::chrono::milliseconds(settle_ms));
+		fleet.set_store_down(false);
+	});
+	int served = play_part(deadly_part, 12000);
+
+	outage.join();
+	EXPECT_LE(late_arrivals(deadly_part), max_late_arrivals);
+	EXPECT_GE(served, 90);
+}
+
 // A part that is refused can't clear itself by an answer, so it is tried again.
 TEST_F(Crash, PartThatNoLongerCrashesEnginesIsServedAgain)
 {
--- a/tests/soak/driver.cc
+++ b/tests/soak/driver.cc
@@ -28,6 +28,8 @@
 {
 
 constexpr double tick_s = 0.02;
+/* A longer time between two events of the loop is no waiting of its callers. */
+constexpr int64_t standstill_ms = 200;
 /* The pages' bound for serving again once everything is back. */
 constexpr int64_t recover_ms = 12000;
 constexpr int64_t deadline_of_calls_ms = 2000;
@@ -359,6 +361,7 @@
 {
 	int64_t now_ms = ck_now_ms();
 
+	note_standstill();
 	end_faults(now_ms);
 	while (!faults.empty() && faults.front().at_ms <= elapsed_ms()) {
 		begin(faults.front());
@@ -443,7 +446,9 @@
 		   ck_now_ms(),
 		   ck_now_ms() + deadline_of_calls_ms,
 		   ck_now_ms() - hosts[host]->disturbed_ms > known_after_ms };
+	note_standstill();
 	c.got = {};
+	c.stood_still_ms = stood_still_ms;
 	c.is_calling = true;
 	h1_headers_init(&headers);
 	h1_headers_add(&headers, "Host", "h");
@@ -506,10 +511,28 @@
 	ev_timer_start(loop, &c.timer);
 }
 
+void Driver::note_standstill()
+{
+	int64_t now_ms = ck_now_ms();
+
+	if (now_ms - seen_ms > standstill_ms)
+		stood_still_ms += now_ms - seen_ms;
+	seen_ms = now_ms;
+}
+
 void Driver::on_timer(Caller &c)
 {
 	const Host &host = *hosts[c.sent.host];
 
+	note_standstill();
+	/* What came while this process stood still has yet to be read. */
+	if (c.is_calling && stood_still_ms > c.stood_still_ms) {
+		ev_timer_set(&c.timer,
+			     (stood_still_ms - c.stood_still_ms) / 1000.0, 0.0);
+		ev_timer_start(loop, &c.timer);
+		c.stood_still_ms = stood_still_ms;
+		return;
+	}
 	if (c.is_calling) {
 		bool must_answer = host.is_up && host.life == c.sent.life &&
 				   host.disturbed_ms < c.sent.sent_ms;
@@ -568,6 +591,7 @@
 					" does not get ready");
 	faults.assign(list.begin(), list.end());
 	started_ms = ck_now_ms();
+	seen_ms = started_ms;
 	ev_timer_init(
 		&tick,
 		[](struct ev_loop *, ev_timer *w, int) {
--- a/tests/soak/driver.h
+++ b/tests/soak/driver.h
@@ -63,6 +63,7 @@
 	struct h1_call call = {};
 	ev_timer timer = {};
 	bool is_calling = false;
+	int64_t stood_still_ms = 0; /* of the driver, when it asked */
 	Sent sent = {};
 	Got got = {};
 };
@@ -101,6 +102,9 @@
 	ev_timer tick;
 	int64_t started_ms = 0;
 	int64_t recover_by_ms = 0;
+	/* For how long this process did not run, and when it last did. */
+	int64_t stood_still_ms = 0;
+	int64_t seen_ms = 0;
 	int64_t store_until_ms = 0;
 	uint64_t next_attempt = 0;
 	int version = 0;
@@ -123,6 +127,7 @@
 	void begin_at_engine(const Fault &fault, EngineSlot &slot);
 	void end_faults(int64_t now_ms);
 	void on_tick();
+	void note_standstill();
 	void look_for_recovery(int64_t now_ms);
 	void check_processes();
 
