gw_relay: no address of a local array outlives its block; format

The message is passed by value now. One comment in en_dispatch.c was off its column since a define moved. Neither is a change of what is sent.

--- a/src/entry/en_dispatch.c
+++ b/src/entry/en_dispatch.c
@@ -5,7 +5,7 @@
 
 #include <string.h>
 
-#define EN_TICK_S   (LM_TICK_MS / 1000.0)
+#define EN_TICK_S (LM_TICK_MS / 1000.0)
 
 MT_GAUGE(en_running, "balsampin_entry_running_requests",
 	 "requests admitted by the limits and not finished")
--- a/src/gateway/gw_relay.c
+++ b/src/gateway/gw_relay.c
@@ -127,9 +127,21 @@
 	return count;
 }
 
+static void gw_relay_send_reload(struct gw_gateway *g,
+				 const struct gw_table_update *update,
+				 bp_gateway_rows message)
+{
+	message.from = update->rows.version;
+	message.to = update->rows.version;
+	message.newest = update->rows.version;
+	message.reload = true;
+	gw_relay_offer(g, &message);
+}
+
 /* Sends as many messages as the rows need; only the last one has @newest. */
-static void gw_relay_send_rows(struct gw_gateway *g, bp_gateway_rows *message,
-			       const struct gw_table_update *update)
+static void gw_relay_send_rows(struct gw_gateway *g,
+			       const struct gw_table_update *update,
+			       bp_gateway_rows message)
 {
 	const struct rw_rows *rows = &update->rows;
 	bp_row wire[BP_MAX_ROWS];
@@ -138,17 +150,16 @@
 	do {
 		uint32_t count = gw_relay_fill(rows, first, wire);
 
-		message->partial = !count && rows->count;
-		first = message->partial ? rows->count : first + count;
-		message->to = first < rows->count
-				      ? rows->rows[first - 1].version
-				      : rows->version;
-		message->newest =
-			first < rows->count ? message->to : update->newest;
-		message->rows.rows_val = wire;
-		message->rows.rows_len = count;
-		gw_relay_offer(g, message);
-		message->from = message->to;
+		message.partial = !count && rows->count;
+		first = message.partial ? rows->count : first + count;
+		message.to = first < rows->count ? rows->rows[first - 1].version
+						 : rows->version;
+		message.newest =
+			first < rows->count ? message.to : update->newest;
+		message.rows.rows_val = wire;
+		message.rows.rows_len = count;
+		gw_relay_offer(g, &message);
+		message.from = message.to;
 	} while (first < rows->count);
 }
 
@@ -160,13 +171,10 @@
 				    .store_ms = update->rows.store_ms,
 				    .lapse_left_ms = lapse_left_ms };
 
-	if (!update->is_reload) {
-		gw_relay_send_rows(g, &message, update);
-		return;
-	}
-	message.from = message.to = message.newest = update->rows.version;
-	message.reload = true;
-	gw_relay_offer(g, &message);
+	if (update->is_reload)
+		gw_relay_send_reload(g, update, message);
+	else
+		gw_relay_send_rows(g, update, message);
 }
 
 static void gw_on_relayed(void *arg, struct rp_request *request,
