ps: what proves a part is not lost to later crashes

Requests with a proven part that are under way crash engines after it is refused, and their crashes took the place of those that had shown the cause. What ran at the latest ones too became its rival, and the part was sent again.

Change: a part that was found to be proven keeps its record, and what another full record has dropped no longer makes a rival of it. A rival that is shown to have been at its crashes still does. Hosts look for the proof at each crash they hear of, not only at a request with the part.

Before: of two new cases of poison_part_test the one on requests under way fails.

--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -132,6 +132,9 @@
 {
 	struct ps_suspect s;
 
+	if (ps_is_part(content))
+		(void)ps_find_proven(&g->poison->table, &content, 1,
+				     ck_now_ms());
 	if (!ps_find(&g->poison->table, content, &s))
 		return;
 	if (s.count >= PS_POISON_CRASHES)
--- a/src/limits/ps.c
+++ b/src/limits/ps.c
@@ -150,8 +150,12 @@
 		struct _ps_suspect *s =
 			ps_find_current(table, parts[i], now_ms);
 
-		if (!s || !ps_is_proven(table, s))
+		if (!s)
 			continue;
+		if (!ps_is_proven(table, s)) {
+			s->proven_ms = 0;
+			continue;
+		}
 		if (!s->proven_ms)
 			s->proven_ms = now_ms;
 		/* The record is kept as long as the part is sent again. */
--- a/src/limits/ps.h
+++ b/src/limits/ps.h
@@ -50,8 +50,8 @@
  *	- Crashes at which a part was present that was proven before count for
  *	  that one alone.
  *	- Nothing else was present at all these crashes. Parts that always come
- *	  together cannot be told apart: from PS_PART_SURE_CRASHES on, only
- *	  what was present at further crashes too counts as a rival.
+ *	  together cannot be told apart: from PS_PART_SURE_CRASHES on, another
+ *	  part counts as a rival only if it was at further crashes too.
  *
  *	A content whose crashes a proven part explains, and that lacks this
  *	part, may run.
@@ -235,7 +235,7 @@
 
 /**
  * ps_find_proven() - find a part that crashes engines; call it before each
- * attempt.
+ * attempt, and after a crash of a part: what proves it is kept from then on.
  *
  * Return: the first proven one of @parts, 0 if there is none.
  */
--- a/src/limits/ps_suspect.c
+++ b/src/limits/ps_suspect.c
@@ -2,16 +2,19 @@
 
 #include <string.h>
 
-static bool ps_is_same_crash(const struct ps_crash *a, const struct ps_crash *b)
+static bool ps_is_same_moment(int64_t a_ms, int64_t b_ms)
 {
-	int64_t apart_ms = a->at_ms - b->at_ms;
+	return ABS(a_ms - b_ms) < PS_SAME_CAUSE_MS;
+}
 
+static bool ps_is_same_crash(const struct ps_crash *a, const struct ps_crash *b)
+{
 	if (a->engine != b->engine)
 		return false;
 	if (a->incarnation == b->incarnation)
 		return true;
 	return ((a->incarnation | b->incarnation) & PS_INFERRED_BIT) &&
-	       apart_ms > -PS_SAME_CAUSE_MS && apart_ms < PS_SAME_CAUSE_MS;
+	       ps_is_same_moment(a->at_ms, b->at_ms);
 }
 
 bool ps_has_crash(const struct _ps_suspect *suspect,
@@ -32,15 +35,11 @@
 	return last_ms;
 }
 
-/* Whether a crash that is as recent was recorded. */
 static bool ps_has_crash_near(const struct _ps_suspect *suspect, int64_t at_ms)
 {
-	for (uint32_t i = 0; i < suspect->count; i++) {
-		int64_t apart_ms = at_ms - suspect->crashes[i].at_ms;
-
-		if (apart_ms > -PS_SAME_CAUSE_MS && apart_ms < PS_SAME_CAUSE_MS)
+	for (uint32_t i = 0; i < suspect->count; i++)
+		if (ps_is_same_moment(suspect->crashes[i].at_ms, at_ms))
 			return true;
-	}
 	return false;
 }
 
@@ -55,22 +54,26 @@
 }
 
 /*
- * A full record does not show whether it was at crashes before its first, or at
- * others at the same moments.
+ * A full record does not show whether it was at others at the same moments as
+ * its crashes, or at crashes before its first.
  */
-static bool ps_may_omit_crash(const struct _ps_suspect *suspect,
-			      const struct ps_crash *crash)
+static bool ps_may_omit_near(const struct _ps_suspect *suspect,
+			     const struct ps_crash *crash)
 {
-	if (suspect->count < PS_MAX_CRASHES)
-		return false;
-	return crash->at_ms <=
-		       suspect->crashes[ps_oldest_crash(suspect)].at_ms ||
+	return suspect->count == PS_MAX_CRASHES &&
 	       ps_has_crash_near(suspect, crash->at_ms);
 }
 
-/* Whether @other may have been present at all crashes of @suspect. */
-bool ps_was_at_all_crashes(const struct _ps_suspect *suspect,
-			   const struct _ps_suspect *other)
+static bool ps_may_omit_older(const struct _ps_suspect *suspect,
+			      const struct ps_crash *crash)
+{
+	return suspect->count == PS_MAX_CRASHES &&
+	       crash->at_ms <= suspect->crashes[ps_oldest_crash(suspect)].at_ms;
+}
+
+/* @is_older_known: what the record of @other has dropped does not count. */
+static bool ps_was_at_all(const struct _ps_suspect *suspect,
+			  const struct _ps_suspect *other, bool is_older_known)
 {
 	uint32_t shared = 0;
 
@@ -81,17 +84,27 @@
 
 		if (ps_has_crash(other, crash))
 			shared++;
-		else if (!ps_may_omit_crash(other, crash))
+		else if (!ps_may_omit_near(other, crash) &&
+			 (is_older_known || !ps_may_omit_older(other, crash)))
 			return false;
 	}
 	return shared > 0;
 }
 
+/* Whether @other may have been present at all crashes of @suspect. */
+bool ps_was_at_all_crashes(const struct _ps_suspect *suspect,
+			   const struct _ps_suspect *other)
+{
+	return ps_was_at_all(suspect, other, false);
+}
+
 /*
  * Whether @other may be the cause of all crashes of @suspect instead. A part is
  * no rival of a content here: most contents that hold it are not known. Parts
  * that come together stop to be rivals in the end. A content does not: after
- * two crashes it is held back, and misses those that have another cause.
+ * two crashes it is held back, and misses those that have another cause. A
+ * part that was proven keeps the crashes which show it, and others lose theirs:
+ * that they may have been at these once makes them no rivals again.
  */
 bool ps_is_rival(const struct _ps_suspect *suspect,
 		 const struct _ps_suspect *other)
@@ -103,7 +116,7 @@
 	    suspect->count >= PS_PART_SURE_CRASHES &&
 	    other->count <= suspect->count)
 		return false;
-	return ps_was_at_all_crashes(suspect, other);
+	return ps_was_at_all(suspect, other, suspect->proven_ms != 0);
 }
 
 static bool ps_has_rival(const struct ps_table *table,
@@ -184,16 +197,16 @@
 		(s->count - index) * sizeof(s->crashes[0]));
 }
 
-/* Drops one of two crashes at the same moment; false if there are none. */
+/* Drops the later of two crashes at the same moment; false if there are none.
+ */
 static bool ps_drop_same_moment(struct _ps_suspect *s)
 {
 	for (uint32_t i = 0; i < s->count; i++) {
 		for (uint32_t j = 0; j < s->count; j++) {
-			int64_t later_ms =
-				s->crashes[i].at_ms - s->crashes[j].at_ms;
-
-			if (i == j || later_ms < 0 ||
-			    later_ms >= PS_SAME_CAUSE_MS)
+			if (i == j ||
+			    s->crashes[i].at_ms < s->crashes[j].at_ms ||
+			    !ps_is_same_moment(s->crashes[i].at_ms,
+					       s->crashes[j].at_ms))
 				continue;
 			ps_drop_crash(s, i);
 			return true;
@@ -207,14 +220,18 @@
  * not explain those that follow, and as many moments as it can: many engines
  * may crash within a second. Another crash at the last moment is not added, so
  * hosts whose times differ a little do not send each other the same crashes
- * again and again. Returns whether there is room.
+ * again and again. A part that is proven keeps the crashes that show it: more
+ * follow from requests that are under way. Returns whether there is room.
  */
-static bool ps_make_room(struct _ps_suspect *s, const struct ps_crash *crash)
+static bool ps_make_room(const struct ps_table *table, struct _ps_suspect *s,
+			 const struct ps_crash *crash)
 {
 	if (s->count < PS_MAX_CRASHES)
 		return true;
 	if (crash->at_ms - ps_last_crash_ms(s) < PS_SAME_CAUSE_MS)
 		return false;
+	if (s->proven_ms && ps_is_proven(table, s))
+		return false;
 	if (!ps_drop_same_moment(s))
 		ps_drop_crash(s, ps_oldest_crash(s));
 	return true;
@@ -227,7 +244,7 @@
 	struct _ps_suspect *s = ps_get_suspect(table, fingerprint);
 
 	if (crash->at_ms < s->cleared_ms || ps_has_crash(s, crash) ||
-	    !ps_make_room(s, crash))
+	    !ps_make_room(table, s, crash))
 		return false;
 	s->crashes[s->count++] = *crash;
 	s->confirmed_ms = MAX(s->confirmed_ms, crash->at_ms);
--- a/src/limits/ps_suspect.h
+++ b/src/limits/ps_suspect.h
@@ -21,7 +21,7 @@
 
 /*
  * A fingerprint that was running at some crash.
- * @proven_ms: when a part was first found to be proven; 0 if it was not.
+ * @proven_ms: since when a part has been found to be proven; 0 if it was not.
  */
 struct _ps_suspect {
 	uint64_t fingerprint;
--- a/tests/unit/poison_fixture.h
+++ b/tests/unit/poison_fixture.h
@@ -17,7 +17,8 @@
 // the incarnation of the engine is known to have crashed, 'p' a peer reports a
 // crash of engine, 'o' a peer reports one that is 5 s old, 'c' a peer reports
 // that it completed, 'l' the engine accepted a connection, 'a' the engine
-// answered a request, 'w' wait; engine is the number of seconds.
+// answered a request, 'w' wait; engine is the number of seconds, 'f' a request
+// with this part is checked.
 struct Step {
 	char what;
 	uint64_t fingerprint;
@@ -73,6 +74,9 @@
 		case 'w':
 			*at += (int64_t)s.engine * 1000;
 			break;
+		case 'f':
+			ps_find_proven(table, &s.fingerprint, 1, *at);
+			break;
 		default:
 			FAIL() << s.what;
 		}
--- a/tests/unit/poison_part_test.cc
+++ b/tests/unit/poison_part_test.cc
@@ -38,6 +38,22 @@
 	return a;
 }
 
+// Crashes of all @fingerprints at engines @from to @to, a second apart; the
+// first one, a part, is checked after each.
+std::vector<Step> together(const std::vector<uint64_t> &fingerprints,
+			   uint64_t from, uint64_t to)
+{
+	std::vector<Step> steps;
+
+	for (uint64_t engine = from; engine <= to; engine++) {
+		for (uint64_t fingerprint : fingerprints)
+			steps.push_back({ 'p', fingerprint, engine });
+		steps.push_back({ 'w', 0, 1 });
+		steps.push_back({ 'f', fingerprints[0], 0 });
+	}
+	return steps;
+}
+
 const PartCase part_cases[] = {
 	{ "unknown part", {}, bad, false },
 	{ "two crashes", crashes(bad, 1, 2, 1), bad, false },
@@ -79,6 +95,10 @@
 	  crashes(7, 1, 12, 1) + crashes(bad, 1, 12, 1), bad, false },
 	{ "a crash without that content",
 	  crashes(7, 1, 8, 1) + crashes(bad, 1, 9, 1), bad, true },
+	{ "a content at more crashes than a record holds, as they come",
+	  together({ bad, 7 }, 1, 12), bad, false },
+	{ "requests under way crash engines after it is proven",
+	  crashes(bad, 1, 1, 1) + together({ bad, 7 }, 2, 12), bad, true },
 	{ "different contents at the crashes",
 	  crashes(7, 1, 2, 1) + crashes(8, 3, 3, 1) + crashes(bad, 1, 3, 1),
 	  bad, true },
