gateway, entry: a pause is not the wait for an engine that was tried

Cause: if no engine was left for a request, Retry-After was the end of the first pause among all engines, also when another one had only refused or failed this request and may be well again at once.

Before: with one engine pausing for 9 s (gateway) or 60 s (entry), a refusal by the only other one had its caller return in 9.7 s and 60 s. After: as without the pause. If all that could serve pause, or do not have the weights (entry), the first end still counts. Two tests, both failed before; those on the end of a pause are unchanged.

--- a/src/entry/en_place.c
+++ b/src/entry/en_place.c
@@ -30,7 +30,7 @@
 	struct en_lookup lookups[BP_MAX_ENGINES];
 	uint32_t lookup_count;
 	uint32_t open;
-	int64_t pause_left_ms; /* until the first engine may be used again */
+	int64_t barred_ms; /* until the first of the others may run it */
 	bool has_answer;
 	bool is_starting;
 };
@@ -68,12 +68,16 @@
 	return RT_OTHER_REGION;
 }
 
-static bool en_has_wrong_weights(struct en_call *call, uint64_t engine)
+/* For how long the engine is known to refuse the request; 0: it may run it. */
+static int64_t en_barred_ms(struct en_call *call, uint64_t engine)
 {
+	struct en_dispatch *d = call->d;
 	uint64_t key = px_rank(engine, px_id(call->version));
-	int64_t *until_ms = g_hash_table_lookup(call->d->wrong_weights, &key);
+	const int64_t *until_ms = g_hash_table_lookup(d->wrong_weights, &key);
+	int64_t now_ms = ck_now_ms();
 
-	return until_ms && ck_now_ms() < *until_ms;
+	return MAX(until_ms ? MAX(*until_ms - now_ms, 0) : 0,
+		   lm_engine_pause_left_ms(&d->engine_limits, engine, now_ms));
 }
 
 static void en_add_candidate(struct en_placing *p, const struct mb_member *m,
@@ -121,14 +125,14 @@
 	}
 }
 
-static bool en_is_paused(struct en_placing *p, uint64_t engine)
+/* Leaves the engine out, and keeps the shortest of such times. */
+static bool en_is_barred(struct en_placing *p, uint64_t engine)
 {
-	int64_t left_ms = lm_engine_pause_left_ms(&p->call->d->engine_limits,
-						  engine, ck_now_ms());
+	int64_t barred_ms = en_barred_ms(p->call, engine);
 
-	if (left_ms && (!p->pause_left_ms || left_ms < p->pause_left_ms))
-		p->pause_left_ms = left_ms;
-	return left_ms > 0;
+	if (barred_ms && (!p->barred_ms || barred_ms < p->barred_ms))
+		p->barred_ms = barred_ms;
+	return barred_ms > 0;
 }
 
 static void en_collect_candidates(struct en_placing *p)
@@ -149,7 +153,7 @@
 	     m = mb_next(members, MB_ENGINE, NULL, m)) {
 		if (!mb_can_get_work(m) ||
 		    !cm_names_has(&model->engines, m->name) ||
-		    en_has_wrong_weights(call, m->id) || en_is_paused(p, m->id))
+		    en_is_barred(p, m->id))
 			continue;
 		pool.engines[pool.count].engine = m->id;
 		pool.engines[pool.count].distance = en_distance(d, m);
@@ -230,14 +234,15 @@
 		return;
 	}
 	if (!engine) {
-		uint32_t retry_after_s =
-			(p->pause_left_ms + EN_MS_PER_S - 1) / EN_MS_PER_S;
+		/* An engine that was tried may be well again any time. */
+		int64_t retry_after_ms = p->count ? 0 : p->barred_ms;
 
 		en_place_cancel(call);
 		en_call_fail(call,
 			     call->may_have_run ? EN_UPSTREAM_FAILED
 						: EN_NO_UPSTREAM,
-			     NULL, retry_after_s);
+			     NULL,
+			     (retry_after_ms + EN_MS_PER_S - 1) / EN_MS_PER_S);
 		en_call_end(call);
 		return;
 	}
--- a/src/gateway/gw_place.c
+++ b/src/gateway/gw_place.c
@@ -152,6 +152,9 @@
 		candidates[count++] =
 			gw_candidate(g, request, e, age_ms, now_ms);
 	}
+	/* One that was tried may be well again any time. */
+	if (count)
+		pause_end_ms = 0;
 	if (store) {
 		stored = gw_describe_store(g, request, store, wanted);
 		prefix.store = &stored;
--- a/src/gateway/gw_place.h
+++ b/src/gateway/gw_place.h
@@ -35,7 +35,7 @@
  * struct gw_place_answer - the chosen upstream and sources of its prefix.
  * @engine: NULL if no upstream can run the request.
  * @pause_end_ms: first end of the pauses of upstreams that could run it
- *	otherwise; 0: no such upstream.
+ *	otherwise; 0: no such upstream, or there are others, which were tried.
  * @source: engine to copy the prefix from, or NULL.
  * @store: store of cached prompts; NULL if none is used.
  * @is_from_store, @is_to_store, @read_tokens, @cost_ms, @mean_wait_ms: see
--- a/tests/sessions/gateway_notice_test.cc
+++ b/tests/sessions/gateway_notice_test.cc
@@ -347,6 +347,26 @@
 		  0);
 }
 
+// One engine pauses, and the only other one refuses a request: its caller need
+// not wait for the end of the pause.
+TEST_F(Notice, PauseOfOneEngineIsNotTheWaitForAnother)
+{
+	start("h1", {});
+	fleet.set_draining("a3");
+	fleet.ask_pause("a1", 9000);
+	int64_t began_ms = ck_now_ms();
+	ASSERT_TRUE(wait_until([&] {
+		return ask("record").status == 200 &&
+		       arrivals("a1", began_ms) > 0;
+	}));
+	fleet.behave("a2", Behaviour::refuse);
+	Reply r = ask("record");
+
+	EXPECT_EQ(r.status, 503);
+	ASSERT_EQ(r.headers.count("retry-after"), 1u);
+	EXPECT_LT(std::stod(r.headers["retry-after"]), 3.0);
+}
+
 TEST_F(Notice, RefusalTellsWhenThePauseEnds)
 {
 	start("h1", {});
--- a/tests/unit/entry_test.cc
+++ b/tests/unit/entry_test.cc
@@ -331,6 +331,24 @@
 	EXPECT_EQ(posts(), before);
 }
 
+// One engine pauses for a minute, and the other one is not there for a moment:
+// its callers need not wait for the first.
+TEST_F(Entry, PauseOfOneEngineIsNotTheWaitForAnother)
+{
+	e1.on_request = [](struct hs_exchange *x) {
+		const struct hs_header headers[] = { { "Retry-After", "60" },
+						     {} };
+
+		hs_respond(x, 503, headers, "{}", 2);
+	};
+	while (!e1.count("POST"))
+		EXPECT_EQ(post_completion(plain).status, 200u);
+	e2.stop();
+	Answer a = post_completion(plain);
+	EXPECT_EQ(a.status, 503u);
+	EXPECT_EQ(a.retry_after, "1");
+}
+
 // An engine that is loading a model refuses at once without running anything,
 // so retries of such requests must not use up the retry budget.
 TEST_F(Entry, RefusalForMissingModelUsesNoRetryBudget)
