--- a/src/http1/h1_headers.c
+++ b/src/http1/h1_headers.c
@@ -112,3 +112,14 @@
 		g_string_append_len(out, "\r\n", 2);
 	}
 }
+
+int64_t h1_parse_delay_ms(const char *value, int64_t max_ms)
+{
+	char *end;
+	double delay_ms = g_ascii_strtod(value, &end) * 1000;
+
+	/* Not a number compares false with all. */
+	if (end == value || *end || !(delay_ms >= 0 && delay_ms <= max_ms))
+		return -1;
+	return (int64_t)(delay_ms + 0.5);
+}
--- a/src/http1/h1_headers.h
+++ b/src/http1/h1_headers.h
@@ -54,4 +54,12 @@
 /** h1_headers_print() - append "Name: value\r\n" for every field. */
 void h1_headers_print(const struct h1_headers *headers, GString *out);
 
+/**
+ * h1_parse_delay_ms() - read a delay in seconds, fractions too, as Retry-After
+ * has it; a date, which the field may hold instead, is not read.
+ *
+ * Return: milliseconds, or -1 if @value is no delay of at most @max_ms.
+ */
+int64_t h1_parse_delay_ms(const char *value, int64_t max_ms);
+
 #endif
--- a/src/upstream/up_engine.c
+++ b/src/upstream/up_engine.c
@@ -4,13 +4,14 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "fleet/fl_notice.h"
+#include "http1/h1_headers.h"
 #include "kernel/ck.h"
 #include "kernel/kn_registry.h"
 #include "kernel/tl.h"
 #include "upstream/up.h"
 
 #define UP_STREAM_PATH_BYTES (UP_ID_BYTES + 32)
-#define UP_MAX_PAUSE_S	     86400.0
 
 static void up_engine_add_headers(struct up_attempt *a, GPtrArray *headers)
 {
@@ -26,23 +27,12 @@
 			g_strdup_printf("X-Event-Time: %" PRIu64, stamp));
 }
 
-/* A time of day, which the field may hold too, asks for no pause here. */
-static int64_t up_parse_pause_ms(const char *value)
-{
-	char *end;
-	double seconds = g_ascii_strtod(value, &end);
-
-	/* Not a number compares false with all. */
-	if (end == value || *end || !(seconds > 0) || seconds > UP_MAX_PAUSE_S)
-		return 0;
-	return (int64_t)(seconds * 1000 + 0.5);
-}
-
 static void up_engine_header(struct up_attempt *a, const char *name,
 			     const char *value)
 {
 	if (!strcmp(name, "retry-after"))
-		a->_pause_ms = up_parse_pause_ms(value);
+		a->_pause_ms =
+			MAX(h1_parse_delay_ms(value, FL_MAX_PAUSE_MS), 0);
 	sd_header(&a->_decoder, name, value);
 }
 
