harness: store and engines of a Fleet in files of their own

The store, the engines, and what tests call are three files over one private header now. Moved only: sorted and with equal blanks, no line of the old file is missing but the two of a declaration that is public to the three, and an include nothing used. harness_test, golden_test, gateway_crash_test and soak_short pass.

--- /dev/null
+++ b/tests/harness/fleet_state.h
@@ -0,0 +1,126 @@
+/*
+ * State of a Fleet, used on its thread only; private to fleet*.cc.
+ */
+#ifndef HARNESS_FLEET_STATE_H
+#define HARNESS_FLEET_STATE_H
+
+#include <condition_variable>
+#include <deque>
+#include <list>
+#include <set>
+
+#include "fleet.h"
+
+extern "C" {
+#include <ev.h>
+
+#include "http1/h1_server.h"
+#include "kernel/ck.h"
+}
+
+namespace harness
+{
+
+struct Engine;
+
+struct Row {
+	std::string value;
+	uint64_t version;
+	bool is_deleted;
+};
+
+struct Waiter {
+	struct h1_exchange *x;
+	std::string table;
+	uint64_t after;
+	int64_t until_ms;
+};
+
+/* A request that an engine works on at its pace. */
+struct Run {
+	Engine *engine;
+	struct h1_exchange *x;
+	std::string attempt;
+	int events;
+	int64_t due_ms;
+	bool is_endless;
+};
+
+struct Engine {
+	Fleet::State *state;
+	std::string id;
+	std::string address;
+	bool is_draining = false;
+	bool is_leaving = false;
+	int64_t paused_until_ms = 0;
+	std::string service;
+	std::string model;
+	int weights = 0;
+	int orders = 0;
+	int64_t busy_until_ms = 0;
+	int born = 1;
+	uint16_t port = 0;
+	bool is_crashing = false;
+	int64_t down_until_ms = 0;
+	Behaviour behaviour = Behaviour::answer;
+	std::function<void(uint16_t)> on_port = [](uint16_t) {};
+	struct h1_server server = {};
+};
+
+struct Fleet::State {
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct h1_server store = {};
+	struct ev_async wake = {};
+	struct ev_timer tick = {};
+	std::mutex mutex;
+	std::condition_variable ran;
+	std::deque<std::function<void()>> work;
+	uint64_t done = 0, posted = 0;
+	bool is_over = false;
+
+	bool is_down = false;
+	uint64_t version = 0;
+	uint64_t history_from = 0;
+	int calls = 0;
+	std::string crash_body;
+	std::set<std::string> crash_parts;
+	int crash_down_ms = 0;
+	std::vector<int64_t> crash_times;
+	std::list<Run> running;
+	std::map<std::string, int> begun;
+	std::map<std::string, std::map<std::string, Row>> tables;
+	std::list<Waiter> waiters;
+	std::map<std::string, std::unique_ptr<Engine>> engines;
+	std::vector<Arrival> arrivals;
+	std::vector<Order> orders;
+
+	std::string rows_json(const std::string &table, uint64_t after,
+			      bool is_feed, int *count);
+	void answer_rows(struct h1_exchange *x, const std::string &table,
+			 uint64_t after, bool is_feed);
+	void put(const std::string &table, const std::string &key,
+		 const std::string &value);
+	void write_entry(const Engine &e);
+	void on_store(struct h1_exchange *x);
+	void on_transaction(struct h1_exchange *x);
+	void on_engine(Engine *e, struct h1_exchange *x);
+	void on_order(Engine *e, struct h1_exchange *x);
+	void on_pace(Engine *e, struct h1_exchange *x,
+		     const std::string &attempt, int after);
+	bool go_on(Run &run);
+	void on_tick();
+	void listen(Engine *e);
+	void close(Engine *e);
+	bool crashes(const Arrival &arrival) const;
+	void crash_or_start(Engine *e, int64_t now_ms);
+};
+
+/** own_ip() - first address of this test's range. */
+std::string own_ip();
+
+void respond(struct h1_exchange *x, uint32_t status, const std::string &body,
+	     const std::map<std::string, std::string> &fields = {});
+
+} // namespace harness
+
+#endif
