review: a lease handed over twice within lease_ms (ONE)

Rule: orders of two machines to one engine are lease_ms apart. Tried: a rolling restart that stops the holder and, a step later, the machine that has taken over and is in its quiet period. Seen: the third machine orders at once, 1.9 to 2.9 s after the first.

--- /dev/null
+++ b/review/standin/rollout.h
@@ -0,0 +1,60 @@
+/*
+ * rollout - three machines that roll new weights out to two engines.
+ *
+ * Overview
+ *	One machine at a time, the holder, gives orders. Who holds is told from
+ *	the orders that the engines saw, and, to choose the machine that a
+ *	disturbance hits first (how = leader), from the last conditional write
+ *	to the store.
+ */
+#ifndef STANDIN_ROLLOUT_H
+#define STANDIN_ROLLOUT_H
+
+#include "standin.h"
+
+namespace standin
+{
+
+/** SYSTEM.md, bounds of Kitami Post. */
+constexpr int64_t lease_ms = 3000;
+constexpr int64_t version_ms = 8000;
+
+class Rollout
+{
+      public:
+	Rollout();
+	~Rollout();
+
+	/** start() - the machines; returns when one has been holder for long.
+	 */
+	void start();
+	void name_version(int version);
+
+	/** is_in_place() - at both engines, within @timeout_ms. */
+	bool is_in_place(int version, int64_t timeout_ms);
+
+	/** orderer() - the machine that gave the last order. */
+	std::string orderer();
+
+	/** leader() - the machine that last wrote the lease, or released it.
+	 */
+	std::string leader();
+
+	Gateway &machine(const std::string &name);
+
+	/** judge() - whether ONE was broken, by the orders of each engine. */
+	bool judge();
+
+	Folder folder;
+	Store store;
+
+      private:
+	std::unique_ptr<Engine> near, far;
+	std::vector<std::unique_ptr<Gateway>> machines;
+
+	bool judge_engine(Engine &engine);
+};
+
+} // namespace standin
+
+#endif
