review: lost answers to take-overs let holders take turns (ONE)

Rule: holders do not take turns within lease_ms. Tried: two machines are restarted in turn; the store does the writes that take the lease over and loses their answers, within the dose. Seen: each new holder orders at once; the first one is back after 4.3 s.

--- a/review/standin/rollout.h
+++ b/review/standin/rollout.h
@@ -1,5 +1,5 @@
 /*
- * rollout - three machines that roll new weights out to two engines.
+ * rollout - machines that roll new weights out to two engines.
  *
  * Overview
  *	One machine at a time, the holder, gives orders. Who holds is told from
@@ -22,7 +22,8 @@
 class Rollout
 {
       public:
-	Rollout();
+	/** @machines: how many. */
+	explicit Rollout(int machines);
 	~Rollout();
 
 	/** start() - the machines; returns when one has been holder for long.
@@ -42,7 +43,15 @@
 
 	Gateway &machine(const std::string &name);
 
-	/** judge() - whether ONE was broken, by the orders of each engine. */
+	/** restart_ended() - start the machine again as soon as it has ended,
+	 * after the platform's short delay. */
+	void restart_ended(const std::string &name);
+
+	/**
+	 * judge() - whether ONE was broken: at an engine, holders took turns,
+	 * each within lease_ms of the order before, so that the first one came
+	 * back; or a generation number came twice or fell.
+	 */
 	bool judge();
 
 	Folder folder;
@@ -51,6 +60,7 @@
       private:
 	std::unique_ptr<Engine> near, far;
 	std::vector<std::unique_ptr<Gateway>> machines;
+	std::vector<std::thread> restarts;
 
 	bool judge_engine(Engine &engine);
 };
