--- a/review/standin/rollout.cc
+++ b/review/standin/rollout.cc
@@ -33,6 +33,7 @@
 
 Rollout::~Rollout()
 {
+	is_over = true;
 	for (auto &thread : restarts)
 		thread.join();
 	machines.clear();
@@ -110,12 +111,15 @@
 {
 	Gateway &m = machine(name);
 
-	restarts.emplace_back([&m] {
+	restarts.emplace_back([this, &m] {
 		if (!wait_until([&m] { return m.has_ended(); }, grace_ms))
 			return;
 		sleep_ms(restart_delay_ms);
 		note("%s is started again", m.name.c_str());
 		m.start();
+		/* A process ends with the thread that started it. */
+		while (!is_over)
+			sleep_ms(10);
 	});
 }
 
--- a/review/standin/rollout.h
+++ b/review/standin/rollout.h
@@ -10,6 +10,8 @@
 #ifndef STANDIN_ROLLOUT_H
 #define STANDIN_ROLLOUT_H
 
+#include <atomic>
+
 #include "standin.h"
 
 namespace standin
@@ -61,6 +63,7 @@
 	std::unique_ptr<Engine> near, far;
 	std::vector<std::unique_ptr<Gateway>> machines;
 	std::vector<std::thread> restarts;
+	std::atomic<bool> is_over{ false };
 
 	bool judge_engine(Engine &engine);
 };
--- a/review/standin/standin.cc
+++ b/review/standin/standin.cc
@@ -21,6 +21,7 @@
 #include <algorithm>
 #include <fstream>
 #include <random>
+#include <set>
 #include <sstream>
 
 #include "json.h"
@@ -76,11 +77,13 @@
 uint16_t free_port()
 {
 	static std::mt19937 random(std::random_device{}());
+	static std::set<uint16_t> taken;
 
 	for (int i = 0; i < port_count; i++) {
 		uint16_t port = first_port + random() % port_count;
 
-		if (can_bind(port, SOCK_STREAM) && can_bind(port, SOCK_DGRAM))
+		if (can_bind(port, SOCK_STREAM) && can_bind(port, SOCK_DGRAM) &&
+		    taken.insert(port).second)
 			return port;
 	}
 	give_up("no free port");
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -232,6 +232,7 @@
 	Gateway(const Gateway &) = delete;
 	Gateway &operator=(const Gateway &) = delete;
 
+	/** start() - the process ends with the thread that calls this. */
 	void start();
 	void signal(int number);
 	/** has_ended() - the process, once it was started. */
