gateway: a request gives up its exchange before it is answered

Cause: a request borrows its id from the header fields of its exchange. gw_attempt_answered() and gw_finish_events() answered first, which frees the connection where the answer closes it, or reads the next request of the connection into the same fields, and logged then.

Change: gw_release_exchange() logs the request, ends its attempt, takes it off all lists and clears what it has borrowed; only then is the answer handed over. One function answers for both modes.

The stand-in's engines take heads as long as http_parser does (80 KB).

--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -92,12 +92,28 @@
 		events, "first_event_ms", first, NULL);
 }
 
-static void gw_free(struct gw_request *r)
+/*
+ * Ends the request but for its answer. An answer may close the connection or
+ * read the next request from it, and either ends what the request has borrowed
+ * from its exchange.
+ */
+static struct h1_exchange *
+gw_release_exchange(struct gw_request *r, const char *outcome, uint32_t status)
 {
+	struct h1_exchange *exchange = r->exchange;
+
+	gw_log_end(r, outcome, status);
 	gw_send_cancel(r);
+	ev_timer_stop(r->gateway->kernel.loop, &r->timer);
 	r->gateway->early_requests -= r->is_early;
 	g_queue_unlink(&r->gateway->requests, &r->link);
-	ev_timer_stop(r->gateway->kernel.loop, &r->timer);
+	r->exchange = NULL;
+	memset(&r->in, 0, sizeof(r->in));
+	return exchange;
+}
+
+static void gw_free(struct gw_request *r)
+{
 	h1_headers_finish(&r->answer_headers);
 	g_string_free(r->answer_body, TRUE);
 	gw_events_finish(&r->events);
@@ -105,17 +121,24 @@
 	g_free(r);
 }
 
-void gw_request_done(struct gw_request *r, const char *outcome)
+void gw_request_answer(struct gw_request *r)
 {
+	struct h1_exchange *exchange;
+
 	mt_add(&gw_answered, 1);
-	gw_log_end(r, outcome, r->status);
+	exchange = gw_release_exchange(r, "complete", r->status);
+	if (r->has_begun)
+		h1_end(exchange);
+	else
+		h1_respond(exchange, r->status, &r->answer_headers,
+			   r->answer_body->str, r->answer_body->len);
 	gw_free(r);
 }
 
 void gw_request_caller_left(struct gw_request *r)
 {
 	mt_add(&gw_callers_left, 1);
-	gw_log_end(r, "caller_left", 0);
+	gw_release_exchange(r, "caller_left", 0);
 	gw_free(r);
 }
 
@@ -140,13 +163,14 @@
 void gw_request_refuse(struct gw_request *r, uint32_t status,
 		       const char *reason)
 {
+	struct h1_exchange *exchange;
 	struct h1_headers headers;
 	char after[16], body[128];
 
 	gw_count_own_answer(status);
-	gw_log_end(r, reason, status);
+	exchange = gw_release_exchange(r, reason, status);
 	if (r->has_begun) {
-		h1_abort(r->exchange);
+		h1_abort(exchange);
 		gw_free(r);
 		return;
 	}
@@ -157,7 +181,7 @@
 		h1_headers_add(&headers, "Retry-After", after);
 	}
 	snprintf(body, sizeof(body), "{\"error\": \"%s\"}\n", reason);
-	h1_respond(r->exchange, status, &headers, body, strlen(body));
+	h1_respond(exchange, status, &headers, body, strlen(body));
 	h1_headers_finish(&headers);
 	gw_free(r);
 }
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -11,8 +11,9 @@
  *	answer		complete, or event by event
  *
  *	A request ends with exactly one answer to the caller, or when the caller
- *	disconnects. Its deadline is the caller's or the route's timeout,
- *	whichever is earlier.
+ *	disconnects. What it has borrowed from its exchange is given up before
+ *	the answer is handed over. Its deadline is the caller's or the route's
+ *	timeout, whichever is earlier.
  */
 #ifndef GW_REQUEST_H
 #define GW_REQUEST_H
@@ -149,8 +150,11 @@
 /** gw_request_failed() - an attempt ended without a usable answer. */
 void gw_request_failed(struct gw_request *r, const char *reason);
 
-/** gw_request_done() - the answer is complete; frees the request. */
-void gw_request_done(struct gw_request *r, const char *outcome);
+/**
+ * gw_request_answer() - the upstream's answer is complete: sends what the
+ * caller does not have of it and frees the request.
+ */
+void gw_request_answer(struct gw_request *r);
 
 /**
  * gw_request_refuse() - answer with an error of the gateway; frees the request.
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -339,15 +339,6 @@
 		gw_answer_too_large(r);
 }
 
-static void gw_finish_events(struct gw_request *r)
-{
-	if (!r->has_begun)
-		h1_respond(r->exchange, r->status, &r->answer_headers, NULL, 0);
-	else
-		h1_end(r->exchange);
-	gw_request_done(r, "complete");
-}
-
 static void gw_attempt_refused(struct gw_request *r)
 {
 	int64_t until_ms = ck_now_ms() + GW_BUSY_AVOID_MS;
@@ -379,7 +370,7 @@
 	}
 	if (r->mode == GW_EVENTS) {
 		gw_engine_succeeded(r->engine);
-		gw_finish_events(r);
+		gw_request_answer(r);
 		return;
 	}
 	/* Retry after an internal error of the engine. */
@@ -394,9 +385,7 @@
 		gw_request_refuse(r, 502, "stream_not_continued");
 		return;
 	}
-	h1_respond(r->exchange, r->status, &r->answer_headers,
-		   r->answer_body->str, r->answer_body->len);
-	gw_request_done(r, "complete");
+	gw_request_answer(r);
 }
 
 /*
--- a/tests/harness/fleet_engine.cc
+++ b/tests/harness/fleet_engine.cc
@@ -20,6 +20,8 @@
 constexpr int slow_pace_ms = 1500;
 constexpr int trickle_ms = 200;
 constexpr size_t garbage_bytes = 256 << 10;
+/* What http_parser takes. */
+constexpr uint64_t max_header_bytes = 80 << 10;
 
 std::string event(int id)
 {
@@ -267,6 +269,7 @@
 	desc.loop = loop;
 	desc.address = ip.c_str();
 	desc.port = e->port;
+	desc.limits.max_header_bytes = max_header_bytes;
 	desc.on_request = [](void *arg, struct h1_exchange *x) {
 		auto *engine = static_cast<Engine *>(arg);
 
