hc: an answer whose head breaks off is broken, not empty

Callers saw (a report of other operators): a 200 with an empty body, framed as whole, where an engine closed in the middle of its head.

Cause: libcurl ends such a transfer with success once it has a status line; hc_outcome_of() took that for a whole answer, and the entry passed it on.

Ruled out: bodies with a length or chunks that break off.

Change: hc notes the blank line of the final head; without one the call is HC_BROKEN, which may have run.

--- a/src/net/hc.c
+++ b/src/net/hc.c
@@ -27,6 +27,8 @@
 	GString *answer;
 	ev_timer silence;
 	bool got_body_byte;
+	long head_status;
+	bool is_head_whole;
 	bool is_idle;
 	bool is_too_large;
 	int64_t last_byte_ms;
@@ -91,8 +93,9 @@
 		return HC_TOO_LARGE;
 	if (t->is_idle)
 		return HC_IDLE;
+	/* libcurl reports success for an answer whose head breaks off. */
 	if (code == CURLE_OK)
-		return HC_DONE;
+		return t->is_head_whole ? HC_DONE : HC_BROKEN;
 	if (!maybe_sent)
 		return HC_NO_CONNECTION;
 	if (code == CURLE_OPERATION_TIMEDOUT)
@@ -116,6 +119,9 @@
 		  sizeof(message));
 	if (result.outcome == HC_IDLE)
 		g_strlcpy(message, "no byte in time", sizeof(message));
+	else if (result.outcome == HC_BROKEN && code == CURLE_OK)
+		g_strlcpy(message, "the head of the answer broke off",
+			  sizeof(message));
 	result.message = message;
 	result.body = answer->str;
 	result.body_bytes = answer->len;
@@ -298,6 +304,20 @@
 	return bytes;
 }
 
+/* Notes the status lines of interim and final heads, and where they end. */
+static void hc_follow_head(struct _hc_transfer *t, const char *line,
+			   size_t bytes)
+{
+	const char *status = memchr(line, ' ', bytes);
+
+	if (bytes > 5 && !memcmp(line, "HTTP/", 5)) {
+		t->head_status = status ? strtol(status, NULL, 10) : 0;
+		t->is_head_whole = false;
+	} else if (line[0] == '\r' || line[0] == '\n') {
+		t->is_head_whole = t->head_status >= 200;
+	}
+}
+
 static size_t hc_on_header_line(char *line, size_t size, size_t count,
 				void *arg)
 {
@@ -308,6 +328,7 @@
 	char *value;
 	size_t name_bytes;
 
+	hc_follow_head(t, line, bytes);
 	if (!t->desc.on_header || !colon)
 		return bytes;
 	name_bytes = (size_t)(colon - line);
--- a/tests/harness/scripted.cc
+++ b/tests/harness/scripted.cc
@@ -91,7 +91,8 @@
 		connection.requests++;
 		std::string answer = script(request);
 		send(connection.fd, answer.data(), answer.size(), MSG_NOSIGNAL);
-		if (answer.find("Connection: close\r\n") != std::string::npos)
+		if (closes ||
+		    answer.find("Connection: close\r\n") != std::string::npos)
 			return false;
 	}
 }
--- a/tests/harness/scripted.h
+++ b/tests/harness/scripted.h
@@ -5,7 +5,8 @@
  *	Accepts connections in a thread of the test's process, reads whole
  *	requests and sends whatever the test's function returns for each, also
  *	bytes that no sound server would send. An answer with the field
- *	"Connection: close" ends its connection.
+ *	"Connection: close" ends its connection, as each one does while closes
+ *	is set.
  *
  * Use
  *	ScriptedServer server([](const ScriptedServer::Request &r) {
@@ -42,6 +43,8 @@
 	ScriptedServer(const ScriptedServer &) = delete;
 	ScriptedServer &operator=(const ScriptedServer &) = delete;
 
+	std::atomic<bool> closes{ false };
+
 	/** address() - "IP:PORT". */
 	std::string address() const;
 
--- a/tests/sessions/gateway_test.cc
+++ b/tests/sessions/gateway_test.cc
@@ -332,6 +332,48 @@
 	}
 }
 
+// An engine stops in the middle of its answer and closes: no caller gets a 200
+// that looks whole with a body that is empty or short.
+TEST_F(Gateway, AnswerThatBreaksOffIsNoSuccess)
+{
+	std::atomic<size_t> cut{ 1000 }, whole{ 0 };
+	std::atomic<bool> is_chunked{ false };
+	ScriptedServer engine([&](const ScriptedServer::Request &r) {
+		std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " +
+				   r.field("X-Attempt-Id") +
+				   "\r\nX-Response-Stamp: s\r\n";
+		std::string body =
+			is_chunked ? "Transfer-Encoding: chunked\r\n\r\n"
+				     "5\r\nwhole\r\n0\r\n\r\n"
+				   : "Content-Length: 5\r\n\r\nwhole";
+
+		whole = head.size() + body.size();
+		return (head + body).substr(0, cut);
+	});
+	size_t bytes = 150;
+
+	engine.closes = true;
+	fleet.set_draining("a2");
+	fleet.set_address("a1", engine.address());
+	ASSERT_TRUE(wait_until([&] {
+		return ask("record", "w").headers["x-response-stamp"] == "s";
+	}));
+	for (bool chunks : { false, true })
+		for (cut = 0; cut < bytes; cut++) {
+			std::string id = std::to_string(100 + cut);
+			Reply r;
+
+			is_chunked = chunks;
+			r = ask("record", id);
+			if (r.status == 200) {
+				EXPECT_EQ(r.body, "whole") << cut;
+				EXPECT_TRUE(r.complete) << cut;
+			}
+			EXPECT_TRUE(r.status == 200 || r.status == 502) << cut;
+			EXPECT_EQ(r.status == 200, cut >= whole) << cut;
+		}
+}
+
 // An engine's stream has neither a length nor chunks and ends with its
 // connection: complete after an event, broken off within one.
 TEST_F(Gateway, StreamThatEndsWithItsConnectionIsCompleteAfterAnEvent)
