hc, link: bounds for heads, for all answers together, for slow readers

Callers saw (a report of other operators): an engine sent bytes without end; the host that had called it kept them and ran out of memory, and the requests of others ended with it.

Evidence: net_faulty_test EndlessHeadEndsItsCall (the trailer still ran after 5 s), EndlessBodiesAtOnceStayWithinTheClientsLimit and relay_test AnswerWithoutEndToACallerThatDoesNotReadIsCut failed before (the engine's connection stayed open for 5 s).

Change: HC_MAX_HEAD_BYTES; max_collected_bytes of a client, 32 MiB for the entry; hc_stop() from on_data, which the relay uses over 1 MiB.

--- a/src/entry/en_dispatch.c
+++ b/src/entry/en_dispatch.c
@@ -6,6 +6,8 @@
 #include <string.h>
 
 #define EN_TICK_S (LM_TICK_MS / 1000.0)
+/* Answers that are collected, in half of the memory a daemon may use. */
+#define EN_MAX_COLLECTED_BYTES (32u << 20)
 
 MT_GAUGE(en_running, "balsampin_entry_running_requests",
 	 "requests admitted by the limits and not finished")
@@ -247,7 +249,9 @@
 
 	d->task = task;
 	code = hc_init(&d->client,
-		       &(struct hc_desc){ .loop = task->kernel->loop });
+		       &(struct hc_desc){ .loop = task->kernel->loop,
+					  .max_collected_bytes =
+						  EN_MAX_COLLECTED_BYTES });
 	if (code != ST_OK)
 		return code;
 	d->policy = rt_policy_find(policy);
--- a/src/link/lk_relay.c
+++ b/src/link/lk_relay.c
@@ -13,11 +13,15 @@
 	   "bytes of their bodies, put together")
 MT_COUNTER(lk_missing_responses, "balsampin_link_missing_total",
 	   "relayed requests with chunks that were not held")
+MT_COUNTER(lk_slow_readers, "balsampin_link_slow_readers_total",
+	   "relayed answers cut off because their caller read too slowly")
 MT_COUNTER(lk_denied, "balsampin_link_denied_total",
 	   "relayed requests refused for their MAC or age")
 
 #define LK_URL_BYTES	      512
 #define LK_MAX_ENGINE_HEADERS 8
+/* Of an answer that its caller reads more slowly than the engine writes it. */
+#define LK_MAX_UNSENT_BYTES (1u << 20)
 
 /* A request in progress at an engine. */
 struct lk_forward {
@@ -121,6 +125,10 @@
 	if (!f->has_response_begun)
 		lk_begin_response(f, status);
 	hs_write(f->exchange, data, bytes);
+	if (hs_unsent_bytes(f->exchange) <= LK_MAX_UNSENT_BYTES)
+		return;
+	mt_add(&lk_slow_readers, 1);
+	hc_stop(&f->relay->_client, f->call);
 }
 
 static void lk_on_done(void *arg, const struct hc_result *result)
--- a/src/net/hc.c
+++ b/src/net/hc.c
@@ -27,6 +27,7 @@
 	GString *answer;
 	ev_timer silence;
 	bool got_body_byte;
+	uint64_t head_bytes;
 	long head_status;
 	bool is_head_whole;
 	bool is_idle;
@@ -68,6 +69,7 @@
 	curl_easy_cleanup(t->easy);
 	curl_slist_free_all(t->headers);
 	g_free(t->body);
+	client->_collected_bytes -= t->answer->len;
 	g_string_free(t->answer, TRUE);
 	client->_slots[t->slot] = NULL;
 	client->_generations[t->slot]++;
@@ -127,6 +129,7 @@
 	result.body_bytes = answer->len;
 
 	/* The call is over before on_done, which may finish the client. */
+	t->client->_collected_bytes -= answer->len;
 	t->answer = g_string_new(NULL);
 	hc_transfer_free(t);
 	desc.on_done(desc.arg, &result);
@@ -279,6 +282,18 @@
 	t->body = NULL;
 }
 
+/* Servers that send without end, to many calls at once, must not fill memory.
+ */
+static bool hc_may_collect(const struct _hc_transfer *t, uint64_t bytes)
+{
+	uint64_t held = t->answer->len + bytes;
+
+	return held <= t->desc.max_answer_bytes &&
+	       (held <= HC_RESERVED_BYTES ||
+		t->client->_collected_bytes + bytes <=
+			t->client->_max_collected_bytes);
+}
+
 static size_t hc_on_body(char *data, size_t size, size_t count, void *arg)
 {
 	struct _hc_transfer *t = arg;
@@ -294,13 +309,14 @@
 	if (t->desc.on_data) {
 		curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
 		t->desc.on_data(t->desc.arg, (uint32_t)status, data, bytes);
-		return bytes;
+		return t->is_too_large ? 0 : bytes;
 	}
-	if (t->answer->len + bytes > t->desc.max_answer_bytes) {
+	if (!hc_may_collect(t, bytes)) {
 		t->is_too_large = true;
 		return 0;
 	}
 	g_string_append_len(t->answer, data, (gssize)bytes);
+	t->client->_collected_bytes += bytes;
 	return bytes;
 }
 
@@ -328,6 +344,11 @@
 	char *value;
 	size_t name_bytes;
 
+	t->head_bytes += bytes;
+	if (t->head_bytes > HC_MAX_HEAD_BYTES) {
+		t->is_too_large = true;
+		return 0;
+	}
 	hc_follow_head(t, line, bytes);
 	if (!t->desc.on_header || !colon)
 		return bytes;
@@ -355,6 +376,9 @@
 	client->_generations = g_new0(uint32_t, client->_slot_count);
 	ev_timer_init(&client->_timer, hc_on_timer, 0.0, 0.0);
 	client->_timer.data = client;
+	client->_max_collected_bytes = desc->max_collected_bytes
+					       ? desc->max_collected_bytes
+					       : HC_DEFAULT_MAX_COLLECTED_BYTES;
 	curl_multi_setopt(client->_multi, CURLMOPT_SOCKETFUNCTION,
 			  hc_socket_changed);
 	curl_multi_setopt(client->_multi, CURLMOPT_SOCKETDATA, client);
@@ -510,13 +534,29 @@
 	return ST_OK;
 }
 
-void hc_cancel(struct hc_client *client, struct hc_call call)
+static struct _hc_transfer *hc_find(const struct hc_client *client,
+				    struct hc_call call)
 {
 	uint32_t i = call.slot - 1;
 
-	if (!call.slot || call.slot > client->_slot_count)
-		return;
-	if (!client->_slots[i] || client->_generations[i] != call.generation)
-		return;
-	hc_transfer_free(client->_slots[i]);
+	if (!call.slot || call.slot > client->_slot_count ||
+	    client->_generations[i] != call.generation)
+		return NULL;
+	return client->_slots[i];
+}
+
+void hc_cancel(struct hc_client *client, struct hc_call call)
+{
+	struct _hc_transfer *t = hc_find(client, call);
+
+	if (t)
+		hc_transfer_free(t);
+}
+
+void hc_stop(struct hc_client *client, struct hc_call call)
+{
+	struct _hc_transfer *t = hc_find(client, call);
+
+	if (t)
+		t->is_too_large = true;
 }
--- a/src/net/hc.h
+++ b/src/net/hc.h
@@ -27,7 +27,10 @@
  *		.on_done = done, .arg = me }, &call);
  *
  * Limits
- *	Without on_data the answer is collected, up to max_answer_bytes.
+ *	Without on_data the answer is collected, up to max_answer_bytes. All
+ *	calls of a client share max_collected_bytes, beyond which an answer may
+ *	have HC_RESERVED_BYTES. The head of an answer, interim heads and
+ *	trailers included, may have HC_MAX_HEAD_BYTES.
  */
 #ifndef HC_H
 #define HC_H
@@ -39,9 +42,12 @@
 
 #include "kernel/st.h"
 
-#define HC_DEFAULT_CONNECT_TIMEOUT_MS 1000
-#define HC_DEFAULT_MAX_ANSWER_BYTES   (16u << 20)
-#define HC_MAX_CALLS		      4096
+#define HC_DEFAULT_CONNECT_TIMEOUT_MS  1000
+#define HC_DEFAULT_MAX_ANSWER_BYTES    (16u << 20)
+#define HC_DEFAULT_MAX_COLLECTED_BYTES (64u << 20)
+#define HC_RESERVED_BYTES	       (64u << 10)
+#define HC_MAX_HEAD_BYTES	       (256u << 10)
+#define HC_MAX_CALLS		       4096
 
 struct hc_client;
 struct _hc_transfer;
@@ -53,7 +59,7 @@
  * @HC_BROKEN: the connection ended before the answer was complete.
  * @HC_IDLE: no byte for idle_timeout_ms, or no first byte in time.
  * @HC_TIMEOUT: total_timeout_ms passed.
- * @HC_TOO_LARGE: the answer exceeded max_answer_bytes.
+ * @HC_TOO_LARGE: the answer exceeded one of the limits above.
  */
 enum hc_outcome {
 	HC_DONE = 0,
@@ -130,10 +136,13 @@
  * struct hc_desc - zero means default.
  * @loop: required.
  * @max_connections_per_host: 0 is unlimited.
+ * @max_collected_bytes: of the answers of all calls together, see above;
+ *	default HC_DEFAULT_MAX_COLLECTED_BYTES.
  */
 struct hc_desc {
 	struct ev_loop *loop;
 	uint32_t max_connections_per_host;
+	uint64_t max_collected_bytes;
 };
 
 /** struct hc_client - all state; fields are private. */
@@ -145,6 +154,8 @@
 	uint32_t *_generations;
 	uint32_t _slot_count;
 	uint32_t _in_flight;
+	uint64_t _max_collected_bytes;
+	uint64_t _collected_bytes;
 };
 
 enum st_code hc_init(struct hc_client *client, const struct hc_desc *desc);
@@ -165,12 +176,24 @@
 /** hc_cancel() - drop a call; no function of its descriptor is called again. */
 void hc_cancel(struct hc_client *client, struct hc_call call);
 
+/**
+ * hc_stop() - end a call with HC_TOO_LARGE as soon as on_data, which alone may
+ * call it, returns.
+ */
+void hc_stop(struct hc_client *client, struct hc_call call);
+
 /** hc_in_flight() - calls that have not ended. */
 static inline uint32_t hc_in_flight(const struct hc_client *client)
 {
 	return client->_in_flight;
 }
 
+/** hc_collected_bytes() - of answers that are being collected. */
+static inline uint64_t hc_collected_bytes(const struct hc_client *client)
+{
+	return client->_collected_bytes;
+}
+
 /** hc_make_url() - http URL of an address in host byte order and a port. */
 void hc_make_url(char *out, uint32_t room, uint32_t ipv4, uint16_t port,
 		 const char *path);
--- a/tests/unit/net_faulty_test.cc
+++ b/tests/unit/net_faulty_test.cc
@@ -135,6 +135,7 @@
 		struct hc_desc desc = {};
 
 		desc.loop = loop;
+		desc.max_collected_bytes = 4 << 20;
 		ASSERT_EQ(hc_init(&client, &desc), ST_OK);
 	}
 
@@ -253,4 +254,72 @@
 		}
 }
 
+struct EndlessCase {
+	const char *what;
+	const char *start;
+	const char *part;
+};
+
+// Kernel buffers of both ends, and what is read before the limit.
+const uint64_t most_head_bytes = 16 << 20;
+
+const EndlessCase endless_heads[] = {
+	{ "no HTTP at all", "", "x" },
+	{ "a line of the head", "HTTP/1.1 200 OK\r\nX-A: ", "a" },
+	{ "lines of the head", "HTTP/1.1 200 OK\r\n", "X-A: a\r\n" },
+	{ "heads that are not final", "",
+	  "HTTP/1.1 100 Continue\r\nX-A: a\r\n\r\n" },
+	{ "a trailer",
+	  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+	  "X-A: a\r\n" },
+};
+
+// No time limit ends these calls; the head of an answer has a limit in bytes.
+TEST_F(NetFaulty, EndlessHeadEndsItsCall)
+{
+	for (const EndlessCase &c : endless_heads)
+		for (bool is_stream : { false, true }) {
+			FaultyServer server(c.start, c.part);
+			Outcome o;
+
+			start(&o, server.url(), is_stream);
+			run(server, [&] { return o.is_done; });
+			EXPECT_TRUE(o.is_done) << c.what;
+			EXPECT_FALSE(o.is_whole) << c.what;
+			EXPECT_LT(server.sent, most_head_bytes) << c.what;
+			TearDown();
+			loop = ev_loop_new(EVFLAG_AUTO);
+			SetUp();
+		}
+}
+
+// Each body stays below the limit of one call; all of them share another.
+TEST_F(NetFaulty, EndlessBodiesAtOnceStayWithinTheClientsLimit)
+{
+	static const uint64_t buffers = 8 << 20;
+	FaultyServer server("HTTP/1.1 200 OK\r\n\r\n", "x");
+	std::vector<Outcome> outcomes(32);
+	Outcome small;
+
+	for (Outcome &o : outcomes)
+		start(&o, server.url());
+	run(server, [&] {
+		EXPECT_LE(hc_collected_bytes(&client), 4u << 20);
+		for (const Outcome &o : outcomes)
+			if (!o.is_done)
+				return false;
+		return true;
+	});
+	for (const Outcome &o : outcomes) {
+		EXPECT_TRUE(o.is_done);
+		EXPECT_FALSE(o.is_whole);
+	}
+	EXPECT_LT(server.sent, outcomes.size() * buffers);
+	EXPECT_EQ(hc_collected_bytes(&client), 0u);
+	FaultyServer sound(whole_answers[0].text, "");
+	start(&small, sound.url());
+	run(sound, [&] { return small.is_done; });
+	EXPECT_TRUE(small.is_whole);
+}
+
 } // namespace
--- a/tests/unit/relay_test.cc
+++ b/tests/unit/relay_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <functional>
 #include <string>
@@ -39,7 +41,9 @@
 	std::string seen_body, seen_header;
 	bool engine_aborts = false;
 	bool engine_streams = false;
+	bool engine_is_endless = false;
 	int runs = 0;
+	int engine_closed = 0;
 
 	void SetUp() override
 	{
@@ -52,6 +56,9 @@
 		desc.on_request = [](void *arg, struct hs_exchange *x) {
 			static_cast<Relay *>(arg)->answer_as_engine(x);
 		};
+		desc.on_closed = [](void *arg, struct hs_exchange *x) {
+			static_cast<Relay *>(arg)->engine_closed++;
+		};
 		ASSERT_EQ(hs_init(&engine, &desc), ST_OK);
 		desc.on_request = [](void *arg, struct hs_exchange *x) {
 			lk_relay_request(&static_cast<Relay *>(arg)->relay, x);
@@ -113,6 +120,12 @@
 		seen_header = header ? header : "";
 		hs_begin(x, 200, headers);
 		hs_write(x, "token ", 6);
+		if (engine_is_endless) {
+			std::string bytes(64 << 20, 'x');
+
+			hs_write(x, bytes.data(), bytes.size());
+			return;
+		}
 		if (engine_aborts)
 			hs_abort(x);
 		else
@@ -336,6 +349,38 @@
 	lk_call_finish(&call);
 }
 
+// The engine sends without end, and the caller on the other side does not read:
+// the far side kept everything.
+TEST_F(Relay, AnswerWithoutEndToACallerThatDoesNotReadIsCut)
+{
+	struct lk_call_desc desc = desc_of("body");
+	struct sockaddr_in to = {};
+	struct lk_call call;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	engine_is_endless = true;
+	ASSERT_EQ(lk_call_init(&call, &near, &desc), ST_OK);
+	to.sin_family = AF_INET;
+	to.sin_port = htons(hs_port(&far));
+	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ASSERT_EQ(connect(fd, (struct sockaddr *)&to, sizeof(to)), 0);
+	std::string text =
+		std::string("POST " LK_RELAY_PATH
+			    " HTTP/1.1\r\nHost: h\r\n" LK_MAC_HEADER ": ") +
+		call.mac +
+		"\r\nContent-Length: " + std::to_string(call.message_bytes) +
+		"\r\n\r\n" +
+		std::string((const char *)call.message, call.message_bytes);
+	ASSERT_EQ(send(fd, text.data(), text.size(), 0), (ssize_t)text.size());
+	int64_t end_ms = ck_now_ms() + 5000;
+	while (!engine_closed && ck_now_ms() < end_ms)
+		ev_run(loop, EVRUN_NOWAIT);
+	EXPECT_EQ(runs, 1);
+	EXPECT_EQ(engine_closed, 1);
+	lk_call_finish(&call);
+	close(fd);
+}
+
 TEST_F(Relay, EngineThatRefusesTheConnectionDidNotRun)
 {
 	const std::string body(5000, 'z');
