gateway: requests know when a stop ends them

Callers saw (a report of other operators): in a planned stop, requests that came late in the grace period were passed on and cut with no answer at its end, also ones that may not be repeated.

Cause: requests were taken by the time of their first byte, so a body that came late was passed on at any time; the end of the process was no deadline of its requests; both times were constants for 8 s of grace.

Ruled out: requests up to 2.5 s, which the balancer still sends and which are meant to be taken.

Change: gw_stop.c, three times that follow from the grace period. What is whole too late gets 503, not run; the second time bounds the deadline of each request from SIGTERM on, so that it gets 503 or 504 and engines know.

--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -10,6 +10,7 @@
 
 #include "gateway/gw.h"
 #include "gateway/gw_poison.h"
+#include "gateway/gw_stop.h"
 #include "kernel/ck.h"
 #include "kernel/kn_registry.h"
 #include "kernel/lg.h"
@@ -19,13 +20,6 @@
  * provides.
  */
 #define GW_SETTINGS_ENV "BALSAMPIN_BOOT"
-/*
- * After SIGTERM the balancer still sends new connections for two seconds or
- * more.
- */
-#define GW_STOP_MIN_MS 2600
-/* The process exits by itself this long before the platform would kill it. */
-#define GW_STOP_MARGIN_MS 500
 /* Period of writing the log; a crash loses the lines of at most this time. */
 #define GW_LOG_PERIOD_S 0.1
 /*
@@ -154,17 +148,16 @@
 
 	g->stop_ms = ck_now_ms();
 	gw_front_drain(g);
+	gw_requests_stop(g);
 	lg_info("stopping", "event", "stopping", NULL);
 }
 
 static bool gw_task_is_idle(struct kn_task *task)
 {
 	struct gw_gateway *g = task->state;
-	int64_t since_ms = ck_now_ms() - g->stop_ms;
 
-	if (since_ms >= g->settings.grace_ms - GW_STOP_MARGIN_MS)
-		return true;
-	return since_ms >= GW_STOP_MIN_MS && !gw_front_busy(g);
+	return gw_stop_may_exit(ck_now_ms() - g->stop_ms, g->settings.grace_ms,
+				gw_front_busy(g));
 }
 
 static void gw_task_stop(struct kn_task *task)
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -193,6 +193,10 @@
 /** gw_requests_release() - resume early requests; see gw_startup_wait_ms(). */
 void gw_requests_release(struct gw_gateway *g);
 
+/** gw_requests_stop() - end what runs before the process does; see gw_stop.h.
+ */
+void gw_requests_stop(struct gw_gateway *g);
+
 /** gw_requests_sweep() - end attempts that may no longer begin. */
 void gw_requests_sweep(struct gw_gateway *g, int64_t now_ms);
 
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "gateway/gw_poison.h"
+#include "gateway/gw_stop.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt.h"
@@ -28,11 +29,6 @@
  * Retry-After for a request that crashes engines; an early retry is of no use.
  */
 #define GW_POISON_RETRY_AFTER_MS 30000
-/*
- * Requests are accepted for this long after SIGTERM, as their streams can still
- * finish.
- */
-#define GW_STOP_ACCEPT_MS 2500
 /*
  * An attempt that has not begun on old weights is cancelled this long before
  * the bound for new weights: the sweep runs every 100 ms, the transfer takes 30
@@ -203,7 +199,19 @@
 	if (h1_call_was_sent(&r->call))
 		r->may_have_begun = true;
 	gw_send_cancel(r);
-	gw_give_up(r, "timeout");
+	gw_give_up(r, r->is_cut_by_stop ? "stopping" : "timeout");
+}
+
+/* A request must end while the process can still answer it. */
+static void gw_limit_to_grace(struct gw_request *r)
+{
+	const struct gw_gateway *g = r->gateway;
+	int64_t end_ms = g->stop_ms + gw_stop_give_up_ms(g->settings.grace_ms);
+
+	if (!g->stop_ms || r->deadline_ms <= end_ms)
+		return;
+	r->deadline_ms = end_ms;
+	r->is_cut_by_stop = true;
 }
 
 static void gw_start_timer(struct gw_request *r)
@@ -449,6 +457,7 @@
 	r->deadline_ms = r->arrived_ms + budget_ms;
 	if (timeout_ms && timeout_ms < budget_ms)
 		r->deadline_ms = r->arrived_ms + timeout_ms;
+	gw_limit_to_grace(r);
 }
 
 static uint64_t gw_split_hash(const struct gw_request *r)
@@ -555,6 +564,24 @@
 			gw_release_held(r);
 }
 
+void gw_requests_stop(struct gw_gateway *g)
+{
+	gw_for_each_request (g, r) {
+		if (r->is_early)
+			continue;
+		gw_limit_to_grace(r);
+		ev_timer_stop(g->kernel.loop, &r->timer);
+		gw_start_timer(r);
+	}
+}
+
+/* Whether a request that is whole now has too little time before the end. */
+static bool gw_is_too_late(const struct gw_gateway *g)
+{
+	return g->stop_ms && ck_now_ms() - g->stop_ms >
+				     gw_stop_accept_ms(g->settings.grace_ms);
+}
+
 void gw_request_new(struct gw_gateway *g, struct h1_exchange *exchange)
 {
 	struct gw_request *r = g_new0(struct gw_request, 1);
@@ -572,7 +599,7 @@
 	gw_events_init(&r->events);
 	g->dialect->read_request(exchange->headers, &r->in);
 	r->last_event = r->in.resume_after;
-	if (g->stop_ms && r->arrived_ms - g->stop_ms > GW_STOP_ACCEPT_MS) {
+	if (gw_is_too_late(g)) {
 		gw_request_refuse(r, 503, "stopping");
 		return;
 	}
--- a/tests/unit/gateway_rules_test.cc
+++ b/tests/unit/gateway_rules_test.cc
@@ -14,6 +14,7 @@
 #include "gateway/gw_events.h"
 #include "gateway/gw_plan.h"
 #include "gateway/gw_silence.h"
+#include "gateway/gw_stop.h"
 }
 
 namespace
@@ -315,6 +316,41 @@
 }
 
 // Load: engines lose power under full load and close no connection.
+// The times of a planned stop keep their order for each grace period, and most
+// of it is left to what was accepted.
+TEST(Stop, TimesFollowTheGracePeriod)
+{
+	for (int64_t grace_ms :
+	     { 200, 1000, 2000, 3000, 8000, 30000, 120000 }) {
+		int64_t accept_ms = gw_stop_accept_ms(grace_ms);
+		int64_t give_up_ms = gw_stop_give_up_ms(grace_ms);
+		int64_t exit_ms = gw_stop_exit_ms(grace_ms);
+
+		EXPECT_GT(accept_ms, 0) << grace_ms;
+		EXPECT_GE(give_up_ms - accept_ms, 0.4 * grace_ms) << grace_ms;
+		EXPECT_LT(give_up_ms, exit_ms) << grace_ms;
+		EXPECT_LT(exit_ms, grace_ms) << grace_ms;
+	}
+	EXPECT_EQ(gw_stop_accept_ms(8000), 2500);
+}
+
+TEST(Stop, ProcessEndsWhenNothingIsOwed)
+{
+	static const struct {
+		int64_t since_ms;
+		uint32_t owed;
+		bool may_exit;
+	} cases[] = {
+		{ 0, 0, false },    { 2550, 0, false }, { 2600, 0, true },
+		{ 2600, 1, false }, { 7700, 1, false }, { 7800, 1, true },
+	};
+
+	for (const auto &c : cases)
+		EXPECT_EQ(gw_stop_may_exit(c.since_ms, 8000, c.owed),
+			  c.may_exit)
+			<< c.since_ms;
+}
+
 TEST(Silence, OnlyRetryableRequestsAreChecked)
 {
 	static const struct {
--- a/tests/unit/http1_test.cc
+++ b/tests/unit/http1_test.cc
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <vector>
@@ -22,6 +23,7 @@
 {
 
 constexpr int64_t kPatienceMs = 5000;
+constexpr int64_t long_answer_bytes = 32 << 20;
 
 int connect_to(uint16_t port)
 {
@@ -45,6 +47,9 @@
 	std::vector<h1_exchange *> held;
 	bool holds = false;
 	int gone = 0;
+	int depth = 0;
+	int most_depth = 0;
+	std::string answer = "ok";
 
 	void SetUp() override
 	{
@@ -74,10 +79,13 @@
 	{
 		seen.push_back(std::string(x->method) + " " + x->target + " " +
 			       std::string(x->body->str, x->body->len));
+		most_depth = std::max(most_depth, ++depth);
 		if (holds)
 			held.push_back(x);
 		else
-			h1_respond(x, 200, nullptr, "ok", 2);
+			h1_respond(x, 200, nullptr, answer.data(),
+				   answer.size());
+		depth--;
 	}
 
 	void run_until(const std::function<bool()> &is_done)
@@ -91,6 +99,49 @@
 		EXPECT_TRUE(is_done());
 	}
 
+	void run_for(int64_t ms)
+	{
+		int64_t end_ms = ck_now_ms() + ms;
+
+		while (ck_now_ms() < end_ms) {
+			ev_run(loop, EVRUN_NOWAIT);
+			usleep(200);
+		}
+	}
+
+	// Asks for an answer that is larger than all buffers; none of it is
+	// read.
+	int ask_for_long_answer(const std::string &more = "")
+	{
+		int fd = connect_to(h1_server_port(&server));
+		std::string text = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n" + more;
+
+		answer = std::string(long_answer_bytes, 'x');
+		EXPECT_EQ(send(fd, text.data(), text.size(), 0),
+			  (ssize_t)text.size());
+		run_until([&] { return !seen.empty(); });
+		return fd;
+	}
+
+	// Reads until the end of the connection or @bytes; negative if it was
+	// reset.
+	int64_t read_all(int fd, int64_t bytes)
+	{
+		std::vector<char> buffer(1 << 20);
+		int64_t got = 0;
+
+		run_until([&] {
+			ssize_t n = recv(fd, buffer.data(), buffer.size(), 0);
+
+			if (n > 0)
+				got += n;
+			if (n < 0 && errno != EAGAIN)
+				got = -1;
+			return n == 0 || got < 0 || got >= bytes;
+		});
+		return got;
+	}
+
 	std::string talk(const std::string &text, size_t at_least = 1)
 	{
 		int fd = connect_to(h1_server_port(&server));
@@ -185,6 +236,82 @@
 	EXPECT_NE(got.find("ok", got.find("ok") + 1), std::string::npos);
 }
 
+// Each answer handed over the next request before it returned, so that a
+// connection full of requests used up the stack.
+TEST_F(Http1, PipelinedRequestsAreNotAnsweredWithinEachOther)
+{
+	const std::string request = "GET /1 HTTP/1.1\r\n\r\n";
+	const size_t count = 500;
+	int fd = connect_to(h1_server_port(&server));
+
+	for (size_t i = 0; i < count; i++)
+		ASSERT_EQ(send(fd, request.data(), request.size(), 0),
+			  (ssize_t)request.size());
+	run_until([&] { return seen.size() == count; });
+	EXPECT_EQ(most_depth, 1);
+	close(fd);
+}
+
+// A stop closed the connection as idle, and so did the idle timeout, while the
+// kernel's buffers were full of the answer.
+TEST_F(Http1, AnswerThatIsNotSentYetKeepsItsConnection)
+{
+	for (const char *more : { "", "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n" }) {
+		int answers = *more ? 2 : 1;
+
+		seen.clear();
+		server.limits.idle_timeout_ms = 100;
+		int fd = ask_for_long_answer(more);
+		EXPECT_EQ(h1_server_busy(&server), 1u);
+		h1_server_close_idle(&server);
+		run_for(700);
+		EXPECT_EQ(h1_server_busy(&server), 1u);
+		server.limits.idle_timeout_ms = 60000;
+		EXPECT_GE(read_all(fd, answers * long_answer_bytes),
+			  answers * long_answer_bytes);
+		run_until([&] { return h1_server_busy(&server) == 0; });
+		close(fd);
+	}
+}
+
+TEST_F(Http1, AnswerThatNobodyReadsIsGivenUp)
+{
+	server.limits.unread_timeout_ms = 300;
+	int fd = ask_for_long_answer();
+
+	EXPECT_EQ(h1_server_busy(&server), 1u);
+	run_until([&] { return h1_server_open(&server) == 0; });
+	EXPECT_EQ(h1_server_busy(&server), 0u);
+	close(fd);
+}
+
+// Bytes that nobody reads reset a connection that is closed, and the caller
+// lost the end of its answer.
+TEST_F(Http1, CallerThatWritesOnGetsItsLastAnswer)
+{
+	const std::string rest(60000, 'y');
+	const std::string next = "POST /2 HTTP/1.1\r\nHost: h\r\n"
+				 "Content-Length: 60000\r\n\r\n";
+
+	h1_server_drain(&server);
+	int fd = ask_for_long_answer(next + rest);
+	EXPECT_GE(read_all(fd, INT64_MAX), long_answer_bytes);
+	EXPECT_EQ(seen.size(), 1u);
+	close(fd);
+	run_until([&] { return h1_server_open(&server) == 0; });
+}
+
+// It has asked and waits for the rest of its answer.
+TEST_F(Http1, CallerThatClosesItsSendingHalfGetsTheRestOfItsAnswer)
+{
+	int fd = ask_for_long_answer();
+
+	shutdown(fd, SHUT_WR);
+	run_for(50);
+	EXPECT_GE(read_all(fd, INT64_MAX), long_answer_bytes);
+	close(fd);
+}
+
 TEST_F(Http1, CallerThatLeavesIsNoticed)
 {
 	holds = true;
