h1_server: an answer is owed until it is sent

Cause: a connection counted as idle once its answer had been handed over. The stop, the end of the process, the idle timeout and TCP_USER_TIMEOUT (2 s without room at the caller) closed it in the middle. The functions that answer also freed connections and handed over next requests, each within the call of the one before.

Change: answering only notes what is to be sent; the loop writes, closes and reads on. Busy counts answers until their last byte is written. A caller that reads nothing is given up after unread_ms, logged with the request's id and counted. Connections that close while their caller still writes linger for 1 s, as unread bytes reset them.

--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -113,6 +113,8 @@
 	g->settings.config_ms = fresh.config_ms;
 	g->settings.revoke_ms = fresh.revoke_ms;
 	g->settings.weights_ms = fresh.weights_ms;
+	g->settings.unread_ms = fresh.unread_ms;
+	gw_front_limit(g);
 	gw_settings_finish(&fresh);
 	lg_info("settings reloaded", "event", "reload", "outcome", "done",
 		NULL);
--- a/src/gateway/gw_front.c
+++ b/src/gateway/gw_front.c
@@ -62,12 +62,15 @@
 	if (!at->address[0])
 		return ST_OK;
 	return h1_server_init(
-		server, &(struct h1_server_desc){ .loop = g->kernel.loop,
-						  .address = at->address,
-						  .port = at->port,
-						  .on_request = on_request,
-						  .on_gone = on_gone,
-						  .arg = g });
+		server, &(struct h1_server_desc){
+				.loop = g->kernel.loop,
+				.address = at->address,
+				.port = at->port,
+				.limits = { .unread_timeout_ms =
+						    g->settings.unread_ms },
+				.on_request = on_request,
+				.on_gone = on_gone,
+				.arg = g });
 }
 
 enum st_code gw_front_start(struct gw_gateway *g)
@@ -115,12 +118,17 @@
 
 void gw_front_limit(struct gw_gateway *g)
 {
-	const struct ca_limits *from = &g->catalog->limits;
+	const struct ca_limits *from;
 	struct h1_limits *to;
 
 	if (!g->front)
 		return;
 	to = &g->front->callers.limits;
+	if (g->settings.unread_ms)
+		to->unread_timeout_ms = g->settings.unread_ms;
+	if (!g->catalog)
+		return;
+	from = &g->catalog->limits;
 	if (from->max_header_bytes)
 		to->max_header_bytes = from->max_header_bytes;
 	if (from->max_body_bytes)
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -99,6 +99,7 @@
 	struct h1_exchange *exchange = r->exchange;
 
 	gw_log_end(r, outcome, status);
+	h1_set_label(exchange, r->in.attempt ? r->in.attempt : "");
 	gw_send_cancel(r);
 	ev_timer_stop(r->gateway->kernel.loop, &r->timer);
 	r->gateway->early_requests -= r->is_early;
--- a/src/gateway/gw_settings.c
+++ b/src/gateway/gw_settings.c
@@ -12,6 +12,7 @@
 #define GW_DEFAULT_REVOKE_MS   5000
 #define GW_DEFAULT_WEIGHTS_MS  8000
 #define GW_DEFAULT_LEASE_MS    3000
+#define GW_DEFAULT_UNREAD_MS   15000
 #define GW_DEFAULT_RETRY_RATIO 0.2
 #define GW_DEFAULT_RETRY_FLOOR 20
 
@@ -130,6 +131,8 @@
 					      GW_DEFAULT_WEIGHTS_MS);
 	settings->lease_ms =
 		gw_read_number(reader, "bounds/lease_ms", GW_DEFAULT_LEASE_MS);
+	settings->unread_ms = gw_read_number(reader, "bounds/unread_ms",
+					     GW_DEFAULT_UNREAD_MS);
 	settings->retry_ratio =
 		gw_read_ratio(reader, "retries/ratio", GW_DEFAULT_RETRY_RATIO);
 	settings->retry_floor =
--- a/src/gateway/gw_settings.h
+++ b/src/gateway/gw_settings.h
@@ -42,6 +42,7 @@
  * @revoke_ms: bound within which a revoked key is refused on all hosts.
  * @weights_ms: bound after which no request begins on older weights.
  * @lease_ms: least time between orders of two hosts to the same engine.
+ * @unread_ms: in which a caller may read nothing of its answer.
  * @retry_ratio: retries at a service as a share of its requests.
  * @retry_floor: retries of all hosts together that are always allowed.
  */
@@ -61,6 +62,7 @@
 	int64_t revoke_ms;
 	int64_t weights_ms;
 	int64_t lease_ms;
+	int64_t unread_ms;
 	double retry_ratio;
 	int64_t retry_floor;
 };
--- a/src/http1/h1_client.c
+++ b/src/http1/h1_client.c
@@ -12,6 +12,8 @@
 #include "kernel/ck.h"
 
 #define H1_READ_BYTES 16384
+/* Well over two retransmissions on a link between regions. */
+#define H1_UNACKNOWLEDGED_TIMEOUT_MS 2000
 /* A kept connection is given up so long before the peer would close it. */
 #define H1_IDLE_MARGIN_MS 700
 /* For peers that do not say how long they keep an idle connection. */
@@ -360,7 +362,7 @@
 	to.sin_addr.s_addr = htonl(peer->_ipv4);
 	to.sin_port = htons(peer->_port);
 	if (l->fd >= 0) {
-		h1_set_options(l->fd);
+		h1_set_options(l->fd, H1_UNACKNOWLEDGED_TIMEOUT_MS);
 		if (connect(l->fd, (struct sockaddr *)&to, sizeof(to)))
 			l->error = errno;
 		ev_io_start(peer->_loop, &l->write);
--- a/src/http1/h1_message.c
+++ b/src/http1/h1_message.c
@@ -5,11 +5,6 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-/*
- * A peer that acknowledges nothing for so long is unreachable. It is well over
- * two retransmissions on a link between regions.
- */
-#define H1_UNACKNOWLEDGED_TIMEOUT_MS 2000
 /* Probes of a silent connection: the first one, and the time between them. */
 #define H1_KEEPALIVE_IDLE_S	1
 #define H1_KEEPALIVE_INTERVAL_S 1
@@ -73,12 +68,12 @@
 	(void)setsockopt(fd, level, name, &value, sizeof(value));
 }
 
-void h1_set_options(int fd)
+void h1_set_options(int fd, int64_t unacknowledged_ms)
 {
 	(void)fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
 	(void)fcntl(fd, F_SETFD, FD_CLOEXEC);
 	h1_set(fd, IPPROTO_TCP, TCP_NODELAY, 1);
-	h1_set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, H1_UNACKNOWLEDGED_TIMEOUT_MS);
+	h1_set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms);
 	h1_set(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
 	h1_set(fd, IPPROTO_TCP, TCP_KEEPIDLE, H1_KEEPALIVE_IDLE_S);
 	h1_set(fd, IPPROTO_TCP, TCP_KEEPINTVL, H1_KEEPALIVE_INTERVAL_S);
--- a/src/http1/h1_message.h
+++ b/src/http1/h1_message.h
@@ -35,7 +35,11 @@
 /** h1_collector_end() - the last field is complete. */
 void h1_collector_end(struct h1_collector *c);
 
-/** h1_set_nodelay() - options that every connection has. */
-void h1_set_options(int fd);
+/**
+ * h1_set_options() - options that every connection has.
+ * @unacknowledged_ms: a peer is unreachable that acknowledges nothing, or has
+ *	no room for more, for so long while there is something to send.
+ */
+void h1_set_options(int fd, int64_t unacknowledged_ms);
 
 #endif
--- a/src/http1/h1_server.c
+++ b/src/http1/h1_server.c
@@ -9,17 +9,29 @@
 
 #include "http1/h1_message.h"
 #include "kernel/ck.h"
+#include "kernel/lg.h"
+#include "kernel/mt.h"
 
 #define H1_READ_BYTES	  16384
 #define H1_MAX_PIPELINED  65536
 #define H1_LISTEN_BACKLOG 1024
 /* How often connections are checked for their time limits. */
 #define H1_SWEEP_S 0.25
+/*
+ * A caller that still writes as its connection closes has so long to read its
+ * answer: bytes that nobody reads reset the connection, and the answer is lost.
+ */
+#define H1_LINGER_MS 1000
+
+MT_COUNTER(h1_unread_answers, "balsampin_unread_answers_total",
+	   "answers given up because their caller did not read on")
 
 enum h1_phase {
 	H1_READING = 0, /* a request, or nothing yet */
 	H1_ANSWERING,	/* the owner has the exchange */
-	H1_CLOSING	/* what is left to send goes out, then it closes */
+	H1_SENDING,	/* the rest of an answer; then the next request */
+	H1_CLOSING,	/* the rest of an answer; then the end */
+	H1_LINGERING	/* all is sent; what the caller still writes is read */
 };
 
 struct _h1_connection {
@@ -40,6 +52,8 @@
 	int64_t left_bytes;
 	int fd;
 	enum h1_phase phase;
+	char label[H1_LABEL_BYTES];
+	bool is_owed;
 	bool is_complete;
 	bool is_keep;
 	bool is_chunked;
@@ -50,10 +64,20 @@
 
 static void h1_parse(struct _h1_connection *c);
 
+/* Whether an answer is due on the connection or still being sent. */
+static void h1_set_owed(struct _h1_connection *c, bool is_owed)
+{
+	if (c->is_owed == is_owed)
+		return;
+	c->is_owed = is_owed;
+	c->server->_busy += is_owed ? 1 : -1;
+}
+
 static void h1_free(struct _h1_connection *c)
 {
 	struct ev_loop *loop = c->server->_desc.loop;
 
+	h1_set_owed(c, false);
 	ev_io_stop(loop, &c->read);
 	ev_io_stop(loop, &c->write);
 	close(c->fd);
@@ -76,15 +100,58 @@
 
 	if (c->phase == H1_ANSWERING) {
 		c->phase = H1_CLOSING;
-		server->_busy--;
+		h1_set_owed(c, false);
 		if (server->_desc.on_gone)
 			server->_desc.on_gone(server->_desc.arg, &c->exchange);
 	}
 	h1_free(c);
 }
 
-/* Returns false if the connection is gone. */
-static bool h1_flush(struct _h1_connection *c)
+/* Returns whether the caller has written what nobody will answer. */
+static bool h1_discard(struct _h1_connection *c)
+{
+	char buffer[H1_READ_BYTES];
+	bool has_more = c->in->len || c->refused_status;
+
+	g_string_truncate(c->in, 0);
+	while (recv(c->fd, buffer, sizeof(buffer), MSG_DONTWAIT) > 0)
+		has_more = true;
+	return has_more;
+}
+
+/* Closes a connection whose last answer is sent. */
+static void h1_close(struct _h1_connection *c)
+{
+	h1_set_owed(c, false);
+	if (!h1_discard(c)) {
+		h1_free(c);
+		return;
+	}
+	c->phase = H1_LINGERING;
+	c->since_ms = ck_now_ms();
+	(void)shutdown(c->fd, SHUT_WR);
+	ev_io_start(c->server->_desc.loop, &c->read);
+}
+
+/* All that the owner has written is sent. */
+static void h1_sent(struct _h1_connection *c)
+{
+	g_string_truncate(c->out, 0);
+	c->out_offset = 0;
+	ev_io_stop(c->server->_desc.loop, &c->write);
+	if (c->phase == H1_CLOSING) {
+		h1_close(c);
+	} else if (c->phase == H1_SENDING) {
+		h1_set_owed(c, false);
+		c->phase = H1_READING;
+		c->since_ms = ck_now_ms();
+		ev_io_start(c->server->_desc.loop, &c->read);
+		h1_parse(c);
+	}
+}
+
+/* May free the connection, or hand over its next request. */
+static void h1_flush(struct _h1_connection *c)
 {
 	while (c->out_offset < c->out->len) {
 		ssize_t n = send(c->fd, c->out->str + c->out_offset,
@@ -94,22 +161,26 @@
 			continue;
 		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
 			ev_io_start(c->server->_desc.loop, &c->write);
-			return true;
+			return;
 		}
 		if (n < 0) {
 			h1_drop(c);
-			return false;
+			return;
 		}
 		c->out_offset += n;
+		if (c->phase != H1_ANSWERING)
+			c->since_ms = ck_now_ms();
 	}
-	g_string_truncate(c->out, 0);
-	c->out_offset = 0;
-	ev_io_stop(c->server->_desc.loop, &c->write);
-	if (c->phase == H1_CLOSING) {
-		h1_free(c);
-		return false;
-	}
-	return true;
+	h1_sent(c);
+}
+
+/*
+ * Sends from the loop. Functions that the owner calls do no more than this, so
+ * that none of them ends an exchange, or hands over another, before it returns.
+ */
+static void h1_flush_later(struct _h1_connection *c)
+{
+	ev_feed_event(c->server->_desc.loop, &c->write, EV_WRITE);
 }
 
 static int h1_on_begin(http_parser *p)
@@ -230,15 +301,25 @@
 		g_string_append(c->out, "Connection: close\r\n");
 }
 
+/* The answer is complete; what is unsent follows from the loop. */
+static void h1_finish_answer(struct _h1_connection *c)
+{
+	h1_set_owed(c, true);
+	c->phase = c->is_keep ? H1_SENDING : H1_CLOSING;
+	c->since_ms = ck_now_ms();
+	g_string_truncate(c->target, 0);
+	if (c->phase == H1_CLOSING)
+		ev_io_stop(c->server->_desc.loop, &c->read);
+	h1_flush_later(c);
+}
+
 /* A request that is not handed over: answer it and close. */
 static void h1_refuse(struct _h1_connection *c, uint32_t status)
 {
 	c->is_keep = false;
 	h1_append_head(c, status, NULL);
 	g_string_append(c->out, "Content-Length: 0\r\n\r\n");
-	c->phase = H1_CLOSING;
-	ev_io_stop(c->server->_desc.loop, &c->read);
-	h1_flush(c);
+	h1_finish_answer(c);
 }
 
 static void h1_hand_over(struct _h1_connection *c)
@@ -248,7 +329,8 @@
 
 	c->phase = H1_ANSWERING;
 	c->has_head = false;
-	server->_busy++;
+	c->label[0] = '\0';
+	h1_set_owed(c, true);
 	x->method = http_method_str(c->parser.method);
 	x->target = c->target->str;
 	x->headers = &c->collector.headers;
@@ -280,8 +362,20 @@
 	if (c->must_continue) {
 		c->must_continue = false;
 		g_string_append(c->out, "HTTP/1.1 100 Continue\r\n\r\n");
-		h1_flush(c);
+		h1_flush_later(c);
+	}
+}
+
+/* The caller writes no more, or has gone. */
+static void h1_on_end(struct _h1_connection *c)
+{
+	if (c->phase != H1_SENDING) {
+		h1_drop(c);
+		return;
 	}
+	/* It may still read the answer that it has asked for. */
+	c->phase = H1_CLOSING;
+	ev_io_stop(c->server->_desc.loop, &c->read);
 }
 
 static void h1_on_readable(struct ev_loop *loop, ev_io *w, int events)
@@ -293,9 +387,11 @@
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n <= 0) {
-		h1_drop(c);
+		h1_on_end(c);
 		return;
 	}
+	if (c->phase == H1_LINGERING)
+		return;
 	if (c->phase == H1_READING && !c->in->len)
 		c->since_ms = ck_now_ms();
 	g_string_append_len(c->in, buffer, n);
@@ -344,20 +440,40 @@
 	int fd;
 
 	while ((fd = accept(server->_fd, NULL, NULL)) >= 0) {
-		h1_set_options(fd);
+		h1_set_options(fd, server->limits.unread_timeout_ms);
 		ev_io_start(loop, &h1_open(server, fd)->read);
 	}
 }
 
-static bool h1_is_overdue(const struct _h1_connection *c, int64_t now_ms)
+static int64_t h1_limit_ms(const struct _h1_connection *c)
 {
 	const struct h1_limits *limits = &c->server->limits;
-	bool has_begun = c->target->len || c->in->len;
 
-	if (c->phase != H1_READING)
-		return false;
-	return now_ms - c->since_ms > (has_begun ? limits->header_timeout_ms
-						 : limits->idle_timeout_ms);
+	switch (c->phase) {
+	case H1_READING:
+		return c->target->len || c->in->len ? limits->header_timeout_ms
+						    : limits->idle_timeout_ms;
+	case H1_SENDING:
+	case H1_CLOSING:
+		return limits->unread_timeout_ms;
+	case H1_LINGERING:
+		return H1_LINGER_MS;
+	default:
+		return INT64_MAX;
+	}
+}
+
+/* The caller has read nothing of the rest of its answer for too long. */
+static void h1_give_up_answer(struct _h1_connection *c)
+{
+	char unsent[24];
+
+	mt_add(&h1_unread_answers, 1);
+	g_snprintf(unsent, sizeof(unsent), "%" G_GSIZE_FORMAT,
+		   c->out->len - (gsize)c->out_offset);
+	lg_info("answer given up as its caller does not read", "event",
+		"answer_unread", "request", c->label, "unsent_bytes", unsent,
+		NULL);
 }
 
 static void h1_on_sweep(struct ev_loop *loop, ev_timer *w, int events)
@@ -369,8 +485,11 @@
 	while (c) {
 		struct _h1_connection *next = c->next;
 
-		if (h1_is_overdue(c, now_ms))
+		if (now_ms - c->since_ms > h1_limit_ms(c)) {
+			if (c->phase == H1_SENDING || c->phase == H1_CLOSING)
+				h1_give_up_answer(c);
 			h1_free(c);
+		}
 		c = next;
 	}
 }
@@ -405,6 +524,8 @@
 		limits->header_timeout_ms = H1_DEFAULT_HEADER_TIMEOUT_MS;
 	if (!limits->idle_timeout_ms)
 		limits->idle_timeout_ms = H1_DEFAULT_IDLE_TIMEOUT_MS;
+	if (!limits->unread_timeout_ms)
+		limits->unread_timeout_ms = H1_DEFAULT_UNREAD_TIMEOUT_MS;
 }
 
 enum st_code h1_server_init(struct h1_server *server,
@@ -473,23 +594,6 @@
 	}
 }
 
-/* The answer is complete: read the next request or close. */
-static void h1_next(struct _h1_connection *c)
-{
-	c->server->_busy--;
-	c->phase = c->is_keep ? H1_READING : H1_CLOSING;
-	c->since_ms = ck_now_ms();
-	g_string_truncate(c->target, 0);
-	if (c->phase == H1_CLOSING)
-		ev_io_stop(c->server->_desc.loop, &c->read);
-	if (!h1_flush(c))
-		return;
-	if (c->phase == H1_READING) {
-		ev_io_start(c->server->_desc.loop, &c->read);
-		h1_parse(c);
-	}
-}
-
 static bool h1_has_no_body(const struct _h1_connection *c, uint32_t status)
 {
 	return c->parser.method == HTTP_HEAD || status == 204 || status == 304;
@@ -508,7 +612,7 @@
 	g_string_append_len(c->out, "\r\n", 2);
 	if (bytes && !h1_has_no_body(c, status))
 		g_string_append_len(c->out, body, bytes);
-	h1_next(c);
+	h1_finish_answer(c);
 }
 
 void h1_begin(struct h1_exchange *x, uint32_t status,
@@ -543,8 +647,7 @@
 	g_string_append_len(c->out, data, bytes);
 	if (c->is_chunked)
 		g_string_append_len(c->out, "\r\n", 2);
-	/* Sent from the loop, where a failure can drop the exchange. */
-	ev_io_start(c->server->_desc.loop, &c->write);
+	h1_flush_later(c);
 }
 
 void h1_end(struct h1_exchange *x)
@@ -553,21 +656,22 @@
 
 	if (c->is_chunked && !h1_has_no_body(c, 0))
 		g_string_append(c->out, "0\r\n\r\n");
-	h1_next(c);
+	h1_finish_answer(c);
 }
 
 void h1_abort(struct h1_exchange *x)
 {
 	struct _h1_connection *c = x->_connection;
 
-	c->server->_busy--;
 	c->is_keep = false;
-	c->phase = H1_CLOSING;
-	ev_io_stop(c->server->_desc.loop, &c->read);
-	if (c->has_head)
-		h1_flush(c);
-	else
-		h1_free(c);
+	if (!c->has_head)
+		g_string_truncate(c->out, c->out_offset);
+	h1_finish_answer(c);
+}
+
+void h1_set_label(struct h1_exchange *x, const char *label)
+{
+	g_strlcpy(x->_connection->label, label, H1_LABEL_BYTES);
 }
 
 uint64_t h1_unsent_bytes(const struct h1_exchange *x)
--- a/src/http1/h1_server.h
+++ b/src/http1/h1_server.h
@@ -11,7 +11,13 @@
  *
  *	on_gone is called at most once, when the caller closes its connection
  *	while an answer is due; the exchange must then be left alone. After
- *	h1_respond(), h1_end() and h1_abort() it must be left alone, too.
+ *	h1_respond(), h1_end() and h1_abort() it must be left alone, too. These
+ *	only note what is to be sent: connections are written, closed, and read
+ *	for their next request from the loop.
+ *
+ *	An answer is owed until its last byte has been written to the socket:
+ *	h1_server_busy() counts it, and neither the idle timeout nor
+ *	h1_server_close_idle() ends its connection.
  *
  *	libmicrohttpd reads a request with both Content-Length and
  *	Transfer-Encoding, which may hide a second request, and gives no say
@@ -40,6 +46,8 @@
 #define H1_DEFAULT_MAX_BODY_BYTES    (8u << 20)
 #define H1_DEFAULT_HEADER_TIMEOUT_MS 10000
 #define H1_DEFAULT_IDLE_TIMEOUT_MS   60000
+#define H1_DEFAULT_UNREAD_TIMEOUT_MS 15000
+#define H1_LABEL_BYTES		     64
 
 struct h1_server;
 struct _h1_connection;
@@ -64,12 +72,18 @@
 	struct _h1_connection *_connection;
 };
 
-/** struct h1_limits - what a caller may send; may change while serving. */
+/**
+ * struct h1_limits - what a caller may do; may change while serving.
+ * @header_timeout_ms: from the first byte of a request to its last.
+ * @idle_timeout_ms: without a request.
+ * @unread_timeout_ms: in which it reads nothing of its answer.
+ */
 struct h1_limits {
 	uint64_t max_header_bytes;
 	uint64_t max_body_bytes;
 	int64_t header_timeout_ms;
 	int64_t idle_timeout_ms;
+	int64_t unread_timeout_ms;
 };
 
 /**
@@ -119,7 +133,7 @@
 /** h1_server_close_idle() - close connections on which nothing is due. */
 void h1_server_close_idle(struct h1_server *server);
 
-/** h1_server_busy() - requests whose answer is due or under way. */
+/** h1_server_busy() - answers that are due or not yet sent. */
 static inline uint32_t h1_server_busy(const struct h1_server *server)
 {
 	return server->_busy;
@@ -146,6 +160,9 @@
 void h1_end(struct h1_exchange *x);
 void h1_abort(struct h1_exchange *x);
 
+/** h1_set_label() - the id by which log lines name the request. */
+void h1_set_label(struct h1_exchange *x, const char *label);
+
 /** h1_unsent_bytes() - written and not yet taken by the network. */
 uint64_t h1_unsent_bytes(const struct h1_exchange *x);
 
--- a/tests/sessions/gateway_stop_test.cc
+++ b/tests/sessions/gateway_stop_test.cc
@@ -4,6 +4,7 @@
 
 #include <signal.h>
 
+#include <atomic>
 #include <chrono>
 #include <thread>
 
@@ -13,6 +14,7 @@
 #include "http.h"
 #include "process.h"
 #include "raw.h"
+#include "scripted.h"
 
 using namespace harness;
 
@@ -133,4 +135,47 @@
 	EXPECT_EQ(process->wait(grace_ms), 0);
 }
 
+// An answer that was read whole and not yet sent, or that becomes whole during
+// the stop, reaches a caller that reads slowly.
+TEST_F(Stop, LongAnswerReachesACallerThatReadsSlowly)
+{
+	static const int answer_bytes = 6000000, bytes_per_s = 1500000;
+	std::atomic<int> answered{ 0 };
+	ScriptedServer engine([&](const ScriptedServer::Request &r) {
+		bool is_late = r.field("X-Attempt-Id") == "late";
+
+		if (is_late)
+			sleep_ms(1000);
+		answered++;
+		return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " +
+		       r.field("X-Attempt-Id") +
+		       "\r\nX-Response-Stamp: s\r\nContent-Length: " +
+		       std::to_string(answer_bytes) + "\r\n\r\n" +
+		       std::string(answer_bytes, 'x');
+	});
+	std::vector<std::thread> readers;
+
+	fleet.set_address("a1", engine.address());
+	sleep_ms(500);
+	auto ask = [&](const std::string &id, const std::string &more) {
+		readers.emplace_back([=] {
+			RawCaller caller(Fleet::url("h1", ""), 65536);
+
+			caller.write(request("record", id) + more);
+			caller.read_slowly(bytes_per_s);
+			EXPECT_EQ(caller.status(), 200) << id;
+			EXPECT_TRUE(caller.is_whole()) << id;
+		});
+	};
+	ask("early", "");
+	ASSERT_TRUE(wait_until([&] { return answered == 1; }));
+	sleep_ms(300);
+	ask("late", "");
+	sleep_ms(200);
+	process->signal(SIGTERM);
+	for (std::thread &reader : readers)
+		reader.join();
+	EXPECT_EQ(process->wait(grace_ms), 0);
+}
+
 } // namespace
--- a/tests/unit/http1_test.cc
+++ b/tests/unit/http1_test.cc
@@ -274,6 +274,17 @@
 	}
 }
 
+// The kernel gave the connection up after two seconds without room at the
+// caller.
+TEST_F(Http1, CallerThatPausesGetsTheRestOfItsAnswer)
+{
+	int fd = ask_for_long_answer();
+
+	run_for(3500);
+	EXPECT_GE(read_all(fd, long_answer_bytes), long_answer_bytes);
+	close(fd);
+}
+
 TEST_F(Http1, AnswerThatNobodyReadsIsGivenUp)
 {
 	server.limits.unread_timeout_ms = 300;
