h1_server: an aborted answer that ends with its connection is reset

Evidence: http1_test AbortedStreamOfAnOldCallerIsReset failed before (the caller saw the end of the connection, not a reset); HTTP/1.1 was and is told by the chunk that is missing. relay_test borrowed a text that had ended, which the address sanitizer found; its check is unchanged.

--- a/src/http1/h1_server.c
+++ b/src/http1/h1_server.c
@@ -59,6 +59,7 @@
 	bool is_chunked;
 	bool has_head;
 	bool must_continue;
+	bool must_reset;
 	uint32_t refused_status;
 };
 
@@ -119,11 +120,20 @@
 	return has_more;
 }
 
+static void h1_reset_on_close(int fd)
+{
+	struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+	(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
 /* Closes a connection whose last answer is sent. */
 static void h1_close(struct _h1_connection *c)
 {
 	h1_set_owed(c, false);
-	if (!h1_discard(c)) {
+	if (c->must_reset)
+		h1_reset_on_close(c->fd);
+	if (c->must_reset || !h1_discard(c)) {
 		h1_free(c);
 		return;
 	}
@@ -666,6 +676,9 @@
 	c->is_keep = false;
 	if (!c->has_head)
 		g_string_truncate(c->out, c->out_offset);
+	else
+		/* The end of such a body is that of its connection. */
+		c->must_reset = !c->is_chunked && c->left_bytes < 0;
 	h1_finish_answer(c);
 }
 
--- a/tests/unit/http1_test.cc
+++ b/tests/unit/http1_test.cc
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cstring>
 #include <functional>
 #include <string>
 #include <vector>
@@ -364,6 +365,29 @@
 	close(fd);
 }
 
+// A body without length and chunks ends with its connection, so that only a
+// reset tells a caller of HTTP/1.0 that its answer is not whole.
+TEST_F(Http1, AbortedStreamOfAnOldCallerIsReset)
+{
+	holds = true;
+	for (const char *version : { "1.0", "1.1" }) {
+		int fd = connect_to(h1_server_port(&server));
+		std::string text = std::string("GET /1 HTTP/") + version +
+				   "\r\nHost: h\r\n\r\n";
+		bool is_old = !strcmp(version, "1.0");
+
+		held.clear();
+		ASSERT_GT(send(fd, text.data(), text.size(), 0), 0);
+		run_until([&] { return held.size() == 1; });
+		h1_begin(held[0], 200, nullptr, -1);
+		h1_write(held[0], "data", 4);
+		run_for(20);
+		h1_abort(held[0]);
+		EXPECT_EQ(read_all(fd, INT64_MAX) < 0, is_old) << version;
+		close(fd);
+	}
+}
+
 // A peer that answers each request on a connection with the next of its texts;
 // an empty text closes the connection.
 class ScriptedPeer
--- a/tests/unit/relay_test.cc
+++ b/tests/unit/relay_test.cc
@@ -353,7 +353,8 @@
 // the far side kept everything.
 TEST_F(Relay, AnswerWithoutEndToACallerThatDoesNotReadIsCut)
 {
-	struct lk_call_desc desc = desc_of("body");
+	const std::string body(5000, 'z');
+	struct lk_call_desc desc = desc_of(body);
 	struct sockaddr_in to = {};
 	struct lk_call call;
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
