ls: a holder passes on the wait that it has inherited

Cause: how long a new holder must wait for the orders of the one before it stood in its memory alone. The wait was lost to a holder that was stopped while it waited, to a lost answer of the write that took the lease, and to a holder that was killed and started again.

Change: the row says how long ago any other holder, and how long ago earlier processes of its own host, may have ordered. One pair of functions answers how long to wait, for gateway and control.

A test of the row's text has its two new fields.

--- a/src/control/ls.c
+++ b/src/control/ls.c
@@ -5,6 +5,9 @@
 #include <json-c/json.h>
 #include <string.h>
 
+/* Longer than any quiet period; stands for an order that was never given. */
+#define LS_LONG_AGO_MS 86400000
+
 void ls_init(struct ls_lease *lease, const struct ls_desc *desc)
 {
 	memset(lease, 0, sizeof(*lease));
@@ -37,6 +40,53 @@
 	       !strcmp(row->holder, lease->_desc.holder);
 }
 
+static bool ls_is_same_holder(const struct ls_lease *lease,
+			      const struct ls_row *row)
+{
+	return ls_is_own(lease, row) ||
+	       (lease->_desc.is_only_process &&
+		!strcmp(row->last_holder, lease->_desc.holder));
+}
+
+/* Times since this holder, and since any other, may have given an order. */
+struct ls_ages {
+	int64_t own_ms;
+	int64_t other_ms;
+};
+
+/* Time since the holder of the row may have given an order. */
+static int64_t ls_holder_idle_ms(const struct ls_lease *lease, int64_t age_ms)
+{
+	const struct ls_row *row = &lease->row;
+
+	if (!row->holder[0] || ls_is_own(lease, row))
+		return row->idle_ms + age_ms;
+	if (ls_is_of_previous_process(lease, row))
+		return 0;
+	return lease->_desc.quiet_ms - lease->_desc.lapsed_quiet_ms;
+}
+
+/*
+ * What the row tells to the holder that takes it over at @now_ms. The row is at
+ * least as old as this process knows it.
+ */
+static struct ls_ages ls_ages_at(const struct ls_lease *lease, int64_t now_ms)
+{
+	const struct ls_row *row = &lease->row;
+	int64_t age_ms = now_ms - lease->_unchanged_since_ms;
+	struct ls_ages ages = { LS_LONG_AGO_MS, LS_LONG_AGO_MS };
+
+	if (!row->revision)
+		return ages;
+	ages.other_ms = row->other_idle_ms + age_ms;
+	if (ls_is_same_holder(lease, row))
+		ages.own_ms = ls_holder_idle_ms(lease, age_ms);
+	else
+		ages.other_ms =
+			MIN(ages.other_ms, ls_holder_idle_ms(lease, age_ms));
+	return ages;
+}
+
 static void ls_lose(struct ls_lease *lease)
 {
 	lease->state = LS_FOLLOWING;
@@ -54,15 +104,23 @@
 	       lease->_desc.duration_ms + lease->_desc.margin_ms;
 }
 
-static void ls_prepare_row(struct ls_lease *lease, uint64_t fencing)
+static void ls_prepare_row(struct ls_lease *lease, uint64_t fencing,
+			   int64_t now_ms)
 {
 	struct ls_row *row = &lease->_pending_row;
+	struct ls_ages ages = { now_ms - lease->_own_order_ms,
+				now_ms - lease->_other_order_ms };
 
+	if (lease->state != LS_HELD)
+		ages = ls_ages_at(lease, now_ms);
 	g_strlcpy(row->holder, lease->_desc.holder, sizeof(row->holder));
+	g_strlcpy(row->last_holder, lease->_desc.holder,
+		  sizeof(row->last_holder));
+	row->idle_ms = MIN(ages.own_ms, LS_LONG_AGO_MS);
+	row->other_idle_ms = MIN(ages.other_ms, LS_LONG_AGO_MS);
 	row->incarnation = lease->_desc.incarnation;
 	row->fencing = fencing;
 	row->revision = lease->row.revision;
-	row->idle_ms = 0;
 }
 
 static enum ls_step ls_next_held(struct ls_lease *lease, int64_t now_ms)
@@ -71,7 +129,7 @@
 		return LS_NOTHING;
 	if (lease->_must_read)
 		return LS_READ;
-	ls_prepare_row(lease, lease->fencing);
+	ls_prepare_row(lease, lease->fencing, now_ms);
 	return LS_WRITE;
 }
 
@@ -86,9 +144,9 @@
 	if (!lease->_has_read || lease->_must_read || !lease->_is_fresh)
 		return LS_READ;
 	if (ls_is_own(lease, &lease->row))
-		ls_prepare_row(lease, lease->row.fencing);
+		ls_prepare_row(lease, lease->row.fencing, now_ms);
 	else if (ls_has_lapsed(lease, now_ms))
-		ls_prepare_row(lease, lease->row.fencing + 1);
+		ls_prepare_row(lease, lease->row.fencing + 1, now_ms);
 	else
 		return LS_READ;
 	return LS_WRITE;
@@ -174,40 +232,34 @@
 		lease->_is_fresh = false;
 }
 
-/* Time until no order of the previous holder can still take effect. */
-static int64_t ls_quiet_ms(const struct ls_lease *lease,
-			   const struct ls_row *previous)
+/* How long a holder that takes the lease must give no order. */
+static int64_t ls_quiet_ms(const struct ls_lease *lease, struct ls_ages ages)
 {
-	if (ls_is_of_previous_process(lease, previous))
-		return lease->_desc.order_timeout_ms;
-	if (previous->holder[0])
-		return lease->_desc.lapsed_quiet_ms;
-	return lease->_desc.quiet_ms - previous->idle_ms;
+	int64_t quiet_ms = MAX(lease->_desc.quiet_ms - ages.other_ms, 0);
+
+	/* An order of the previous process may still be in flight. */
+	return MAX(quiet_ms, lease->_desc.order_timeout_ms - ages.own_ms);
 }
 
-/*
- * No quiet period is needed if there was no row, or if the row still named this
- * process: then nobody else held the lease in between.
- */
-static void ls_acquire(struct ls_lease *lease, const struct ls_row *previous,
+static void ls_acquire(struct ls_lease *lease, struct ls_ages ages,
 		       int64_t now_ms)
 {
-	bool had_other_holder =
-		previous->revision && !ls_is_own(lease, previous);
-
 	lease->state = LS_HELD;
 	lease->fencing = lease->_pending_row.fencing;
-	if (had_other_holder)
-		lease->_quiet_until_ms = now_ms + ls_quiet_ms(lease, previous);
+	lease->_own_order_ms = now_ms - ages.own_ms;
+	lease->_other_order_ms = now_ms - ages.other_ms;
+	lease->_quiet_until_ms = now_ms + ls_quiet_ms(lease, ages);
 }
 
-bool ls_release(struct ls_lease *lease, int64_t idle_ms)
+bool ls_release(struct ls_lease *lease, int64_t idle_ms, int64_t now_ms)
 {
 	if (lease->state != LS_HELD)
 		return false;
-	ls_prepare_row(lease, lease->fencing);
+	ls_prepare_row(lease, lease->fencing, now_ms);
 	lease->_pending_row.holder[0] = '\0';
-	lease->_pending_row.idle_ms = idle_ms;
+	lease->_pending_row.idle_ms = MIN(idle_ms, LS_LONG_AGO_MS);
+	lease->_pending_row.idle_ms =
+		MIN(lease->_pending_row.idle_ms, now_ms - lease->_own_order_ms);
 	ls_lose(lease);
 	return true;
 }
@@ -216,7 +268,7 @@
 		   int64_t now_ms)
 {
 	struct ls_row row = lease->_pending_row;
-	struct ls_row previous = lease->row;
+	struct ls_ages ages = ls_ages_at(lease, now_ms);
 
 	lease->_is_in_flight = false;
 	lease->_is_fresh = false;
@@ -230,7 +282,7 @@
 	row.revision = revision;
 	ls_observe_row(lease, &row, now_ms);
 	if (lease->state != LS_HELD)
-		ls_acquire(lease, &previous, now_ms);
+		ls_acquire(lease, ages, now_ms);
 	lease->_expires_ms = lease->_sent_ms + lease->_desc.duration_ms;
 	lease->_next_ms = lease->_sent_ms + ls_renew_after_ms(lease);
 }
@@ -274,6 +326,12 @@
 		row->incarnation = ls_get_u64(json, "incarnation");
 		row->fencing = ls_get_u64(json, "fencing");
 		row->idle_ms = (int64_t)ls_get_u64(json, "idle_ms");
+		/* Rows of older versions do not tell: another may just have. */
+		row->other_idle_ms = (int64_t)ls_get_u64(json, "other_idle_ms");
+		if (json_object_object_get_ex(json, "last_holder", &holder))
+			g_strlcpy(row->last_holder,
+				  json_object_get_string(holder),
+				  sizeof(row->last_holder));
 		row->revision = revision;
 	}
 	json_object_put(json);
@@ -284,6 +342,9 @@
 {
 	return g_strdup_printf(
 		"{\"holder\": \"%s\", \"incarnation\": %" PRIu64
-		", \"fencing\": %" PRIu64 ", \"idle_ms\": %" PRId64 "}",
-		row->holder, row->incarnation, row->fencing, row->idle_ms);
+		", \"fencing\": %" PRIu64 ", \"idle_ms\": %" PRId64
+		", \"last_holder\": \"%s\""
+		", \"other_idle_ms\": %" PRId64 "}",
+		row->holder, row->incarnation, row->fencing, row->idle_ms,
+		row->last_holder, row->other_idle_ms);
 }
--- a/src/control/ls.h
+++ b/src/control/ls.h
@@ -19,7 +19,9 @@
  *	refused by engines that check fencing numbers. For engines that do not,
  *	a new holder sends no orders until the longest order of the previous
  *	holder must have ended, and then repairs their state by reading it
- *	back.
+ *	back. The row says how long ago other holders than its own may have
+ *	ordered, so that a holder which is stopped, killed or loses an answer
+ *	while it waits passes on what is left of the wait.
  *
  *	Plain functions: time is passed in as an argument, and the caller
  *	carries out the step that ls_next() returns.
@@ -58,14 +60,20 @@
 /**
  * struct ls_row - the row; @revision is 0 if it does not exist.
  * @holder: "" if the last holder released the lease.
- * @idle_ms: after a release: time from the holder's last order to the release.
+ * @last_holder: who wrote the row, also after a release.
+ * @idle_ms: time from the last order of a previous process of @last_holder to
+ *	the write of this row; after a release, that of its process counts too.
+ * @other_idle_ms: time from the last order that any other holder may have given
+ *	to the write of this row.
  */
 struct ls_row {
 	char holder[64];
+	char last_holder[64];
 	uint64_t incarnation;
 	uint64_t fencing;
 	uint64_t revision;
 	int64_t idle_ms;
+	int64_t other_idle_ms;
 };
 
 /**
@@ -118,6 +126,8 @@
 	int64_t _unchanged_since_ms;
 	int64_t _expires_ms;
 	int64_t _quiet_until_ms;
+	int64_t _own_order_ms;
+	int64_t _other_order_ms;
 	struct ls_row _pending_row;
 };
 
@@ -150,11 +160,11 @@
 /**
  * ls_release() - prepare the row that releases the lease for ls_row_to_write().
  * The caller sends no order and takes no other step afterwards.
- * @idle_ms: time since its last order.
+ * @idle_ms: time since the last order of this process; INT64_MAX without one.
  *
  * Return: false if the lease is not held.
  */
-bool ls_release(struct ls_lease *lease, int64_t idle_ms);
+bool ls_release(struct ls_lease *lease, int64_t idle_ms, int64_t now_ms);
 
 /** ls_on_refused() - an engine has a higher fencing number: reread the row. */
 void ls_on_refused(struct ls_lease *lease);
--- a/src/gateway/gw_rollout.c
+++ b/src/gateway/gw_rollout.c
@@ -413,7 +413,10 @@
 {
 	if (ro->store_call._call)
 		return;
-	if (ls_release(&ro->lease, now_ms - ro->last_order_ms))
+	if (ls_release(&ro->lease,
+		       ro->last_order_ms ? now_ms - ro->last_order_ms
+					 : INT64_MAX,
+		       now_ms))
 		gw_write_lease(ro);
 }
 
--- a/tests/unit/lease_test.cc
+++ b/tests/unit/lease_test.cc
@@ -253,10 +253,10 @@
 
 	a.Run(0, 1000);
 	ASSERT_TRUE(a.CanOrder(1000));
-	ASSERT_TRUE(ls_release(&a.lease, 4000));
+	ASSERT_TRUE(ls_release(&a.lease, 4000, 1000));
 	EXPECT_EQ(store.Write(*ls_row_to_write(&a.lease), NONE), ST_OK);
 	EXPECT_FALSE(a.CanOrder(1000));
-	EXPECT_FALSE(ls_release(&a.lease, 4000));
+	EXPECT_FALSE(ls_release(&a.lease, 4000, 1000));
 	b.Run(1000, 1500);
 	EXPECT_EQ(b.lease.state, LS_HELD);
 	int64_t free_ms = 1000 + D + T - 4000;
@@ -265,6 +265,41 @@
 	EXPECT_TRUE(b.CanOrder(free_ms + 200, false));
 }
 
+// A holder that waits for the orders of the one before it, and does not come to
+// order itself, passes on what is left of the wait.
+TEST(Lease, WaitForAnEarlierHolderIsPassedOn)
+{
+	enum { STOPPED, ANSWER_LOST, STARTED_AGAIN };
+	const int64_t ordered_ms = 1000, free_ms = ordered_ms + D + T;
+
+	for (int how : { STOPPED, ANSWER_LOST, STARTED_AGAIN }) {
+		Store store;
+		Holder a(&store, "a"), b(&store, "b"), c(&store, "c");
+		Holder again(&store, "b", 2);
+		Holder *last = &c;
+
+		again.lease._desc.is_only_process = true;
+		a.Run(0, ordered_ms);
+		ASSERT_TRUE(ls_release(&a.lease, 0, ordered_ms));
+		store.Write(*ls_row_to_write(&a.lease), NONE);
+		EXPECT_EQ(b.Step(ordered_ms), LS_READ);
+		EXPECT_EQ(b.Step(ordered_ms,
+				 how == ANSWER_LOST ? LOSE_ANSWER : NONE),
+			  LS_WRITE);
+		if (how == STOPPED) {
+			ASSERT_TRUE(ls_release(&b.lease, INT64_MAX, 2000));
+			store.Write(*ls_row_to_write(&b.lease), NONE);
+		} else {
+			last = how == ANSWER_LOST ? &b : &again;
+		}
+		last->Run(2000, free_ms - 200);
+		EXPECT_EQ(last->lease.state, LS_HELD) << how;
+		EXPECT_FALSE(last->CanOrder(free_ms - 200, false)) << how;
+		last->Run(free_ms - 200, free_ms + 2500);
+		EXPECT_TRUE(last->CanOrder(free_ms + 2500, false)) << how;
+	}
+}
+
 // During a roll-out of the hosts, the holder and the hosts that read the row
 // often stop one after the other, so a host that read it rarely must read it
 // sooner.
@@ -348,7 +383,7 @@
 
 TEST(Lease, RowEncodingRoundTrips)
 {
-	ls_row row = { "h1", 7, 9, 3, 11 }, back;
+	ls_row row = { "h1", "h2", 7, 9, 3, 11, 12 }, back;
 	char *text = ls_row_encode(&row);
 
 	EXPECT_TRUE(ls_row_decode(text, 3, &back));
@@ -357,6 +392,8 @@
 	EXPECT_EQ(back.fencing, 9u);
 	EXPECT_EQ(back.revision, 3u);
 	EXPECT_EQ(back.idle_ms, 11);
+	EXPECT_STREQ(back.last_holder, "h2");
+	EXPECT_EQ(back.other_idle_ms, 12);
 	for (const char *bad : { "", "7", "{}", "[" })
 		EXPECT_FALSE(ls_row_decode(bad, 1, &back)) << bad;
 	g_free(text);
