h1: idle connections hold no memory, and bodies have a budget

Cause: texts of a connection were emptied and not freed, on both sides of the gateway, so that each kept the size of the longest one it ever had; nothing limited them together.

Change: texts above 16 KiB are freed when they are not needed any more; an account of bodies and unsent answers, a quarter of memory_mb, refuses a body that does not fit before it is read (503, Retry-After, logged with its id, counted); bodies up to 64 KiB are read in any case. Freed memory above 256 KiB goes back to the system.

--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -3,6 +3,7 @@
  * shutdown.
  */
 #include <argp.h>
+#include <malloc.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
@@ -30,6 +31,8 @@
 #define GW_RETRY_RESERVE   2
 #define GW_RETRY_MAX_ALONE 4
 #define GW_PERMILLE	   1000
+/* Bodies and answers of this size go back to the system as they are freed. */
+#define GW_MMAP_THRESHOLD_BYTES (256 << 10)
 /*
  * Part of the allowed ratio that is used, as the ratio is checked against
  * completed requests.
@@ -114,6 +117,7 @@
 	g->settings.revoke_ms = fresh.revoke_ms;
 	g->settings.weights_ms = fresh.weights_ms;
 	g->settings.unread_ms = fresh.unread_ms;
+	g->settings.memory_mb = fresh.memory_mb;
 	gw_front_limit(g);
 	gw_settings_finish(&fresh);
 	lg_info("settings reloaded", "event", "reload", "outcome", "done",
@@ -267,6 +271,8 @@
 	static struct gw_gateway gateway;
 	struct gw_arguments arguments = { g_getenv(GW_SETTINGS_ENV), false };
 
+	/* The default grows with what is freed, and such memory is kept. */
+	mallopt(M_MMAP_THRESHOLD, GW_MMAP_THRESHOLD_BYTES);
 	gw_mask_hangup(SIG_BLOCK);
 	argp_parse(&gw_argp, argc, argv, 0, NULL, &arguments);
 	gateway.settings_path = arguments.settings_path;
--- a/src/gateway/gw_front.c
+++ b/src/gateway/gw_front.c
@@ -4,9 +4,13 @@
 #include "gateway/gw.h"
 #include "gateway/gw_request.h"
 #include "kernel/ck.h"
+#include "kernel/lg.h"
 #include "kernel/mt.h"
 #include "kernel/mt_family.h"
 
+/* Part of the memory of a process for what its callers' connections hold. */
+#define GW_CALLERS_SHARE 4
+
 struct gw_front {
 	struct gw_gateway *gateway;
 	struct h1_server callers;
@@ -24,6 +28,23 @@
 	gw_request_caller_left(x->arg);
 }
 
+/* The limits of the configuration, or of memory, or no HTTP. */
+static void gw_on_refused(void *arg, const struct h1_headers *headers,
+			  uint32_t status)
+{
+	struct gw_gateway *g = arg;
+	struct dl_request in = { 0 };
+	char text[12], held[24];
+
+	g->dialect->read_request(headers, &in);
+	g_snprintf(text, sizeof(text), "%u", status);
+	g_snprintf(held, sizeof(held), "%" G_GUINT64_FORMAT,
+		   h1_server_held_bytes(&g->front->callers));
+	lg_info("request refused before it was read", "event",
+		"request_refused", "request", in.attempt ? in.attempt : "",
+		"status", text, "held_bytes", held, NULL);
+}
+
 static void gw_on_readiness(void *arg, struct h1_exchange *x)
 {
 	struct gw_gateway *g = arg;
@@ -46,6 +67,15 @@
 	g_string_free(out, TRUE);
 }
 
+/*
+ * Bodies are copied once more on their way to an engine, and answers are
+ * collected beside them; the rest is for what the process knows.
+ */
+static uint64_t gw_callers_budget_bytes(int64_t memory_mb)
+{
+	return ((uint64_t)memory_mb << 20) / GW_CALLERS_SHARE;
+}
+
 bool gw_is_ready(const struct gw_gateway *g, int64_t now_ms)
 {
 	int64_t age_ms = now_ms - g->config_fresh_ms;
@@ -54,23 +84,22 @@
 	       age_ms <= gw_max_key_age_ms(g->settings.revoke_ms);
 }
 
+/* @handlers: the functions of the server; the rest follows from the settings.
+ */
 static enum st_code gw_listen(struct gw_gateway *g, struct h1_server *server,
 			      const struct gw_listen *at,
-			      void (*on_request)(void *, struct h1_exchange *),
-			      void (*on_gone)(void *, struct h1_exchange *))
+			      const struct h1_server_desc *handlers)
 {
+	struct h1_server_desc desc = *handlers;
+
 	if (!at->address[0])
 		return ST_OK;
-	return h1_server_init(
-		server, &(struct h1_server_desc){
-				.loop = g->kernel.loop,
-				.address = at->address,
-				.port = at->port,
-				.limits = { .unread_timeout_ms =
-						    g->settings.unread_ms },
-				.on_request = on_request,
-				.on_gone = on_gone,
-				.arg = g });
+	desc.loop = g->kernel.loop;
+	desc.address = at->address;
+	desc.port = at->port;
+	desc.limits.unread_timeout_ms = g->settings.unread_ms;
+	desc.arg = g;
+	return h1_server_init(server, &desc);
 }
 
 enum st_code gw_front_start(struct gw_gateway *g)
@@ -81,14 +110,20 @@
 
 	g->front = front;
 	front->gateway = g;
-	code = gw_listen(g, &front->callers, &s->callers, gw_on_request,
-			 gw_on_gone);
+	code = gw_listen(
+		g, &front->callers, &s->callers,
+		&(struct h1_server_desc){ .on_request = gw_on_request,
+					  .on_gone = gw_on_gone,
+					  .on_refused = gw_on_refused });
 	if (code == ST_OK)
 		code = gw_listen(g, &front->readiness, &s->readiness,
-				 gw_on_readiness, NULL);
+				 &(struct h1_server_desc){
+					 .on_request = gw_on_readiness });
 	if (code == ST_OK)
-		code = gw_listen(g, &front->metrics, &s->metrics, gw_on_metrics,
-				 NULL);
+		code = gw_listen(g, &front->metrics, &s->metrics,
+				 &(struct h1_server_desc){
+					 .on_request = gw_on_metrics });
+	gw_front_limit(g);
 	return code;
 }
 
@@ -124,6 +159,7 @@
 	if (!g->front)
 		return;
 	to = &g->front->callers.limits;
+	to->max_held_bytes = gw_callers_budget_bytes(g->settings.memory_mb);
 	if (g->settings.unread_ms)
 		to->unread_timeout_ms = g->settings.unread_ms;
 	if (!g->catalog)
--- a/src/gateway/gw_settings.c
+++ b/src/gateway/gw_settings.c
@@ -133,6 +133,7 @@
 		gw_read_number(reader, "bounds/lease_ms", GW_DEFAULT_LEASE_MS);
 	settings->unread_ms = gw_read_number(reader, "bounds/unread_ms",
 					     GW_DEFAULT_UNREAD_MS);
+	settings->memory_mb = gw_read_number(reader, "limits/memory_mb", 0);
 	settings->retry_ratio =
 		gw_read_ratio(reader, "retries/ratio", GW_DEFAULT_RETRY_RATIO);
 	settings->retry_floor =
--- a/src/http1/h1_client.c
+++ b/src/http1/h1_client.c
@@ -302,6 +302,8 @@
 		l->out_offset += n;
 		l->was_sent = true;
 	}
+	h1_release(&l->out);
+	l->out_offset = 0;
 	ev_io_stop(l->peer->_loop, &l->write);
 }
 
--- a/src/http1/h1_message.c
+++ b/src/http1/h1_message.c
@@ -5,6 +5,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+/* Memory that an idle connection keeps for each of its texts. */
+#define H1_KEPT_BYTES (16u << 10)
 /* Probes of a silent connection: the first one, and the time between them. */
 #define H1_KEEPALIVE_IDLE_S	1
 #define H1_KEEPALIVE_INTERVAL_S 1
@@ -62,6 +64,16 @@
 	c->bytes += bytes;
 }
 
+void h1_release(GString **text)
+{
+	if ((*text)->allocated_len <= H1_KEPT_BYTES) {
+		g_string_truncate(*text, 0);
+		return;
+	}
+	g_string_free(*text, TRUE);
+	*text = g_string_new(NULL);
+}
+
 static void h1_set(int fd, int level, int name, int value)
 {
 	/* An option that is refused costs time, never correctness. */
--- a/src/http1/h1_message.h
+++ b/src/http1/h1_message.h
@@ -35,6 +35,9 @@
 /** h1_collector_end() - the last field is complete. */
 void h1_collector_end(struct h1_collector *c);
 
+/** h1_release() - empty @text and give back its memory if that is large. */
+void h1_release(GString **text);
+
 /**
  * h1_set_options() - options that every connection has.
  * @unacknowledged_ms: a peer is unreachable that acknowledges nothing, or has
--- a/src/http1/h1_server.c
+++ b/src/http1/h1_server.c
@@ -23,6 +23,16 @@
  */
 #define H1_LINGER_MS 1000
 
+/* Bodies up to this are read however much memory the others hold. */
+#define H1_RESERVED_BODY_BYTES (64u << 10)
+/* Retry-After of a body for which there is no room, spread over some time. */
+#define H1_RETRY_AFTER_MIN_S 0.3
+#define H1_RETRY_AFTER_MAX_S 1.5
+
+MT_COUNTER(h1_over_budget, "balsampin_bodies_refused_total",
+	   "requests refused because there was no memory for their body")
+MT_GAUGE(h1_held, "balsampin_held_bytes",
+	 "bodies and unsent answers that callers' connections hold")
 MT_COUNTER(h1_unread_answers, "balsampin_unread_answers_total",
 	   "answers given up because their caller did not read on")
 
@@ -46,6 +56,8 @@
 	GString *in;
 	GString *out;
 	uint64_t out_offset;
+	uint64_t body_bytes;
+	uint64_t held_bytes;
 	ev_io read;
 	ev_io write;
 	int64_t since_ms;
@@ -74,11 +86,32 @@
 	c->server->_busy += is_owed ? 1 : -1;
 }
 
+static void h1_set_held(struct _h1_connection *c, uint64_t bytes)
+{
+	c->server->_held_bytes += bytes - c->held_bytes;
+	c->held_bytes = bytes;
+	mt_set(&h1_held, (int64_t)c->server->_held_bytes);
+}
+
+/* Accounts for the memory of a body, announced or read, and of an answer. */
+static void h1_account(struct _h1_connection *c)
+{
+	h1_set_held(c, MAX(c->body_bytes, c->body->len) + c->out->len);
+}
+
+static void h1_release_body(struct _h1_connection *c)
+{
+	c->body_bytes = 0;
+	h1_release(&c->body);
+	h1_account(c);
+}
+
 static void h1_free(struct _h1_connection *c)
 {
 	struct ev_loop *loop = c->server->_desc.loop;
 
 	h1_set_owed(c, false);
+	h1_set_held(c, 0);
 	ev_io_stop(loop, &c->read);
 	ev_io_stop(loop, &c->write);
 	close(c->fd);
@@ -146,8 +179,9 @@
 /* All that the owner has written is sent. */
 static void h1_sent(struct _h1_connection *c)
 {
-	g_string_truncate(c->out, 0);
+	h1_release(&c->out);
 	c->out_offset = 0;
+	h1_account(c);
 	ev_io_stop(c->server->_desc.loop, &c->write);
 	if (c->phase == H1_CLOSING) {
 		h1_close(c);
@@ -199,7 +233,7 @@
 
 	h1_collector_clear(&c->collector);
 	g_string_truncate(c->target, 0);
-	g_string_truncate(c->body, 0);
+	h1_release_body(c);
 	c->is_complete = false;
 	c->since_ms = ck_now_ms();
 	c->exchange.arrived_ms = c->since_ms;
@@ -238,6 +272,31 @@
 	       h1_headers_get(headers, "Transfer-Encoding");
 }
 
+/* Whether a body of that size finds room beside what is held already. */
+static bool h1_has_room(const struct _h1_connection *c, uint64_t bytes)
+{
+	const struct h1_server *server = c->server;
+	uint64_t others = server->_held_bytes - c->held_bytes;
+
+	return bytes <= H1_RESERVED_BODY_BYTES ||
+	       !server->limits.max_held_bytes ||
+	       others + bytes <= server->limits.max_held_bytes;
+}
+
+/* Returns the status with which the body is refused, or 0. */
+static uint32_t h1_reserve_body(struct _h1_connection *c, uint64_t bytes)
+{
+	if (bytes > c->server->limits.max_body_bytes)
+		return 413;
+	if (!h1_has_room(c, bytes)) {
+		mt_add(&h1_over_budget, 1);
+		return 503;
+	}
+	c->body_bytes = MAX(c->body_bytes, bytes);
+	h1_account(c);
+	return 0;
+}
+
 static int h1_on_headers(http_parser *p)
 {
 	struct _h1_connection *c = p->data;
@@ -247,11 +306,10 @@
 	h1_collector_end(&c->collector);
 	if (c->collector.bytes > limits->max_header_bytes)
 		c->refused_status = 431;
-	else if (p->content_length != UINT64_MAX &&
-		 p->content_length > limits->max_body_bytes)
-		c->refused_status = 413;
 	else if (h1_is_ambiguous(&c->collector.headers) || p->upgrade)
 		c->refused_status = 400;
+	else if (p->content_length != UINT64_MAX)
+		c->refused_status = h1_reserve_body(c, p->content_length);
 	expect = h1_headers_get(&c->collector.headers, "Expect");
 	c->must_continue =
 		expect && !g_ascii_strcasecmp(expect, "100-continue");
@@ -262,9 +320,12 @@
 {
 	struct _h1_connection *c = p->data;
 
-	if (c->body->len + bytes > c->server->limits.max_body_bytes) {
-		c->refused_status = 413;
+	c->refused_status = h1_reserve_body(c, c->body->len + bytes);
+	if (c->refused_status)
 		return -1;
+	if (!c->body->len && c->body_bytes > bytes) {
+		g_string_free(c->body, TRUE);
+		c->body = g_string_sized_new(c->body_bytes);
 	}
 	c->must_continue = false;
 	g_string_append_len(c->body, at, bytes);
@@ -318,6 +379,7 @@
 	c->phase = c->is_keep ? H1_SENDING : H1_CLOSING;
 	c->since_ms = ck_now_ms();
 	g_string_truncate(c->target, 0);
+	h1_release_body(c);
 	if (c->phase == H1_CLOSING)
 		ev_io_stop(c->server->_desc.loop, &c->read);
 	h1_flush_later(c);
@@ -326,8 +388,20 @@
 /* A request that is not handed over: answer it and close. */
 static void h1_refuse(struct _h1_connection *c, uint32_t status)
 {
+	char after[G_ASCII_DTOSTR_BUF_SIZE];
+
+	if (c->server->_desc.on_refused)
+		c->server->_desc.on_refused(c->server->_desc.arg,
+					    &c->collector.headers, status);
 	c->is_keep = false;
 	h1_append_head(c, status, NULL);
+	if (status == 503)
+		g_string_append_printf(
+			c->out, "Retry-After: %s\r\n",
+			g_ascii_formatd(
+				after, sizeof(after), "%.2f",
+				g_random_double_range(H1_RETRY_AFTER_MIN_S,
+						      H1_RETRY_AFTER_MAX_S)));
 	g_string_append(c->out, "Content-Length: 0\r\n\r\n");
 	h1_finish_answer(c);
 }
@@ -359,7 +433,10 @@
 				   c->in->len);
 	if (c->is_complete) {
 		http_parser_pause(&c->parser, 0);
-		g_string_erase(c->in, 0, used);
+		if (used < c->in->len)
+			g_string_erase(c->in, 0, used);
+		else
+			h1_release(&c->in);
 		c->is_complete = false;
 		h1_hand_over(c);
 		return;
@@ -657,6 +734,7 @@
 	g_string_append_len(c->out, data, bytes);
 	if (c->is_chunked)
 		g_string_append_len(c->out, "\r\n", 2);
+	h1_account(c);
 	h1_flush_later(c);
 }
 
--- a/src/http1/h1_server.h
+++ b/src/http1/h1_server.h
@@ -31,7 +31,9 @@
  *
  * Limits
  *	Header fields over max_header_bytes get 431, a body over
- *	max_body_bytes 413, what is no request 400.
+ *	max_body_bytes 413, what is no request 400. A body for which
+ *	max_held_bytes leaves no room gets 503 with Retry-After; short ones are
+ *	read in any case. Idle connections hold no large memory.
  */
 #ifndef H1_SERVER_H
 #define H1_SERVER_H
@@ -76,6 +78,8 @@
  * struct h1_limits - what a caller may do; may change while serving.
  * @header_timeout_ms: from the first byte of a request to its last.
  * @idle_timeout_ms: without a request.
+ * @max_held_bytes: bodies and unsent answers of all connections together; a
+ *	body that does not fit is refused before it is read. 0 is unlimited.
  * @unread_timeout_ms: in which it reads nothing of its answer.
  */
 struct h1_limits {
@@ -84,6 +88,7 @@
 	int64_t header_timeout_ms;
 	int64_t idle_timeout_ms;
 	int64_t unread_timeout_ms;
+	uint64_t max_held_bytes;
 };
 
 /**
@@ -94,7 +99,9 @@
  * @limits: see struct h1_limits.
  * @on_request: a whole request has come; required.
  * @on_gone: the caller has left before the end of its answer.
- * @arg: first argument of both.
+ * @on_refused: a request was answered without being handed over; @headers are
+ *	those that have been read. May be NULL.
+ * @arg: first argument of all.
  */
 struct h1_server_desc {
 	struct ev_loop *loop;
@@ -103,6 +110,8 @@
 	struct h1_limits limits;
 	void (*on_request)(void *arg, struct h1_exchange *x);
 	void (*on_gone)(void *arg, struct h1_exchange *x);
+	void (*on_refused)(void *arg, const struct h1_headers *headers,
+			   uint32_t status);
 	void *arg;
 };
 
@@ -116,6 +125,7 @@
 	ev_timer _sweep;
 	uint32_t _open;
 	uint32_t _busy;
+	uint64_t _held_bytes;
 	bool _is_draining;
 };
 
@@ -139,6 +149,12 @@
 	return server->_busy;
 }
 
+/** h1_server_held_bytes() - bodies and unsent answers of all connections. */
+static inline uint64_t h1_server_held_bytes(const struct h1_server *server)
+{
+	return server->_held_bytes;
+}
+
 /** h1_server_open() - connections. */
 static inline uint32_t h1_server_open(const struct h1_server *server)
 {
--- a/tests/unit/http1_test.cc
+++ b/tests/unit/http1_test.cc
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <malloc.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -124,6 +125,27 @@
 		return fd;
 	}
 
+	// Writes more than the kernel's buffers take at once.
+	void write_all(int fd, const std::string &text)
+	{
+		size_t at = 0;
+
+		run_until([&] {
+			ssize_t n = send(fd, text.data() + at, text.size() - at,
+					 MSG_NOSIGNAL);
+
+			at += n > 0 ? n : 0;
+			return at == text.size();
+		});
+	}
+
+	static int64_t allocated_bytes()
+	{
+		struct mallinfo2 info = mallinfo2();
+
+		return info.uordblks + info.hblkhd;
+	}
+
 	// Reads until the end of the connection or @bytes; negative if it was
 	// reset.
 	int64_t read_all(int fd, int64_t bytes)
@@ -149,8 +171,7 @@
 		std::string got;
 		char buffer[4096];
 
-		EXPECT_EQ(send(fd, text.data(), text.size(), 0),
-			  (ssize_t)text.size());
+		write_all(fd, text);
 		run_until([&] {
 			ssize_t n = recv(fd, buffer, sizeof(buffer), 0);
 
@@ -313,6 +334,66 @@
 	run_until([&] { return h1_server_open(&server) == 0; });
 }
 
+// Each connection kept the memory of its longest body while it was idle.
+TEST_F(Http1, IdleConnectionsGiveTheirMemoryBack)
+{
+	const int64_t body_bytes = 1 << 20, count = 40, kept_bytes = 8 << 20;
+	std::string text = "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+			   std::to_string(body_bytes) + "\r\n\r\n" +
+			   std::string(body_bytes, 'b');
+	std::vector<int> fds;
+
+	server.limits.max_body_bytes = body_bytes;
+	answer = std::string(body_bytes, 'x');
+	int64_t before = allocated_bytes();
+	for (int i = 0; i < count; i++) {
+		seen.clear();
+		fds.push_back(connect_to(h1_server_port(&server)));
+		write_all(fds.back(), text);
+		read_all(fds.back(), body_bytes);
+		seen.clear();
+		seen.shrink_to_fit();
+	}
+	run_until([&] { return h1_server_busy(&server) == 0; });
+	EXPECT_EQ(h1_server_open(&server), (uint32_t)count);
+	EXPECT_EQ(h1_server_held_bytes(&server), 0u);
+	EXPECT_LT(allocated_bytes() - before, kept_bytes);
+	for (int fd : fds)
+		close(fd);
+}
+
+// What does not fit beside the bodies and answers of others is refused before
+// it is read; short requests go on.
+TEST_F(Http1, BodyWithoutRoomIsRefusedBeforeItIsRead)
+{
+	const std::string head = "POST /1 HTTP/1.1\r\nHost: h\r\n";
+	const std::string body(600000, 'b');
+	std::string text = head + "Content-Length: 600000\r\n\r\n";
+
+	holds = true;
+	server.limits.max_body_bytes = 1 << 20;
+	server.limits.max_held_bytes = 1 << 20;
+	int first = connect_to(h1_server_port(&server));
+	write_all(first, text + body);
+	run_until([&] { return held.size() == 1; });
+	std::string refusal = talk(text, 30);
+	EXPECT_EQ(refusal.substr(9, 3), "503");
+	EXPECT_NE(refusal.find("Retry-After: "), std::string::npos);
+	std::string chunk = "92000\r\n" + body.substr(0, 0x92000) + "\r\n";
+	EXPECT_EQ(talk(head + "Transfer-Encoding: chunked\r\n\r\n" + chunk, 30)
+			  .substr(9, 3),
+		  "503");
+	EXPECT_EQ(held.size(), 1u);
+	holds = false;
+	EXPECT_EQ(talk(head + "Content-Length: 1000\r\n\r\n" +
+		       body.substr(0, 1000))
+			  .substr(9, 3),
+		  "200");
+	h1_respond(held[0], 200, nullptr, "ok", 2);
+	EXPECT_EQ(talk(text + body).substr(9, 3), "200");
+	close(first);
+}
+
 // It has asked and waits for the rest of its answer.
 TEST_F(Http1, CallerThatClosesItsSendingHalfGetsTheRestOfItsAnswer)
 {
