h1_server: lingering is bounded per turn and holds the stop

Cause, found by reading: a connection that closes read all that its caller had written in one turn of the loop, without a bound for one that writes on; and the process could end while it lingered, which resets it.

Change: one look whether there is anything; the loop reads it. A lingering connection (1 s at most) still counts as owed.

After: http1_test, gateway_close_test and gateway_stop_test pass.

--- a/src/http1/h1_server.c
+++ b/src/http1/h1_server.c
@@ -141,16 +141,13 @@
 	h1_free(c);
 }
 
-/* Returns whether the caller has written what nobody will answer. */
-static bool h1_discard(struct _h1_connection *c)
+/* Whether the caller has written, or goes on to write, what nobody reads. */
+static bool h1_is_caller_writing(struct _h1_connection *c)
 {
-	char buffer[H1_READ_BYTES];
-	bool has_more = c->in->len || c->refused_status;
+	char byte;
 
-	g_string_truncate(c->in, 0);
-	while (recv(c->fd, buffer, sizeof(buffer), MSG_DONTWAIT) > 0)
-		has_more = true;
-	return has_more;
+	return c->in->len || c->refused_status ||
+	       recv(c->fd, &byte, sizeof(byte), MSG_DONTWAIT | MSG_PEEK) > 0;
 }
 
 static void h1_reset_on_close(int fd)
@@ -163,13 +160,13 @@
 /* Closes a connection whose last answer is sent. */
 static void h1_close(struct _h1_connection *c)
 {
-	h1_set_owed(c, false);
 	if (c->must_reset)
 		h1_reset_on_close(c->fd);
-	if (c->must_reset || !h1_discard(c)) {
+	if (c->must_reset || !h1_is_caller_writing(c)) {
 		h1_free(c);
 		return;
 	}
+	h1_release(&c->in);
 	c->phase = H1_LINGERING;
 	c->since_ms = ck_now_ms();
 	(void)shutdown(c->fd, SHUT_WR);
@@ -375,6 +372,7 @@
 /* The answer is complete; what is unsent follows from the loop. */
 static void h1_finish_answer(struct _h1_connection *c)
 {
+	/* A refused request was not handed over, and its answer is owed too. */
 	h1_set_owed(c, true);
 	c->phase = c->is_keep ? H1_SENDING : H1_CLOSING;
 	c->since_ms = ck_now_ms();
