h1_server: a refusal is told with its own header fields

Cause, found by reading: a request that is no HTTP from its first byte has no fields, and those of the request before it on the connection were still there, so that request_refused would name an earlier id.

Change: the fields end with their answer. http1_test RefusalIsToldWithItsOwnHeaders failed before (400 with the earlier id).

--- a/src/http1/h1_server.c
+++ b/src/http1/h1_server.c
@@ -377,6 +377,7 @@
 	c->phase = c->is_keep ? H1_SENDING : H1_CLOSING;
 	c->since_ms = ck_now_ms();
 	g_string_truncate(c->target, 0);
+	h1_collector_clear(&c->collector);
 	h1_release_body(c);
 	if (c->phase == H1_CLOSING)
 		ev_io_stop(c->server->_desc.loop, &c->read);
--- a/tests/unit/http1_test.cc
+++ b/tests/unit/http1_test.cc
@@ -47,6 +47,7 @@
 	struct h1_server server = {};
 	std::vector<std::string> seen;
 	std::vector<h1_exchange *> held;
+	std::vector<std::string> refused;
 	bool holds = false;
 	int gone = 0;
 	int depth = 0;
@@ -67,6 +68,14 @@
 		desc.on_gone = [](void *arg, struct h1_exchange *x) {
 			static_cast<Http1 *>(arg)->gone++;
 		};
+		desc.on_refused = [](void *arg,
+				     const struct h1_headers *headers,
+				     uint32_t status) {
+			const char *id = h1_headers_get(headers, "X-Id");
+
+			static_cast<Http1 *>(arg)->refused.push_back(
+				std::to_string(status) + (id ? id : ""));
+		};
 		desc.arg = this;
 		ASSERT_EQ(h1_server_init(&server, &desc), ST_OK);
 	}
@@ -258,6 +267,17 @@
 	EXPECT_NE(got.find("ok", got.find("ok") + 1), std::string::npos);
 }
 
+// A refusal without header fields must not be logged with the id of the request
+// before it on the connection.
+TEST_F(Http1, RefusalIsToldWithItsOwnHeaders)
+{
+	const std::string sound = "GET /1 HTTP/1.1\r\nX-Id: one\r\n\r\n";
+
+	talk(sound + "\x01no request\r\n\r\n", 60);
+	talk("POST /2 HTTP/1.1\r\nX-Id: two\r\nContent-Length: 2000\r\n\r\n");
+	EXPECT_EQ(refused, (std::vector<std::string>{ "400", "413two" }));
+}
+
 // Each answer handed over the next request before it returned, so that a
 // connection full of requests used up the stack.
 TEST_F(Http1, PipelinedRequestsAreNotAnsweredWithinEachOther)
