h1: a request that has arrived keeps its connection, an ended one is not taken

Cause: h1_server_close_idle() closed connections whose first request had not been read by the loop yet; h1_peer_take() reused a kept connection that the engine had closed before the loop saw it, so that a request which may run once only failed.

Evidence: http1_test CloseOfIdleConnectionsSpares... and ConnectionThatHasEndedIsNotTaken failed before and pass, as do gateway_stop_test, gateway_close_test and gateway_test. No bound or check of the two tests was changed.

--- a/src/http1/h1_client.c
+++ b/src/http1/h1_client.c
@@ -376,11 +376,26 @@
 	ev_timer_start(peer->_loop, &l->timer);
 }
 
-/* The idle connection that was used last: it is the least likely closed. */
+/* The peer has closed the connection, or sent what nobody asked for. */
+static bool h1_link_is_stale(const struct _h1_link *l)
+{
+	char byte;
+	ssize_t n = recv(l->fd, &byte, sizeof(byte), MSG_DONTWAIT | MSG_PEEK);
+
+	return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+/*
+ * The idle connection that was used last: it is the least likely closed. One
+ * that has ended since the loop looked at it is not for a request that may run
+ * once only.
+ */
 static struct _h1_link *h1_peer_take(struct h1_peer *peer)
 {
-	struct _h1_link *l = peer->_idle;
+	struct _h1_link *l;
 
+	while ((l = peer->_idle) && h1_link_is_stale(l))
+		h1_link_free(l);
 	if (!l)
 		return NULL;
 	peer->_idle = l->next;
--- a/src/http1/h1_server.c
+++ b/src/http1/h1_server.c
@@ -66,6 +66,7 @@
 	enum h1_phase phase;
 	char label[H1_LABEL_BYTES];
 	bool is_owed;
+	bool has_answered;
 	bool is_complete;
 	bool is_keep;
 	bool is_chunked;
@@ -374,6 +375,7 @@
 {
 	/* A refused request was not handed over, and its answer is owed too. */
 	h1_set_owed(c, true);
+	c->has_answered = true;
 	c->phase = c->is_keep ? H1_SENDING : H1_CLOSING;
 	c->since_ms = ck_now_ms();
 	g_string_truncate(c->target, 0);
@@ -674,7 +676,8 @@
 	while (c) {
 		struct _h1_connection *next = c->next;
 
-		if (c->phase == H1_READING && !c->target->len && !c->in->len)
+		if (c->phase == H1_READING && c->has_answered &&
+		    !c->target->len && !h1_is_caller_writing(c))
 			h1_free(c);
 		c = next;
 	}
--- a/src/http1/h1_server.h
+++ b/src/http1/h1_server.h
@@ -140,7 +140,10 @@
  */
 void h1_server_drain(struct h1_server *server);
 
-/** h1_server_close_idle() - close connections on which nothing is due. */
+/**
+ * h1_server_close_idle() - close connections on which nothing is due. Those on
+ * which a request has come, or the first one is expected, stay.
+ */
 void h1_server_close_idle(struct h1_server *server);
 
 /** h1_server_busy() - answers that are due or not yet sent. */
--- a/tests/unit/http1_test.cc
+++ b/tests/unit/http1_test.cc
@@ -267,6 +267,28 @@
 	EXPECT_NE(got.find("ok", got.find("ok") + 1), std::string::npos);
 }
 
+// A stop closed connections whose request had arrived and was not read yet.
+TEST_F(Http1, CloseOfIdleConnectionsSparesRequestsThatHaveArrived)
+{
+	const std::string request = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+	int fresh = connect_to(h1_server_port(&server));
+	int used = connect_to(h1_server_port(&server));
+	int idle = connect_to(h1_server_port(&server));
+
+	write_all(used, request);
+	write_all(idle, request);
+	run_until([&] { return seen.size() == 2; });
+	run_for(20);
+	write_all(used, request);
+	h1_server_close_idle(&server);
+	EXPECT_EQ(h1_server_open(&server), 2u);
+	write_all(fresh, request);
+	run_until([&] { return seen.size() == 4; });
+	close(fresh);
+	close(used);
+	close(idle);
+}
+
 // A refusal without header fields must not be logged with the id of the request
 // before it on the connection.
 TEST_F(Http1, RefusalIsToldWithItsOwnHeaders)
@@ -765,6 +787,32 @@
 	h1_peer_finish(&gone);
 }
 
+// The peer has closed an idle connection, and the loop has not seen it yet.
+TEST_F(Http1, ConnectionThatHasEndedIsNotTaken)
+{
+	ScriptedPeer peer(loop, { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+				  "\r\nok" });
+	Call first, second;
+
+	start(&first, &peer.peer);
+	run_until([&] {
+		peer.serve();
+		return first.is_done;
+	});
+	for (int &fd : peer.open_fds) {
+		close(fd);
+		fd = -1;
+	}
+	usleep(20000);
+	start(&second, &peer.peer);
+	run_until([&] {
+		peer.serve();
+		return second.is_done;
+	});
+	EXPECT_EQ(second.outcome, H1_DONE);
+	EXPECT_EQ(peer.requests, 2);
+}
+
 TEST_F(Http1, CancelledCallIsNotCalledBack)
 {
 	ScriptedPeer peer(loop,
