--- a/src/http1/h1_client.c
+++ b/src/http1/h1_client.c
@@ -385,17 +385,11 @@
 	return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-/*
- * The idle connection that was used last: it is the least likely closed. One
- * that has ended since the loop looked at it is not for a request that may run
- * once only.
- */
-static struct _h1_link *h1_peer_take(struct h1_peer *peer)
+/* The idle connection that was used last: it is the least likely closed. */
+static struct _h1_link *h1_peer_pop(struct h1_peer *peer)
 {
-	struct _h1_link *l;
+	struct _h1_link *l = peer->_idle;
 
-	while ((l = peer->_idle) && h1_link_is_stale(l))
-		h1_link_free(l);
 	if (!l)
 		return NULL;
 	peer->_idle = l->next;
@@ -407,6 +401,21 @@
 	return l;
 }
 
+/*
+ * A connection that has ended since the loop looked at it is not for a request
+ * that may run once only.
+ */
+static struct _h1_link *h1_peer_take(struct h1_peer *peer)
+{
+	struct _h1_link *l = h1_peer_pop(peer);
+
+	while (l && h1_link_is_stale(l)) {
+		h1_link_free(l);
+		l = h1_peer_pop(peer);
+	}
+	return l;
+}
+
 static void h1_link_fill(struct _h1_link *l, const struct h1_call_desc *desc)
 {
 	GString *out = l->out;
