h1_server: a refusal has no label of the request before it

The label ends with the refusal now.

No test of its own: the line needs a refusal that nobody reads, which is shorter than the kernel's buffers. http1_test passes.

--- a/src/http1/h1_server.c
+++ b/src/http1/h1_server.c
@@ -394,6 +394,7 @@
 	if (c->server->_desc.on_refused)
 		c->server->_desc.on_refused(c->server->_desc.arg,
 					    &c->collector.headers, status);
+	c->label[0] = '\0';
 	c->is_keep = false;
 	h1_append_head(c, status, NULL);
 	if (status == 503)
