ps: a content whose crashes a part explains runs once at a time

Once such a part is proven, it explains the content's crashes if it was at all of them, and ps_check_request() let all copies of the content run at once, on all hosts. The next crash shows that the part was not the cause, but by then any number has been sent.

Change: such a content runs once at a time, and with more than two crashes on one host only, until it completes, which clears it. A sound one completes at its first attempt.

Before: two new cases of poison_part_test fail, "run" where "hold" is due. After: they pass, the other cases are unchanged.

--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -303,7 +303,7 @@
 				  now_ms);
 	if (answer.verdict == PS_REFUSE && gw_may_probe(g, content))
 		answer.verdict = PS_ISOLATE;
-	else if (answer.verdict == PS_ISOLATE && answer.single_host_only &&
+	else if (answer.single_host_only &&
 		 gw_peers_owner_index(g, content) != 0)
 		answer = (struct ps_answer){ PS_HOLD, PS_RUNNING_RETRY_MS,
 					     false };
--- a/src/limits/ps.c
+++ b/src/limits/ps.c
@@ -202,6 +202,20 @@
 	return found;
 }
 
+/*
+ * A part explains the crashes of a content, but the content may crash engines,
+ * too: it runs once at a time until it completes.
+ */
+static struct ps_answer ps_run_explained(const struct ps_table *table,
+					 const struct _ps_suspect *content,
+					 uint32_t broken)
+{
+	if (broken || ps_is_running(table, content->fingerprint))
+		return ps_hold(PS_RUNNING_RETRY_MS);
+	return (struct ps_answer){ PS_RUN, 0,
+				   content->count > PS_POISON_CRASHES };
+}
+
 struct ps_answer ps_check_request(struct ps_table *table, uint64_t fingerprint,
 				  const uint64_t *parts, uint32_t count,
 				  int64_t now_ms)
@@ -220,7 +234,7 @@
 		ps_find_foreign_part(table, s, parts, count, &is_explained);
 
 	if (is_explained)
-		return (struct ps_answer){ PS_RUN, 0, false };
+		return ps_run_explained(table, s, broken);
 	if (s && !has_foreign && ps_is_proven(table, s)) {
 		/* The record is kept as long as the request is sent again. */
 		s->last_ms = now_ms;
--- a/src/limits/ps.h
+++ b/src/limits/ps.h
@@ -54,7 +54,7 @@
  *	  part counts as a rival only if it was at further crashes too.
  *
  *	A content whose crashes a proven part explains, and that lacks this
- *	part, may run.
+ *	part, may run, once at a time until it completes.
  *
  *	An entry reports the crashes that it records to its peers (BP_POISON),
  *	and clearings as reports without an engine. The tables are bounded, and
--- a/tests/unit/poison_part_test.cc
+++ b/tests/unit/poison_part_test.cc
@@ -148,6 +148,16 @@
 		  crashes(bad, 1, 3, 1) + crashes(7, 1, 2, 0),
 		  { sound },
 		  PS_RUN },
+		{ "the part is proven, the content runs already",
+		  crashes(bad, 1, 3, 1) + crashes(7, 1, 2, 0) +
+			  std::vector<Step>{ { '+', 7, 20 } },
+		  { sound },
+		  PS_HOLD },
+		{ "the part is proven, the content's next attempt broke",
+		  crashes(bad, 1, 3, 1) + crashes(7, 1, 2, 0) +
+			  std::vector<Step>{ { '+', 7, 20 }, { '!', 7, 20 } },
+		  { sound },
+		  PS_HOLD },
 		{ "the part is suspected",
 		  crashes(bad, 1, 2, 1) + crashes(7, 1, 2, 0),
 		  { sound },
