ps: a proof is judged by the crashes that it rests on

All hosts log "refused" for the part at 37.180, and yet it reaches engines at 37.82, 38.44, 39.31 and 39.81; at these times its full record takes new crashes, which the record of a proven part does not. So it was refused only for moments; between them the proof was lost without a line in the log. The content of the sound requests that all callers send has a full record from 37.231 on.

Cause: each check judged the record as it stood. A full record of a content that had crashes within half a second of the part's made it a rival, though nothing said that it was at the same ones, and this content had been answered in full after the first of them.

Change: a part that is found to be proven keeps the crashes of that moment as its proof. Only an answer in full, or something known to have been at each of these takes it back. A record that may have dropped crashes is no rival for those before its last complete answer.

Before: two of three new cases of poison_part_test fail; the third, that a proof is taken back by what was at all its crashes, holds before and after. After: all hold, and the other cases are unchanged.

--- a/src/limits/ps.c
+++ b/src/limits/ps.c
@@ -152,12 +152,9 @@
 
 		if (!s)
 			continue;
-		if (!ps_is_proven(table, s)) {
-			s->proven_ms = 0;
-			continue;
-		}
+		ps_set_proven(s, ps_is_proven(table, s), now_ms);
 		if (!s->proven_ms)
-			s->proven_ms = now_ms;
+			continue;
 		/* The record is kept as long as the part is sent again. */
 		s->last_ms = now_ms;
 		return parts[i];
--- a/src/limits/ps_suspect.c
+++ b/src/limits/ps_suspect.c
@@ -55,25 +55,22 @@
 
 /*
  * A full record does not show whether it was at others at the same moments as
- * its crashes, or at crashes before its first.
+ * its crashes, or at crashes before its first. An answer in full shows that it
+ * did not cause those before the answer.
  */
-static bool ps_may_omit_near(const struct _ps_suspect *suspect,
-			     const struct ps_crash *crash)
+static bool ps_may_omit(const struct _ps_suspect *suspect,
+			const struct ps_crash *crash)
 {
-	return suspect->count == PS_MAX_CRASHES &&
-	       ps_has_crash_near(suspect, crash->at_ms);
-}
-
-static bool ps_may_omit_older(const struct _ps_suspect *suspect,
-			      const struct ps_crash *crash)
-{
-	return suspect->count == PS_MAX_CRASHES &&
+	if (suspect->count < PS_MAX_CRASHES ||
+	    crash->at_ms <= suspect->cleared_ms)
+		return false;
+	return ps_has_crash_near(suspect, crash->at_ms) ||
 	       crash->at_ms <= suspect->crashes[ps_oldest_crash(suspect)].at_ms;
 }
 
-/* @is_older_known: what the record of @other has dropped does not count. */
-static bool ps_was_at_all(const struct _ps_suspect *suspect,
-			  const struct _ps_suspect *other, bool is_older_known)
+/* Whether @other may have been present at all crashes of @suspect. */
+bool ps_was_at_all_crashes(const struct _ps_suspect *suspect,
+			   const struct _ps_suspect *other)
 {
 	uint32_t shared = 0;
 
@@ -84,27 +81,31 @@
 
 		if (ps_has_crash(other, crash))
 			shared++;
-		else if (!ps_may_omit_near(other, crash) &&
-			 (is_older_known || !ps_may_omit_older(other, crash)))
+		else if (!ps_may_omit(other, crash))
 			return false;
 	}
 	return shared > 0;
 }
 
-/* Whether @other may have been present at all crashes of @suspect. */
-bool ps_was_at_all_crashes(const struct _ps_suspect *suspect,
-			   const struct _ps_suspect *other)
+/* Whether @other is known to have been at all crashes that prove @suspect. */
+static bool ps_was_at_proof(const struct _ps_suspect *suspect,
+			    const struct _ps_suspect *other)
 {
-	return ps_was_at_all(suspect, other, false);
+	if (other == suspect)
+		return false;
+	for (uint32_t i = 0; i < suspect->proof_count; i++)
+		if (!ps_has_crash(other, &suspect->crashes[i]))
+			return false;
+	return true;
 }
 
 /*
  * Whether @other may be the cause of all crashes of @suspect instead. A part is
  * no rival of a content here: most contents that hold it are not known. Parts
  * that come together stop to be rivals in the end. A content does not: after
- * two crashes it is held back, and misses those that have another cause. A
- * part that was proven keeps the crashes which show it, and others lose theirs:
- * that they may have been at these once makes them no rivals again.
+ * two crashes it is held back, and misses those that have another cause. What
+ * takes a proof back was at all crashes of the proof, which later ones do not
+ * change.
  */
 bool ps_is_rival(const struct _ps_suspect *suspect,
 		 const struct _ps_suspect *other)
@@ -116,7 +117,8 @@
 	    suspect->count >= PS_PART_SURE_CRASHES &&
 	    other->count <= suspect->count)
 		return false;
-	return ps_was_at_all(suspect, other, suspect->proven_ms != 0);
+	return suspect->proven_ms ? ps_was_at_proof(suspect, other)
+				  : ps_was_at_all_crashes(suspect, other);
 }
 
 static bool ps_has_rival(const struct ps_table *table,
@@ -177,6 +179,7 @@
 {
 	struct _ps_suspect *s =
 		g_hash_table_lookup(table->_suspects, &fingerprint);
+	int64_t completed_ms = ps_completed_ms(table, fingerprint);
 
 	if (s)
 		return s;
@@ -184,7 +187,7 @@
 		ps_evict_suspect(table);
 	s = g_new0(struct _ps_suspect, 1);
 	s->fingerprint = fingerprint;
-	s->cleared_ms = INT64_MIN;
+	s->cleared_ms = completed_ms ? completed_ms : INT64_MIN;
 	s->confirmed_ms = INT64_MIN;
 	g_hash_table_insert(table->_suspects, &s->fingerprint, s);
 	return s;
@@ -223,14 +226,13 @@
  * again and again. A part that is proven keeps the crashes that show it: more
  * follow from requests that are under way. Returns whether there is room.
  */
-static bool ps_make_room(const struct ps_table *table, struct _ps_suspect *s,
-			 const struct ps_crash *crash)
+static bool ps_make_room(struct _ps_suspect *s, const struct ps_crash *crash)
 {
 	if (s->count < PS_MAX_CRASHES)
 		return true;
 	if (crash->at_ms - ps_last_crash_ms(s) < PS_SAME_CAUSE_MS)
 		return false;
-	if (s->proven_ms && ps_is_proven(table, s))
+	if (s->proven_ms)
 		return false;
 	if (!ps_drop_same_moment(s))
 		ps_drop_crash(s, ps_oldest_crash(s));
@@ -244,7 +246,7 @@
 	struct _ps_suspect *s = ps_get_suspect(table, fingerprint);
 
 	if (crash->at_ms < s->cleared_ms || ps_has_crash(s, crash) ||
-	    !ps_make_room(table, s, crash))
+	    !ps_make_room(s, crash))
 		return false;
 	s->crashes[s->count++] = *crash;
 	s->confirmed_ms = MAX(s->confirmed_ms, crash->at_ms);
@@ -253,6 +255,14 @@
 	return true;
 }
 
+void ps_set_proven(struct _ps_suspect *suspect, bool is_proven, int64_t now_ms)
+{
+	if (is_proven && suspect->proven_ms)
+		return;
+	suspect->proven_ms = is_proven ? now_ms : 0;
+	suspect->proof_count = is_proven ? suspect->count : 0;
+}
+
 /*
  * A complete answer clears a request of the crashes before it. Returns whether
  * there were any.
@@ -272,7 +282,8 @@
 	}
 	s->count = kept;
 	s->probes = kept ? s->probes : 0;
-	s->proven_ms = kept ? s->proven_ms : 0;
+	if (kept < before)
+		ps_set_proven(s, false, 0);
 	if (at_ms > s->cleared_ms)
 		s->cleared_ms = at_ms;
 	return kept < before;
@@ -364,7 +375,7 @@
 static bool ps_has_enough_moments(const struct ps_table *table,
 				  const struct _ps_suspect *suspect)
 {
-	return !ps_is_part(suspect->fingerprint) ||
+	return !ps_is_part(suspect->fingerprint) || suspect->proven_ms ||
 	       ps_count_moments(table, suspect) >= PS_PART_CRASHES;
 }
 
--- a/src/limits/ps_suspect.h
+++ b/src/limits/ps_suspect.h
@@ -22,6 +22,7 @@
 /*
  * A fingerprint that was running at some crash.
  * @proven_ms: since when a part has been found to be proven; 0 if it was not.
+ * @proof_count: number of crashes, the first ones, that proved it.
  */
 struct _ps_suspect {
 	uint64_t fingerprint;
@@ -32,6 +33,7 @@
 	int64_t cleared_ms;
 	int64_t confirmed_ms;
 	int64_t proven_ms;
+	uint32_t proof_count;
 };
 
 bool ps_has_crash(const struct _ps_suspect *suspect,
@@ -73,6 +75,9 @@
 bool ps_completed_recently(const struct ps_table *table,
 			   const struct _ps_suspect *suspect);
 
+/** ps_set_proven() - keep the crashes of a part as its proof, or drop it. */
+void ps_set_proven(struct _ps_suspect *suspect, bool is_proven, int64_t now_ms);
+
 /** ps_is_proven() - whether the record shows the cause of its crashes. */
 bool ps_is_proven(const struct ps_table *table,
 		  const struct _ps_suspect *suspect);
--- a/tests/unit/poison_part_test.cc
+++ b/tests/unit/poison_part_test.cc
@@ -99,6 +99,28 @@
 	  together({ bad, 7 }, 1, 12), bad, false },
 	{ "requests under way crash engines after it is proven",
 	  crashes(bad, 1, 1, 1) + together({ bad, 7 }, 2, 12), bad, true },
+	{ "after it is proven, a content with a full record was near",
+	  std::vector<Step>{ { 'p', bad, 1 } } + crashes(7, 11, 13, 0) +
+		  std::vector<Step>{ { 'w', 0, 1 }, { 'p', bad, 2 } } +
+		  crashes(7, 14, 16, 0) +
+		  std::vector<Step>{ { 'w', 0, 1 },
+				     { 'p', bad, 3 },
+				     { 'f', bad, 0 },
+				     { 'p', 7, 3 },
+				     { 'p', 7, 17 } },
+	  bad, true },
+	{ "after it is proven, a content is found to have been at all crashes",
+	  together({ bad }, 1, 3) + crashes(7, 1, 3, 0), bad, false },
+	{ "a content completed after the first crash, then filled its record",
+	  std::vector<Step>{ { 'p', bad, 1 }, { 'c', 7, 0 } } +
+		  crashes(7, 11, 13, 0) +
+		  std::vector<Step>{ { 'w', 0, 1 }, { 'p', bad, 2 } } +
+		  std::vector<Step>{ { 'p', 7, 2 } } + crashes(7, 14, 15, 0) +
+		  std::vector<Step>{ { 'w', 0, 1 },
+				     { 'p', bad, 3 },
+				     { 'p', 7, 3 },
+				     { 'p', 7, 16 } },
+	  bad, true },
 	{ "different contents at the crashes",
 	  crashes(7, 1, 2, 1) + crashes(8, 3, 3, 1) + crashes(bad, 1, 3, 1),
 	  bad, true },
