gateway: crashes under one entry are counted whichever host finds them

Cause: the incarnation that a host infers after a crash was a hash of the entry and of the crashes that this host had found, equal on all hosts, though fl.h said otherwise. h1 alone found e1's second crash, so h3 gave the third one the incarnation that h1 had given the second, and it was taken for the same crash told late. And a host that had no request at an engine when it crashed, or had been told of the crash before it found it, went on under the entry's incarnation, which a peer had charged already.

Change: each host draws the incarnation that it infers; as before, crashes of one engine within 0.5 s are one if either is inferred. A host infers one as well when it is told of a crash of the incarnation that it would use next, if it has no attempts there, and when the crash that it finds is known.

Ruled out: equal inferred incarnations told late are two crashes (poison_test holds that they are one: a host's own, told again).

--- a/src/fleet/fl.c
+++ b/src/fleet/fl.c
@@ -61,16 +61,23 @@
 
 void fl_count_end(struct fl_engine *engine)
 {
-	engine->_ends++;
+	uint64_t drawn = (uint64_t)g_random_int() << 32 | g_random_int();
+
+	engine->_run_incarnation = drawn | PS_INFERRED_BIT;
 }
 
 uint64_t fl_run_incarnation(const struct fl_engine *engine)
 {
-	if (!engine->_ends)
-		return engine->_incarnation;
-	return XXH3_64bits_withSeed(&engine->_ends, sizeof(engine->_ends),
-				    engine->_incarnation) |
-	       PS_INFERRED_BIT;
+	return engine->_run_incarnation;
+}
+
+struct fl_engine *fl_find_run(const struct fl_fleet *fleet, uint64_t hash,
+			      uint64_t incarnation)
+{
+	fl_for_each (fleet, e)
+		if (e->hash == hash && fl_run_incarnation(e) == incarnation)
+			return e;
+	return NULL;
 }
 
 bool fl_is_superseded_by(const struct fl_engine *engine,
@@ -120,6 +127,7 @@
 	e->entry = *entry;
 	e->hash = XXH3_64bits(entry->id, strlen(entry->id));
 	e->_incarnation = fl_hash_incarnation(entry);
+	e->_run_incarnation = e->_incarnation;
 	e->region = "";
 	e->_references = 1;
 	fl_recall_notice(fleet, e);
--- a/src/fleet/fl.h
+++ b/src/fleet/fl.h
@@ -68,7 +68,7 @@
 	bool is_gone;
 
 	uint64_t _incarnation;
-	uint32_t _ends;
+	uint64_t _run_incarnation;
 	uint32_t _references;
 	int64_t _missing_until_ms;
 };
@@ -115,10 +115,18 @@
 
 /**
  * fl_run_incarnation() - fl_incarnation(), or after a crash an inferred one
- * (PS_INFERRED_BIT), which each host chooses for itself.
+ * (PS_INFERRED_BIT), which each host draws for itself: hosts that found
+ * different crashes give them different ones.
  */
 uint64_t fl_run_incarnation(const struct fl_engine *engine);
 
+/**
+ * fl_find_run() - the upstream with this hash, if @incarnation is its
+ * fl_run_incarnation(); NULL if not.
+ */
+struct fl_engine *fl_find_run(const struct fl_fleet *fleet, uint64_t hash,
+			      uint64_t incarnation);
+
 /**
  * fl_is_superseded_by() - whether @entry is another incarnation of @engine, or
  * another upstream at its address.
--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -204,6 +204,17 @@
 	gw_send_cleared(g, message->fingerprint, answer.cleared_age_ms);
 }
 
+/* Attempts from now on run on the process after the one that crashed. */
+static void gw_note_end(struct gw_gateway *g, const bp_charge *record)
+{
+	struct fl_engine *e =
+		fl_find_run(&g->fleet, record->engine, record->incarnation);
+
+	if (e && !ps_has_attempt(&g->poison->table, record->engine,
+				 record->incarnation))
+		fl_count_end(e);
+}
+
 static void gw_on_suspect(void *arg, struct rp_request *request,
 			  const void *args)
 {
@@ -221,6 +232,7 @@
 		is_news |= ps_peer_report(table, message->fingerprint,
 					  record->engine, record->incarnation,
 					  record->age_ms, now_ms);
+		gw_note_end(g, record);
 	}
 	ps_peer_probes(table, message->fingerprint, message->probes);
 	ps_confirm(table, message->fingerprint, now_ms);
@@ -422,16 +434,18 @@
 			     const char *evidence)
 {
 	uint64_t crashed[GW_MAX_CRASH_RECORDS];
+	uint64_t incarnation = fl_run_incarnation(e);
+	struct ps_table *table = &g->poison->table;
 	char requests[12];
 	uint32_t count;
 
-	if (fl_is_leaving(e))
+	if (fl_is_leaving(e) || !ps_has_attempt(table, e->hash, incarnation))
 		return;
-	count = ps_crashed(&g->poison->table, e->hash, fl_run_incarnation(e),
-			   crashed, GW_MAX_CRASH_RECORDS, ck_now_ms());
+	count = ps_crashed(table, e->hash, incarnation, crashed,
+			   GW_MAX_CRASH_RECORDS, ck_now_ms());
+	fl_count_end(e);
 	if (!count)
 		return;
-	fl_count_end(e);
 	mt_add(&gw_crashed_engines, 1);
 	g_snprintf(requests, sizeof(requests), "%u", count);
 	lg_warn("engine exited while running requests", "event", "engine_ended",
--- a/src/limits/ps.c
+++ b/src/limits/ps.c
@@ -469,6 +469,18 @@
 	return false;
 }
 
+bool ps_has_attempt(const struct ps_table *table, uint64_t engine,
+		    uint64_t incarnation)
+{
+	for (uint32_t i = 0; i < table->_runs->len; i++) {
+		const struct _ps_run *run = ps_run_at(table, i);
+
+		if (run->engine == engine && run->incarnation == incarnation)
+			return true;
+	}
+	return false;
+}
+
 static void ps_copy_suspect(const struct ps_table *table,
 			    const struct _ps_suspect *suspect,
 			    struct ps_suspect *out)
--- a/src/limits/ps.h
+++ b/src/limits/ps.h
@@ -328,6 +328,10 @@
 bool ps_has_broken_attempt(const struct ps_table *table, uint64_t engine,
 			   uint64_t incarnation, int64_t now_ms);
 
+/** ps_has_attempt() - whether an attempt there runs, broke or was abandoned. */
+bool ps_has_attempt(const struct ps_table *table, uint64_t engine,
+		    uint64_t incarnation);
+
 /** ps_completed_ms() - time of the last known complete answer; 0 if unknown. */
 int64_t ps_completed_ms(const struct ps_table *table, uint64_t fingerprint);
 
--- a/tests/sessions/gateway_crash_test.cc
+++ b/tests/sessions/gateway_crash_test.cc
@@ -24,6 +24,8 @@
 
 // Time for which an engine is down after a crash.
 const int down_ms = 700;
+// The same where several crashes have to fit into an outage of the store.
+const int briefly_down_ms = 300;
 // Limit of the engines that one request may crash.
 const int max_crashes = 3;
 const char *const deadly = "crashes engines";
@@ -359,6 +361,33 @@
 	EXPECT_GE(served, 90);
 }
 
+// One engine crashes again and again under its old entry, each time at another
+// host's request: each crash counts once, not all of them as one.
+TEST_F(Crash, CrashesUnderOneEntryAreCountedWhicheverHostFindsThem)
+{
+	static const char *const names[] = { "h1", "h2", "h3", "h4", "h5" };
+
+	start_three();
+	start("h4", { "z1", "r1", "" });
+	start("h5", { "z2", "r1", "" });
+	for (const char *host : names)
+		ASSERT_TRUE(receives_from_peers(host, 4)) << host;
+	for (int i = 1; i < 5; i++)
+		fleet.remove_engine("a" + std::to_string(i));
+	for (const char *host : names)
+		ASSERT_EQ(ask("look", "harmless", host).status, 200) << host;
+	fleet.set_store_down(true);
+	std::this_thread::sleep_for(std::chrono::milliseconds(down_ms));
+	fleet.crash_on(deadly, briefly_down_ms);
+	for (const char *host : names) {
+		ask("look", deadly, host);
+		std::this_thread::sleep_for(
+			std::chrono::milliseconds(briefly_down_ms + 100));
+	}
+	EXPECT_LE(fleet.crashes(), max_crashes);
+	fleet.set_store_down(false);
+}
+
 // A part that is refused can't clear itself by an answer, so it is tried again.
 TEST_F(Crash, PartThatNoLongerCrashesEnginesIsServedAgain)
 {
--- a/tests/unit/notice_test.cc
+++ b/tests/unit/notice_test.cc
@@ -8,6 +8,7 @@
 extern "C" {
 #include "fleet/fl.h"
 #include "fleet/fl_notice.h"
+#include "limits/ps.h"
 }
 
 namespace
@@ -246,6 +247,28 @@
 	}
 };
 
+// Two hosts that find different crashes of an engine while its entry cannot be
+// read must not give both the same incarnation.
+TEST_F(Kept, HostsInferDifferentIncarnations)
+{
+	struct fl_fleet other;
+	struct fl_engine *here = put("i-1", 5, 1);
+	struct fl_engine *there;
+	uint64_t first;
+
+	fl_init(&other, loop);
+	there = fl_put(&other, &here->entry);
+	EXPECT_EQ(fl_run_incarnation(here), fl_run_incarnation(there));
+	fl_count_end(here);
+	fl_count_end(there);
+	first = fl_run_incarnation(here);
+	EXPECT_TRUE(first & PS_INFERRED_BIT);
+	EXPECT_NE(first, fl_run_incarnation(there));
+	fl_count_end(here);
+	EXPECT_NE(first, fl_run_incarnation(here));
+	fl_finish(&other);
+}
+
 // A notice holds for an incarnation, not for an id or an address.
 TEST_F(Kept, NoticeBelongsToTheIncarnation)
 {
