gateway: empty lines behind an event belong to it

All late answers of a run under ASan are of one case, an engine that sends empty lines without end: 10 of 10.

Cause: two line feeds were an event of their own. A read of 16 KB holds 8,192 of these, each with its part in the log of times, its chunk and its write; 24 such answers at once keep the loop from its timers.

Ruled out: the other cases, with the same number of bytes, are in time under the same load, so it is neither the reading nor the machine alone.

Change: the empty lines that follow an event in the same read are part of it. The bytes that the caller gets are the same.

After: the unit test holds, the other in 2 of 2 runs beside the same.

--- a/src/gateway/gw_events.c
+++ b/src/gateway/gw_events.c
@@ -28,9 +28,25 @@
 /* An event ends with a line feed and an empty line, which may have a CR. */
 #define GW_EVENT_END_BYTES 3
 
+/* Returns the end of the empty lines from @from on that are there already. */
+static uint64_t gw_skip_empty_lines(const char *data, uint64_t from,
+				    uint64_t bytes)
+{
+	for (;;) {
+		if (from < bytes && data[from] == '\n')
+			from++;
+		else if (from + 1 < bytes && data[from] == '\r' &&
+			 data[from + 1] == '\n')
+			from += 2;
+		else
+			return from;
+	}
+}
+
 /*
  * Returns the length of the first whole event, or 0 if there is none. No event
- * may end before @from.
+ * may end before @from. Further empty lines are part of the event: an engine
+ * may send them without end, and each event has its cost.
  */
 static uint64_t gw_whole_event(const char *data, uint64_t from, uint64_t bytes)
 {
@@ -38,9 +54,9 @@
 		if (data[i] != '\n')
 			continue;
 		if (i + 1 < bytes && data[i + 1] == '\n')
-			return i + 2;
+			return gw_skip_empty_lines(data, i + 2, bytes);
 		if (i + 2 < bytes && data[i + 1] == '\r' && data[i + 2] == '\n')
-			return i + 3;
+			return gw_skip_empty_lines(data, i + 3, bytes);
 	}
 	return 0;
 }
--- a/tests/unit/gateway_rules_test.cc
+++ b/tests/unit/gateway_rules_test.cc
@@ -189,6 +189,33 @@
 	gw_events_finish(&events);
 }
 
+// An engine may send empty lines without end; thousands of events of two bytes
+// in each read would keep the process from its timers.
+TEST(Events, EmptyLinesAreNoEventsOfTheirOwn)
+{
+	static const struct {
+		std::string text;
+		std::vector<int64_t> ids;
+	} cases[] = {
+		{ std::string(16384, '\n'), { -1 } },
+		{ "id: 1\n\n\n\n\nid: 2\n\n", { 1, 2 } },
+		{ "id: 1\r\n\r\n\r\n\r\nid: 2\n\n\r\n", { 1, 2 } },
+	};
+
+	for (const auto &c : cases) {
+		std::vector<int64_t> ids;
+		bool is_incomplete;
+		auto got = split({ c.text }, &ids, &is_incomplete);
+		std::string all;
+
+		for (const std::string &event : got)
+			all += event;
+		EXPECT_EQ(ids, c.ids) << c.text.substr(0, 20);
+		EXPECT_EQ(all, c.text);
+		EXPECT_FALSE(is_incomplete);
+	}
+}
+
 TEST(Events, IncompleteEventIsNotReturned)
 {
 	std::vector<int64_t> ids;
