--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -22,6 +22,13 @@
 /* One in so many faults that leave a host behind meets a new configuration. */
 constexpr uint32_t meets_configuration_in = 2;
 constexpr uint64_t meets_within_ms = 400;
+/* Crashes that come together: an outage of the store and a restart of all hosts
+ * in one of so many each, how long, and how soon after them. */
+constexpr uint64_t outage_in = 2;
+constexpr uint64_t restart_in = 2;
+constexpr uint64_t outage_ms = 3000;
+constexpr uint64_t restart_within_ms = 3000;
+constexpr uint64_t host_down_ms = 600;
 
 const struct {
 	const char *name;
@@ -131,6 +138,39 @@
 	}
 }
 
+uint32_t draw_target(Dice &dice)
+{
+	return static_cast<uint32_t>(dice.below(1 << 20));
+}
+
+void draw_crashes_together(uint64_t seed, const Size &size,
+			   std::vector<Fault> *faults)
+{
+	Dice dice(seed ^ 0x70c3e);
+	int64_t at_ms = dice.below(std::max<int64_t>(size.lasts_ms / 2, 1));
+
+	for (Kind kind :
+	     { Kind::tainted_part, Kind::tainted_part, Kind::deadly_request }) {
+		int64_t after_ms = dice.below(series_gap_ms);
+
+		faults->push_back(
+			{ at_ms + after_ms, 0, kind, draw_target(dice) });
+	}
+	if (!dice.below(outage_in)) {
+		int64_t for_ms = 500 + dice.below(outage_ms);
+
+		faults->push_back({ at_ms, for_ms, Kind::store_down, 0 });
+	}
+	if (dice.below(restart_in))
+		return;
+	at_ms += dice.below(restart_within_ms);
+	for (uint32_t host = 0; host < size.hosts; host++) {
+		int64_t for_ms = 50 + dice.below(host_down_ms);
+
+		faults->push_back({ at_ms, for_ms, Kind::kill, host });
+	}
+}
+
 } // namespace
 
 const char *name_of(Kind kind)
@@ -167,6 +207,8 @@
 		}
 	}
 	draw_later_kinds(seed, size, Kind::tainted_part, &faults);
+	if (size.crashes_together)
+		draw_crashes_together(seed, size, &faults);
 	std::stable_sort(faults.begin(), faults.end(),
 			 [](const Fault &a, const Fault &b) {
 				 return a.at_ms < b.at_ms;
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -65,12 +65,19 @@
 	uint32_t target;
 };
 
+/**
+ * Size - of a play.
+ * @crashes_together: two parts and a request that end engines come at once, in
+ *	half of the plays with an outage of the store, and in half of them with
+ *	a restart of all hosts.
+ */
 struct Size {
 	uint32_t hosts = 4;
 	uint32_t engines = 4;
 	uint32_t services = 2;
 	uint32_t callers = 24;
 	int64_t lasts_ms = 12000;
+	bool crashes_together = false;
 };
 
 /** draw_schedule() - sorted by time. */
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -32,6 +32,8 @@
 	{ "hosts", 'h', "N", 0, "real processes", 0 },
 	{ "engines", 'e', "N", 0, "model engines of the stand-in", 0 },
 	{ "callers", 'c', "N", 0, "at a time", 0 },
+	{ "together", 't', nullptr, 0,
+	  "two parts and a request that end engines come at once", 0 },
 	{ "folder", 'f', "DIR", 0, "for logs and schedules of failures", 0 },
 	{},
 };
@@ -59,6 +61,9 @@
 	case 'c':
 		a->size.callers = std::stoul(arg);
 		return 0;
+	case 't':
+		a->size.crashes_together = true;
+		return 0;
 	case 'f':
 		a->folder = arg;
 		return 0;
@@ -73,7 +78,8 @@
 	       std::to_string(a.size.lasts_ms) + " --hosts " +
 	       std::to_string(a.size.hosts) + " --engines " +
 	       std::to_string(a.size.engines) + " --callers " +
-	       std::to_string(a.size.callers);
+	       std::to_string(a.size.callers) +
+	       (a.size.crashes_together ? " --together" : "");
 }
 
 // True if every promise held.
