ps: a crash is dated by the attempts that it broke

In the logs engines that fell together at 07.72 to 07.82 are found to have ended at 08.27 to 08.46 too, "replaced", by their new entries, as the store was slow.

Cause: a crash had the time at which it was found. Many engines that fail at once are one moment of the three that prove a part, but not if the entries that show it are read one after the other; and crashes of one engine that two hosts find apart count twice if one infers them.

Change: a crash has the time at which it broke the last attempt there, or at which it was found if an attempt still runs or none broke.

Ruled out: that this is all of it.

Before: a new case of poison_part_test fails. After: it holds, the others are unchanged.

--- a/src/limits/ps.c
+++ b/src/limits/ps.c
@@ -406,11 +406,34 @@
 	       crash_ms - completed_ms < PS_PART_ANSWERED_MS;
 }
 
+/*
+ * A crash may be found long after it broke the attempts, by a new entry in the
+ * store. Attempts that still run show that it is recent.
+ */
+static int64_t ps_crash_ms(const struct ps_table *table, uint64_t engine,
+			   uint64_t incarnation, int64_t now_ms)
+{
+	int64_t broken_ms = INT64_MIN;
+
+	for (uint32_t i = 0; i < table->_runs->len; i++) {
+		const struct _ps_run *run = ps_run_at(table, i);
+
+		if (run->engine != engine || run->incarnation != incarnation)
+			continue;
+		if (!run->is_broken)
+			return now_ms;
+		if (!run->is_abandoned && !run->is_after_break)
+			broken_ms = MAX(broken_ms, run->broken_ms);
+	}
+	return broken_ms == INT64_MIN ? now_ms : broken_ms;
+}
+
 uint32_t ps_crashed(struct ps_table *table, uint64_t engine,
 		    uint64_t incarnation, uint64_t *fingerprints,
 		    uint32_t capacity, int64_t now_ms)
 {
-	struct ps_crash crash = { engine, incarnation, now_ms };
+	int64_t at_ms = ps_crash_ms(table, engine, incarnation, now_ms);
+	struct ps_crash crash = { engine, incarnation, at_ms };
 	uint32_t count = 0;
 
 	for (uint32_t i = table->_runs->len; i-- > 0;) {
@@ -420,7 +443,7 @@
 			continue;
 		g_array_remove_index_fast(table->_runs, i);
 		if (ps_is_stale(&run, now_ms) || run.is_after_break ||
-		    ps_is_answered_part(table, run.fingerprint, now_ms))
+		    ps_is_answered_part(table, run.fingerprint, at_ms))
 			continue;
 		if (ps_add_crash(table, run.fingerprint, &crash) &&
 		    count < capacity)
--- a/src/limits/ps.h
+++ b/src/limits/ps.h
@@ -165,8 +165,8 @@
 enum ps_end { PS_COMPLETED = 0, PS_BROKEN, PS_CANCELLED, PS_ABANDONED };
 
 /**
- * struct ps_crash - crash of an incarnation of an engine; @at_ms: time of
- * report.
+ * struct ps_crash - crash of an incarnation of an engine; @at_ms: when it broke
+ * the last attempt there, or was found.
  */
 struct ps_crash {
 	uint64_t engine;
