--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -85,7 +85,8 @@
 // True if every promise held.
 bool play(const Arguments &a, uint64_t seed)
 {
-	std::string folder = a.folder + "/seed-" + std::to_string(seed);
+	std::string folder = a.folder + "/seed-" + std::to_string(seed) +
+			     (a.size.crashes_together ? "-together" : "");
 	std::vector<Fault> faults = draw_schedule(seed, a.size);
 	std::ostringstream line;
 
