tests: the engine of AnswerThatBreaksOff... says that it closes

Cause, from the log of the gateway: requests 214 and 221 are answered in full; 215 and 222 are sent 0.3 ms later on the connections that these left, and break. The engine of the test closes after each answer, but its answer does not say so, and under load its close came after the next request. The route may run once only, so 502 is due: nothing tells the gateway that the connection is about to end.

Change: the answer has "Connection: close", as that of a server that closes; what is checked for each length of the answer is unchanged. The answers are longer, so the lengths go up to 180.

--- a/tests/sessions/gateway_test.cc
+++ b/tests/sessions/gateway_test.cc
@@ -341,7 +341,8 @@
 	ScriptedServer engine([&](const ScriptedServer::Request &r) {
 		std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " +
 				   r.field("X-Attempt-Id") +
-				   "\r\nX-Response-Stamp: s\r\n";
+				   "\r\nX-Response-Stamp: s\r\n"
+				   "Connection: close\r\n";
 		std::string body =
 			is_chunked ? "Transfer-Encoding: chunked\r\n\r\n"
 				     "5\r\nwhole\r\n0\r\n\r\n"
@@ -350,7 +351,7 @@
 		whole = head.size() + body.size();
 		return (head + body).substr(0, cut);
 	});
-	size_t bytes = 150;
+	size_t bytes = 180;
 
 	engine.closes = true;
 	fleet.set_draining("a2");
