ps: late reports of a proven part take another part's proof back again

Reports reach hosts in any order. If a harmless part is found to be proven before the report comes that a part which is refused already was at the same crashes, it stayed refused, where took the proof back.

Change: crashes that a part proven before explains do not count, before and after the proof, as ps.h says. A part's own record only grows once it is proven, so its own later crashes cannot take the proof back.

Before: poison_part_test LateReportsOfAProvenPart... fails.

--- a/src/limits/ps.h
+++ b/src/limits/ps.h
@@ -52,8 +52,9 @@
  *	- Nothing else was present at all these crashes. Parts that always come
  *	  together cannot be told apart: from PS_PART_SURE_CRASHES on, another
  *	  part counts as a rival only if it was at further crashes too.
- *	- What is proven stays so until the part is answered in full, or
- *	  something else is found to have been at all crashes of the proof.
+ *	- What is proven stays so until the part is answered in full, something
+ *	  else is found to have been at all crashes of the proof, or a part that
+ *	  was proven before is found to explain too many of its crashes.
  *
  *	A content whose crashes a proven part explains, and that lacks this
  *	part, may run, once at a time until it completes.
--- a/src/limits/ps_suspect.c
+++ b/src/limits/ps_suspect.c
@@ -375,7 +375,7 @@
 static bool ps_has_enough_moments(const struct ps_table *table,
 				  const struct _ps_suspect *suspect)
 {
-	return !ps_is_part(suspect->fingerprint) || suspect->proven_ms ||
+	return !ps_is_part(suspect->fingerprint) ||
 	       ps_count_moments(table, suspect) >= PS_PART_CRASHES;
 }
 
--- a/tests/unit/poison_part_test.cc
+++ b/tests/unit/poison_part_test.cc
@@ -255,4 +255,22 @@
 	ps_finish(&table);
 }
 
+// A harmless part is proven before reports come that a part which is refused
+// already was at two of its crashes.
+TEST(Poison, LateReportsOfAProvenPartTakeAnotherProofBack)
+{
+	struct ps_table table;
+	int64_t at = now;
+
+	ps_init(&table);
+	run(&table, crashes(bad, 1, 3, 1), &at);
+	ASSERT_EQ(ps_find_proven(&table, &bad, 1, at), bad);
+	run(&table, crashes(sound, 4, 6, 1), &at);
+	ASSERT_EQ(ps_find_proven(&table, &sound, 1, at), sound);
+	run(&table, crashes(bad, 4, 5, 0), &at);
+	EXPECT_EQ(ps_find_proven(&table, &sound, 1, at), 0u);
+	EXPECT_EQ(ps_find_proven(&table, &bad, 1, at), bad);
+	ps_finish(&table);
+}
+
 } // namespace
