caps: usage caps of teams, first version

A cap over all hosts can't be divided into fixed parts, as a request may cost more than a host's part of a second, and one counter in the store would make it a part of every request. So each host keeps one token bucket per team for the whole fleet: src/limits/lm_cap.h decides, without clock or sockets, and src/gateway/gw_cap.h charges attempts and tells the other hosts cumulative counters, directly up to 17 hosts and through collectors above.

Before: no caps. After: 429 with Retry-After and outcome over_cap.

--- a/src/catalog/ca.c
+++ b/src/catalog/ca.c
@@ -138,6 +138,41 @@
 	return team;
 }
 
+const struct ca_team *ca_team_at(const struct ca_catalog *c, uint32_t index)
+{
+	return index < c->_teams->len ? c->_teams->pdata[index] : NULL;
+}
+
+static const struct ca_team *ca_team_named(const struct ca_catalog *c,
+					   const char *name)
+{
+	for (uint32_t i = 0; c && i < c->_teams->len; i++) {
+		const struct ca_team *team = c->_teams->pdata[i];
+
+		if (!strcmp(team->name, name))
+			return team;
+	}
+	return NULL;
+}
+
+void ca_keep_caps(struct ca_catalog *c, const struct ca_catalog *before)
+{
+	for (uint32_t i = 0; i < c->_teams->len; i++) {
+		struct ca_team *team = c->_teams->pdata[i];
+		const struct ca_team *last;
+
+		if (!team->has_bad_cap)
+			continue;
+		last = ca_team_named(before, team->name);
+		if (!last)
+			continue;
+		team->cap_per_s = last->cap_per_s;
+		team->cap_burst = last->cap_burst;
+		team->cap_unit = last->cap_unit;
+		team->cap_plain_cost = last->cap_plain_cost;
+	}
+}
+
 void ca_add_key(struct ca_catalog *c, struct ca_team *team, const char *key)
 {
 	g_hash_table_replace(c->_teams_by_key, g_strdup(key), team);
--- a/src/catalog/ca.h
+++ b/src/catalog/ca.h
@@ -87,15 +87,29 @@
 	uint32_t split_count;
 };
 
+/** enum ca_unit - what a team's cap counts. */
+enum ca_unit { CA_REQUESTS = 0, CA_TOKENS };
+
 /**
  * struct ca_team - a group of callers.
  * @priority: overrides the route's priority; -1: the route's applies.
  * @is_isolated: shares no cached prompts with other teams.
+ * @cap_per_s: cap of its usage over all hosts, see src/limits/lm_cap.h; 0: no
+ *	cap.
+ * @cap_burst: what it may use at once beyond that.
+ * @cap_unit: of both.
+ * @cap_plain_cost: tokens that a request without a number of them counts as.
+ * @has_bad_cap: the cap could not be read, see ca_keep_caps().
  */
 struct ca_team {
 	char *name;
 	int32_t priority;
 	bool is_isolated;
+	double cap_per_s;
+	int64_t cap_burst;
+	enum ca_unit cap_unit;
+	int64_t cap_plain_cost;
+	bool has_bad_cap;
 };
 
 /** struct ca_limits - limits on requests of callers; 0: the default. */
@@ -140,6 +154,15 @@
 const struct ca_route *ca_find_route(const struct ca_catalog *c,
 				     const char *host, const char *target);
 const struct ca_team *ca_find_team(const struct ca_catalog *c, const char *key);
+
+/** ca_team_at() - the team at @index; NULL behind the last one. */
+const struct ca_team *ca_team_at(const struct ca_catalog *c, uint32_t index);
+
+/**
+ * ca_keep_caps() - teams whose cap could not be read keep the one that they
+ * have in @before, which may be NULL.
+ */
+void ca_keep_caps(struct ca_catalog *c, const struct ca_catalog *before);
 const struct ca_service *ca_find_service(const struct ca_catalog *c,
 					 const char *name);
 
--- a/src/dialect/dl.h
+++ b/src/dialect/dl.h
@@ -40,6 +40,7 @@
  * @key: key of a team, NULL if absent.
  * @budget_ms: time for which the caller waits, -1 if not given.
  * @model: NULL for plain requests.
+ * @has_tokens: the two numbers below are given.
  * @prompt_tokens: length of the whole prompt.
  * @max_output_tokens: limit of generated tokens.
  * @expected_output_tokens: the caller's estimate; 0 if there is none.
@@ -52,6 +53,7 @@
 	const char *key;
 	int64_t budget_ms;
 	const char *model;
+	bool has_tokens;
 	uint32_t prompt_tokens;
 	uint32_t max_output_tokens;
 	uint32_t expected_output_tokens;
--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -10,6 +10,7 @@
 #include <sysexits.h>
 
 #include "gateway/gw.h"
+#include "gateway/gw_cap.h"
 #include "gateway/gw_poison.h"
 #include "gateway/gw_stop.h"
 #include "kernel/ck.h"
@@ -132,11 +133,13 @@
 static enum st_code gw_task_start(struct kn_task *task)
 {
 	struct gw_gateway *g = task->state;
-	enum st_code code = gw_knowledge_start(g);
+	enum st_code code = gw_cap_start(g);
 
 	ev_timer_init(&g->log_timer, gw_flush_logs, GW_LOG_PERIOD_S,
 		      GW_LOG_PERIOD_S);
 	ev_timer_start(g->kernel.loop, &g->log_timer);
+	if (code == ST_OK)
+		code = gw_knowledge_start(g);
 	if (code == ST_OK)
 		code = gw_rollout_start(g);
 	if (code == ST_OK)
@@ -176,6 +179,7 @@
 	gw_poison_stop(g);
 	gw_rollout_stop(g);
 	gw_knowledge_stop(g);
+	gw_cap_stop(g);
 }
 
 static const struct kn_task_ops gw_task_ops = {
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -23,6 +23,7 @@
  *	gw_collect.c	load summed by a collector in each zone
  *	gw_roles.c	assignment of shared duties to hosts
  *	gw_poison.c	requests that crash engines
+ *	gw_cap.c	usage caps of teams
  *	gw_place.c	candidates for src/placement
  *
  *	A dialect (src/dialect/dl.h) supplies the names and formats of the
@@ -50,6 +51,7 @@
 struct gw_peers;
 struct gw_catchup;
 struct gw_poison;
+struct gw_cap;
 
 /**
  * struct gw_gateway - state shared by the modules of the gateway.
@@ -107,6 +109,7 @@
 	struct gw_peers *peers;
 	struct gw_catchup *catchup;
 	struct gw_poison *poison;
+	struct gw_cap *cap;
 };
 
 /** gw_is_ready() - whether this host should receive new connections. */
--- a/src/gateway/gw_collect.c
+++ b/src/gateway/gw_collect.c
@@ -101,7 +101,7 @@
 		"collector", peer->name, "outcome", "distrusted", NULL);
 }
 
-static bool gw_may_collect(const struct gw_peer *peer, int64_t now_ms)
+bool gw_collect_may_collect(const struct gw_peer *peer, int64_t now_ms)
 {
 	return peer->is_seen && now_ms >= peer->distrusted_until_ms &&
 	       now_ms - peer->received_ms <
@@ -122,9 +122,9 @@
 
 		if (count == GW_MAX_ZONE_HOSTS)
 			break;
-		hosts[count++] =
-			(struct pe_zone_host){ peer->hash, peer->zone,
-					       gw_may_collect(peer, now_ms) };
+		hosts[count++] = (struct pe_zone_host){ peer->hash, peer->zone,
+							gw_collect_may_collect(
+								peer, now_ms) };
 	}
 	return count;
 }
@@ -249,7 +249,7 @@
 	for (uint32_t i = 0; i < p->hosts.peers->len; i++) {
 		struct gw_peer *peer = p->hosts.peers->pdata[i];
 
-		if (peer->zone != zone || !gw_may_collect(peer, now_ms))
+		if (peer->zone != zone || !gw_collect_may_collect(peer, now_ms))
 			continue;
 		g_array_set_size(sums, 0);
 		pe_zone_list_for_member(&c->zone, peer->incarnation, sums);
@@ -284,6 +284,28 @@
 	g_array_free(sums, TRUE);
 }
 
+void gw_collect_list_far(const struct gw_peers *p, GPtrArray *peers,
+			 int64_t now_ms)
+{
+	struct pe_zone_host hosts[GW_MAX_ZONE_HOSTS];
+	uint32_t count = gw_list_zone_hosts(p, hosts, now_ms);
+	GHashTable *done = g_hash_table_new(NULL, NULL);
+
+	g_hash_table_add(done, GUINT_TO_POINTER(hosts[0].zone));
+	for (uint32_t i = 1; i < count; i++) {
+		uint32_t indexes[PE_COLLECTORS], found;
+
+		if (!g_hash_table_add(done, GUINT_TO_POINTER(hosts[i].zone)))
+			continue;
+		found = pe_zone_collectors(hosts, count, hosts[i].zone,
+					   indexes);
+		for (uint32_t j = 0; j < found; j++)
+			g_ptr_array_add(peers,
+					p->hosts.peers->pdata[indexes[j] - 1]);
+	}
+	g_hash_table_destroy(done);
+}
+
 static void gw_send_due_sums(struct gw_peers *p,
 			     const struct pe_zone_host *hosts, uint32_t count,
 			     int64_t now_ms)
--- a/src/gateway/gw_collect.h
+++ b/src/gateway/gw_collect.h
@@ -55,6 +55,16 @@
 /** gw_collect_is_used() - whether the fleet is large enough for collectors. */
 bool gw_collect_is_used(const struct gw_peers *p);
 
+/** gw_collect_may_collect() - whether @peer is heard and not distrusted. */
+bool gw_collect_may_collect(const struct gw_peer *peer, int64_t now_ms);
+
+/**
+ * gw_collect_list_far() - append the collectors and standbys of the other zones
+ * to @peers, pointers to struct gw_peer.
+ */
+void gw_collect_list_far(const struct gw_peers *p, GPtrArray *peers,
+			 int64_t now_ms);
+
 /** gw_collect_is_member() - whether @peer is in the zone of this host. */
 bool gw_collect_is_member(const struct gw_peers *p, const struct gw_peer *peer);
 
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "gateway/gw.h"
+#include "gateway/gw_cap.h"
 #include "gateway/gw_catchup.h"
 #include "gateway/gw_notice.h"
 #include "gateway/gw_poison.h"
@@ -76,8 +77,10 @@
 		   catalog->version);
 	g_snprintf(before, sizeof(before), "%" G_GUINT64_FORMAT,
 		   g->catalog ? g->catalog->version : 0);
+	ca_keep_caps(catalog, g->catalog);
 	ca_catalog_unref(g->catalog);
 	g->catalog = catalog;
+	gw_cap_configure(g);
 	gw_front_limit(g);
 	mt_add(&gw_configs, 1);
 	lg_info("configuration in force", "event", "config_in_force", "version",
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "gateway/gw.h"
+#include "gateway/gw_cap.h"
 #include "gateway/gw_catchup.h"
 #include "gateway/gw_notice.h"
 #include "gateway/gw_peers.h"
@@ -295,6 +296,8 @@
 		code = gw_poison_serve(p->gateway, &p->rpc);
 	if (code == ST_OK)
 		code = gw_notice_serve(p->gateway, &p->rpc);
+	if (code == ST_OK)
+		code = gw_cap_serve(p->gateway, &p->rpc);
 	p->is_open = code == ST_OK;
 	if (!p->is_open)
 		lg_warn("endpoint for other hosts not opened", "event",
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "gateway/gw_cap.h"
 #include "gateway/gw_poison.h"
 #include "gateway/gw_stop.h"
 #include "kernel/ck.h"
@@ -42,7 +43,7 @@
 MT_COUNTER(gw_answered, "balsampin_gateway_answered_total",
 	   "requests answered by an upstream")
 MT_COUNTER(gw_refused, "balsampin_gateway_refused_total",
-	   "requests answered 503: not run")
+	   "requests answered 429 or 503: not run")
 MT_COUNTER(gw_failed, "balsampin_gateway_failed_total",
 	   "requests that failed after they may have run")
 MT_COUNTER(gw_rejected, "balsampin_gateway_rejected_total",
@@ -141,7 +142,7 @@
 
 static void gw_count_own_answer(uint32_t status)
 {
-	if (status == 503)
+	if (status == 503 || status == 429)
 		mt_add(&gw_refused, 1);
 	else if (status >= 500)
 		mt_add(&gw_failed, 1);
@@ -173,7 +174,7 @@
 	}
 	h1_headers_init(&headers);
 	h1_headers_add(&headers, "Content-Type", "application/json");
-	if (status == 503) {
+	if (status == 503 || status == 429) {
 		g_snprintf(after, sizeof(after), "%.2f", gw_retry_after_s(r));
 		h1_headers_add(&headers, "Retry-After", after);
 	}
@@ -359,6 +360,8 @@
 	} else if (!answer.engine ||
 		   r->failed_connects >= GW_MAX_FAILED_CONNECTS)
 		gw_give_up(r, "no_engine");
+	else if (!gw_cap_charge(r))
+		gw_request_refuse(r, 429, "over_cap");
 	else
 		gw_send(r, &answer);
 }
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -53,6 +53,7 @@
  * @sends: upstreams that the request was sent to.
  * @failed_connects: upstreams that accepted no connection.
  * @retry_after_ms: for a refusal; 0: a short random time, see gw_request.c.
+ * @charged: cost of the current attempt if it may be given back; see gw_cap.h.
  * @is_cut_by_stop: the end of this process comes before its deadline.
  * @may_have_begun: some upstream may have run it.
  * @predicted_ms: from sending to the first event, as placement predicted it.
@@ -98,6 +99,7 @@
 	uint64_t tried[GW_MAX_TRIED];
 	uint32_t tried_count;
 	int64_t retry_after_ms;
+	int64_t charged;
 	bool is_cut_by_stop;
 	bool may_have_begun;
 	int64_t sent_ms;
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "gateway/gw_cap.h"
 #include "gateway/gw_notice.h"
 #include "gateway/gw_poison.h"
 #include "gateway/gw_request.h"
@@ -161,6 +162,9 @@
 
 void gw_send_cancel(struct gw_request *r)
 {
+	if (!h1_call_was_sent(&r->call))
+		gw_cap_give_back(r);
+	gw_cap_keep(r);
 	h1_call_cancel(&r->call);
 	gw_poison_attempt_ended(r,
 				gw_is_silent(r) ? PS_ABANDONED : PS_CANCELLED);
@@ -343,6 +347,7 @@
 {
 	int64_t until_ms = ck_now_ms() + GW_BUSY_AVOID_MS;
 
+	gw_cap_give_back(r);
 	gw_send_log_failure(r, "not_run");
 	if (r->engine->avoid_until_ms < until_ms)
 		r->engine->avoid_until_ms = until_ms;
@@ -357,6 +362,7 @@
 		gw_attempt_refused(r);
 		return;
 	}
+	gw_cap_keep(r);
 	r->may_have_begun = true;
 	/* The engine did not crash, even if it answered with an error. */
 	gw_poison_attempt_ended(r, r->answer.is_signed ? PS_COMPLETED
@@ -418,6 +424,7 @@
 			    was_torn ? "torn_event" : h1_outcome_name(outcome));
 	gw_engine_failed(r->engine, ck_now_ms());
 	if (outcome == H1_NOT_SENT) {
+		gw_cap_give_back(r);
 		gw_poison_attempt_ended(r, PS_CANCELLED);
 		gw_detach_engine(r);
 		r->sends--;
@@ -425,6 +432,7 @@
 		gw_request_place(r);
 		return;
 	}
+	gw_cap_keep(r);
 	r->may_have_begun = true;
 	gw_attempt_broken(r);
 	gw_request_failed(r, "engine_broke_off");
--- a/src/peers/pe_zone.c
+++ b/src/peers/pe_zone.c
@@ -184,6 +184,11 @@
 		zone->_collecting_from_ms = now_ms;
 }
 
+bool pe_zone_is_collecting(const struct pe_zone *zone)
+{
+	return zone->_collecting_from_ms != 0;
+}
+
 bool pe_zone_may_send(const struct pe_zone *zone, int64_t now_ms)
 {
 	return zone->_collecting_from_ms &&
--- a/src/peers/pe_zone.h
+++ b/src/peers/pe_zone.h
@@ -126,6 +126,9 @@
 void pe_zone_set_collecting(struct pe_zone *zone, bool is_collecting,
 			    int64_t now_ms);
 
+/** pe_zone_is_collecting() - as last set by pe_zone_set_collecting(). */
+bool pe_zone_is_collecting(const struct pe_zone *zone);
+
 /** pe_zone_may_send() - whether every member has had time to report here. */
 bool pe_zone_may_send(const struct pe_zone *zone, int64_t now_ms);
 
--- a/src/rpc/balsampin.x
+++ b/src/rpc/balsampin.x
@@ -252,6 +252,29 @@
 	bool is_leaving;
 };
 
+const BP_MAX_USE = 64;
+
+/* Cumulative cost that a team was charged, net of refunds. */
+struct bp_use {
+	unsigned hyper team;
+	hyper used;
+};
+
+/*
+ * Usage of teams with a cap; see src/limits/lm_cap.h. @kind: of enum
+ * lm_cap_kind: of the sender, of its zone, or of all hosts but the receiver.
+ * @zone: hash of the sender's zone. @age_ms: since the counters were 0.
+ */
+struct bp_gateway_use {
+	unsigned hyper sequence;
+	unsigned hyper stream;
+	unsigned hyper zone;
+	unsigned int kind;
+	unsigned int age_ms;
+	bool whole;
+	bp_use uses<BP_MAX_USE>;
+};
+
 /* --- configuration (T, C) --- */
 
 struct bp_object {
@@ -400,5 +423,6 @@
 		void BP_GATEWAY_SUMS(bp_gateway_sums) = 13;
 		void BP_GATEWAY_FORWARD_ROWS(bp_gateway_rows) = 14;
 		void BP_GATEWAY_NOTICE(bp_gateway_notice) = 15;
+		void BP_GATEWAY_USE(bp_gateway_use) = 16;
 	} = 1;
 } = 0x20426d70;
--- a/src/rpc/gen/balsampin.h
+++ b/src/rpc/gen/balsampin.h
@@ -277,6 +277,27 @@
 	bool_t is_leaving;
 };
 typedef struct bp_gateway_notice bp_gateway_notice;
+#define BP_MAX_USE 64
+
+struct bp_use {
+	u_quad_t team;
+	quad_t used;
+};
+typedef struct bp_use bp_use;
+
+struct bp_gateway_use {
+	u_quad_t sequence;
+	u_quad_t stream;
+	u_quad_t zone;
+	u_int kind;
+	u_int age_ms;
+	bool_t whole;
+	struct {
+		u_int uses_len;
+		bp_use *uses_val;
+	} uses;
+};
+typedef struct bp_gateway_use bp_gateway_use;
 
 struct bp_object {
 	bp_name kind;
@@ -479,6 +500,9 @@
 #define BP_GATEWAY_NOTICE 15
 extern  enum clnt_stat bp_gateway_notice_1(bp_gateway_notice *, void *, CLIENT *);
 extern  bool_t bp_gateway_notice_1_svc(bp_gateway_notice *, void *, struct svc_req *);
+#define BP_GATEWAY_USE 16
+extern  enum clnt_stat bp_gateway_use_1(bp_gateway_use *, void *, CLIENT *);
+extern  bool_t bp_gateway_use_1_svc(bp_gateway_use *, void *, struct svc_req *);
 extern int balsampin_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -527,6 +551,9 @@
 #define BP_GATEWAY_NOTICE 15
 extern  enum clnt_stat bp_gateway_notice_1();
 extern  bool_t bp_gateway_notice_1_svc();
+#define BP_GATEWAY_USE 16
+extern  enum clnt_stat bp_gateway_use_1();
+extern  bool_t bp_gateway_use_1_svc();
 extern int balsampin_1_freeresult ();
 #endif /* K&R C */
 
@@ -558,6 +585,8 @@
 extern  bool_t xdr_bp_table_row (XDR *, bp_table_row*);
 extern  bool_t xdr_bp_gateway_table (XDR *, bp_gateway_table*);
 extern  bool_t xdr_bp_gateway_notice (XDR *, bp_gateway_notice*);
+extern  bool_t xdr_bp_use (XDR *, bp_use*);
+extern  bool_t xdr_bp_gateway_use (XDR *, bp_gateway_use*);
 extern  bool_t xdr_bp_object (XDR *, bp_object*);
 extern  bool_t xdr_bp_upstream (XDR *, bp_upstream*);
 extern  bool_t xdr_bp_pull (XDR *, bp_pull*);
@@ -599,6 +628,8 @@
 extern bool_t xdr_bp_table_row ();
 extern bool_t xdr_bp_gateway_table ();
 extern bool_t xdr_bp_gateway_notice ();
+extern bool_t xdr_bp_use ();
+extern bool_t xdr_bp_gateway_use ();
 extern bool_t xdr_bp_object ();
 extern bool_t xdr_bp_upstream ();
 extern bool_t xdr_bp_pull ();
--- a/src/rpc/gen/balsampin_xdr.c
+++ b/src/rpc/gen/balsampin_xdr.c
@@ -800,6 +800,94 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bp_use (XDR *xdrs, bp_use *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->team))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->used))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bp_gateway_use (XDR *xdrs, bp_gateway_use *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->stream))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->zone))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->kind))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->whole))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->kind);
+		IXDR_PUT_U_LONG(buf, objp->age_ms);
+		IXDR_PUT_BOOL(buf, objp->whole);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->uses.uses_val, (u_int *) &objp->uses.uses_len, BP_MAX_USE,
+			sizeof (bp_use), (xdrproc_t) xdr_bp_use))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->stream))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->zone))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->kind))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->whole))
+				 return FALSE;
+
+		} else {
+		objp->kind = IXDR_GET_U_LONG(buf);
+		objp->age_ms = IXDR_GET_U_LONG(buf);
+		objp->whole = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->uses.uses_val, (u_int *) &objp->uses.uses_len, BP_MAX_USE,
+			sizeof (bp_use), (xdrproc_t) xdr_bp_use))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->stream))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->whole))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->uses.uses_val, (u_int *) &objp->uses.uses_len, BP_MAX_USE,
+		sizeof (bp_use), (xdrproc_t) xdr_bp_use))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bp_object (XDR *xdrs, bp_object *objp)
 {
