--- a/src/limits/lm_cap.c
+++ b/src/limits/lm_cap.c
@@ -22,12 +22,18 @@
 #define LM_CAP_THAW_MS 2000
 /* Processes that start within this time have started at once. */
 #define LM_CAP_SAME_START_MS 2000
-/* Offered cost above the rate for so long is pressure. */
-#define LM_CAP_PRESSURE_MS 500
+/* Charges of others are known after this time. */
+#define LM_CAP_LATE_MS 300
+/* Offered cost above the rate, on the mean of so long, is pressure. */
+#define LM_CAP_PRESSURE_MS	 500
+#define LM_CAP_PRESSURE_LASTS_MS 4000
 /* Under pressure, a host may use this many times its share until the next
  * message, which arrives after this time at the latest. */
-#define LM_CAP_PACE	       2
-#define LM_CAP_MESSAGE_MS      100
+#define LM_CAP_PACE	  2
+#define LM_CAP_MESSAGE_MS 100
+/* Also with a full bucket, if no message has arrived for this time: one of the
+ * messages that are sent while nothing changes is late. */
+#define LM_CAP_OVERDUE_MS      700
 #define LM_CAP_PACE_FROM       0.5
 #define LM_CAP_URGENT_PART     0.2
 #define LM_CAP_RETRY_MIN_MS    300
@@ -47,10 +53,14 @@
  * @level: what the bucket holds; below 0 if others charged at the same time.
  * @credit: refill of the time in which this process was frozen, which only
  *	covers what others charged meanwhile.
+ * @spilled: refill that found the bucket full, while charges of others were on
+ *	their way; it only covers those.
  * @largest: cost of the largest request.
  * @own, @hosts, @zones, @all: cumulative cost charged here, and by the sources
  *	of each kind.
  * @others: usage of the sources in use, at the last tick.
+ * @offered: to this host; @told: what other hosts charged.
+ * @heard: 1 less the shares of the silent sources.
  * @paced: charged here since the last message of a source.
  * @slots: known charges of the last seconds.
  */
@@ -61,6 +71,7 @@
 	double level;
 	double credit;
 	int64_t credit_until_ms;
+	double spilled;
 	int64_t filled_ms;
 	double largest;
 	int64_t own;
@@ -68,9 +79,11 @@
 	int64_t changed_ms;
 	struct lm_mean own_usage;
 	double others;
+	double heard;
 	struct lm_mean offered;
+	struct lm_mean told;
+	int64_t pressure_until_ms;
 	struct lm_mean refused;
-	int64_t pressure_from_ms;
 	double paced;
 	int64_t paced_from_ms;
 	double slots[LM_CAP_SLOTS];
@@ -95,6 +108,7 @@
 
 /**
  * struct lm_source - @heard_ms: last message, or since it is expected.
+ * @is_fresh: heard since the last tick.
  * @stream_in, @sequence: of the last message of the source.
  * @stream_out: of the lists for this source.
  * @has_whole: the stream has listed all teams.
@@ -104,6 +118,7 @@
 	bool is_expected;
 	bool is_forgotten;
 	bool was_heard;
+	bool is_fresh;
 	int64_t heard_ms;
 	uint64_t stream_in;
 	uint64_t sequence;
@@ -113,31 +128,21 @@
 	GHashTable *parts;
 };
 
-static double lm_mean_at(const struct lm_mean *mean, int64_t now_ms)
+static double lm_mean_at(const struct lm_mean *mean, int64_t over_ms,
+			 int64_t now_ms)
 {
 	if (now_ms <= mean->at_ms)
 		return mean->per_s;
 	return mean->per_s *
-	       exp((double)(mean->at_ms - now_ms) / LM_CAP_MEAN_MS);
+	       exp((double)(mean->at_ms - now_ms) / (double)over_ms);
 }
 
-static void lm_mean_add(struct lm_mean *mean, double amount, int64_t now_ms)
+static void lm_mean_add(struct lm_mean *mean, int64_t over_ms, double amount,
+			int64_t now_ms)
 {
-	mean->per_s = lm_mean_at(mean, now_ms) + amount * 1000 / LM_CAP_MEAN_MS;
-	mean->at_ms = MAX(mean->at_ms, now_ms);
-}
-
-/* The same with the shorter time of what was refused. */
-static double lm_refused_at(const struct lm_mean *mean, int64_t now_ms)
-{
-	return mean->per_s * exp((double)MIN(mean->at_ms - now_ms, 0) /
-				 LM_CAP_REFUSED_MEAN_MS);
-}
-
-static void lm_refused_add(struct lm_mean *mean, double amount, int64_t now_ms)
-{
-	mean->per_s = lm_refused_at(mean, now_ms) +
-		      amount * 1000 / LM_CAP_REFUSED_MEAN_MS;
+	mean->per_s = lm_mean_at(mean, over_ms, now_ms) +
+		      amount * 1000 / (double)over_ms;
+	mean->per_s = MAX(mean->per_s, 0);
 	mean->at_ms = MAX(mean->at_ms, now_ms);
 }
 
@@ -191,7 +196,7 @@
 
 static double lm_depth(const struct lm_team *t)
 {
-	return MAX(LM_CAP_DEPTH * (double)t->burst, t->largest);
+	return MAX(LM_CAP_DEPTH * (double)t->burst * t->heard, t->largest);
 }
 
 static double lm_window(const struct lm_team *t)
@@ -201,11 +206,17 @@
 
 static void lm_fill(struct lm_team *t, int64_t now_ms)
 {
+	double over;
+
 	if (now_ms > t->filled_ms) {
 		t->level += t->rate * (double)(now_ms - t->filled_ms);
 		t->filled_ms = now_ms;
 	}
-	t->level = MIN(t->level, lm_depth(t));
+	over = t->level - lm_depth(t);
+	if (over > 0) {
+		t->level -= over;
+		t->spilled = MIN(t->spilled + over, t->rate * LM_CAP_LATE_MS);
+	}
 	if (now_ms >= t->credit_until_ms)
 		t->credit = 0;
 }
@@ -237,11 +248,25 @@
 					 : s->is.kind != LM_CAP_ALL;
 }
 
-/* Counts charges of a source; a negative cost is a refund. */
+/* Takes what it can of @cost from @from. Returns how much. */
+static double lm_cover(double *from, double cost)
+{
+	double covered = CLAMP(cost, 0, *from);
+
+	*from -= covered;
+	return covered;
+}
+
+/*
+ * Counts charges of a source, which are known or assumed; a negative cost is a
+ * refund.
+ */
 static void lm_count(struct lm_caps *caps, const struct lm_source *s,
 		     struct lm_part *part, struct lm_team *t, double cost,
-		     int64_t now_ms)
+		     bool is_known, int64_t now_ms)
 {
+	double covered = 0;
+
 	if (cost == 0)
 		return;
 	part->total += cost;
@@ -250,14 +275,13 @@
 	if (!lm_is_used(caps, s) || !t->rate)
 		return;
 	lm_fill(t, now_ms);
-	if (cost > 0 && t->credit > 0) {
-		double covered = MIN(cost, t->credit);
-
-		t->credit -= covered;
-		cost -= covered;
-		lm_note_used(t, covered, now_ms);
+	if (is_known) {
+		lm_mean_add(&t->told, LM_CAP_PRESSURE_MS, cost, now_ms);
+		covered = lm_cover(&t->credit, cost);
+		covered += lm_cover(&t->spilled, cost - covered);
 	}
-	lm_deduct(t, cost, now_ms);
+	lm_note_used(t, covered, now_ms);
+	lm_deduct(t, cost - covered, now_ms);
 }
 
 static struct lm_part *lm_part_of(struct lm_source *s, struct lm_team *t)
@@ -276,7 +300,8 @@
 {
 	bool is_silent = now_ms - s->heard_ms > LM_CAP_SILENT_MS;
 
-	return lm_mean_at(&part->usage, is_silent ? s->heard_ms : now_ms);
+	return lm_mean_at(&part->usage, LM_CAP_MEAN_MS,
+			  is_silent ? s->heard_ms : now_ms);
 }
 
 static double lm_share(const struct lm_caps *caps, double usage, double all,
@@ -292,22 +317,11 @@
 static double lm_own_share(const struct lm_caps *caps, const struct lm_team *t,
 			   int64_t now_ms)
 {
-	double own = lm_mean_at(&t->own_usage, now_ms);
+	double own = lm_mean_at(&t->own_usage, LM_CAP_MEAN_MS, now_ms);
 
 	return lm_share(caps, own, own + t->others, 1);
 }
 
-static void lm_note_share(const struct lm_caps *caps, const struct lm_source *s,
-			  struct lm_part *part, const struct lm_team *t,
-			  int64_t now_ms)
-{
-	double usage = lm_mean_at(&part->usage, now_ms);
-	double own = lm_mean_at(&t->own_usage, now_ms);
-
-	part->share =
-		lm_share(caps, usage, own + MAX(t->others, usage), s->is.hosts);
-}
-
 /*
  * A frozen process has not heard of what was charged. Its bucket does not
  * refill for that time, but late counters are covered.
@@ -364,9 +378,10 @@
 	caps->_active += (rate_per_s > 0) - (t->rate > 0);
 	if (rate_per_s > 0 && t->rate <= 0) {
 		t->level = LM_CAP_START * (double)burst;
+		t->heard = 1;
 		t->credit = 0;
+		t->spilled = 0;
 		t->filled_ms = now_ms;
-		t->pressure_from_ms = 0;
 	}
 	t->rate = rate_per_s / 1000;
 	t->burst = burst;
@@ -386,32 +401,38 @@
 	t->own += cost;
 	t->changed_ms = now_ms;
 	t->paced += (double)cost;
-	lm_mean_add(&t->own_usage, (double)cost, now_ms);
+	lm_mean_add(&t->own_usage, LM_CAP_MEAN_MS, (double)cost, now_ms);
 	lm_deduct(t, (double)cost, now_ms);
 }
 
-/* Offered cost is what callers of this host and the other hosts charge. */
+/*
+ * Offered cost is what callers of this host and the other hosts charge. While
+ * the bucket is empty the others charge nothing, so pressure lasts some time.
+ */
 static bool lm_has_pressure(struct lm_team *t, int64_t now_ms)
 {
-	double offered = lm_mean_at(&t->offered, now_ms) + t->others;
-
-	if (offered <= t->rate * 1000) {
-		t->pressure_from_ms = 0;
-		return false;
-	}
-	if (!t->pressure_from_ms)
-		t->pressure_from_ms = now_ms;
-	return now_ms - t->pressure_from_ms >= LM_CAP_PRESSURE_MS;
+	if (lm_mean_at(&t->offered, LM_CAP_PRESSURE_MS, now_ms) +
+		    lm_mean_at(&t->told, LM_CAP_PRESSURE_MS, now_ms) >
+	    t->rate * 1000)
+		t->pressure_until_ms = now_ms + LM_CAP_PRESSURE_LASTS_MS;
+	return now_ms < t->pressure_until_ms;
 }
 
-/* Whether this host, which is new, has heard of none of the others yet. */
-static bool lm_is_starting(const struct lm_caps *caps)
+/*
+ * Whether this host is new and does not know what the others charge: it has
+ * heard nobody, or only hosts that have just started, too.
+ */
+static bool lm_is_starting(const struct lm_caps *caps, int64_t now_ms)
 {
 	GHashTableIter i;
 	void *value;
 
+	if (caps->_has_heard_older ||
+	    (caps->_has_heard &&
+	     now_ms - caps->_started_ms >= LM_CAP_SILENT_MS))
+		return false;
 	g_hash_table_iter_init(&i, caps->_sources);
-	while (!caps->_has_heard && g_hash_table_iter_next(&i, NULL, &value))
+	while (g_hash_table_iter_next(&i, NULL, &value))
 		if (lm_is_used(caps, value))
 			return true;
 	return false;
@@ -419,21 +440,22 @@
 
 /*
  * All hosts see the same level, so each of them would use it all before they
- * hear of each other. A host that has heard nobody since it started uses its
- * share; under pressure, a host uses twice its share between two messages.
+ * hear of each other. A host that starts uses an equal share; under pressure, a
+ * host uses twice its share between two messages.
  */
 static bool lm_is_paced(const struct lm_caps *caps, struct lm_team *t,
 			int64_t cost, int64_t now_ms)
 {
 	double room;
 
-	if (lm_is_starting(caps)) {
+	if (lm_is_starting(caps, now_ms)) {
 		room = LM_CAP_START * (double)t->burst +
 		       t->rate * (double)(now_ms - caps->_started_ms);
 		return t->paced + (double)cost > room / MAX(caps->_hosts, 1);
 	}
 	if (!lm_has_pressure(t, now_ms) || caps->_hosts == 1 ||
-	    t->level >= LM_CAP_PACE_FROM * lm_depth(t))
+	    (t->level >= LM_CAP_PACE_FROM * lm_depth(t) &&
+	     now_ms - t->paced_from_ms <= LM_CAP_OVERDUE_MS))
 		return false;
 	room = LM_CAP_PACE * lm_own_share(caps, t, now_ms) * t->rate *
 	       (double)MAX(now_ms - t->paced_from_ms, LM_CAP_MESSAGE_MS);
@@ -483,7 +505,9 @@
 static int64_t lm_retry_after_ms(struct lm_caps *caps, const struct lm_team *t,
 				 double missing, int64_t now_ms)
 {
-	double backlog_ms = lm_refused_at(&t->refused, now_ms) / t->rate;
+	double backlog_ms =
+		lm_mean_at(&t->refused, LM_CAP_REFUSED_MEAN_MS, now_ms) /
+		t->rate;
 	double random = (double)(lm_cap_random(caps) >> 11) / 0x1p53;
 	double after_ms = MAX(missing, 0) / t->rate + 2 * random * backlog_ms;
 
@@ -503,7 +527,7 @@
 	/* No window has room for a larger one. */
 	t->largest = MAX(t->largest, MIN((double)cost, lm_window(t)));
 	lm_fill(t, now_ms);
-	lm_mean_add(&t->offered, (double)cost, now_ms);
+	lm_mean_add(&t->offered, LM_CAP_PRESSURE_MS, (double)cost, now_ms);
 	if (!is_urgent)
 		needed = MAX(needed, LM_CAP_URGENT_PART * lm_depth(t));
 	if (t->level >= needed && !lm_is_paced(caps, t, cost, now_ms)) {
@@ -513,7 +537,7 @@
 	lm_look(caps, t, now_ms, answer);
 	answer->retry_after_ms =
 		lm_retry_after_ms(caps, t, needed - t->level, now_ms);
-	lm_refused_add(&t->refused, (double)cost, now_ms);
+	lm_mean_add(&t->refused, LM_CAP_REFUSED_MEAN_MS, (double)cost, now_ms);
 	return false;
 }
 
@@ -536,8 +560,7 @@
 	t->own -= cost;
 	t->changed_ms = now_ms;
 	t->paced = MAX(t->paced - (double)cost, 0);
-	lm_mean_add(&t->own_usage, -(double)cost, now_ms);
-	t->own_usage.per_s = MAX(t->own_usage.per_s, 0);
+	lm_mean_add(&t->own_usage, LM_CAP_MEAN_MS, -(double)cost, now_ms);
 	lm_deduct(t, -(double)cost, now_ms);
 }
 
@@ -591,6 +614,13 @@
 	g_hash_table_foreach_remove(caps->_sources, lm_is_unexpected, NULL);
 }
 
+static bool lm_is_young(const struct lm_caps *caps,
+			const struct lm_cap_message *message, int64_t now_ms)
+{
+	return message->age_ms <
+	       now_ms - caps->_started_ms + LM_CAP_SAME_START_MS;
+}
+
 /*
  * A process that is no older than this one has charged what it did meanwhile. A
  * sum of such a process does not contain what another sender has told before.
@@ -600,8 +630,7 @@
 			      const struct lm_cap_message *message,
 			      int64_t now_ms)
 {
-	return message->age_ms <
-		       now_ms - caps->_started_ms + LM_CAP_SAME_START_MS &&
+	return lm_is_young(caps, message, now_ms) &&
 	       (s->is.kind == LM_CAP_HOST || !s->was_heard);
 }
 
@@ -628,7 +657,8 @@
 			assumed = 0;
 		else if (s->was_heard && !s->is_forgotten)
 			assumed = part->share * t->rate * gap_ms;
-		lm_count(caps, s, part, t, assumed - part->assumed, now_ms);
+		lm_count(caps, s, part, t, assumed - part->assumed, false,
+			 now_ms);
 		part->has_counter = false;
 		part->assumed = 0;
 	}
@@ -661,11 +691,10 @@
 		charged = (double)used;
 	part->counter = used;
 	part->has_counter = true;
-	lm_mean_add(&part->usage, charged, now_ms);
-	part->usage.per_s = MAX(part->usage.per_s, 0);
+	lm_mean_add(&part->usage, LM_CAP_MEAN_MS, charged, now_ms);
 	charged = lm_correct(s, charged, part->assumed, now_ms);
 	part->assumed = 0;
-	lm_count(caps, s, part, t, charged, now_ms);
+	lm_count(caps, s, part, t, charged, true, now_ms);
 }
 
 /* Teams that are not listed have charged nothing, or it is told soon. */
@@ -683,9 +712,8 @@
 			double back = lm_correct(s, 0, part->assumed, now_ms);
 
 			part->assumed = 0;
-			lm_count(caps, s, part, t, back, now_ms);
+			lm_count(caps, s, part, t, back, false, now_ms);
 		}
-		lm_note_share(caps, s, part, t, now_ms);
 		if (lm_is_used(caps, s)) {
 			t->paced = 0;
 			t->paced_from_ms = now_ms;
@@ -726,7 +754,10 @@
 	s->has_whole |= message->is_whole;
 	lm_settle(caps, s, now_ms);
 	caps->_has_heard |= lm_is_used(caps, s);
+	caps->_has_heard_older |=
+		lm_is_used(caps, s) && !lm_is_young(caps, message, now_ms);
 	s->was_heard = true;
+	s->is_fresh = true;
 	s->is_forgotten = false;
 	s->heard_ms = now_ms;
 }
@@ -736,6 +767,13 @@
 	return s->was_heard && now_ms - s->heard_ms <= LM_CAP_SILENT_MS;
 }
 
+static bool lm_is_silent(const struct lm_caps *caps, const struct lm_source *s,
+			 int64_t now_ms)
+{
+	return lm_is_used(caps, s) && !s->is_forgotten &&
+	       !lm_is_heard(s, now_ms);
+}
+
 /* Whether another host of the zone of @s is heard, or this host is there. */
 static bool lm_has_neighbour(const struct lm_caps *caps,
 			     const struct lm_source *s, int64_t now_ms)
@@ -774,7 +812,8 @@
 			part->share * t->rate * (double)(now_ms - s->heard_ms);
 		if (assumed <= part->assumed)
 			continue;
-		lm_count(caps, s, part, t, assumed - part->assumed, now_ms);
+		lm_count(caps, s, part, t, assumed - part->assumed, false,
+			 now_ms);
 		part->assumed = assumed;
 	}
 }
@@ -784,7 +823,7 @@
 {
 	int64_t silent_ms = now_ms - s->heard_ms;
 
-	if (s->is_forgotten || (s->was_heard && silent_ms <= LM_CAP_SILENT_MS))
+	if (s->is_forgotten || lm_is_heard(s, now_ms))
 		return;
 	if (s->is.kind == LM_CAP_HOST && silent_ms > LM_CAP_WINDOW_MS &&
 	    lm_has_neighbour(caps, s, now_ms)) {
@@ -817,6 +856,74 @@
 	}
 }
 
+/*
+ * Both sides of a cut hold the same bucket. Each keeps its share of it, or the
+ * rest would be spent once on each side.
+ */
+static void lm_keep_share(struct lm_team *t, double heard, int64_t now_ms)
+{
+	double refilled, kept;
+
+	heard = CLAMP(heard, 0, 1);
+	lm_fill(t, now_ms);
+	/* The refill since the last message is reduced to the share already. */
+	refilled = heard * t->rate * LM_CAP_SILENT_MS;
+	kept = t->level - refilled;
+	if (heard < t->heard && kept > 0)
+		t->level = refilled + kept * heard / t->heard;
+	t->heard = heard;
+}
+
+static void lm_keep_shares(struct lm_caps *caps, int64_t now_ms)
+{
+	GHashTableIter teams, sources;
+	void *team, *value;
+
+	g_hash_table_iter_init(&teams, caps->_teams);
+	while (g_hash_table_iter_next(&teams, NULL, &team)) {
+		struct lm_team *t = team;
+		double heard = 1;
+
+		g_hash_table_iter_init(&sources, caps->_sources);
+		while (g_hash_table_iter_next(&sources, NULL, &value)) {
+			struct lm_source *s = value;
+
+			if (s->was_heard && lm_is_silent(caps, s, now_ms))
+				heard -= lm_part_of(s, t)->share;
+		}
+		lm_keep_share(t, heard, now_ms);
+	}
+}
+
+/*
+ * Notes the shares of the sources that were just heard, all of them from usage
+ * of the same moment: the shares on both sides of a cut must add up to one.
+ */
+static void lm_note_shares(struct lm_caps *caps, int64_t now_ms)
+{
+	GHashTableIter teams, sources;
+	void *team, *value;
+
+	g_hash_table_iter_init(&sources, caps->_sources);
+	while (g_hash_table_iter_next(&sources, NULL, &value)) {
+		struct lm_source *s = value;
+
+		g_hash_table_iter_init(&teams, caps->_teams);
+		while (s->is_fresh &&
+		       g_hash_table_iter_next(&teams, NULL, &team)) {
+			struct lm_team *t = team;
+			struct lm_part *part = lm_part_of(s, t);
+			double own = lm_mean_at(&t->own_usage, LM_CAP_MEAN_MS,
+						now_ms);
+			double usage = lm_part_usage(s, part, now_ms);
+
+			part->share = lm_share(caps, usage, own + t->others,
+					       s->is.hosts);
+		}
+		s->is_fresh = false;
+	}
+}
+
 void lm_cap_tick(struct lm_caps *caps, int64_t now_ms)
 {
 	GHashTableIter i;
@@ -829,7 +936,9 @@
 	g_hash_table_iter_init(&i, caps->_sources);
 	while (g_hash_table_iter_next(&i, NULL, &value))
 		lm_tick_source(caps, value, now_ms);
+	lm_keep_shares(caps, now_ms);
 	lm_sum_usage(caps, now_ms);
+	lm_note_shares(caps, now_ms);
 }
 
 static int64_t lm_counter(const struct lm_team *t,
@@ -921,10 +1030,7 @@
 
 	g_hash_table_iter_init(&i, caps->_sources);
 	while (g_hash_table_iter_next(&i, NULL, &value)) {
-		const struct lm_source *s = value;
-
-		silent += lm_is_used(caps, s) && !s->is_forgotten &&
-			  !lm_is_heard(s, now_ms);
+		silent += lm_is_silent(caps, value, now_ms);
 	}
 	return silent;
 }
--- a/src/limits/lm_cap.h
+++ b/src/limits/lm_cap.h
@@ -118,6 +118,7 @@
 	uint32_t _hosts;
 	uint32_t _active;
 	bool _has_heard;
+	bool _has_heard_older;
 	int64_t _started_ms;
 	int64_t _ticked_ms;
 	int64_t _expected_ms;
