caps: less at the start and while nobody is heard; content in request_ended

- A host counts all sources as silent after 1 s without any message.
- Until the list of hosts is read, a host is taken for one of 64, and early requests wait for the list within their 400 ms.
- A first request is admitted at the start if one of each host fits in a quarter of a window, or small caps would refuse everything for 1.5 s.
- Tests of the configuration's members and of ca_keep_caps().

--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -112,6 +112,12 @@
 	struct gw_cap *cap;
 };
 
+/**
+ * gw_has_read() - whether what the first requests need has been read from the
+ * store.
+ */
+bool gw_has_read(const struct gw_gateway *g);
+
 /** gw_is_ready() - whether this host should receive new connections. */
 bool gw_is_ready(const struct gw_gateway *g, int64_t now_ms);
 
--- a/src/gateway/gw_cap.c
+++ b/src/gateway/gw_cap.c
@@ -21,6 +21,8 @@
 /* Hosts that send messages and are not in the list of hosts yet. */
 #define GW_CAP_MAX_UNLISTED 64
 #define GW_CAP_UNLISTED_MS  8000
+/* Until the list of hosts is read, this host is taken for one of so many. */
+#define GW_CAP_UNKNOWN_HOSTS 64
 /* Id of the sum over all other hosts. */
 #define GW_CAP_ALL_ID 1
 /* The best priority that a team's requests had lately is urgent. */
@@ -135,42 +137,6 @@
 	return team;
 }
 
-void gw_cap_configure(struct gw_gateway *g)
-{
-	struct gw_cap *cap = g->cap;
-	int64_t now_ms = ck_now_ms();
-	const struct ca_team *team;
-	GHashTableIter i;
-	void *value;
-
-	if (!cap)
-		return;
-	g_hash_table_iter_init(&i, cap->teams);
-	while (g_hash_table_iter_next(&i, NULL, &value))
-		((struct gw_cap_team *)value)->has_cap = false;
-	for (uint32_t k = 0; (team = ca_team_at(g->catalog, k)); k++) {
-		struct gw_cap_team *known;
-
-		if (team->cap_per_s <= 0)
-			continue;
-		known = gw_cap_add_team(cap, team->name);
-		known->has_cap = true;
-		lm_cap_set(&cap->caps, known->id, team->cap_per_s,
-			   team->cap_burst, now_ms);
-	}
-	g_hash_table_iter_init(&i, cap->teams);
-	while (g_hash_table_iter_next(&i, NULL, &value)) {
-		const struct gw_cap_team *known = value;
-
-		if (!known->has_cap)
-			lm_cap_set(&cap->caps, known->id, 0, 0, now_ms);
-	}
-	if (!lm_cap_is_active(&cap->caps))
-		ev_timer_stop(g->kernel.loop, &cap->tick);
-	else if (!ev_is_active(&cap->tick))
-		ev_timer_again(g->kernel.loop, &cap->tick);
-}
-
 /* --- messages --- */
 
 static void gw_cap_send(struct gw_cap *cap, const struct rp_peer *to,
@@ -404,8 +370,13 @@
 {
 	const struct gw_peers *p = cap->gateway->peers;
 	struct lm_cap_expected all = { GW_CAP_ALL_ID, LM_CAP_ALL, 0,
-				       p->hosts.peers->len };
+				       GW_CAP_UNKNOWN_HOSTS - 1 };
 
+	if (!p || !p->is_open) {
+		g_array_append_val(sources, all);
+		return LM_CAP_ALL;
+	}
+	all.hosts = p->hosts.peers->len;
 	if (!gw_collect_is_used(p)) {
 		gw_cap_expect_hosts(cap, sources, false);
 		return LM_CAP_HOST;
@@ -429,9 +400,12 @@
 
 static void gw_cap_expect(struct gw_cap *cap, int64_t now_ms)
 {
-	GArray *sources =
-		g_array_new(FALSE, FALSE, sizeof(struct lm_cap_expected));
+	GArray *sources;
 
+	/* A host without an address for the others is alone. */
+	if (!cap->gateway->settings.peers.address[0])
+		return;
+	sources = g_array_new(FALSE, FALSE, sizeof(struct lm_cap_expected));
 	for (uint32_t i = cap->unlisted->len; i-- > 0;) {
 		const struct gw_unlisted *u =
 			&g_array_index(cap->unlisted, struct gw_unlisted, i);
@@ -590,6 +564,12 @@
 		content, NULL);
 }
 
+bool gw_cap_knows_hosts(const struct gw_gateway *g)
+{
+	return !g->cap || !lm_cap_is_active(&g->cap->caps) ||
+	       !g->settings.peers.address[0] || (g->peers && g->peers->is_open);
+}
+
 /* --- charges --- */
 
 static int64_t gw_cap_cost(const struct gw_request *r)
@@ -637,6 +617,8 @@
 	if (!team)
 		return true;
 	cost = gw_cap_cost(r);
+	if (cost <= 0)
+		return true;
 	if (r->may_have_begun || r->has_begun) {
 		lm_cap_charge(&cap->caps, team->id, cost, now_ms);
 	} else if (!lm_cap_take(
@@ -671,14 +653,53 @@
 
 /* --- life cycle --- */
 
+void gw_cap_configure(struct gw_gateway *g)
+{
+	struct gw_cap *cap = g->cap;
+	int64_t now_ms = ck_now_ms();
+	const struct ca_team *team;
+	GHashTableIter i;
+	void *value;
+
+	if (!cap)
+		return;
+	g_hash_table_iter_init(&i, cap->teams);
+	while (g_hash_table_iter_next(&i, NULL, &value))
+		((struct gw_cap_team *)value)->has_cap = false;
+	for (uint32_t k = 0; (team = ca_team_at(g->catalog, k)); k++) {
+		struct gw_cap_team *known;
+
+		if (team->cap_per_s <= 0)
+			continue;
+		known = gw_cap_add_team(cap, team->name);
+		known->has_cap = true;
+		lm_cap_set(&cap->caps, known->id, team->cap_per_s,
+			   team->cap_burst, now_ms);
+	}
+	g_hash_table_iter_init(&i, cap->teams);
+	while (g_hash_table_iter_next(&i, NULL, &value)) {
+		const struct gw_cap_team *known = value;
+
+		if (!known->has_cap)
+			lm_cap_set(&cap->caps, known->id, 0, 0, now_ms);
+	}
+	if (!lm_cap_is_active(&cap->caps)) {
+		ev_timer_stop(g->kernel.loop, &cap->tick);
+	} else if (!ev_is_active(&cap->tick)) {
+		gw_cap_expect(cap, now_ms);
+		ev_timer_again(g->kernel.loop, &cap->tick);
+	}
+}
+
 static void gw_on_cap_tick(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct gw_cap *cap = w->data;
 	const struct gw_peers *p = cap->gateway->peers;
 	int64_t now_ms = ck_now_ms();
 
-	if (p && p->is_open)
-		gw_cap_expect(cap, now_ms);
+	gw_cap_expect(cap, now_ms);
+	if (gw_has_read(cap->gateway))
+		gw_requests_release(cap->gateway);
 	lm_cap_tick(&cap->caps, now_ms);
 	if (p && p->is_open)
 		gw_cap_send_due(cap, now_ms);
--- a/src/gateway/gw_cap.h
+++ b/src/gateway/gw_cap.h
@@ -33,6 +33,12 @@
 /** gw_cap_configure() - apply the caps of the configuration in force. */
 void gw_cap_configure(struct gw_gateway *g);
 
+/**
+ * gw_cap_knows_hosts() - whether the list of hosts has been read, if a team has
+ * a cap. Before, this host would use the small share of one host of many.
+ */
+bool gw_cap_knows_hosts(const struct gw_gateway *g);
+
 /** gw_cap_serve() - take what other hosts have charged. */
 enum st_code gw_cap_serve(struct gw_gateway *g, struct rp_endpoint *rpc);
 
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -113,9 +113,14 @@
 		g->config_fresh_ms ? "yes" : "no", "age_ms", age, NULL);
 }
 
+bool gw_has_read(const struct gw_gateway *g)
+{
+	return g->catalog && g->has_fleet && gw_cap_knows_hosts(g);
+}
+
 static void gw_release_early(struct gw_gateway *g)
 {
-	if (g->catalog && g->has_fleet)
+	if (gw_has_read(g))
 		gw_requests_release(g);
 }
 
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -69,6 +69,7 @@
 		       uint32_t status)
 {
 	char status_text[12], ms[24], sends[12], events[12], first[24];
+	char content[20];
 
 	mt_count(&gw_ended, outcome);
 	mt_observe(&gw_answer_ms, gw_request_kind(r),
@@ -80,13 +81,15 @@
 	g_snprintf(events, sizeof(events), "%u", r->event_count);
 	g_snprintf(first, sizeof(first), "%" G_GINT64_FORMAT,
 		   r->first_event_ms);
+	g_snprintf(content, sizeof(content), "%" G_GINT64_MODIFIER "x",
+		   r->content);
 	lg_info("request ended", "event", "request_ended", "request",
 		r->in.attempt ? r->in.attempt : "", "route",
 		r->terms.route ? r->terms.route->name : "", "team",
 		r->terms.team ? r->terms.team->name : "", "engine",
 		r->engine ? r->engine->entry.id : "", "outcome", outcome,
 		"status", status_text, "ms", ms, "sends", sends, "events",
-		events, "first_event_ms", first, NULL);
+		events, "first_event_ms", first, "content", content, NULL);
 }
 
 /*
@@ -607,9 +610,8 @@
 		gw_request_refuse(r, 503, "stopping");
 		return;
 	}
-	wait_ms = gw_startup_wait_ms(g->catalog && g->has_fleet,
-				     ck_now_ms() - g->started_ms,
-				     g->early_requests);
+	wait_ms = gw_startup_wait_ms(
+		gw_has_read(g), ck_now_ms() - g->started_ms, g->early_requests);
 	if (wait_ms > 0)
 		gw_hold_early(r, wait_ms);
 	else
--- a/src/limits/lm_cap.c
+++ b/src/limits/lm_cap.c
@@ -7,9 +7,14 @@
 #define LM_CAP_DEPTH 0.8
 /* Of the burst, at the start: a restart must not grant a fresh burst. */
 #define LM_CAP_START 0.3
+/* All hosts may start at once: a first request is admitted if that of each of
+ * them fits in this part of a window. */
+#define LM_CAP_START_REQUESTS 0.25
 /* A source that has not been heard from for so long is silent: three of the
  * messages that are sent while nothing changes. */
 #define LM_CAP_SILENT_MS 1500
+/* The same if no source at all has been heard. */
+#define LM_CAP_ALONE_MS 1000
 /* Another sender of the same sum is accepted after this silence of the last. */
 #define LM_CAP_SENDER_SILENT_MS 700
 /* Share of a silent source: by its usage, and by its hosts. */
@@ -31,9 +36,9 @@
  * message, which arrives after this time at the latest. */
 #define LM_CAP_PACE	  2
 #define LM_CAP_MESSAGE_MS 100
-/* Also with a full bucket, if no message has arrived for this time: one of the
- * messages that are sent while nothing changes is late. */
-#define LM_CAP_OVERDUE_MS      700
+/* Also with a full bucket, and once its share only, if no message has arrived
+ * for this time. Under pressure there are messages all the time. */
+#define LM_CAP_OVERDUE_MS      400
 #define LM_CAP_PACE_FROM       0.5
 #define LM_CAP_URGENT_PART     0.2
 #define LM_CAP_RETRY_MIN_MS    300
@@ -61,6 +66,7 @@
  * @others: usage of the sources in use, at the last tick.
  * @offered: to this host; @told: what other hosts charged.
  * @heard: 1 less the shares of the silent sources.
+ * @own_share: of this host, when a source in use was heard last.
  * @paced: charged here since the last message of a source.
  * @slots: known charges of the last seconds.
  */
@@ -80,6 +86,7 @@
 	struct lm_mean own_usage;
 	double others;
 	double heard;
+	double own_share;
 	struct lm_mean offered;
 	struct lm_mean told;
 	int64_t pressure_until_ms;
@@ -314,12 +321,10 @@
 	       (1 - LM_CAP_USAGE_PART) * by_hosts;
 }
 
-static double lm_own_share(const struct lm_caps *caps, const struct lm_team *t,
-			   int64_t now_ms)
+/* As of the last message, as long as no others arrive. */
+static double lm_own_share(const struct lm_caps *caps, const struct lm_team *t)
 {
-	double own = lm_mean_at(&t->own_usage, LM_CAP_MEAN_MS, now_ms);
-
-	return lm_share(caps, own, own + t->others, 1);
+	return t->own_share > 0 ? t->own_share : 1.0 / caps->_hosts;
 }
 
 /*
@@ -348,6 +353,7 @@
 
 		s->heard_ms = MIN(s->heard_ms + frozen_ms, now_ms);
 	}
+	caps->_heard_ms = MIN(caps->_heard_ms + frozen_ms, now_ms);
 }
 
 static void lm_wake(struct lm_caps *caps, int64_t now_ms)
@@ -375,6 +381,8 @@
 	burst = CLAMP(burst, 0, LM_CAP_MAX_RATE);
 	if (t->rate > 0)
 		lm_fill(t, now_ms);
+	if (!caps->_active)
+		caps->_ticked_ms = now_ms;
 	caps->_active += (rate_per_s > 0) - (t->rate > 0);
 	if (rate_per_s > 0 && t->rate <= 0) {
 		t->level = LM_CAP_START * (double)burst;
@@ -446,21 +454,25 @@
 static bool lm_is_paced(const struct lm_caps *caps, struct lm_team *t,
 			int64_t cost, int64_t now_ms)
 {
+	bool is_overdue;
 	double room;
 
 	if (lm_is_starting(caps, now_ms)) {
 		room = LM_CAP_START * (double)t->burst +
 		       t->rate * (double)(now_ms - caps->_started_ms);
-		return t->paced + (double)cost > room / MAX(caps->_hosts, 1);
+		if (t->own <= 0)
+			room = MAX(room, LM_CAP_START_REQUESTS * lm_window(t));
+		return (double)(t->own + cost) > room / caps->_hosts;
 	}
+	is_overdue = now_ms - t->paced_from_ms > LM_CAP_OVERDUE_MS;
 	if (!lm_has_pressure(t, now_ms) || caps->_hosts == 1 ||
-	    (t->level >= LM_CAP_PACE_FROM * lm_depth(t) &&
-	     now_ms - t->paced_from_ms <= LM_CAP_OVERDUE_MS))
+	    (t->level >= LM_CAP_PACE_FROM * lm_depth(t) && !is_overdue))
 		return false;
-	room = LM_CAP_PACE * lm_own_share(caps, t, now_ms) * t->rate *
+	room = (is_overdue ? 1 : LM_CAP_PACE) * lm_own_share(caps, t) *
+	       t->rate *
 	       (double)MAX(now_ms - t->paced_from_ms, LM_CAP_MESSAGE_MS);
-	/* One request is always admitted, however large it is. */
-	return t->paced > 0 && t->paced + (double)cost > room;
+	/* Between two messages one request is admitted, however large it is. */
+	return (t->paced > 0 || is_overdue) && t->paced + (double)cost > room;
 }
 
 static void lm_look(const struct lm_caps *caps, struct lm_team *t,
@@ -477,8 +489,7 @@
 	answer->left = (int64_t)t->level;
 	answer->used = (int64_t)MAX(used, 0);
 	answer->cap = (int64_t)lm_window(t);
-	answer->share_permille =
-		(uint32_t)(1000 * lm_own_share(caps, t, now_ms));
+	answer->share_permille = (uint32_t)(1000 * lm_own_share(caps, t));
 	g_hash_table_iter_init(&i, caps->_sources);
 	while (g_hash_table_iter_next(&i, NULL, &value)) {
 		const struct lm_source *s = value;
@@ -753,7 +764,10 @@
 	}
 	s->has_whole |= message->is_whole;
 	lm_settle(caps, s, now_ms);
-	caps->_has_heard |= lm_is_used(caps, s);
+	if (lm_is_used(caps, s)) {
+		caps->_has_heard = true;
+		caps->_heard_ms = now_ms;
+	}
 	caps->_has_heard_older |=
 		lm_is_used(caps, s) && !lm_is_young(caps, message, now_ms);
 	s->was_heard = true;
@@ -762,16 +776,21 @@
 	s->heard_ms = now_ms;
 }
 
-static bool lm_is_heard(const struct lm_source *s, int64_t now_ms)
+static bool lm_is_heard(const struct lm_caps *caps, const struct lm_source *s,
+			int64_t now_ms)
 {
-	return s->was_heard && now_ms - s->heard_ms <= LM_CAP_SILENT_MS;
+	bool hears_any = now_ms - caps->_heard_ms <= LM_CAP_ALONE_MS;
+
+	return s->was_heard &&
+	       now_ms - s->heard_ms <=
+		       (hears_any ? LM_CAP_SILENT_MS : LM_CAP_ALONE_MS);
 }
 
 static bool lm_is_silent(const struct lm_caps *caps, const struct lm_source *s,
 			 int64_t now_ms)
 {
 	return lm_is_used(caps, s) && !s->is_forgotten &&
-	       !lm_is_heard(s, now_ms);
+	       !lm_is_heard(caps, s, now_ms);
 }
 
 /* Whether another host of the zone of @s is heard, or this host is there. */
@@ -786,7 +805,8 @@
 	while (g_hash_table_iter_next(&i, NULL, &value)) {
 		const struct lm_source *other = value;
 
-		if (!lm_is_used(caps, other) || !lm_is_heard(other, now_ms))
+		if (!lm_is_used(caps, other) ||
+		    !lm_is_heard(caps, other, now_ms))
 			continue;
 		hears = true;
 		hears_zone |= other->is.kind == LM_CAP_HOST &&
@@ -823,7 +843,7 @@
 {
 	int64_t silent_ms = now_ms - s->heard_ms;
 
-	if (s->is_forgotten || lm_is_heard(s, now_ms))
+	if (s->is_forgotten || lm_is_heard(caps, s, now_ms))
 		return;
 	if (s->is.kind == LM_CAP_HOST && silent_ms > LM_CAP_WINDOW_MS &&
 	    lm_has_neighbour(caps, s, now_ms)) {
@@ -903,11 +923,13 @@
 {
 	GHashTableIter teams, sources;
 	void *team, *value;
+	bool has_news = caps->_hosts == 1;
 
 	g_hash_table_iter_init(&sources, caps->_sources);
 	while (g_hash_table_iter_next(&sources, NULL, &value)) {
 		struct lm_source *s = value;
 
+		has_news |= s->is_fresh && lm_is_used(caps, s);
 		g_hash_table_iter_init(&teams, caps->_teams);
 		while (s->is_fresh &&
 		       g_hash_table_iter_next(&teams, NULL, &team)) {
@@ -922,6 +944,13 @@
 		}
 		s->is_fresh = false;
 	}
+	g_hash_table_iter_init(&teams, caps->_teams);
+	while (has_news && g_hash_table_iter_next(&teams, NULL, &team)) {
+		struct lm_team *t = team;
+		double own = lm_mean_at(&t->own_usage, LM_CAP_MEAN_MS, now_ms);
+
+		t->own_share = lm_share(caps, own, own + t->others, 1);
+	}
 }
 
 void lm_cap_tick(struct lm_caps *caps, int64_t now_ms)
--- a/src/limits/lm_cap.h
+++ b/src/limits/lm_cap.h
@@ -121,7 +121,7 @@
 	bool _has_heard_older;
 	int64_t _started_ms;
 	int64_t _ticked_ms;
-	int64_t _expected_ms;
+	int64_t _heard_ms;
 };
 
 /**
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -339,6 +339,76 @@
 	fd_finish(&findings);
 }
 
+// A cap that can't be read is a finding, and the last valid one stays in force;
+// it must not become no cap, or a cap of another size.
+TEST_F(Adapter, ReadsCapsOfTeams)
+{
+	static const struct {
+		const char *members;
+		uint32_t findings;
+		double per_s;
+		int64_t burst;
+		enum ca_unit unit;
+		int64_t plain_cost;
+	} cases[] = {
+		{ "", 0, 0, 0, CA_REQUESTS, 0 },
+		{ ",\"rate_per_s\":0", 0, 0, 0, CA_REQUESTS, 0 },
+		{ ",\"rate_per_s\":50,\"burst\":100", 0, 50, 100, CA_REQUESTS,
+		  0 },
+		{ ",\"rate_per_s\":0.5,\"burst\":3,\"unit\":\"requests\"", 0,
+		  0.5, 3, CA_REQUESTS, 0 },
+		{ ",\"rate_per_s\":700000,\"burst\":1400000,\"unit\":"
+		  "\"tokens\",\"plain_tokens\":20",
+		  0, 700000, 1400000, CA_TOKENS, 20 },
+		/* The rest keeps the cap of the version before: 7 and 9. */
+		{ ",\"rate_per_s\":-1", 1, 7, 9, CA_TOKENS, 5 },
+		{ ",\"rate_per_s\":\"50\"", 1, 7, 9, CA_TOKENS, 5 },
+		{ ",\"rate_per_s\":NaN", 1, 7, 9, CA_TOKENS, 5 },
+		{ ",\"rate_per_s\":1e300", 1, 7, 9, CA_TOKENS, 5 },
+		{ ",\"rate_per_s\":null", 1, 7, 9, CA_TOKENS, 5 },
+		{ ",\"rate_per_s\":50,\"burst\":-100", 1, 7, 9, CA_TOKENS, 5 },
+		{ ",\"rate_per_s\":50,\"plain_tokens\":[]", 1, 7, 9, CA_TOKENS,
+		  5 },
+		{ ",\"rate_per_s\":50,\"unit\":\"bytes\"", 1, 7, 9, CA_TOKENS,
+		  5 },
+		{ ",\"rate_per_s\":50,\"unit\":3", 1, 7, 9, CA_TOKENS, 5 },
+	};
+	struct ca_catalog *before = ca_catalog_new(1);
+	struct ca_team *last = ca_add_team(before, "t");
+
+	last->cap_per_s = 7;
+	last->cap_burst = 9;
+	last->cap_unit = CA_TOKENS;
+	last->cap_plain_cost = 5;
+	for (const auto &c : cases) {
+		std::string text = std::string("{\"version\":2,\"routes\":[],"
+					       "\"tenants\":[{\"name\":\"t\"") +
+				   c.members + "}]}";
+		struct fd_list findings;
+
+		fd_init(&findings);
+		struct ca_catalog *catalog = dialect->decode_config(
+			text.data(), text.size(), &findings);
+		ASSERT_NE(catalog, nullptr) << text;
+		ca_keep_caps(catalog, before);
+		const struct ca_team *team = ca_team_at(catalog, 0);
+		ASSERT_NE(team, nullptr);
+		EXPECT_EQ(ca_team_at(catalog, 1), nullptr);
+		EXPECT_EQ(findings.count, c.findings) << text;
+		if (findings.count) {
+			EXPECT_STREQ(findings.items[0].place, "/tenants/0");
+		}
+		EXPECT_EQ(team->cap_per_s, c.per_s) << text;
+		EXPECT_EQ(team->cap_burst, c.burst) << text;
+		EXPECT_EQ(team->cap_unit, c.unit) << text;
+		EXPECT_EQ(team->cap_plain_cost, c.plain_cost) << text;
+		ca_keep_caps(catalog, nullptr);
+		ca_catalog_unref(catalog);
+		fd_finish(&findings);
+	}
+	ca_catalog_unref(before);
+}
+
 TEST_F(Adapter, RejectsMalformedConfiguration)
 {
 	static const char *const broken[] = { "", "{}", "[1]",
