--- a/src/bench/bn_decide.c
+++ b/src/bench/bn_decide.c
@@ -14,6 +14,7 @@
 
 #include "bench/bn.h"
 #include "kernel/kn_registry.h"
+#include "limits/lm_cap.h"
 #include "routing/rt.h"
 
 #define BN_BATCHES	    9
@@ -28,6 +29,9 @@
 #define BN_CHAIN_BYTES	    (UINT64_C(1) * PX_MAX_KEYS * PX_CHUNK_BYTES)
 #define BN_CHAINS	    200
 #define BN_DEFAULT_ROUNDS   20
+#define BN_CAP_TEAMS	    16
+#define BN_CAP_SOURCES	    20
+#define BN_CAP_TAKES	    100000
 #define BN_DEFAULT_ENGINES  600
 
 struct _bn_options {
@@ -293,6 +297,60 @@
 		      bn_fit(x, y, count));
 }
 
+/* The sources of a collector: members of its zone and other zones. */
+static void bn_make_caps(struct lm_caps *caps)
+{
+	struct lm_cap_expected sources[BN_CAP_SOURCES];
+	struct lm_cap_message message = { .sequence = 1, .is_whole = true };
+
+	lm_cap_init(caps, 1, 0);
+	for (uint64_t t = 0; t < BN_CAP_TEAMS; t++)
+		lm_cap_set(caps, t, 100000, 200000, 0);
+	for (uint64_t i = 0; i < BN_CAP_SOURCES; i++)
+		sources[i] =
+			(struct lm_cap_expected){ i + 1, LM_CAP_HOST, 1, 1 };
+	lm_cap_expect(caps, sources, BN_CAP_SOURCES, LM_CAP_HOST, 1, 0);
+	for (uint64_t i = 0; i < BN_CAP_SOURCES; i++)
+		lm_cap_heard(caps, i + 1, &message, 0);
+}
+
+/* One decision on a request, and one tick of all teams. */
+static void bn_caps(struct _bn_state *state)
+{
+	struct lm_caps caps;
+	struct lm_cap_answer answer;
+	double take_us[BN_BATCHES], tick_us[BN_BATCHES];
+	int64_t now_ms = 0;
+
+	bn_make_caps(&caps);
+	for (uint32_t b = 0; b < BN_BATCHES; b++) {
+		int64_t began_ns = bn_cpu_ns();
+
+		for (uint32_t i = 0; i < BN_CAP_TAKES; i++)
+			state->sink += lm_cap_take(&caps, i % BN_CAP_TEAMS, 100,
+						   true, now_ms, &answer);
+		take_us[b] = (double)(bn_cpu_ns() - began_ns) / 1000.0 /
+			     BN_CAP_TAKES;
+		began_ns = bn_cpu_ns();
+		now_ms += 100;
+		lm_cap_tick(&caps, now_ms);
+		tick_us[b] = (double)(bn_cpu_ns() - began_ns) / 1000.0;
+	}
+	lm_cap_finish(&caps);
+	if (state->options->is_json)
+		printf("{\"cap_us\": %.4f, \"cap_tick_us\": %.2f, "
+		       "\"teams\": %u, \"sources\": %u}\n",
+		       gsl_stats_median(take_us, 1, BN_BATCHES),
+		       gsl_stats_median(tick_us, 1, BN_BATCHES), BN_CAP_TEAMS,
+		       BN_CAP_SOURCES);
+	else
+		printf("usage cap: %.3f us, and %.1f us every 100 ms "
+		       "(%u teams, %u sources)\n",
+		       gsl_stats_median(take_us, 1, BN_BATCHES),
+		       gsl_stats_median(tick_us, 1, BN_BATCHES), BN_CAP_TEAMS,
+		       BN_CAP_SOURCES);
+}
+
 static error_t bn_parse(int key, char *arg, struct argp_state *state)
 {
 	struct _bn_options *options = state->input;
@@ -364,6 +422,7 @@
 	rt_router_init(&state.router, &(struct rt_desc){ 0 });
 	bn_decisions(&state);
 	bn_chains(&state);
+	bn_caps(&state);
 	rt_router_finish(&state.router);
 	free(state.cases);
 	free(state.engines);
