--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -43,7 +43,7 @@
 MT_COUNTER(gw_answered, "balsampin_gateway_answered_total",
 	   "requests answered by an upstream")
 MT_COUNTER(gw_refused, "balsampin_gateway_refused_total",
-	   "requests answered 429 or 503: not run")
+	   "requests answered 503: not run")
 MT_COUNTER(gw_failed, "balsampin_gateway_failed_total",
 	   "requests that failed after they may have run")
 MT_COUNTER(gw_rejected, "balsampin_gateway_rejected_total",
@@ -145,7 +145,10 @@
 
 static void gw_count_own_answer(uint32_t status)
 {
-	if (status == 503 || status == 429)
+	/* Refusals over a cap have a counter per team, see gw_cap.c. */
+	if (status == 429)
+		return;
+	if (status == 503)
 		mt_add(&gw_refused, 1);
 	else if (status >= 500)
 		mt_add(&gw_failed, 1);
