caps: steadier shares, and pacing that spares full buckets

Shares are means over 4 s instead of 2 s: at 30000 tokens a second these are a dozen requests. Messages are overdue after 600 ms instead of 400 ms, which refused a request at a full bucket when a fifth of the messages was lost.

Tried without gain: pacing at 1.5 times the share, and below 1 s of the rate.

--- a/src/limits/lm_cap.c
+++ b/src/limits/lm_cap.c
@@ -20,7 +20,7 @@
 /* Share of a silent source: by its usage, and by its hosts. */
 #define LM_CAP_USAGE_PART 0.8
 /* Usage is averaged over some of the latest seconds. */
-#define LM_CAP_MEAN_MS 2000
+#define LM_CAP_MEAN_MS 4000
 /* A pause of lm_cap_tick() that only a frozen process has. */
 #define LM_CAP_FROZEN_MS 500
 /* After a freeze, counters of the time before arrive for so long. */
@@ -38,7 +38,8 @@
 #define LM_CAP_MESSAGE_MS 100
 /* Also with a full bucket, and once its share only, if no message has arrived
  * for this time. Under pressure there are messages all the time. */
-#define LM_CAP_OVERDUE_MS      400
+#define LM_CAP_OVERDUE_MS      600
+#define LM_CAP_PACE_FROM_MS    800
 #define LM_CAP_PACE_FROM       0.5
 #define LM_CAP_URGENT_PART     0.2
 #define LM_CAP_RETRY_MIN_MS    300
@@ -446,6 +447,13 @@
 	return false;
 }
 
+/* A spike may take this much before it is known everywhere. */
+static double lm_pace_from(const struct lm_team *t)
+{
+	return MAX(LM_CAP_PACE_FROM * lm_depth(t),
+		   LM_CAP_PACE_FROM_MS * t->rate);
+}
+
 /*
  * All hosts see the same level, so each of them would use it all before they
  * hear of each other. A host that starts uses an equal share; under pressure, a
@@ -466,7 +474,7 @@
 	}
 	is_overdue = now_ms - t->paced_from_ms > LM_CAP_OVERDUE_MS;
 	if (!lm_has_pressure(t, now_ms) || caps->_hosts == 1 ||
-	    (t->level >= LM_CAP_PACE_FROM * lm_depth(t) && !is_overdue))
+	    (t->level >= lm_pace_from(t) && !is_overdue))
 		return false;
 	room = (is_overdue ? 1 : LM_CAP_PACE) * lm_own_share(caps, t) *
 	       t->rate *
