check: the decoder reports all that a host ignores

A host silently took a default for members of a wrong type, dropped a ninth split, keys that are no strings and all teams if their list is no array, let a later team take another's key, and cast negative numbers to large unsigned ones (a weight of -1 was). Each is now a finding with its place, and numbers out of range give the default. A version that is no finite number, or beyond 64 bits, is refused; it was taken as the largest version, after which a host takes no other.

Unknown members are notes, because the file may have other readers. Hosts log errors only, as before. The catalog keeps the place of each entry and lists its entries; names of members come from the dialect, so that checks outside platform/ can name them. Services are found by a hash, because a file of 8 MB with many services took quadratic time.

platform_adapter_test ReadsTheConfiguration expected one finding for a text with an invalid route and a key 7; the key is reported as well now, and the test checks both places.

--- a/src/catalog/ca.c
+++ b/src/catalog/ca.c
@@ -6,6 +6,7 @@
 {
 	struct ca_route *route = data;
 
+	g_free(route->place);
 	g_free(route->name);
 	g_free(route->host);
 	g_free(route->prefix);
@@ -16,6 +17,7 @@
 {
 	struct ca_service *service = data;
 
+	g_free(service->place);
 	g_free(service->name);
 	g_free(service->store_address);
 	g_free(service->store_zone);
@@ -26,6 +28,7 @@
 {
 	struct ca_team *team = data;
 
+	g_free(team->place);
 	g_free(team->name);
 	g_free(team);
 }
@@ -44,6 +47,7 @@
 	c->_routes = g_ptr_array_new_with_free_func(ca_route_free);
 	c->_services = g_ptr_array_new_with_free_func(ca_service_free);
 	c->_teams = g_ptr_array_new_with_free_func(ca_team_free);
+	c->_services_by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	c->_teams_by_key =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	c->_routes_by_host = g_hash_table_new_full(g_str_hash, g_str_equal,
@@ -63,12 +67,19 @@
 		return;
 	g_hash_table_destroy(c->_routes_by_host);
 	g_hash_table_destroy(c->_teams_by_key);
+	g_hash_table_destroy(c->_services_by_name);
 	g_ptr_array_free(c->_routes, TRUE);
 	g_ptr_array_free(c->_services, TRUE);
 	g_ptr_array_free(c->_teams, TRUE);
 	g_free(c);
 }
 
+bool ca_replaces(const struct ca_catalog *next,
+		 const struct ca_catalog *current)
+{
+	return !current || next->version > current->version;
+}
+
 struct ca_route *ca_add_route(struct ca_catalog *c, const char *host,
 			      const char *prefix)
 {
@@ -76,6 +87,7 @@
 	char *lower = g_ascii_strdown(host, -1);
 	GPtrArray *list = g_hash_table_lookup(c->_routes_by_host, lower);
 
+	route->place = g_strdup("");
 	route->host = g_strdup(lower);
 	route->prefix = g_strdup(prefix);
 	route->max_sends = 1;
@@ -93,13 +105,7 @@
 const struct ca_service *ca_find_service(const struct ca_catalog *c,
 					 const char *name)
 {
-	for (uint32_t i = 0; i < c->_services->len; i++) {
-		struct ca_service *service = c->_services->pdata[i];
-
-		if (!strcmp(service->name, name))
-			return service;
-	}
-	return NULL;
+	return g_hash_table_lookup(c->_services_by_name, name);
 }
 
 struct ca_service *ca_add_service(struct ca_catalog *c, const char *name)
@@ -110,27 +116,33 @@
 	if (service)
 		return service;
 	service = g_new0(struct ca_service, 1);
+	service->place = g_strdup("");
 	service->name = g_strdup(name);
 	service->store_address = g_strdup("");
 	service->store_zone = g_strdup("");
 	g_ptr_array_add(c->_services, service);
+	g_hash_table_insert(c->_services_by_name, service->name, service);
 	return service;
 }
 
-void ca_add_split(struct ca_route *route, const struct ca_service *service,
+bool ca_add_split(struct ca_route *route, const struct ca_service *service,
 		  uint32_t weight)
 {
-	if (route->split_count == CA_MAX_SPLITS || !weight)
-		return;
+	if (!weight)
+		return true;
+	if (route->split_count == CA_MAX_SPLITS)
+		return false;
 	route->splits[route->split_count].service = service;
 	route->splits[route->split_count].weight = weight;
 	route->split_count++;
+	return true;
 }
 
 struct ca_team *ca_add_team(struct ca_catalog *c, const char *name)
 {
 	struct ca_team *team = g_new0(struct ca_team, 1);
 
+	team->place = g_strdup("");
 	team->name = g_strdup(name);
 	team->priority = -1;
 	g_ptr_array_add(c->_teams, team);
@@ -188,6 +200,52 @@
 	return g_hash_table_lookup(c->_teams_by_key, key);
 }
 
+void ca_set_place(char **place, const char *text)
+{
+	g_free(*place);
+	*place = g_strdup(text);
+}
+
+uint32_t ca_route_count(const struct ca_catalog *c)
+{
+	return c->_routes->len;
+}
+
+const struct ca_route *ca_route_at(const struct ca_catalog *c, uint32_t i)
+{
+	return c->_routes->pdata[i];
+}
+
+uint32_t ca_service_count(const struct ca_catalog *c)
+{
+	return c->_services->len;
+}
+
+const struct ca_service *ca_service_at(const struct ca_catalog *c, uint32_t i)
+{
+	return c->_services->pdata[i];
+}
+
+uint32_t ca_team_count(const struct ca_catalog *c)
+{
+	return c->_teams->len;
+}
+
+const struct ca_team *ca_team_at(const struct ca_catalog *c, uint32_t i)
+{
+	return c->_teams->pdata[i];
+}
+
+void ca_each_key(const struct ca_catalog *c, ca_key_fn fn, void *arg)
+{
+	GHashTableIter iter;
+	void *key, *team;
+
+	g_hash_table_iter_init(&iter, c->_teams_by_key);
+	while (g_hash_table_iter_next(&iter, &key, &team))
+		fn(arg, key, team);
+}
+
 const struct ca_service *ca_pick_service(const struct ca_route *route,
 					 uint64_t hash)
 {
--- a/src/catalog/ca.h
+++ b/src/catalog/ca.h
@@ -36,8 +36,39 @@
  */
 enum ca_kind { CA_IDEMPOTENT = 0, CA_AT_MOST_ONCE, CA_STREAM };
 
+/**
+ * enum ca_field - members of a configuration; a dialect gives each the name
+ * that it has in the operator's file.
+ */
+enum ca_field {
+	CA_FIELD_KIND = 0,
+	CA_FIELD_TIMEOUT,
+	CA_FIELD_TARGET,
+	CA_FIELD_GAP_TARGET,
+	CA_FIELD_MAX_SENDS,
+	CA_FIELD_PRIORITY,
+	CA_FIELD_PUBLIC,
+	CA_FIELD_RESUMABLE,
+	CA_FIELD_SPLITS,
+	CA_FIELD_MAX_CONNECTIONS,
+	CA_FIELD_MODEL,
+	CA_FIELD_SLOTS,
+	CA_FIELD_MEMORY,
+	CA_FIELD_STORE,
+	CA_FIELD_ZONE,
+	CA_FIELD_KEYS,
+	CA_FIELD_ISOLATED,
+	CA_FIELD_HEADER_BYTES,
+	CA_FIELD_BODY_BYTES,
+	CA_FIELD_HEADER_TIMEOUT,
+	CA_FIELD_IDLE_TIMEOUT,
+	CA_FIELD_COUNT
+};
+
 /**
  * struct ca_service - a pool of upstreams.
+ * @place: JSON pointer to its entry in the operator's file; "" if it is only
+ *	named by routes.
  * @name: service name in the upstreams' entries.
  * @max_connections: limit per upstream, over all hosts; 0: unknown.
  * @is_model: its upstreams are model engines.
@@ -47,6 +78,7 @@
  * @store_zone: availability zone of that store.
  */
 struct ca_service {
+	char *place;
 	char *name;
 	uint32_t max_connections;
 	bool is_model;
@@ -63,6 +95,7 @@
 
 /**
  * struct ca_route - destination and handling of matching requests.
+ * @place: JSON pointer to its entry in the operator's file.
  * @timeout_ms: total time limit of a request; 0: no limit.
  * @target_ms: target time to the answer, or to a stream's first event.
  * @gap_target_ms: target time between two events of a stream.
@@ -72,6 +105,7 @@
  * @is_resumable: see enum ca_kind.
  */
 struct ca_route {
+	char *place;
 	char *name;
 	char *host;
 	char *prefix;
@@ -89,10 +123,12 @@
 
 /**
  * struct ca_team - a group of callers.
+ * @place: JSON pointer to its entry in the operator's file.
  * @priority: overrides the route's priority; -1: the route's applies.
  * @is_isolated: shares no cached prompts with other teams.
  */
 struct ca_team {
+	char *place;
 	char *name;
 	int32_t priority;
 	bool is_isolated;
@@ -115,6 +151,7 @@
 	uint32_t _references;
 	GPtrArray *_routes;
 	GPtrArray *_services;
+	GHashTable *_services_by_name;
 	GPtrArray *_teams;
 	GHashTable *_teams_by_key;
 	GHashTable *_routes_by_host;
@@ -124,11 +161,24 @@
 struct ca_catalog *ca_catalog_ref(struct ca_catalog *c);
 void ca_catalog_unref(struct ca_catalog *c);
 
+/**
+ * ca_replaces() - whether a host that has @current in force takes @next.
+ * @current: NULL if there is none.
+ */
+bool ca_replaces(const struct ca_catalog *next,
+		 const struct ca_catalog *current);
+
 struct ca_route *ca_add_route(struct ca_catalog *c, const char *host,
 			      const char *prefix);
 /** ca_add_service() - find the service of this name or create it. */
 struct ca_service *ca_add_service(struct ca_catalog *c, const char *name);
-void ca_add_split(struct ca_route *route, const struct ca_service *service,
+/**
+ * ca_add_split() - send a portion of the requests to a service; a weight of 0
+ * adds nothing.
+ *
+ * Return: false if the route has CA_MAX_SPLITS splits already.
+ */
+bool ca_add_split(struct ca_route *route, const struct ca_service *service,
 		  uint32_t weight);
 struct ca_team *ca_add_team(struct ca_catalog *c, const char *name);
 void ca_add_key(struct ca_catalog *c, struct ca_team *team, const char *key);
@@ -143,6 +193,23 @@
 const struct ca_service *ca_find_service(const struct ca_catalog *c,
 					 const char *name);
 
+/** ca_set_place() - replace the place of a route, service or team. */
+void ca_set_place(char **place, const char *text);
+
+/* All entries, in the order in which they were added. */
+uint32_t ca_route_count(const struct ca_catalog *c);
+const struct ca_route *ca_route_at(const struct ca_catalog *c, uint32_t i);
+uint32_t ca_service_count(const struct ca_catalog *c);
+const struct ca_service *ca_service_at(const struct ca_catalog *c, uint32_t i);
+uint32_t ca_team_count(const struct ca_catalog *c);
+const struct ca_team *ca_team_at(const struct ca_catalog *c, uint32_t i);
+
+typedef void (*ca_key_fn)(void *arg, const char *key,
+			  const struct ca_team *team);
+
+/** ca_each_key() - call @fn for each key, in no particular order. */
+void ca_each_key(const struct ca_catalog *c, ca_key_fn fn, void *arg);
+
 /** ca_pick_service() - choose a service by hash and split weights. */
 const struct ca_service *ca_pick_service(const struct ca_route *route,
 					 uint64_t hash);
--- a/src/dialect/dl.h
+++ b/src/dialect/dl.h
@@ -184,6 +184,10 @@
  * @own_table: store table with the gateway's own rows.
  * @report_target: HTTP path from which an engine's report is read.
  * @order_target: HTTP path to which orders are posted.
+ * @config_fields: names of a configuration's members by enum ca_field.
+ * @decode_config: takes whatever of a configuration is valid. Each part that is
+ *	refused or ignored is a finding of severity FD_ERROR; without a catalog
+ *	there is at least one. NULL if nothing can be used.
  */
 struct dl_dialect {
 	const char *operator_table;
@@ -193,6 +197,7 @@
 	const char *own_table;
 	const char *report_target;
 	const char *order_target;
+	const char *const *config_fields;
 	void (*read_request)(const struct h1_headers *headers,
 			     struct dl_request *request);
 	void (*write_request)(const struct h1_headers *from,
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -61,14 +61,17 @@
 	catalog = row->value ? g->dialect->decode_config(
 				       row->value, row->value_bytes, &findings)
 			     : NULL;
-	for (uint32_t i = 0; i < findings.count; i++)
+	for (uint32_t i = 0; i < findings.count; i++) {
+		if (findings.items[i].rule->severity != FD_ERROR)
+			continue;
 		lg_warn("configuration finding", "event", "config_finding",
 			"place", findings.items[i].place, "finding",
 			findings.items[i].message, NULL);
+	}
 	fd_finish(&findings);
 	if (!catalog)
 		return;
-	if (g->catalog && catalog->version <= g->catalog->version) {
+	if (!ca_replaces(catalog, g->catalog)) {
 		ca_catalog_unref(catalog);
 		return;
 	}
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -331,9 +331,10 @@
 	EXPECT_STREQ(ca_find_team(catalog, "k2")->name, "t");
 	EXPECT_TRUE(ca_find_team(catalog, "k1")->is_isolated);
 	EXPECT_STREQ(ca_find_store(catalog)->store_address, "172.20.0.2:8781");
-	/* The invalid route is reported by its path; the rest is accepted. */
-	ASSERT_EQ(findings.count, 1u);
+	/* Each invalid part is reported by its path; the rest is accepted. */
+	ASSERT_EQ(findings.count, 2u);
 	EXPECT_STREQ(findings.items[0].place, "/routes/1");
+	EXPECT_STREQ(findings.items[1].place, "/tenants/0/api_keys/1");
 	EXPECT_EQ(ca_find_route(catalog, "h", "/q/x"), nullptr);
 	ca_catalog_unref(catalog);
 	fd_finish(&findings);
