--- a/src/ctl/ctl_command.c
+++ b/src/ctl/ctl_command.c
@@ -11,6 +11,7 @@
 
 #include "control/op.h"
 #include "ctl/ctl_call.h"
+#include "ctl/ctl_check.h"
 #include "ctl/ctl_file.h"
 #include "ctl/ctl_wait.h"
 #include "kernel/ck.h"
@@ -29,6 +30,7 @@
 /**
  * struct ctl_options - of the command line.
  * @words: the command and its arguments.
+ * @against: version to compare with, of `check`.
  * @expected: revision the change is based on; -1 reads the present one.
  */
 struct ctl_options {
@@ -36,6 +38,8 @@
 	const char *control;
 	const char *key_file;
 	const char *change_id;
+	const char *against;
+	bool is_json;
 	int64_t expected;
 	bool wait;
 	int64_t wait_s;
@@ -59,7 +63,9 @@
 	CTL_KEY_FILE = 'k',
 	CTL_WAIT = 'w',
 	CTL_CHANGE_ID = 256,
-	CTL_REVISION
+	CTL_REVISION,
+	CTL_AGAINST,
+	CTL_JSON
 };
 
 static const struct argp_option ctl_argp_options[] = {
@@ -75,11 +81,20 @@
 	  "repeat the change of that id, which takes effect once", 0 },
 	{ "revision", CTL_REVISION, "N", 0,
 	  "the change is based on revision N; default: the present one", 0 },
+	{ "against", CTL_AGAINST, "FILE", 0,
+	  "of check: list the differences from that configuration", 0 },
+	{ "json", CTL_JSON, NULL, 0, "of check: print JSON", 0 },
 	{ 0 }
 };
 
 static const char ctl_doc[] =
 	"Ask and change the configuration and the hosts.\n\n"
+	"  check FILE             findings of a platform's configuration, "
+	"offline and\n"
+	"                         without --settings; exit code: 0 nothing "
+	"above a note,\n"
+	"                         1 warnings, 2 errors, 64 wrong use, 66 no "
+	"such file\n"
 	"  apply FILE             all changes of a file together\n"
 	"  set KIND NAME JSON     one object; @FILE reads it from a file\n"
 	"  delete KIND NAME       one object\n"
@@ -95,6 +110,11 @@
 	"unknown, repeat with the printed change id; 77 wrong operators' key; "
 	"78 wrong settings.";
 
+static bool ctl_is_check(const struct ctl_options *o)
+{
+	return o->word_count && !strcmp(o->words[0], "check");
+}
+
 static error_t ctl_parse_option(int key, char *arg, struct argp_state *state)
 {
 	struct ctl_options *o = state->input;
@@ -119,13 +139,19 @@
 	case CTL_REVISION:
 		o->expected = strtoll(arg, NULL, 10);
 		return 0;
+	case CTL_AGAINST:
+		o->against = arg;
+		return 0;
+	case CTL_JSON:
+		o->is_json = true;
+		return 0;
 	case ARGP_KEY_ARG:
 		if (o->word_count == CTL_MAX_WORDS)
 			argp_usage(state);
 		o->words[o->word_count++] = arg;
 		return 0;
 	case ARGP_KEY_END:
-		if (!o->word_count || !o->settings)
+		if (!o->word_count || (!o->settings && !ctl_is_check(o)))
 			argp_error(state, "--settings and a command are "
 					  "required");
 		return 0;
@@ -477,6 +503,19 @@
 	return run.exit_code;
 }
 
+static int ctl_run_check(const struct ctl_options *options)
+{
+	if (options->word_count != 2) {
+		fprintf(stderr, "balsampin ctl check: give one FILE\n");
+		return EX_USAGE;
+	}
+	return ctl_check(&(struct ctl_check_desc){ .file = options->words[1],
+						   .against = options->against,
+						   .is_json = options->is_json,
+						   .out = stdout,
+						   .err = stderr });
+}
+
 static int ctl_command_run(int argc, char **argv)
 {
 	struct ctl_options options = { .expected = -1 };
@@ -485,6 +524,8 @@
 	int exit_code = EX_CONFIG;
 
 	argp_parse(&ctl_argp, argc, argv, 0, NULL, &options);
+	if (ctl_is_check(&options))
+		return ctl_run_check(&options);
 	if (sodium_init() < 0)
 		return EX_SOFTWARE;
 	if (cf_load(&settings, options.settings, &findings) == ST_OK)
