--- a/src/catalog/ca.c
+++ b/src/catalog/ca.c
@@ -211,9 +211,9 @@
 	return c->_routes->len;
 }
 
-const struct ca_route *ca_route_at(const struct ca_catalog *c, uint32_t i)
+const struct ca_route *ca_route_at(const struct ca_catalog *c, uint32_t index)
 {
-	return c->_routes->pdata[i];
+	return index < c->_routes->len ? c->_routes->pdata[index] : NULL;
 }
 
 uint32_t ca_service_count(const struct ca_catalog *c)
@@ -221,9 +221,10 @@
 	return c->_services->len;
 }
 
-const struct ca_service *ca_service_at(const struct ca_catalog *c, uint32_t i)
+const struct ca_service *ca_service_at(const struct ca_catalog *c,
+				       uint32_t index)
 {
-	return c->_services->pdata[i];
+	return index < c->_services->len ? c->_services->pdata[index] : NULL;
 }
 
 uint32_t ca_team_count(const struct ca_catalog *c)
@@ -231,9 +232,9 @@
 	return c->_teams->len;
 }
 
-const struct ca_team *ca_team_at(const struct ca_catalog *c, uint32_t i)
+const struct ca_team *ca_team_at(const struct ca_catalog *c, uint32_t index)
 {
-	return c->_teams->pdata[i];
+	return index < c->_teams->len ? c->_teams->pdata[index] : NULL;
 }
 
 void ca_each_key(const struct ca_catalog *c, ca_key_fn fn, void *arg)
--- a/src/catalog/ca.h
+++ b/src/catalog/ca.h
@@ -196,13 +196,14 @@
 /** ca_set_place() - replace the place of a route, service or team. */
 void ca_set_place(char **place, const char *text);
 
-/* All entries, in the order in which they were added. */
+/* All entries, in the order in which they were added; NULL behind the last. */
 uint32_t ca_route_count(const struct ca_catalog *c);
-const struct ca_route *ca_route_at(const struct ca_catalog *c, uint32_t i);
+const struct ca_route *ca_route_at(const struct ca_catalog *c, uint32_t index);
 uint32_t ca_service_count(const struct ca_catalog *c);
-const struct ca_service *ca_service_at(const struct ca_catalog *c, uint32_t i);
+const struct ca_service *ca_service_at(const struct ca_catalog *c,
+				       uint32_t index);
 uint32_t ca_team_count(const struct ca_catalog *c);
-const struct ca_team *ca_team_at(const struct ca_catalog *c, uint32_t i);
+const struct ca_team *ca_team_at(const struct ca_catalog *c, uint32_t index);
 
 typedef void (*ca_key_fn)(void *arg, const char *key,
 			  const struct ca_team *team);
