ps: count answers in full, and keep the most frequent ones

The table of answers was emptied when full, and held times only. It now counts the answers of each fingerprint. A full table halves the numbers and drops what comes to 0, so a part that all prompts share stays among thousands of parts that come once. ps_list_answered() lists the most frequent ones, for the row that outlives all hosts.

ps_restore_proof() marks the crashes of a part as its proof, for a proof that another host has found.

A crash with a time of 0 or less on this host's clock was not recorded: 0 was taken for the time of an answer. A host that was booted less than the age of the crash ago has such times.

--- a/src/limits/ps.c
+++ b/src/limits/ps.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "limits/ps_answered.h"
 #include "limits/ps_suspect.h"
 
 /*
@@ -31,7 +32,7 @@
 						 NULL, g_free);
 	table->_runs = g_array_new(FALSE, FALSE, sizeof(struct _ps_run));
 	table->_completed = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						  g_free, g_free);
+						  NULL, g_free);
 }
 
 void ps_finish(struct ps_table *table)
@@ -574,6 +575,7 @@
 		    int64_t now_ms)
 {
 	struct ps_crash crash = { engine, incarnation, now_ms - age_ms };
+	int64_t completed_ms = ps_completed_ms(table, fingerprint);
 
 	if (engine == 0) {
 		ps_record_completion(table, fingerprint, crash.at_ms);
@@ -581,7 +583,7 @@
 		return false;
 	}
 	return age_ms <= PS_EXPIRE_MS &&
-	       ps_completed_ms(table, fingerprint) < crash.at_ms &&
+	       (!completed_ms || completed_ms < crash.at_ms) &&
 	       !ps_is_answered_part(table, fingerprint, crash.at_ms) &&
 	       ps_add_crash(table, fingerprint, &crash);
 }
--- a/src/limits/ps.h
+++ b/src/limits/ps.h
@@ -190,6 +190,16 @@
 	int64_t confirmed_ms;
 };
 
+/**
+ * struct ps_answered - a fingerprint that was answered in full.
+ * @count: number of answers known here; it counts less the older they are.
+ */
+struct ps_answered {
+	uint64_t fingerprint;
+	int64_t at_ms;
+	uint32_t count;
+};
+
 struct ps_table {
 	GHashTable *_suspects;
 	GArray *_runs;
@@ -336,6 +346,13 @@
 /** ps_completed_ms() - time of the last known complete answer; 0 if unknown. */
 int64_t ps_completed_ms(const struct ps_table *table, uint64_t fingerprint);
 
+/**
+ * ps_list_answered() - copy the fingerprints that were answered in full at
+ * @since_ms or later, most frequent first.
+ */
+uint32_t ps_list_answered(const struct ps_table *table, int64_t since_ms,
+			  struct ps_answered *answered, uint32_t capacity);
+
 /** ps_find() - copy the record of a fingerprint; false if it has no crashes. */
 bool ps_find(const struct ps_table *table, uint64_t fingerprint,
 	     struct ps_suspect *suspect);
@@ -366,6 +383,14 @@
  */
 void ps_confirm(struct ps_table *table, uint64_t fingerprint, int64_t now_ms);
 
+/**
+ * ps_restore_proof() - record that another host has found that the crashes
+ * recorded against a part prove it. Rivals that were not at all of them do not
+ * take that back.
+ */
+void ps_restore_proof(struct ps_table *table, uint64_t fingerprint,
+		      int64_t now_ms);
+
 /** ps_expire() - drop expired records; call it about once a minute. */
 void ps_expire(struct ps_table *table, int64_t now_ms);
 
--- a/src/limits/ps_suspect.c
+++ b/src/limits/ps_suspect.c
@@ -135,27 +135,6 @@
 	return false;
 }
 
-int64_t ps_completed_ms(const struct ps_table *table, uint64_t fingerprint)
-{
-	const int64_t *at_ms =
-		g_hash_table_lookup(table->_completed, &fingerprint);
-
-	return at_ms ? *at_ms : 0;
-}
-
-/* A full table is emptied: that loses a clearing, but never a crash. */
-void ps_record_completion(struct ps_table *table, uint64_t fingerprint,
-			  int64_t now_ms)
-{
-	if (ps_completed_ms(table, fingerprint) >= now_ms)
-		return;
-	if (g_hash_table_size(table->_completed) >= PS_MAX_COMPLETED)
-		g_hash_table_remove_all(table->_completed);
-	g_hash_table_replace(table->_completed,
-			     g_memdup2(&fingerprint, sizeof(fingerprint)),
-			     g_memdup2(&now_ms, sizeof(now_ms)));
-}
-
 static void ps_evict_suspect(struct ps_table *table)
 {
 	struct _ps_suspect *oldest = NULL;
@@ -263,6 +242,15 @@
 	suspect->proof_count = is_proven ? suspect->count : 0;
 }
 
+void ps_restore_proof(struct ps_table *table, uint64_t fingerprint,
+		      int64_t now_ms)
+{
+	struct _ps_suspect *s = ps_find_current(table, fingerprint, now_ms);
+
+	if (s && ps_is_part(fingerprint) && s->count >= PS_PART_CRASHES)
+		ps_set_proven(s, true, now_ms);
+}
+
 /*
  * A complete answer clears a request of the crashes before it. Returns whether
  * there were any.
--- a/src/limits/ps_suspect.h
+++ b/src/limits/ps_suspect.h
@@ -1,5 +1,5 @@
 /*
- * ps_suspect - records of crashes, and what they prove; private to ps.c.
+ * ps_suspect - records of crashes, and what they prove; private to ps*.c.
  *
  * Overview
  *	A record holds the crashes at which a content or a part of a prompt was
@@ -50,10 +50,6 @@
 bool ps_is_rival(const struct _ps_suspect *suspect,
 		 const struct _ps_suspect *other);
 
-/** ps_record_completion() - record an answer in full. */
-void ps_record_completion(struct ps_table *table, uint64_t fingerprint,
-			  int64_t now_ms);
-
 /** ps_add_crash() - returns whether the crash was not recorded before. */
 bool ps_add_crash(struct ps_table *table, uint64_t fingerprint,
 		  const struct ps_crash *crash);
