ps: the stored row carries watched crash records and answers, too

Cause: only what is proven was in the store. When all hosts were killed amid crashes, the records had to be collected again, with an engine for each crash, and a part that all prompts share was refused in place of the cause, as no host knew that engines had answered it just before.

The row now also holds the crashes of the 32 watched fingerprints with most crashes, and 128 answers: those of fingerprints with crashes, then the most frequent ones of the last minute. 64 KB at most. New kinds of lines begin with a letter: versions before ignore them, and find the row current by the lines that they know. Their rows are read.

It is written only if what is proven changed, if it lacks a crash of the last 10 s, if it blames one that was answered since, or, within 10 s of a crash, if it is 2 s old and something was answered since: never without crashes. ps_turn decides who writes. The row holds the time of its last write on the store's clock, and no host writes it again within a second. The second and third owner read the row before they write it; before, they wrote from a copy that was up to 20 s old, which failed.

--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -3,14 +3,13 @@
 #include <string.h>
 
 #include "gateway/gw_hosts.h"
+#include "gateway/gw_poison_row.h"
 #include "gateway/gw_request.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt.h"
-#include "limits/ps_row.h"
 #include "rpc/gen/balsampin.h"
 
-#define GW_POISON_ROW "poison"
 /* Crash records per crash; an engine runs a few hundred requests at most. */
 #define GW_MAX_CRASH_RECORDS 1024
 /* Period of the broadcasts of an owner, and limit of suspects in each. */
@@ -25,9 +24,6 @@
 #define GW_LONG_STREAM_MS 1000
 /* A complete answer within this time of the previous one changes nothing. */
 #define GW_COMPLETED_STEP_MS 1000
-/* The next owner writes the row if it has been out of date for that long. */
-#define GW_ROW_TAKEOVER_MS 3000
-#define GW_ROW_TIMEOUT_MS  1000
 
 MT_COUNTER(gw_crashed_engines, "balsampin_gateway_engines_ended_total",
 	   "engines that exited while they were running requests")
@@ -36,21 +32,9 @@
 MT_GAUGE(gw_proven, "balsampin_gateway_poisoned_requests",
 	 "request contents that are refused because they crash engines")
 
-/*
- * @has_read: the row has been read since it was last written.
- * @row_text, @row_version: content and version of the row when last read.
- * @row_stale_ms: time since which the row is out of date, 0 if it is current.
- * @store_ahead_ms: difference between the clocks of the store and of this host.
- */
 struct gw_poison {
 	struct ps_table table;
-	struct rw_call write;
-	bool is_writing;
-	bool has_read;
-	char *row_text;
-	uint64_t row_version;
-	int64_t row_stale_ms;
-	int64_t store_ahead_ms;
+	struct gw_poison_row row;
 	int64_t next_announce_ms;
 	int64_t next_expire_ms;
 };
@@ -137,6 +121,7 @@
 				     ck_now_ms());
 	if (!ps_find(&g->poison->table, content, &s))
 		return;
+	gw_poison_row_changed(&g->poison->row);
 	if (s.count >= PS_POISON_CRASHES)
 		gw_log_suspect("request_suspected", &s, evidence);
 	if (s.count >= PS_POISON_CRASHES && gw_peers_is_owner(g, content))
@@ -176,6 +161,7 @@
 		return;
 	if (!ps_find(table, content, &s))
 		s = (struct ps_suspect){ .fingerprint = content };
+	gw_poison_row_changed(&g->poison->row);
 	gw_log_suspect("request_cleared", &s, "completed_elsewhere");
 	if (gw_peers_is_owner(g, content))
 		gw_send_report(g, NULL, message);
@@ -474,83 +460,13 @@
 
 void gw_poison_apply_rows(struct gw_gateway *g, const struct rw_rows *rows)
 {
-	struct gw_poison *p = g->poison;
-	int64_t now_ms = ck_now_ms();
-
-	g_free(p->row_text);
-	p->row_text = NULL;
-	p->row_version = 0;
-	p->has_read = true;
-	p->store_ahead_ms = rows->store_ms - now_ms;
-	for (uint32_t i = 0; i < rows->count; i++) {
-		const struct rw_row *row = &rows->rows[i];
-
-		if (strcmp(row->key, GW_POISON_ROW) != 0)
-			continue;
-		p->row_text = g_strdup(row->value);
-		p->row_version = row->version;
-	}
-	ps_row_read(&p->table, p->row_text, now_ms, rows->store_ms);
-}
-
-static void gw_on_poison_written(void *arg, enum st_code code, uint64_t version)
-{
-	struct gw_gateway *g = arg;
-
-	g->poison->is_writing = false;
-	g->poison->has_read = false;
-	if (code != ST_OK)
-		lg_info("row of refused requests not written", "event",
-			"poison_row", "outcome",
-			code == ST_CONFLICT ? "conflict" : "failed", "reason",
-			st_message(), NULL);
-	gw_peers_read_rows(g);
-}
-
-static void gw_write_poison_row(struct gw_gateway *g, int64_t now_ms)
-{
-	struct gw_poison *p = g->poison;
-	char *text =
-		ps_row_format(&p->table, now_ms, now_ms + p->store_ahead_ms);
-
-	p->is_writing = true;
-	lg_info("row of refused requests written", "event", "poison_row",
-		"outcome", "sent", NULL);
-	rw_write(&g->store,
-		 &(struct rw_write){ .table = g->dialect->own_table,
-				     .key = GW_POISON_ROW,
-				     .value = text,
-				     .version = p->row_version,
-				     .timeout_ms = GW_ROW_TIMEOUT_MS,
-				     .reason = "poison_write" },
-		 gw_on_poison_written, g, &p->write);
-	g_free(text);
-}
-
-/* The owners of the row take over from each other in order. */
-static void gw_refresh_poison_row(struct gw_gateway *g, int64_t now_ms)
-{
-	struct gw_poison *p = g->poison;
-	uint32_t owner_index = gw_peers_owner_index(g, 0);
-
-	if (owner_index == GW_NOT_OWNER || !p->has_read || p->is_writing)
-		return;
-	if (ps_row_is_current(&p->table, p->row_text, now_ms)) {
-		p->row_stale_ms = 0;
-		return;
-	}
-	if (!p->row_stale_ms)
-		p->row_stale_ms = now_ms;
-	if (now_ms - p->row_stale_ms >=
-	    (int64_t)owner_index * GW_ROW_TAKEOVER_MS)
-		gw_write_poison_row(g, now_ms);
+	gw_poison_row_apply(&g->poison->row, rows);
 }
 
 void gw_poison_sweep(struct gw_gateway *g, int64_t now_ms)
 {
 	struct gw_poison *p = g->poison;
 
-	gw_refresh_poison_row(g, now_ms);
 	if (now_ms >= p->next_announce_ms) {
 		p->next_announce_ms = now_ms + GW_ANNOUNCE_PERIOD_MS;
 		gw_send_known_suspects(g, NULL);
@@ -566,6 +482,7 @@
 {
 	g->poison = g_new0(struct gw_poison, 1);
 	ps_init(&g->poison->table);
+	gw_poison_row_init(&g->poison->row, g, &g->poison->table);
 	return ST_OK;
 }
 
@@ -575,9 +492,8 @@
 
 	if (!p)
 		return;
-	rw_cancel(&g->store, &p->write);
+	gw_poison_row_finish(&p->row);
 	ps_finish(&p->table);
-	g_free(p->row_text);
 	g_free(p);
 	g->poison = NULL;
 }
--- a/src/gateway/gw_poison.h
+++ b/src/gateway/gw_poison.h
@@ -25,8 +25,9 @@
  *	- The parts of a request's prompt are suspects as its content is, and
  *	  all of the above holds for them, too. A request that waits at an
  *	  engine is withdrawn as soon as one of its parts is proven.
- *	- Proven requests are stored in a row of the store, for the case that
- *	  all hosts restart.
+ *	- Proven requests, the crash records of watched ones and what was
+ *	  answered in full are stored in a row of the store, for the case that
+ *	  all hosts restart (gw_poison_row.h).
  *
  * Use
  *	answer = gw_poison_check(r);
--- a/tests/sessions/gateway_crash_test.cc
+++ b/tests/sessions/gateway_crash_test.cc
@@ -75,6 +75,48 @@
 		}));
 	}
 
+	void kill_all()
+	{
+		for (auto &host : hosts)
+			host.second->signal(SIGKILL);
+		for (auto &host : hosts)
+			host.second->wait();
+	}
+
+	// Writes of the row of crash records by all hosts.
+	size_t row_writes()
+	{
+		static const std::string event =
+			"\"event\":\"poison_row\",\"outcome\":\"sent\"";
+		size_t count = 0;
+
+		for (const auto &host : hosts) {
+			std::string log = read_file(directory.path + "/" +
+						    host.first + ".log");
+
+			for (size_t at = log.find(event);
+			     at != std::string::npos;
+			     at = log.find(event, at + 1))
+				count++;
+		}
+		return count;
+	}
+
+	// Sends requests with @part to all hosts in turn, one after the engines
+	// that the other ended are back. Returns how many engines ended.
+	int send_part(const std::string &part, int times)
+	{
+		static const char *const names[] = { "h1", "h2", "h3" };
+		int before = fleet.crashes();
+
+		for (int i = 0; i < times; i++) {
+			ask_with_part(part, names[i % 3]);
+			std::this_thread::sleep_for(
+				std::chrono::milliseconds(down_ms));
+		}
+		return fleet.crashes() - before;
+	}
+
 	void start_three()
 	{
 		start("h1", { "z1", "r1", "" });
@@ -252,10 +294,7 @@
 	send_crashing("look", 12, { "h1", "h2", "h3" });
 	int before = fleet.crashes();
 
-	for (auto &host : hosts)
-		host.second->signal(SIGKILL);
-	for (auto &host : hosts)
-		host.second->wait();
+	kill_all();
 	start_three();
 	Reply last = send_crashing("look", 6, { "h1", "h2", "h3" });
 	EXPECT_EQ(fleet.crashes(), before);
@@ -343,6 +382,54 @@
 	}
 }
 
+// All hosts are killed after two moments of crashes; three prove a part. The
+// crash records must not have to be collected again, and the part that all
+// prompts share, which was answered just before, must not be taken for the
+// cause. A request ends two engines at most.
+TEST_F(Crash, EvidenceOutlivesAllHostsKilledAmidTheCrashes)
+{
+	static const char *const names[] = { "h1", "h2", "h3" };
+	int64_t began_ms;
+
+	start_three();
+	for (const char *host : names)
+		ASSERT_EQ(ask_with_part("b0", host).status, 200) << host;
+	EXPECT_EQ(row_writes(), 0u);
+	began_ms = ck_now_ms();
+	fleet.crash_on_part(deadly_part, down_ms);
+	ASSERT_GE(send_part(deadly_part, 2), 2);
+	/* The row may be written a second after the last time. */
+	std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+	kill_all();
+	EXPECT_GE(row_writes(), 1u);
+	start_three();
+	EXPECT_LE(send_part(deadly_part, 6), 2);
+	for (const char *host : names) {
+		EXPECT_EQ(ask_with_part(deadly_part, host).status, 503) << host;
+		EXPECT_EQ(ask_with_part("b1", host).status, 200) << host;
+	}
+	EXPECT_LE(row_writes(), (ck_now_ms() - began_ms) / 1000u + 1);
+}
+
+// All hosts are killed while requests with the part come to all of them, and
+// sound requests with the same first part, which are to be served.
+TEST_F(Crash, PartIsRefusedWhenAllHostsAreKilledWhileItIsSent)
+{
+	start_three();
+	fleet.crash_on_part(deadly_part, down_ms);
+	std::thread killer([&] {
+		std::this_thread::sleep_for(
+			std::chrono::milliseconds(2 * down_ms));
+		kill_all();
+		start_three();
+	});
+	int served = play_part(deadly_part, 14000);
+
+	killer.join();
+	EXPECT_LE(late_arrivals(deadly_part), max_late_arrivals);
+	EXPECT_GE(served, 90);
+}
+
 // Engines start anew and crash again before their entries can be read.
 TEST_F(Crash, SharedPartIsRefusedWhenTheStoreIsAway)
 {
