gateway: the test harness stops processes once they handle signals

RequestTest.EveryWayOfAskingGetsTheEnginesBytes failed once beside heavy load: host0-index ended with -1, by a signal. Its log is empty, while the other two processes logged "started" 0.73 s before they got SIGTERM: the index was still being loaded, and no program can handle a signal before its main(). Cluster::start() waits for the entry only, and the entry can serve without an index. So the fault is the harness's, not the product's.

Cluster::stop() now waits until each process that runs answers on its /healthz, and then sends SIGTERM. The exit codes are checked as before.

--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -427,11 +427,39 @@
 		  200);
 }
 
+// A process that gets SIGTERM before its main() has set up signals ends by it,
+// which no program can avoid; on a loaded machine that takes a second.
+void Cluster::await_signal_handlers()
+{
+	static const std::map<std::string, int> ports = {
+		{ "entry", entry_http_port },
+		{ "index", index_http_port },
+		{ "control", control_http_port },
+	};
+
+	for (uint32_t host = 0; host < options.hosts; host++)
+		for (const auto &port : ports) {
+			auto it = processes.find(host_name(host) + "-" +
+						 port.first);
+			std::string health =
+				url(host, port.second) + "/healthz";
+
+			if (it == processes.end() || !it->second)
+				continue;
+			EXPECT_TRUE(wait_until([&] {
+				return !it->second->is_running() ||
+				       call(health).status > 0;
+			})) << it->first
+			    << ": " << it->second->output();
+		}
+}
+
 bool Cluster::stop()
 {
 	bool all = true;
 
 	print_failure();
+	await_signal_handlers();
 	for (auto &entry : processes)
 		entry.second->signal(SIGTERM);
 	for (auto &entry : processes) {
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -139,6 +139,7 @@
       private:
 	std::string settings(uint32_t host) const;
 	void print_failure();
+	void await_signal_handlers();
 
 	Options options;
 	TemporaryDirectory directory;
--- a/tests/sessions/request_test.cc
+++ b/tests/sessions/request_test.cc
@@ -58,6 +58,13 @@
 	}
 }
 
+// The harness: on a loaded machine the index was still being loaded when the
+// test had ended, and SIGTERM ended it before it could handle signals.
+TEST_F(RequestTest, ProcessThatHasJustBegunToStartStopsInOrder)
+{
+	cluster.start_process(0, "index");
+}
+
 TEST_F(RequestTest, SecondRequestRunsWhereItsPrefixIs)
 {
 	std::string prefix(4000, 'p');
