gateway: short and long prompts are separated on the engines of a pool

Cause: an engine prefills long prompts between the steps of the requests that it decodes, so short requests hold their slots up to ten times as long beside them, and all engines answer late for as long as their queues last.

Part of the engines is kept for short prompts, by the demand of both kinds; requests that will be late wait at their host for room. src/placement/sp.h decides, gw_separate.c measures and holds. Only pools with short prompts on a tighter target than another route's are concerned.

Ruled out: a cost for the harm to others (useless under full load), a choice at random by free slots, a staggered return of engines that have loaded.

--- a/src/catalog/ca.c
+++ b/src/catalog/ca.c
@@ -165,11 +165,27 @@
 	return left_bytes < right_bytes ? 1 : left_bytes > right_bytes ? -1 : 0;
 }
 
+static void ca_set_loosest_targets(const struct ca_catalog *c)
+{
+	for (uint32_t i = 0; i < c->_routes->len; i++) {
+		const struct ca_route *route = c->_routes->pdata[i];
+
+		for (uint32_t j = 0; j < route->split_count; j++) {
+			struct ca_service *service =
+				(struct ca_service *)route->splits[j].service;
+
+			service->loosest_target_ms = MAX(
+				service->loosest_target_ms, route->target_ms);
+		}
+	}
+}
+
 void ca_catalog_seal(struct ca_catalog *c)
 {
 	GHashTableIter iter;
 	void *list;
 
+	ca_set_loosest_targets(c);
 	g_hash_table_iter_init(&iter, c->_routes_by_host);
 	while (g_hash_table_iter_next(&iter, NULL, &list))
 		g_ptr_array_sort(list, ca_compare_prefixes);
--- a/src/catalog/ca.h
+++ b/src/catalog/ca.h
@@ -74,6 +74,7 @@
  * @is_model: its upstreams are model engines.
  * @slots: requests that a model engine runs concurrently.
  * @memory_tokens: KV cache capacity of a model engine, in tokens.
+ * @loosest_target_ms: highest target of the routes to it; 0: none has one.
  * @store_address: address if the service is a KV cache store, otherwise "".
  * @store_zone: availability zone of that store.
  */
@@ -84,6 +85,7 @@
 	bool is_model;
 	uint32_t slots;
 	uint64_t memory_tokens;
+	int64_t loosest_target_ms;
 	char *store_address;
 	char *store_zone;
 };
--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -11,6 +11,7 @@
 
 #include "gateway/gw.h"
 #include "gateway/gw_poison.h"
+#include "gateway/gw_separate.h"
 #include "gateway/gw_stop.h"
 #include "kernel/ck.h"
 #include "kernel/kn_registry.h"
@@ -197,6 +198,7 @@
 	g->started_ms = ck_now_ms();
 	gw_weights_init(&g->weights);
 	pe_held_init(&g->held);
+	gw_separate_init(g);
 	pe_load_init(&g->peer_load);
 	fl_init(&g->fleet, g->kernel.loop);
 	rb_table_init(&g->retries,
@@ -217,6 +219,7 @@
 	kn_stop_all(&g->kernel);
 	fl_finish(&g->fleet);
 	pe_held_finish(&g->held);
+	gw_separate_finish(g);
 	pe_load_finish(&g->peer_load);
 	rb_table_finish(&g->retries);
 	rw_finish(&g->store);
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -24,6 +24,7 @@
  *	gw_roles.c	assignment of shared duties to hosts
  *	gw_poison.c	requests that crash engines
  *	gw_place.c	candidates for src/placement
+ *	gw_separate.c	demand of short and long prompts, and who waits
  *
  *	A dialect (src/dialect/dl.h) supplies the names and formats of the
  *	platform, a row store (src/rows/rw.h) supplies access to its store.
@@ -73,6 +74,8 @@
  *	allowances.
  * @config_fresh_ms: last time at which @catalog was known to be the newest
  *	configuration.
+ * @pools: struct sp_pool by the name of a model service; see gw_separate.h.
+ * @held_requests: number of requests that wait for room at an engine.
  * @retries: retry budgets of this host, by service.
  * @started_ms: start time of the process.
  * @early_requests: number of requests held until the store has been read once.
@@ -95,6 +98,8 @@
 	struct pe_load peer_load;
 	uint64_t pooled_bytes;
 	int64_t config_fresh_ms;
+	GHashTable *pools;
+	uint32_t held_requests;
 	struct rb_table retries;
 	int64_t started_ms;
 	uint32_t early_requests;
--- a/src/gateway/gw_place.c
+++ b/src/gateway/gw_place.c
@@ -113,6 +113,38 @@
 	};
 }
 
+/*
+ * Keeps engines for short prompts. They count as avoided for long ones, which
+ * excludes them from the owners of long prefixes, too.
+ */
+static void gw_separate(const struct gw_place_request *request,
+			struct pc_candidate *candidates,
+			struct fl_engine **engines, uint32_t count)
+{
+	struct sp_engine table[GW_MAX_CANDIDATES];
+	uint32_t indexes[GW_MAX_CANDIDATES];
+	uint32_t usable = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (candidates[i].is_avoided)
+			continue;
+		table[usable] = (struct sp_engine){
+			engines[i]->hash,
+			g_quark_from_string(engines[i]->entry.zone), false
+		};
+		indexes[usable++] = i;
+	}
+	sp_choose_kept(table, usable, request->kept_share);
+	for (uint32_t i = 0; i < usable; i++) {
+		struct pc_candidate *c = &candidates[indexes[i]];
+
+		if (request->kind == SP_LONG)
+			c->is_avoided = table[i].is_kept;
+		else
+			c->is_less_suited = !table[i].is_kept;
+	}
+}
+
 /* The earlier of two times, of which 0 is none. */
 static int64_t gw_earlier(int64_t a_ms, int64_t b_ms)
 {
@@ -159,6 +191,8 @@
 		stored = gw_describe_store(g, request, store, wanted);
 		prefix.store = &stored;
 	}
+	if (request->kept_share > 0.0)
+		gw_separate(request, candidates, engines, count);
 	answer = pc_place(&prefix, candidates, count);
 	return (struct gw_place_answer){
 		.engine = answer.chosen < 0 ? NULL : engines[answer.chosen],
@@ -170,5 +204,8 @@
 		.read_tokens = answer.prefill_tokens,
 		.cost_ms = answer.cost_ms,
 		.mean_wait_ms = answer.mean_wait_ms,
+		.has_room = answer.has_room,
+		.kept_share = request->kept_share,
+		.free_slots = answer.free_slots,
 	};
 }
--- a/src/gateway/gw_place.h
+++ b/src/gateway/gw_place.h
@@ -13,6 +13,7 @@
 
 #include "gateway/gw.h"
 #include "placement/pc.h"
+#include "placement/sp.h"
 
 #define GW_MAX_TRIED 8
 
@@ -21,12 +22,16 @@
  * @service: required.
  * @model: NULL for plain requests.
  * @prefix: the shared prefix, see pc.h.
+ * @kind: see sp.h.
+ * @kept_share: part of the engines kept for short prompts; 0: none.
  * @tried: hashes of upstreams that this request was already sent to.
  */
 struct gw_place_request {
 	const struct ca_service *service;
 	const char *model;
 	struct pc_request prefix;
+	enum sp_kind kind;
+	double kept_share;
 	const uint64_t *tried;
 	uint32_t tried_count;
 };
@@ -38,8 +43,8 @@
  *	otherwise; 0: no such upstream, or there are others, which were tried.
  * @source: engine to copy the prefix from, or NULL.
  * @store: store of cached prompts; NULL if none is used.
- * @is_from_store, @is_to_store, @read_tokens, @cost_ms, @mean_wait_ms: see
- *	pc.h.
+ * @has_room, @free_slots, @is_from_store, @is_to_store, @read_tokens, @cost_ms,
+ *@mean_wait_ms: see pc.h.
  */
 struct gw_place_answer {
 	struct fl_engine *engine;
@@ -51,6 +56,9 @@
 	uint32_t read_tokens;
 	double cost_ms;
 	double mean_wait_ms;
+	bool has_room;
+	uint32_t free_slots;
+	double kept_share;
 };
 
 /** gw_store_hash() - key of a store among the holders of prefixes. */
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "gateway/gw_poison.h"
+#include "gateway/gw_separate.h"
 #include "gateway/gw_stop.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
@@ -102,6 +103,7 @@
 	h1_set_label(exchange, r->in.attempt ? r->in.attempt : "");
 	gw_send_cancel(r);
 	ev_timer_stop(r->gateway->kernel.loop, &r->timer);
+	gw_separate_release(r);
 	r->gateway->early_requests -= r->is_early;
 	g_queue_unlink(&r->gateway->requests, &r->link);
 	r->exchange = NULL;
@@ -183,8 +185,7 @@
 	gw_free(r);
 }
 
-/* Refuses the request with a status that says whether it may have run. */
-static void gw_give_up(struct gw_request *r, const char *reason)
+void gw_request_give_up(struct gw_request *r, const char *reason)
 {
 	uint32_t status = 503;
 
@@ -200,7 +201,7 @@
 	if (h1_call_was_sent(&r->call))
 		r->may_have_begun = true;
 	gw_send_cancel(r);
-	gw_give_up(r, r->is_cut_by_stop ? "stopping" : "timeout");
+	gw_request_give_up(r, r->is_cut_by_stop ? "stopping" : "timeout");
 }
 
 /* A request must end while the process can still answer it. */
@@ -273,7 +274,7 @@
 		gw_request_place(r);
 		return;
 	default:
-		gw_give_up(r, reason);
+		gw_request_give_up(r, reason);
 	}
 }
 
@@ -302,11 +303,11 @@
 	switch (answer.verdict) {
 	case PS_HOLD:
 		r->retry_after_ms = answer.retry_after_ms;
-		gw_give_up(r, "held_back");
+		gw_request_give_up(r, "held_back");
 		return true;
 	case PS_REFUSE:
 		r->retry_after_ms = GW_POISON_RETRY_AFTER_MS;
-		gw_give_up(r, "crashes_engines");
+		gw_request_give_up(r, "crashes_engines");
 		return true;
 	case PS_ISOLATE:
 		gw_exclude_suspect_engines(r);
@@ -327,6 +328,8 @@
 static struct gw_place_answer gw_find_place(const struct gw_request *r)
 {
 	struct gw_place_request request = {
+		.kind = r->kind,
+		.kept_share = gw_separate_kept_share(r),
 		.service = r->service,
 		.model = r->in.model,
 		.prefix = r->prefix,
@@ -355,11 +358,11 @@
 	if (!answer.engine && answer.pause_end_ms) {
 		r->retry_after_ms =
 			gw_pause_retry_after_ms(answer.pause_end_ms);
-		gw_give_up(r, "engines_paused");
+		gw_request_give_up(r, "engines_paused");
 	} else if (!answer.engine ||
 		   r->failed_connects >= GW_MAX_FAILED_CONNECTS)
-		gw_give_up(r, "no_engine");
-	else
+		gw_request_give_up(r, "no_engine");
+	else if (!gw_separate_holds(r, &answer))
 		gw_send(r, &answer);
 }
 
@@ -376,7 +379,7 @@
 	if (h1_call_was_sent(&r->call))
 		r->may_have_begun = true;
 	gw_send_cancel(r);
-	gw_give_up(r, "crashes_engines");
+	gw_request_give_up(r, "crashes_engines");
 	return true;
 }
 
@@ -529,6 +532,7 @@
 	gw_find_parts(r);
 	gw_find_prefix(r);
 	r->prefix.seed = gw_split_hash(r);
+	gw_separate_classify(r);
 	gw_set_times(r);
 	gw_start_timer(r);
 	gw_request_place(r);
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -36,6 +36,9 @@
  * @terms: result of its admission.
  * @deadline_ms: when the request times out.
  * @prefix: prompt prefix shared with other requests, see src/placement/pc.h.
+ * @kind: of its prompt, see src/placement/sp.h.
+ * @is_counted_running: counted in the demand of its pool.
+ * @held_until_ms: it waits for room until then; 0: it does not wait.
  * @content: fingerprint, the same when the caller sends the request again.
  * @parts: fingerprints of the parts of its prompt that it may share.
  * @scope: cached prompts are shared within this scope.
@@ -74,11 +77,15 @@
 	int64_t arrived_ms;
 	int64_t deadline_ms;
 	struct pc_request prefix;
+	enum sp_kind kind;
+	bool is_counted_running;
 	uint64_t content;
 	uint64_t parts[DL_MAX_PARTS];
 	uint32_t part_count;
 	char scope[2 * DL_ID_BYTES];
 	ev_timer timer;
+	ev_timer hold_timer;
+	int64_t held_until_ms;
 	GList link;
 
 	struct fl_engine *engine;
@@ -140,6 +147,12 @@
 /** gw_request_place() - choose an upstream and send, or refuse the request. */
 void gw_request_place(struct gw_request *r);
 
+/**
+ * gw_request_give_up() - refuse with a status that says whether it may have
+ * run; frees the request.
+ */
+void gw_request_give_up(struct gw_request *r, const char *reason);
+
 /** gw_request_can_retry() - the request can be sent to one more upstream. */
 bool gw_request_can_retry(const struct gw_request *r);
 
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -5,6 +5,7 @@
 #include "gateway/gw_notice.h"
 #include "gateway/gw_poison.h"
 #include "gateway/gw_request.h"
+#include "gateway/gw_separate.h"
 #include "gateway/gw_silence.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
@@ -83,7 +84,7 @@
 			const struct gw_place_answer *to)
 {
 	char weights[24], running[12], subject[20], root[20], left[24];
-	char cost[24], reads[12], shared[12], priority[12];
+	char cost[24], reads[12], shared[12], priority[12], kept[12];
 	char content[20], sends[12], parts[GW_LOGGED_PARTS_BYTES];
 
 	gw_format_parts(r, parts, sizeof(parts));
@@ -103,6 +104,7 @@
 	g_snprintf(content, sizeof(content), "%" G_GINT64_MODIFIER "x",
 		   r->content);
 	g_snprintf(sends, sizeof(sends), "%u", r->sends);
+	g_snprintf(kept, sizeof(kept), "%.2f", to->kept_share);
 	lg_info("request sent", "event", "request_sent", "request",
 		r->in.attempt ? r->in.attempt : "", "engine",
 		to->engine->entry.id, "source",
@@ -112,7 +114,8 @@
 		"subject", subject, "root", root, "weights", weights, "running",
 		running, "left_ms", left, "predicted_ms", cost, "priority",
 		priority, "read_tokens", reads, "shared_tokens", shared,
-		"content", content, "parts", parts, "sends", sends, NULL);
+		"content", content, "parts", parts, "sends", sends,
+		"kept_share", kept, NULL);
 }
 
 static void gw_detach_engine(struct gw_request *r)
@@ -121,6 +124,7 @@
 
 	if (!e)
 		return;
+	gw_separate_ended(r);
 	r->is_awaiting_head = false;
 	e->running--;
 	e->waiting_tokens -= r->read_tokens;
@@ -458,6 +462,7 @@
 	fl_ref(engine);
 	engine->running++;
 	engine->waiting_tokens += r->read_tokens;
+	gw_separate_started(r, to->read_tokens);
 	r->gateway->sent_tokens += to->read_tokens + r->in.max_output_tokens;
 	r->weights = engine->entry.weights;
 	gw_poison_attempt_started(r);
--- a/src/placement/pc.c
+++ b/src/placement/pc.c
@@ -23,6 +23,8 @@
 #define PC_RUNNING_MS 1.0
 /* Wait for a slot when all are in use. */
 #define PC_SLOT_WAIT_MS 100.0
+/* A short prompt beside long ones: each of its steps takes longer. */
+#define PC_LESS_SUITED_MS 60.0
 /* Engines with older weights get the penalty after the grace period. */
 #define PC_OLD_WEIGHTS_GRACE_MS	  1200
 #define PC_OLD_WEIGHTS_PENALTY_MS 400.0
@@ -320,12 +322,30 @@
 	return PC_JITTER_MS * (double)(x >> 11) / (double)(1ULL << 53);
 }
 
+/* Requests like this one that the candidate runs at once; 0: unknown. */
+static uint32_t pc_slots(const struct pc_request *r,
+			 const struct pc_candidate *c)
+{
+	return r->max_running && r->max_running < c->slots ? r->max_running
+							   : c->slots;
+}
+
+/* Slots until late requests have filled their part of the candidate. */
+static uint32_t pc_free_slots(const struct pc_request *r,
+			      const struct pc_candidate *c)
+{
+	uint32_t limit = (uint32_t)(pc_slots(r, c) * r->late_fill);
+
+	return c->running < limit ? limit - c->running : 0;
+}
+
 static double pc_cost_ms(const struct pc_view *view, uint32_t i)
 {
 	const struct pc_candidate *c = &view->candidates[i];
 	const struct pc_version *version = pc_version_of(view, c);
 	struct pc_prefill prefill = pc_prefill(view, c);
 	double ms = pc_network_ms(c);
+	uint32_t slots = pc_slots(view->request, c);
 
 	ms += (c->waiting_tokens + prefill.prefill_tokens) /
 	      PC_PREFILL_TOKENS_PER_MS;
@@ -335,8 +355,12 @@
 	ms += c->running * PC_RUNNING_MS;
 	if (view->request->suffix_tokens)
 		ms += pc_jitter_ms(view->request, c);
-	if (c->slots && c->running >= c->slots)
-		ms += PC_SLOT_WAIT_MS * (c->running - c->slots + 1) / c->slots;
+	if (slots && c->running >= slots)
+		ms += (view->request->slot_ms > 0.0 ? view->request->slot_ms
+						    : PC_SLOT_WAIT_MS) *
+		      (c->running - slots + 1) / slots;
+	if (c->is_less_suited)
+		ms += PC_LESS_SUITED_MS;
 	if (version && version->owner >= 0 && (int32_t)i != version->owner)
 		ms += pc_off_owner_ms(view, version);
 	if (c->weights_age_ms > PC_OLD_WEIGHTS_GRACE_MS)
@@ -380,6 +404,12 @@
 	if (answer.chosen < 0)
 		return answer;
 	answer.mean_wait_ms = pc_mean_wait_ms(&view);
+	answer.has_room =
+		pc_free_slots(request, &candidates[answer.chosen]) > 0;
+	for (uint32_t i = 0; i < count; i++)
+		if (pc_is_usable(&candidates[i]))
+			answer.free_slots +=
+				pc_free_slots(request, &candidates[i]);
 	answer.prefill_tokens =
 		pc_prefill(&view, &candidates[answer.chosen]).prefill_tokens;
 	if (!request->prefix_hash)
--- a/src/placement/pc.h
+++ b/src/placement/pc.h
@@ -64,6 +64,7 @@
  * @root_age_ms: since it last used the root; -1: never.
  * @holds_prefix, @holds_root: used, and probably not evicted since.
  * @is_avoided: it failed recently, loads weights or is about to.
+ * @is_less_suited: kept for other requests, see sp.h; used at a small cost.
  * @is_tried: an earlier attempt of this request was sent to it.
  * @weights: version of its weights; prefixes are shared within one version.
  * @weights_age_ms: time since newer weights were requested; 0: the newest.
@@ -80,6 +81,7 @@
 	bool holds_prefix;
 	bool holds_root;
 	bool is_avoided;
+	bool is_less_suited;
 	bool is_tried;
 	uint64_t weights;
 	int64_t weights_age_ms;
@@ -105,6 +107,9 @@
  * @shared_tokens: length of the shared prefix.
  * @root_tokens: length of the root.
  * @suffix_tokens: length of the rest of the prompt; 0 for plain services.
+ * @max_running: such requests that fit an engine's memory; 0: unknown.
+ * @late_fill: part of an engine that late requests like this one may fill.
+ * @slot_ms: time for which such a request holds a slot; 0: unknown.
  * @seed: of the random term; differs between requests.
  * @store: NULL if there is none.
  */
@@ -114,6 +119,9 @@
 	uint32_t shared_tokens;
 	uint32_t root_tokens;
 	uint32_t suffix_tokens;
+	uint32_t max_running;
+	double late_fill;
+	double slot_ms;
 	uint64_t seed;
 	const struct pc_store *store;
 };
@@ -128,6 +136,8 @@
  * @is_to_store: the chosen engine shall save the prompt to the store.
  * @prefill_tokens: tokens that the chosen engine is expected to compute.
  * @cost_ms: predicted time to the first token.
+ * @has_room: the chosen engine has room for a late request.
+ * @free_slots: such room at all usable candidates.
  * @mean_wait_ms: time until the waiting prompts of the usable candidates are
  *	prefilled, on average.
  */
@@ -139,6 +149,8 @@
 	uint32_t prefill_tokens;
 	double cost_ms;
 	double mean_wait_ms;
+	bool has_room;
+	uint32_t free_slots;
 };
 
 /** pc_place() - choose among @count candidates. */
