--- a/src/gateway/gw_cap.c
+++ b/src/gateway/gw_cap.c
@@ -42,6 +42,8 @@
 	   "messages about the usage of teams sent")
 MT_COUNTER(gw_uses_heard, "balsampin_gateway_use_messages_heard_total",
 	   "messages about the usage of teams received")
+MT_GAUGE(gw_cap_hosts, "balsampin_gateway_cap_hosts",
+	 "hosts that share the caps of teams; 0 before their list is read")
 MT_COUNTER(gw_cap_unlogged, "balsampin_gateway_cap_lines_left_out_total",
 	   "refusals over the cap beyond those that are logged")
 
@@ -72,6 +74,7 @@
  * struct gw_cap
  * @next_ms, @next_members_ms, @next_far_ms: when the next messages are due:
  *	to near hosts, to the members of the zone, to other zones or regions.
+ * @knows_hosts: the list of hosts has been read.
  * @whole_*: the same for messages with all counters.
  */
 struct gw_cap {
@@ -87,6 +90,7 @@
 	int64_t whole_near_ms;
 	int64_t whole_members_ms;
 	int64_t whole_far_ms;
+	bool knows_hosts;
 	enum lm_cap_kind uses;
 	uint32_t silent;
 	int64_t line_second;
@@ -400,6 +404,7 @@
 
 static void gw_cap_expect(struct gw_cap *cap, int64_t now_ms)
 {
+	const struct gw_peers *p = cap->gateway->peers;
 	GArray *sources;
 
 	/* A host without an address for the others is alone. */
@@ -415,6 +420,8 @@
 			g_array_remove_index_fast(cap->unlisted, i);
 	}
 	cap->uses = gw_cap_expect_all(cap, sources, now_ms);
+	cap->knows_hosts = p && p->is_open;
+	mt_set(&gw_cap_hosts, cap->knows_hosts ? p->hosts.peers->len + 1 : 0);
 	lm_cap_expect(&cap->caps,
 		      (const struct lm_cap_expected *)(void *)sources->data,
 		      sources->len, cap->uses,
@@ -567,7 +574,7 @@
 bool gw_cap_knows_hosts(const struct gw_gateway *g)
 {
 	return !g->cap || !lm_cap_is_active(&g->cap->caps) ||
-	       !g->settings.peers.address[0] || (g->peers && g->peers->is_open);
+	       !g->settings.peers.address[0] || g->cap->knows_hosts;
 }
 
 /* --- charges --- */
@@ -613,8 +620,8 @@
 	int64_t now_ms = ck_now_ms();
 	int64_t cost;
 
-	r->charged = 0;
-	if (!team)
+	/* It was held here since it was charged, see gw_separate.h. */
+	if (r->charged || !team)
 		return true;
 	cost = gw_cap_cost(r);
 	if (cost <= 0)
--- a/src/gateway/gw_cap.h
+++ b/src/gateway/gw_cap.h
@@ -46,6 +46,8 @@
  * gw_cap_charge() - charge an attempt of @r that is about to be sent.
  *
  * An attempt after one that may have run is charged, too, and always admitted.
+ * A request that is held before it is sent is charged once, before it is held,
+ * so that it is not refused after a wait.
  *
  * Return: false if the request is to be refused; r->retry_after_ms is set then.
  */
--- a/tests/sessions/gateway_cap_test.cc
+++ b/tests/sessions/gateway_cap_test.cc
@@ -75,7 +75,16 @@
 			}));
 	}
 
-	// Waits until each host has heard from @others about its caps.
+	// Waits until the only host has read the list of hosts. Before that it
+	// uses the share of one host of many, and the 400 ms for which early
+	// requests wait may be too short in a slow build.
+	static void wait_for_list()
+	{
+		ASSERT_TRUE(wait_until(
+			[] { return metric("h1", "cap_hosts") == 1; }));
+	}
+
+	// Waits until each host has heard from others about its caps.
 	void wait_for_messages()
 	{
 		for (auto &host : hosts)
@@ -155,8 +164,9 @@
 // Over the cap: 429 with Retry-After, and the request never reached an engine.
 TEST_F(Caps, RefusesOverTheCapBeforeSending)
 {
-	configure("\"rate_per_s\":1,\"burst\":10,");
+	configure("\"rate_per_s\":0.01,\"burst\":10,");
 	start_all(1);
+	wait_for_list();
 	for (int i = 0; i < 3; i++)
 		EXPECT_EQ(ask("h1", "in" + std::to_string(i)).status, 200);
 	Reply reply = ask("h1", "out");
@@ -177,8 +187,9 @@
 // docs/OPERATIONS.md: "a caller got 429", from its id to the reason.
 TEST_F(Caps, LogsLeadFromTheIdToTheReason)
 {
-	configure("\"rate_per_s\":1,\"burst\":4,");
+	configure("\"rate_per_s\":0.01,\"burst\":4,");
 	start_all(1);
+	wait_for_list();
 	EXPECT_EQ(ask("h1", "first").status, 200);
 	EXPECT_EQ(ask("h1", "second").status, 429);
 	std::string log = directory.path + "/h1.log", text;
@@ -193,7 +204,7 @@
 	EXPECT_EQ(command.wait(), 0);
 	text = read_file(directory.path + "/lines");
 	for (const char *part :
-	     { "over_cap request=second team=t1 cost=1 used=1 cap=12 ",
+	     { "over_cap request=second team=t1 cost=1 used=1 cap=4 ",
 	       "share_permille=1000",
 	       "age_ms=", "content=", "outcome=over_cap status=429" })
 		EXPECT_NE(text.find(part), std::string::npos) << part << "\n"
@@ -297,8 +308,9 @@
 // below its cap while engines are busy.
 TEST_F(Caps, RefusedByEnginesIsGivenBack)
 {
-	configure("\"rate_per_s\":1,\"burst\":20,");
+	configure("\"rate_per_s\":0.01,\"burst\":20,");
 	start_all(1);
+	wait_for_list();
 	fleet.behave("a1", Behaviour::refuse);
 	fleet.behave("a2", Behaviour::refuse);
 	for (int i = 0; i < 20; i++)
@@ -321,9 +333,10 @@
 		{ "X-Other: 1", 429 },
 	};
 
-	configure("\"rate_per_s\":1,\"burst\":1000,\"unit\":\"tokens\","
+	configure("\"rate_per_s\":0.01,\"burst\":1000,\"unit\":\"tokens\","
 		  "\"plain_tokens\":40,");
 	start_all(1);
+	wait_for_list();
 	for (const auto &c : cases)
 		EXPECT_EQ(ask("h1", "", { c.tokens }).status, c.status)
 			<< c.tokens;
