--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -23,6 +23,7 @@
  *	gw_collect.c	load summed by a collector in each zone
  *	gw_roles.c	assignment of shared duties to hosts
  *	gw_poison.c	requests that crash engines
+ *	gw_cap.c	usage caps of teams
  *	gw_place.c	candidates for src/placement
  *	gw_separate.c	demand of short and long prompts, and who waits
  *
@@ -51,6 +52,7 @@
 struct gw_peers;
 struct gw_catchup;
 struct gw_poison;
+struct gw_cap;
 
 /**
  * struct gw_gateway - state shared by the modules of the gateway.
@@ -112,8 +114,15 @@
 	struct gw_peers *peers;
 	struct gw_catchup *catchup;
 	struct gw_poison *poison;
+	struct gw_cap *cap;
 };
 
+/**
+ * gw_has_read() - whether what the first requests need has been read from the
+ * store.
+ */
+bool gw_has_read(const struct gw_gateway *g);
+
 /** gw_is_ready() - whether this host should receive new connections. */
 bool gw_is_ready(const struct gw_gateway *g, int64_t now_ms);
 
