check: rules and differences of team caps

A cap below the cost of one request, a burst below it, members of a cap without a rate, a cost of plain requests that is unused or zero, and more caps than a host applies. A request costs 1, or with tokens what one without a number of them counts as.

The base of check_test has a cap now, so that the replaced members cover it: each wrong value is an error of the check.

--- a/src/catalog/cv.c
+++ b/src/catalog/cv.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "http1/h1_server.h"
+#include "limits/lm_cap.h"
 #include "limits/rb.h"
 
 #define CV_PLACE_BYTES 128
@@ -42,6 +43,27 @@
 static const struct fd_rule cv_team_twice = {
 	"team_twice", FD_WARNING, "merge the entries, or rename one of them"
 };
+static const struct fd_rule cv_too_many_caps = { "too_many_caps", FD_ERROR,
+						 "give fewer teams a cap" };
+static const struct fd_rule cv_cap_below_request = {
+	"cap_below_request", FD_WARNING,
+	"raise rate and burst, or lower the cost of a request without tokens"
+};
+static const struct fd_rule cv_burst_below_request = {
+	"burst_below_request", FD_WARNING,
+	"raise the burst to the cost of one request at least"
+};
+static const struct fd_rule cv_cap_without_rate = {
+	"cap_without_rate", FD_WARNING,
+	"give a rate above 0, or remove the cap's other members"
+};
+static const struct fd_rule cv_plain_cost_unused = {
+	"plain_cost_unused", FD_WARNING, "remove the member, or count tokens"
+};
+static const struct fd_rule cv_plain_cost_zero = {
+	"plain_cost_zero", FD_NOTE,
+	"give a cost if requests without tokens are to count"
+};
 static const struct fd_rule cv_timeout_below_target = {
 	"timeout_below_target", FD_WARNING,
 	"raise the time limit, or lower the target"
@@ -241,6 +263,70 @@
 	g_hash_table_add(arg, (void *)team);
 }
 
+/* Caps hold in windows of LM_CAP_WINDOW_MS, whatever a host's bucket holds. */
+static void cv_check_cap_size(struct cv_checker *k, const struct ca_team *team,
+			      int64_t cost)
+{
+	double window = team->cap_per_s * LM_CAP_WINDOW_MS / 1000;
+	char place[CV_PLACE_BYTES];
+
+	if (window + (double)team->cap_burst < (double)cost) {
+		cv_place(place, k, team->place, CA_FIELD_CAP_RATE);
+		fd_report(k->findings, place, &cv_cap_below_request,
+			  "allows less in %d s than one request costs, "
+			  "%" G_GINT64_FORMAT,
+			  LM_CAP_WINDOW_MS / 1000, cost);
+	}
+	if (team->cap_burst < cost) {
+		cv_place(place, k, team->place, CA_FIELD_CAP_BURST);
+		fd_report(k->findings, place, &cv_burst_below_request,
+			  "%" G_GINT64_FORMAT " is below the cost of one "
+			  "request, %" G_GINT64_FORMAT,
+			  team->cap_burst, cost);
+	}
+}
+
+static void cv_check_cap(struct cv_checker *k, const struct ca_team *team)
+{
+	bool has_tokens = team->cap_unit == CA_TOKENS;
+	char place[CV_PLACE_BYTES];
+
+	/* The decoder has reported it, and the last valid cap applies. */
+	if (team->has_bad_cap)
+		return;
+	cv_place(place, k, team->place, CA_FIELD_CAP_RATE);
+	if (!(team->cap_per_s > 0)) {
+		if (team->cap_burst || team->cap_plain_cost || has_tokens)
+			fd_report(k->findings, place, &cv_cap_without_rate,
+				  "without a rate above 0 the team has no cap");
+		return;
+	}
+	cv_check_cap_size(k, team,
+			  has_tokens ? MAX(team->cap_plain_cost, 1) : 1);
+	cv_place(place, k, team->place, CA_FIELD_CAP_PLAIN_COST);
+	if (!has_tokens && team->cap_plain_cost)
+		fd_report(k->findings, place, &cv_plain_cost_unused,
+			  "has no effect, because the cap counts requests");
+	if (has_tokens && !team->cap_plain_cost)
+		fd_report(k->findings, place, &cv_plain_cost_zero,
+			  "requests without a number of tokens cost nothing");
+}
+
+static void cv_check_caps(struct cv_checker *k)
+{
+	uint32_t caps = 0;
+
+	for (uint32_t i = 0; i < ca_team_count(k->catalog); i++) {
+		const struct ca_team *team = ca_team_at(k->catalog, i);
+
+		cv_check_cap(k, team);
+		if (team->cap_per_s > 0 && ++caps > LM_CAP_MAX_TEAMS)
+			fd_report(k->findings, team->place, &cv_too_many_caps,
+				  "a host applies the caps of %d teams only",
+				  LM_CAP_MAX_TEAMS);
+	}
+}
+
 static void cv_check_teams(struct cv_checker *k)
 {
 	GHashTable *with_key = g_hash_table_new(NULL, NULL);
@@ -320,6 +406,7 @@
 	cv_check_routes(&k);
 	cv_check_services(&k);
 	cv_check_teams(&k);
+	cv_check_caps(&k);
 	cv_check_limits(&k);
 }
 
--- a/src/catalog/cv_diff.c
+++ b/src/catalog/cv_diff.c
@@ -263,6 +263,27 @@
 		       old.elsewhere > 0);
 }
 
+static void cv_diff_cap(struct cv_differ *d, const struct ca_team *before,
+			const struct ca_team *after)
+{
+	static const char *const units[] = { "requests", "tokens" };
+	char old[G_ASCII_DTOSTR_BUF_SIZE], new[G_ASCII_DTOSTR_BUF_SIZE];
+	bool has_cap = after->cap_per_s > 0;
+
+	g_ascii_dtostr(old, sizeof(old), before->cap_per_s);
+	g_ascii_dtostr(new, sizeof(new), after->cap_per_s);
+	cv_text(d, CA_FIELD_CAP_RATE, old, new,
+		has_cap && (!(before->cap_per_s > 0) ||
+			    after->cap_per_s < before->cap_per_s));
+	cv_number(d, CA_FIELD_CAP_BURST, before->cap_burst, after->cap_burst,
+		  has_cap && after->cap_burst < before->cap_burst);
+	cv_text(d, CA_FIELD_CAP_UNIT, units[before->cap_unit],
+		units[after->cap_unit], false);
+	cv_number(d, CA_FIELD_CAP_PLAIN_COST, before->cap_plain_cost,
+		  after->cap_plain_cost,
+		  has_cap && after->cap_plain_cost > before->cap_plain_cost);
+}
+
 static void cv_diff_team(struct cv_differ *d, const void *old, const void *new)
 {
 	const struct ca_team *before = old;
@@ -273,6 +294,7 @@
 	cv_flag(d, CA_FIELD_ISOLATED, before->is_isolated, after->is_isolated,
 		false);
 	cv_diff_keys(d, before, after);
+	cv_diff_cap(d, before, after);
 }
 
 static char *cv_team_name(const void *entry)
--- a/tests/unit/check_test.cc
+++ b/tests/unit/check_test.cc
@@ -15,6 +15,7 @@
 #include "ctl/ctl_check.h"
 #include "dialect/dl.h"
 #include "kernel/kn_registry.h"
+#include "limits/lm_cap.h"
 }
 
 namespace
@@ -42,7 +43,8 @@
 	"\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
 	"\"tenants\":["
 	"{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\"],\"priority\":1,"
-	"\"isolated\":true},"
+	"\"isolated\":true,\"rate_per_s\":30000,\"burst\":60000,"
+	"\"unit\":\"tokens\",\"plain_tokens\":500},"
 	"{\"name\":\"u\",\"api_keys\":[\"k3\"]}]}";
 
 // A member of the base and the JSON that replaces it; "" removes it.
@@ -355,6 +357,46 @@
 		    { "/limits/idle_timeout_ms", "" } },
 		  "/limits/idle_timeout_ms idle_below_header",
 		  1 },
+		/* Caps of teams. */
+		{ { { "/tenants/0/rate_per_s", "-1" } },
+		  "/tenants/0 bad_cap",
+		  2 },
+		{ { { "/tenants/0/burst", "\"x\"" } },
+		  "/tenants/0 bad_cap",
+		  2 },
+		{ { { "/tenants/0/burst", "1e13" } }, "/tenants/0 bad_cap", 2 },
+		{ { { "/tenants/0/unit", "\"words\"" } },
+		  "/tenants/0 bad_cap",
+		  2 },
+		{ { { "/tenants/0/burst", "499" } },
+		  "/tenants/0/burst burst_below_request",
+		  1 },
+		{ { { "/tenants/0/burst", "500" } }, "", 0 },
+		{ { { "/tenants/0/burst", "" } },
+		  "/tenants/0/burst burst_below_request",
+		  1 },
+		{ { { "/tenants/0/rate_per_s", "0.5" },
+		    { "/tenants/0/burst", "400" } },
+		  "/tenants/0/rate_per_s cap_below_request, "
+		  "/tenants/0/burst burst_below_request",
+		  1 },
+		{ { { "/tenants/0/rate_per_s", "12.5" },
+		    { "/tenants/0/burst", "400" } },
+		  "/tenants/0/burst burst_below_request",
+		  1 },
+		{ { { "/tenants/0/rate_per_s", "0" } },
+		  "/tenants/0/rate_per_s cap_without_rate",
+		  1 },
+		{ { { "/tenants/0/unit", "\"requests\"" } },
+		  "/tenants/0/plain_tokens plain_cost_unused",
+		  1 },
+		{ { { "/tenants/0/plain_tokens", "" } },
+		  "/tenants/0/plain_tokens plain_cost_zero",
+		  0 },
+		{ { { "/tenants/1/rate_per_s", "0.1" },
+		    { "/tenants/1/burst", "1" } },
+		  "",
+		  0 },
 		/* Members that no host reads. */
 		{ { { "/routes/0/timout_ms", "5" } },
 		  "/routes/0 unknown_member",
@@ -384,6 +426,20 @@
 		  "/services/1 unused_service");
 }
 
+// Guards against caps that hosts don't apply.
+TEST_F(Check, CapsOverTheMaximumAreErrors)
+{
+	std::string teams;
+
+	for (int i = 0; i < LM_CAP_MAX_TEAMS + 1; i++)
+		teams += std::string(i ? "," : "") + "{\"name\":\"t" +
+			 std::to_string(i) + "\",\"api_keys\":[\"k" +
+			 std::to_string(i) +
+			 "\"],\"rate_per_s\":1,\"burst\":1}";
+	EXPECT_EQ(Rules(Edited({ { "/tenants", "[" + teams + "]" } })),
+		  "/tenants/4096 too_many_caps");
+}
+
 // Guards against text that is no configuration at all.
 TEST_F(Check, TextsThatAreNoConfiguration)
 {
@@ -478,6 +534,20 @@
 		{ { { "/tenants/0/priority", "0" } }, "team t|priority|1|0" },
 		{ { { "/tenants/0/isolated", "" } },
 		  "team t|isolated|true|false" },
+		{ { { "/tenants/0/rate_per_s", "20000" } },
+		  "-team t|rate_per_s|30000|20000" },
+		{ { { "/tenants/0/rate_per_s", "0.5" } },
+		  "-team t|rate_per_s|30000|0.5" },
+		{ { { "/tenants/0/rate_per_s", "0" } },
+		  "team t|rate_per_s|30000|0" },
+		{ { { "/tenants/1/rate_per_s", "9" } },
+		  "-team u|rate_per_s|0|9" },
+		{ { { "/tenants/0/burst", "50000" } },
+		  "-team t|burst|60000|50000" },
+		{ { { "/tenants/0/unit", "" } },
+		  "team t|unit|tokens|requests" },
+		{ { { "/tenants/0/plain_tokens", "600" } },
+		  "-team t|plain_tokens|500|600" },
 		{ { { "/limits/max_body_bytes", "99" } },
 		  "-limit |max_body_bytes|4194304|99" },
 		{ { { "/limits/max_body_bytes", "" } },
