caps: small requests go before large ones, and a waiting request is charged once

Large requests that are not urgent now leave half of the bucket to the others; what they leave is not paced. A request that waits for room at an engine is charged before it waits, once, and given back if it is refused.

--- a/src/gateway/gw_cap.c
+++ b/src/gateway/gw_cap.c
@@ -630,7 +630,7 @@
 		lm_cap_charge(&cap->caps, team->id, cost, now_ms);
 	} else if (!lm_cap_take(
 			   &cap->caps, team->id, cost,
-			   gw_cap_is_urgent(team, r->terms.priority, now_ms),
+			   gw_cap_is_urgent(team, r->terms.route->priority, now_ms),
 			   now_ms, &answer)) {
 		r->retry_after_ms = answer.retry_after_ms;
 		mt_count(&gw_cap_refused, team->name);
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -105,6 +105,8 @@
 
 	gw_log_end(r, outcome, status);
 	h1_set_label(exchange, r->in.attempt ? r->in.attempt : "");
+	if (r->held_until_ms)
+		gw_cap_give_back(r);
 	gw_send_cancel(r);
 	ev_timer_stop(r->gateway->kernel.loop, &r->timer);
 	gw_separate_release(r);
@@ -369,7 +371,7 @@
 	} else if (!answer.engine ||
 		   r->failed_connects >= GW_MAX_FAILED_CONNECTS)
 		gw_request_give_up(r, "no_engine");
-	else if (!gw_cap_charge(r))
+	else if (!r->held_until_ms && !gw_cap_charge(r))
 		gw_request_refuse(r, 429, "over_cap");
 	else if (!gw_separate_holds(r, &answer))
 		gw_send(r, &answer);
--- a/src/limits/lm_cap.c
+++ b/src/limits/lm_cap.c
@@ -38,10 +38,14 @@
 #define LM_CAP_MESSAGE_MS 100
 /* Also with a full bucket, and once its share only, if no message has arrived
  * for this time. Under pressure there are messages all the time. */
-#define LM_CAP_OVERDUE_MS      600
-#define LM_CAP_PACE_FROM_MS    800
-#define LM_CAP_PACE_FROM       0.5
-#define LM_CAP_URGENT_PART     0.2
+#define LM_CAP_OVERDUE_MS   600
+#define LM_CAP_PACE_FROM_MS 800
+#define LM_CAP_PACE_FROM    0.5
+/* Of the depth: requests that are neither urgent nor small leave so much to the
+ * others. A cap that binds then serves many requests, not a few large ones. */
+#define LM_CAP_RESERVED_PART 0.5
+/* What the large ones leave is not paced for those that go first. */
+#define LM_CAP_FIRST_PACE_PART 0.5
 #define LM_CAP_RETRY_MIN_MS    300
 #define LM_CAP_RETRY_MAX_MS    5000
 #define LM_CAP_REFUSED_MEAN_MS 1000
@@ -65,7 +69,8 @@
  * @own, @hosts, @zones, @all: cumulative cost charged here, and by the sources
  *	of each kind.
  * @others: usage of the sources in use, at the last tick.
- * @offered: to this host; @told: what other hosts charged.
+ * @offered, @requests: cost and number of the requests to this host.
+ * @told: what other hosts charged.
  * @heard: 1 less the shares of the silent sources.
  * @own_share: of this host, when a source in use was heard last.
  * @paced: charged here since the last message of a source.
@@ -89,6 +94,7 @@
 	double heard;
 	double own_share;
 	struct lm_mean offered;
+	struct lm_mean requests;
 	struct lm_mean told;
 	int64_t pressure_until_ms;
 	struct lm_mean refused;
@@ -460,8 +466,10 @@
  * host uses twice its share between two messages.
  */
 static bool lm_is_paced(const struct lm_caps *caps, struct lm_team *t,
-			int64_t cost, int64_t now_ms)
+			int64_t cost, bool goes_first, int64_t now_ms)
 {
+	double pace_from =
+		lm_pace_from(t) * (goes_first ? LM_CAP_FIRST_PACE_PART : 1);
 	bool is_overdue;
 	double room;
 
@@ -474,7 +482,7 @@
 	}
 	is_overdue = now_ms - t->paced_from_ms > LM_CAP_OVERDUE_MS;
 	if (!lm_has_pressure(t, now_ms) || caps->_hosts == 1 ||
-	    (t->level >= lm_pace_from(t) && !is_overdue))
+	    (t->level >= pace_from && !is_overdue))
 		return false;
 	room = (is_overdue ? 1 : LM_CAP_PACE) * lm_own_share(caps, t) *
 	       t->rate *
@@ -534,11 +542,20 @@
 			      LM_CAP_RETRY_MAX_MS);
 }
 
+/* Costs no more than the mean request that is offered. */
+static bool lm_is_small(const struct lm_team *t, int64_t cost, int64_t now_ms)
+{
+	return (double)cost *
+		       lm_mean_at(&t->requests, LM_CAP_PRESSURE_MS, now_ms) <=
+	       lm_mean_at(&t->offered, LM_CAP_PRESSURE_MS, now_ms);
+}
+
 bool lm_cap_take(struct lm_caps *caps, uint64_t team, int64_t cost,
 		 bool is_urgent, int64_t now_ms, struct lm_cap_answer *answer)
 {
 	struct lm_team *t = lm_find_team(caps, team);
 	double needed = (double)cost;
+	bool goes_first;
 
 	if (!t)
 		return true;
@@ -547,9 +564,13 @@
 	t->largest = MAX(t->largest, MIN((double)cost, lm_window(t)));
 	lm_fill(t, now_ms);
 	lm_mean_add(&t->offered, LM_CAP_PRESSURE_MS, (double)cost, now_ms);
-	if (!is_urgent)
-		needed = MAX(needed, LM_CAP_URGENT_PART * lm_depth(t));
-	if (t->level >= needed && !lm_is_paced(caps, t, cost, now_ms)) {
+	lm_mean_add(&t->requests, LM_CAP_PRESSURE_MS, 1.0, now_ms);
+	goes_first = is_urgent || lm_is_small(t, cost, now_ms);
+	if (!goes_first)
+		needed = MIN(needed + LM_CAP_RESERVED_PART * lm_depth(t),
+			     lm_depth(t));
+	if (t->level >= needed &&
+	    !lm_is_paced(caps, t, cost, goes_first, now_ms)) {
 		lm_charge(t, cost, now_ms);
 		return true;
 	}
