--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -118,6 +118,12 @@
 	g->settings.weights_ms = fresh.weights_ms;
 	g->settings.unread_ms = fresh.unread_ms;
 	g->settings.memory_mb = fresh.memory_mb;
+	g->settings.max_fds = fresh.max_fds;
+	g->settings.max_fields = fresh.max_fields;
+	g->settings.max_target_bytes = fresh.max_target_bytes;
+	g->settings.max_pipelined_bytes = fresh.max_pipelined_bytes;
+	g->settings.min_bytes_per_s = fresh.min_bytes_per_s;
+	g->settings.rate_grace_ms = fresh.rate_grace_ms;
 	gw_front_limit(g);
 	gw_settings_finish(&fresh);
 	lg_info("settings reloaded", "event", "reload", "outcome", "done",
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -37,6 +37,7 @@
 #include "gateway/gw_settings.h"
 #include "gateway/gw_weights.h"
 #include "http1/h1_server.h"
+#include "kernel/ba.h"
 #include "kernel/kn.h"
 #include "limits/rb.h"
 #include "peers/pe_held.h"
@@ -44,6 +45,12 @@
 #include "rows/rw.h"
 #include "rpc/rp.h"
 
+/*
+ * All answers that are collected share a pool, within the account. It guards
+ * against engines that send bytes without end, to many requests at once.
+ */
+#define GW_ANSWER_POOL_BYTES (8u << 20)
+
 struct gw_knowledge;
 struct gw_rollout;
 struct gw_front;
@@ -69,8 +76,7 @@
  * @sent_tokens: tokens sent to engines since gw_peers.c last updated
  *	@prefix_kept_ms from them.
  * @peer_load: requests that the other hosts have running at each engine.
- * @pooled_bytes: sum of the bytes that answers buffer beyond their own
- *	allowances.
+ * @account: of the bytes that the process holds for others.
  * @config_fresh_ms: last time at which @catalog was known to be the newest
  *	configuration.
  * @retries: retry budgets of this host, by service.
@@ -93,7 +99,7 @@
 	int64_t prefix_kept_ms;
 	uint64_t sent_tokens;
 	struct pe_load peer_load;
-	uint64_t pooled_bytes;
+	struct ba_account account;
 	int64_t config_fresh_ms;
 	struct rb_table retries;
 	int64_t started_ms;
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -269,14 +269,15 @@
 			"row_ignored", "key", "key", NULL);
 		return;
 	}
-	code = rp_init(&p->rpc, &(struct rp_desc){
-					.loop = p->gateway->kernel.loop,
-					.address = s->peers.address,
-					.port = s->peers.port,
-					.key = bytes,
-					.host = s->host,
-					.role = "gateway",
-					.incarnation = rp_new_incarnation() });
+	code = rp_init(&p->rpc,
+		       &(struct rp_desc){ .loop = p->gateway->kernel.loop,
+					  .address = s->peers.address,
+					  .port = s->peers.port,
+					  .key = bytes,
+					  .host = s->host,
+					  .role = "gateway",
+					  .incarnation = rp_new_incarnation(),
+					  .account = &p->gateway->account });
 	if (code == ST_OK)
 		code = rp_serve(&p->rpc,
 				&(struct rp_procedure){
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -183,8 +183,7 @@
 	gw_free(r);
 }
 
-/* Refuses the request with a status that says whether it may have run. */
-static void gw_give_up(struct gw_request *r, const char *reason)
+void gw_request_give_up(struct gw_request *r, const char *reason)
 {
 	uint32_t status = 503;
 
@@ -200,7 +199,7 @@
 	if (h1_call_was_sent(&r->call))
 		r->may_have_begun = true;
 	gw_send_cancel(r);
-	gw_give_up(r, r->is_cut_by_stop ? "stopping" : "timeout");
+	gw_request_give_up(r, r->is_cut_by_stop ? "stopping" : "timeout");
 }
 
 /* A request must end while the process can still answer it. */
@@ -273,7 +272,7 @@
 		gw_request_place(r);
 		return;
 	default:
-		gw_give_up(r, reason);
+		gw_request_give_up(r, reason);
 	}
 }
 
@@ -302,11 +301,11 @@
 	switch (answer.verdict) {
 	case PS_HOLD:
 		r->retry_after_ms = answer.retry_after_ms;
-		gw_give_up(r, "held_back");
+		gw_request_give_up(r, "held_back");
 		return true;
 	case PS_REFUSE:
 		r->retry_after_ms = GW_POISON_RETRY_AFTER_MS;
-		gw_give_up(r, "crashes_engines");
+		gw_request_give_up(r, "crashes_engines");
 		return true;
 	case PS_ISOLATE:
 		gw_exclude_suspect_engines(r);
@@ -355,10 +354,10 @@
 	if (!answer.engine && answer.pause_end_ms) {
 		r->retry_after_ms =
 			gw_pause_retry_after_ms(answer.pause_end_ms);
-		gw_give_up(r, "engines_paused");
+		gw_request_give_up(r, "engines_paused");
 	} else if (!answer.engine ||
 		   r->failed_connects >= GW_MAX_FAILED_CONNECTS)
-		gw_give_up(r, "no_engine");
+		gw_request_give_up(r, "no_engine");
 	else
 		gw_send(r, &answer);
 }
@@ -376,7 +375,7 @@
 	if (h1_call_was_sent(&r->call))
 		r->may_have_begun = true;
 	gw_send_cancel(r);
-	gw_give_up(r, "crashes_engines");
+	gw_request_give_up(r, "crashes_engines");
 	return true;
 }
 
@@ -492,32 +491,51 @@
 	}
 }
 
-static enum gw_verdict gw_admit_request(struct gw_request *r, int64_t now_ms)
+static enum gw_verdict gw_admit_exchange(const struct gw_gateway *g,
+					 const struct h1_exchange *exchange,
+					 const struct dl_request *in,
+					 struct gw_terms *terms)
 {
-	const struct gw_gateway *g = r->gateway;
-
 	return gw_admit(
-		&(struct gw_admit_input){
-			.catalog = g->catalog,
-			.config_age_ms = now_ms - g->config_fresh_ms,
-			.config_ms = g->settings.config_ms,
-			.revoke_ms = g->settings.revoke_ms,
-			.host = gw_header(r->exchange, "Host"),
-			.target = r->exchange->target,
-			.request = &r->in },
-		&r->terms);
+		&(struct gw_admit_input){ .catalog = g->catalog,
+					  .config_age_ms = ck_now_ms() -
+							   g->config_fresh_ms,
+					  .config_ms = g->settings.config_ms,
+					  .revoke_ms = g->settings.revoke_ms,
+					  .host = gw_header(exchange, "Host"),
+					  .target = exchange->target,
+					  .request = in },
+		terms);
+}
+
+bool gw_request_needs_body(void *arg, const struct h1_exchange *exchange)
+{
+	const struct gw_gateway *g = arg;
+	struct dl_request in = { 0 };
+	struct gw_terms terms;
+	enum gw_verdict verdict;
+
+	g->dialect->read_request(exchange->headers, &in);
+	verdict = gw_admit_exchange(g, exchange, &in, &terms);
+	return verdict != GW_NO_ROUTE && verdict != GW_UNKNOWN_KEY;
 }
 
 /* Admits and places the request. */
 static void gw_start_request(struct gw_request *r)
 {
 	struct gw_gateway *g = r->gateway;
-	enum gw_verdict verdict = gw_admit_request(r, ck_now_ms());
+	enum gw_verdict verdict =
+		gw_admit_exchange(g, r->exchange, &r->in, &r->terms);
 
 	if (verdict != GW_ADMITTED) {
 		gw_answer_unadmitted(r, verdict);
 		return;
 	}
+	/* Its route or key has come into force since its header fields came. */
+	if (r->exchange->is_body_dropped) {
+		gw_request_refuse(r, 503, "body_not_kept");
+		return;
+	}
 	r->catalog = ca_catalog_ref(g->catalog);
 	r->service = ca_pick_service(r->terms.route, gw_split_hash(r));
 	if (!r->service) {
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -59,6 +59,7 @@
  * @first_event_ms: from sending to the first event of the attempt; -1 before.
  * @last_byte_ms: when it was sent, or the last byte of the answer arrived.
  * @pooled_bytes: taken from the gateway's memory for answers, see gw_send.c.
+ * @sending_bytes: of the body, copied on its way to the upstream.
  * @answer: parsed headers of the upstream's answer.
  * @has_begun: the caller has the head of the answer.
  * @last_event: id of the last event that the caller has.
@@ -107,6 +108,7 @@
 
 	enum gw_answer_mode mode;
 	uint64_t pooled_bytes;
+	uint64_t sending_bytes;
 	uint32_t status;
 	struct dl_answer answer;
 	struct h1_headers answer_headers;
@@ -164,6 +166,18 @@
 void gw_request_refuse(struct gw_request *r, uint32_t status,
 		       const char *reason);
 
+/**
+ * gw_request_give_up() - refuse with a status that says whether the request may
+ * have run; frees it.
+ */
+void gw_request_give_up(struct gw_request *r, const char *reason);
+
+/**
+ * gw_request_needs_body() - whether a request with these header fields may be
+ * admitted, so that its body is needed. @arg: the gateway.
+ */
+bool gw_request_needs_body(void *arg, const struct h1_exchange *exchange);
+
 /** gw_send() - start one attempt at @to; its end calls the functions above. */
 void gw_send(struct gw_request *r, const struct gw_place_answer *to);
 
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -27,11 +27,11 @@
 
 /*
  * Memory reserved for each answer while it is collected, within an event, or
- * until its caller reads it; beyond that all answers share a pool. The limits
- * guard against engines that send bytes without end, to many requests at once.
+ * until its caller reads it; beyond that all answers share a pool.
  */
 #define GW_ANSWER_RESERVED_BYTES (64u << 10)
-#define GW_ANSWER_POOL_BYTES	 (8u << 20)
+/* A smaller request is sent in any case. */
+#define GW_SMALL_REQUEST_BYTES (64u << 10)
 
 /* A fingerprint has 16 digits and a comma. */
 #define GW_LOGGED_PARTS_BYTES (DL_MAX_PARTS * 17 + 1)
@@ -115,44 +115,67 @@
 		"content", content, "parts", parts, "sends", sends, NULL);
 }
 
-static void gw_detach_engine(struct gw_request *r)
+static void gw_set_pooled(struct gw_request *r, uint64_t bytes)
 {
-	struct fl_engine *e = r->engine;
-
-	if (!e)
-		return;
-	r->is_awaiting_head = false;
-	e->running--;
-	e->waiting_tokens -= r->read_tokens;
-	r->read_tokens = 0;
-	r->engine = NULL;
-	fl_unref(e);
+	ba_charge(&r->gateway->account, BA_ANSWERS,
+		  (int64_t)(bytes - r->pooled_bytes));
+	r->pooled_bytes = bytes;
 }
 
-static void gw_set_pooled(struct gw_request *r, uint64_t bytes)
+static void gw_set_sending(struct gw_request *r, uint64_t bytes)
 {
-	r->gateway->pooled_bytes += bytes - r->pooled_bytes;
-	r->pooled_bytes = bytes;
+	ba_charge(&r->gateway->account, BA_UPSTREAMS,
+		  (int64_t)(bytes - r->sending_bytes));
+	r->sending_bytes = bytes;
 }
 
 /*
  * Accounts for the memory that the answer holds now. Returns false if the pool
- * is exhausted.
+ * is exhausted. What callers hold does not count here: the request may have
+ * run.
  */
 static bool gw_reserve_answer_memory(struct gw_request *r)
 {
 	uint64_t held = r->answer_body->len + gw_events_pending(&r->events);
-	uint64_t others = r->gateway->pooled_bytes - r->pooled_bytes;
 
 	if (r->has_begun)
 		held += h1_unsent_bytes(r->exchange);
 	held -= MIN(held, GW_ANSWER_RESERVED_BYTES);
-	if (others + held > GW_ANSWER_POOL_BYTES)
+	if (held > r->pooled_bytes &&
+	    !ba_fits_kind(&r->gateway->account, BA_ANSWERS,
+			  held - r->pooled_bytes))
 		return false;
 	gw_set_pooled(r, held);
 	return true;
 }
 
+/* Whether there is memory for the copy that goes to the upstream. */
+static bool gw_may_send(struct gw_request *r)
+{
+	const struct ba_account *account = &r->gateway->account;
+	uint64_t bytes = r->exchange->body->len;
+
+	return bytes <= GW_SMALL_REQUEST_BYTES ||
+	       ba_fits(account, BA_UPSTREAMS, bytes) ||
+	       (h1_may_take(r->exchange, bytes) &&
+		ba_fits(account, BA_UPSTREAMS, bytes));
+}
+
+static void gw_detach_engine(struct gw_request *r)
+{
+	struct fl_engine *e = r->engine;
+
+	if (!e)
+		return;
+	gw_set_sending(r, 0);
+	r->is_awaiting_head = false;
+	e->running--;
+	e->waiting_tokens -= r->read_tokens;
+	r->read_tokens = 0;
+	r->engine = NULL;
+	fl_unref(e);
+}
+
 static bool gw_is_silent(const struct gw_request *r)
 {
 	return gw_silence_of(ck_now_ms() - r->last_byte_ms,
@@ -498,7 +521,12 @@
 					  .resume_after = r->last_event };
 	struct h1_headers headers;
 
+	if (!gw_may_send(r)) {
+		gw_request_give_up(r, "no_memory");
+		return;
+	}
 	gw_prepare_attempt(r, to);
+	gw_set_sending(r, r->exchange->body->len);
 	gw_log_sent(r, to);
 	send.team = r->terms.team ? r->terms.team->name : NULL;
 	send.budget_ms = r->deadline_ms - r->sent_ms;
--- a/src/gateway/gw_settings.c
+++ b/src/gateway/gw_settings.c
@@ -15,6 +15,8 @@
 #define GW_DEFAULT_UNREAD_MS   15000
 #define GW_DEFAULT_RETRY_RATIO 0.2
 #define GW_DEFAULT_RETRY_FLOOR 20
+/* Slower than any link in use; see also rate_grace_ms. */
+#define GW_DEFAULT_MIN_BYTES_PER_S 100
 
 struct gw_settings_reader {
 	struct json_object *root;
@@ -118,6 +120,22 @@
 				    g_strdup(json_object_get_string(region)));
 }
 
+static void gw_read_limits(const struct gw_settings_reader *reader,
+			   struct gw_settings *settings)
+{
+	settings->memory_mb = gw_read_number(reader, "limits/memory_mb", 0);
+	settings->max_fds = gw_read_number(reader, "limits/max_fds", 0);
+	settings->max_fields = gw_read_number(reader, "limits/max_fields", 0);
+	settings->max_target_bytes =
+		gw_read_number(reader, "limits/max_target_bytes", 0);
+	settings->max_pipelined_bytes =
+		gw_read_number(reader, "limits/max_pipelined_bytes", 0);
+	settings->min_bytes_per_s = gw_read_number(
+		reader, "limits/min_bytes_per_s", GW_DEFAULT_MIN_BYTES_PER_S);
+	settings->rate_grace_ms =
+		gw_read_number(reader, "limits/rate_grace_ms", 0);
+}
+
 static void gw_read_bounds(const struct gw_settings_reader *reader,
 			   struct gw_settings *settings)
 {
@@ -133,7 +151,7 @@
 		gw_read_number(reader, "bounds/lease_ms", GW_DEFAULT_LEASE_MS);
 	settings->unread_ms = gw_read_number(reader, "bounds/unread_ms",
 					     GW_DEFAULT_UNREAD_MS);
-	settings->memory_mb = gw_read_number(reader, "limits/memory_mb", 0);
+	gw_read_limits(reader, settings);
 	settings->retry_ratio =
 		gw_read_ratio(reader, "retries/ratio", GW_DEFAULT_RETRY_RATIO);
 	settings->retry_floor =
--- a/src/gateway/gw_settings.h
+++ b/src/gateway/gw_settings.h
@@ -44,6 +44,14 @@
  * @lease_ms: least time between orders of two hosts to the same engine.
  * @unread_ms: in which a caller may read nothing of its answer.
  * @memory_mb: that the process may use; 0: unlimited.
+ * @max_fds: descriptors that the process may have open; 0: what the system
+ *	allows.
+ * @max_fields: header fields of a request; 0: H1_DEFAULT_MAX_FIELDS.
+ * @max_target_bytes: path and query of a request; 0: no bound but that of the
+ *	configuration for all header bytes.
+ * @max_pipelined_bytes: see struct h1_limits; 0: its default.
+ * @min_bytes_per_s: of a request, after @rate_grace_ms; 0: any.
+ * @rate_grace_ms: 0: H1_DEFAULT_RATE_GRACE_MS.
  * @retry_ratio: retries at a service as a share of its requests.
  * @retry_floor: retries of all hosts together that are always allowed.
  */
@@ -65,6 +73,12 @@
 	int64_t lease_ms;
 	int64_t unread_ms;
 	int64_t memory_mb;
+	int64_t max_fds;
+	int64_t max_fields;
+	int64_t max_target_bytes;
+	int64_t max_pipelined_bytes;
+	int64_t min_bytes_per_s;
+	int64_t rate_grace_ms;
 	double retry_ratio;
 	int64_t retry_floor;
 };
--- a/src/http1/h1_headers.c
+++ b/src/http1/h1_headers.c
@@ -1,7 +1,13 @@
 #include "http1/h1_headers.h"
 
+#include <malloc.h>
 #include <string.h>
 
+#include "kernel/ba.h"
+
+/* Fields that are cleared keep memory up to this. */
+#define H1_KEPT_FIELDS_BYTES (2u << 10)
+
 struct h1_offsets {
 	uint32_t name;
 	uint32_t value;
@@ -26,10 +32,21 @@
 
 void h1_headers_clear(struct h1_headers *headers)
 {
+	if (h1_headers_bytes(headers) > H1_KEPT_FIELDS_BYTES) {
+		h1_headers_finish(headers);
+		h1_headers_init(headers);
+		return;
+	}
 	g_string_truncate(headers->_text, 0);
 	g_array_set_size(headers->_offsets, 0);
 }
 
+uint64_t h1_headers_bytes(const struct h1_headers *headers)
+{
+	return ba_text_bytes(headers->_text) +
+	       malloc_usable_size(headers->_offsets->data);
+}
+
 void h1_headers_add(struct h1_headers *headers, const char *name,
 		    const char *value)
 {
--- a/src/http1/h1_headers.h
+++ b/src/http1/h1_headers.h
@@ -33,6 +33,9 @@
 void h1_headers_add(struct h1_headers *headers, const char *name,
 		    const char *value);
 
+/** h1_headers_bytes() - what the allocator took for them. */
+uint64_t h1_headers_bytes(const struct h1_headers *headers);
+
 /** h1_headers_get() - the first value of a name, or NULL. */
 const char *h1_headers_get(const struct h1_headers *headers, const char *name);
 
--- a/src/http1/h1_message.c
+++ b/src/http1/h1_message.c
@@ -5,8 +5,10 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "kernel/ba.h"
+
 /* Memory that an idle connection keeps for each of its texts. */
-#define H1_KEPT_BYTES (16u << 10)
+#define H1_KEPT_BYTES (2u << 10)
 /* Probes of a silent connection: the first one, and the time between them. */
 #define H1_KEEPALIVE_IDLE_S	1
 #define H1_KEEPALIVE_INTERVAL_S 1
@@ -34,8 +36,8 @@
 void h1_collector_clear(struct h1_collector *c)
 {
 	h1_headers_clear(&c->headers);
-	g_string_truncate(c->_name, 0);
-	g_string_truncate(c->_value, 0);
+	h1_release(&c->_name);
+	h1_release(&c->_value);
 	c->_is_in_value = false;
 	c->bytes = 0;
 }
@@ -64,6 +66,12 @@
 	c->bytes += bytes;
 }
 
+uint64_t h1_collector_bytes(const struct h1_collector *c)
+{
+	return h1_headers_bytes(&c->headers) + ba_text_bytes(c->_name) +
+	       ba_text_bytes(c->_value);
+}
+
 void h1_release(GString **text)
 {
 	if ((*text)->allocated_len <= H1_KEPT_BYTES) {
--- a/src/http1/h1_message.h
+++ b/src/http1/h1_message.h
@@ -35,6 +35,9 @@
 /** h1_collector_end() - the last field is complete. */
 void h1_collector_end(struct h1_collector *c);
 
+/** h1_collector_bytes() - what the allocator took for it. */
+uint64_t h1_collector_bytes(const struct h1_collector *c);
+
 /** h1_release() - empty @text and give back its memory if that is large. */
 void h1_release(GString **text);
 
--- a/src/http1/h1_server.c
+++ b/src/http1/h1_server.c
@@ -7,14 +7,16 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "http1/h1_message.h"
+#include "http1/h1_private.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt.h"
+#include "kernel/mt_family.h"
 
 #define H1_READ_BYTES	  16384
-#define H1_MAX_PIPELINED  65536
 #define H1_LISTEN_BACKLOG 1024
+/* Connections accepted before others are looked at. */
+#define H1_ACCEPTS 64
 /* How often connections are checked for their time limits. */
 #define H1_SWEEP_S 0.25
 /*
@@ -23,61 +25,18 @@
  */
 #define H1_LINGER_MS 1000
 
-/* Bodies up to this are read however much memory the others hold. */
-#define H1_RESERVED_BODY_BYTES (64u << 10)
 /* Retry-After of a body for which there is no room, spread over some time. */
 #define H1_RETRY_AFTER_MIN_S 0.3
 #define H1_RETRY_AFTER_MAX_S 1.5
 
-MT_COUNTER(h1_over_budget, "balsampin_bodies_refused_total",
-	   "requests refused because there was no memory for their body")
 MT_GAUGE(h1_held, "balsampin_held_bytes",
 	 "bodies and unsent answers that callers' connections hold")
+MT_COUNTERS(h1_closed, "balsampin_connections_closed_total",
+	    "callers' connections closed by us, but for those after an answer",
+	    "reason")
 MT_COUNTER(h1_unread_answers, "balsampin_unread_answers_total",
 	   "answers given up because their caller did not read on")
 
-enum h1_phase {
-	H1_READING = 0, /* a request, or nothing yet */
-	H1_ANSWERING,	/* the owner has the exchange */
-	H1_SENDING,	/* the rest of an answer; then the next request */
-	H1_CLOSING,	/* the rest of an answer; then the end */
-	H1_LINGERING	/* all is sent; what the caller still writes is read */
-};
-
-struct _h1_connection {
-	struct h1_server *server;
-	struct _h1_connection *next;
-	struct _h1_connection **link;
-	struct h1_exchange exchange;
-	struct h1_collector collector;
-	http_parser parser;
-	GString *target;
-	GString *body;
-	GString *in;
-	GString *out;
-	uint64_t out_offset;
-	uint64_t body_bytes;
-	uint64_t held_bytes;
-	ev_io read;
-	ev_io write;
-	int64_t since_ms;
-	int64_t left_bytes;
-	int fd;
-	enum h1_phase phase;
-	char label[H1_LABEL_BYTES];
-	bool is_owed;
-	bool has_answered;
-	bool is_complete;
-	bool is_keep;
-	bool is_chunked;
-	bool has_head;
-	bool must_continue;
-	bool must_reset;
-	uint32_t refused_status;
-};
-
-static void h1_parse(struct _h1_connection *c);
-
 /* Whether an answer is due on the connection or still being sent. */
 static void h1_set_owed(struct _h1_connection *c, bool is_owed)
 {
@@ -87,20 +46,40 @@
 	c->server->_busy += is_owed ? 1 : -1;
 }
 
-static void h1_set_held(struct _h1_connection *c, uint64_t bytes)
+static void h1_set_standing(struct _h1_connection *c, enum h1_standing standing)
 {
-	c->server->_held_bytes += bytes - c->held_bytes;
-	c->held_bytes = bytes;
-	mt_set(&h1_held, (int64_t)c->server->_held_bytes);
+	h1_guard_set(c->server->_guard, &c->member, standing, ck_now_ms());
 }
 
-/* Accounts for the memory of a body, announced or read, and of an answer. */
-static void h1_account(struct _h1_connection *c)
+/* A body that is announced counts as if it had come. */
+uint64_t h1_held_bytes(const struct _h1_connection *c)
 {
-	h1_set_held(c, MAX(c->body_bytes, c->body->len) + c->out->len);
+	return sizeof(*c) + h1_collector_bytes(&c->collector) +
+	       ba_text_bytes(c->target) + ba_text_bytes(c->in) +
+	       ba_text_bytes(c->out) +
+	       MAX(c->body_bytes, ba_text_bytes(c->body));
+}
+
+void h1_account(struct _h1_connection *c)
+{
+	struct h1_guard *guard = c->server->_guard;
+
+	h1_guard_hold(guard, &c->member, h1_held_bytes(c));
+	mt_set(&h1_held, (int64_t)ba_held_bytes(guard->account));
+}
+
+bool h1_has_room(struct _h1_connection *c, uint64_t bytes)
+{
+	struct h1_server *server = c->server;
+
+	if (server->_guard == &server->_own_guard)
+		server->_own_account.budget_bytes =
+			server->limits.max_held_bytes;
+	return h1_guard_make_room(server->_guard, &c->member,
+				  h1_held_bytes(c) + bytes, ck_now_ms());
 }
 
-static void h1_release_body(struct _h1_connection *c)
+void h1_release_body(struct _h1_connection *c)
 {
 	c->body_bytes = 0;
 	h1_release(&c->body);
@@ -112,7 +91,8 @@
 	struct ev_loop *loop = c->server->_desc.loop;
 
 	h1_set_owed(c, false);
-	h1_set_held(c, 0);
+	h1_guard_leave(c->server->_guard, &c->member);
+	mt_set(&h1_held, (int64_t)ba_held_bytes(c->server->_guard->account));
 	ev_io_stop(loop, &c->read);
 	ev_io_stop(loop, &c->write);
 	close(c->fd);
@@ -169,6 +149,8 @@
 	}
 	h1_release(&c->in);
 	c->phase = H1_LINGERING;
+	h1_set_standing(c, H1_LEAVING);
+	h1_account(c);
 	c->since_ms = ck_now_ms();
 	(void)shutdown(c->fd, SHUT_WR);
 	ev_io_start(c->server->_desc.loop, &c->read);
@@ -187,6 +169,7 @@
 		h1_set_owed(c, false);
 		c->phase = H1_READING;
 		c->since_ms = ck_now_ms();
+		h1_set_standing(c, H1_KEPT);
 		ev_io_start(c->server->_desc.loop, &c->read);
 		h1_parse(c);
 	}
@@ -210,6 +193,7 @@
 			return;
 		}
 		c->out_offset += n;
+		c->member.moved_ms = ck_now_ms();
 		if (c->phase != H1_ANSWERING)
 			c->since_ms = ck_now_ms();
 	}
@@ -220,136 +204,11 @@
  * Sends from the loop. Functions that the owner calls do no more than this, so
  * that none of them ends an exchange, or hands over another, before it returns.
  */
-static void h1_flush_later(struct _h1_connection *c)
+void h1_flush_later(struct _h1_connection *c)
 {
 	ev_feed_event(c->server->_desc.loop, &c->write, EV_WRITE);
 }
 
-static int h1_on_begin(http_parser *p)
-{
-	struct _h1_connection *c = p->data;
-
-	h1_collector_clear(&c->collector);
-	g_string_truncate(c->target, 0);
-	h1_release_body(c);
-	c->is_complete = false;
-	c->since_ms = ck_now_ms();
-	c->exchange.arrived_ms = c->since_ms;
-	return 0;
-}
-
-static int h1_on_target(http_parser *p, const char *at, size_t bytes)
-{
-	struct _h1_connection *c = p->data;
-
-	g_string_append_len(c->target, at, bytes);
-	c->collector.bytes += bytes;
-	return 0;
-}
-
-static int h1_on_field(http_parser *p, const char *at, size_t bytes)
-{
-	struct _h1_connection *c = p->data;
-
-	h1_collector_field(&c->collector, at, bytes);
-	return 0;
-}
-
-static int h1_on_value(http_parser *p, const char *at, size_t bytes)
-{
-	struct _h1_connection *c = p->data;
-
-	h1_collector_value(&c->collector, at, bytes);
-	return 0;
-}
-
-/* Both framings at once may hide a second request in the body. */
-static bool h1_is_ambiguous(const struct h1_headers *headers)
-{
-	return h1_headers_get(headers, "Content-Length") &&
-	       h1_headers_get(headers, "Transfer-Encoding");
-}
-
-/* Whether a body of that size finds room beside what is held already. */
-static bool h1_has_room(const struct _h1_connection *c, uint64_t bytes)
-{
-	const struct h1_server *server = c->server;
-	uint64_t others = server->_held_bytes - c->held_bytes;
-
-	return bytes <= H1_RESERVED_BODY_BYTES ||
-	       !server->limits.max_held_bytes ||
-	       others + bytes <= server->limits.max_held_bytes;
-}
-
-/* Returns the status with which the body is refused, or 0. */
-static uint32_t h1_reserve_body(struct _h1_connection *c, uint64_t bytes)
-{
-	if (bytes > c->server->limits.max_body_bytes)
-		return 413;
-	if (!h1_has_room(c, bytes)) {
-		mt_add(&h1_over_budget, 1);
-		return 503;
-	}
-	c->body_bytes = MAX(c->body_bytes, bytes);
-	h1_account(c);
-	return 0;
-}
-
-static int h1_on_headers(http_parser *p)
-{
-	struct _h1_connection *c = p->data;
-	const struct h1_limits *limits = &c->server->limits;
-	const char *expect;
-
-	h1_collector_end(&c->collector);
-	if (c->collector.bytes > limits->max_header_bytes)
-		c->refused_status = 431;
-	else if (h1_is_ambiguous(&c->collector.headers) || p->upgrade)
-		c->refused_status = 400;
-	else if (p->content_length != UINT64_MAX)
-		c->refused_status = h1_reserve_body(c, p->content_length);
-	expect = h1_headers_get(&c->collector.headers, "Expect");
-	c->must_continue =
-		expect && !g_ascii_strcasecmp(expect, "100-continue");
-	return c->refused_status ? -1 : 0;
-}
-
-static int h1_on_body(http_parser *p, const char *at, size_t bytes)
-{
-	struct _h1_connection *c = p->data;
-
-	c->refused_status = h1_reserve_body(c, c->body->len + bytes);
-	if (c->refused_status)
-		return -1;
-	if (!c->body->len && c->body_bytes > bytes) {
-		g_string_free(c->body, TRUE);
-		c->body = g_string_sized_new(c->body_bytes);
-	}
-	c->must_continue = false;
-	g_string_append_len(c->body, at, bytes);
-	return 0;
-}
-
-static int h1_on_complete(http_parser *p)
-{
-	struct _h1_connection *c = p->data;
-
-	c->is_complete = true;
-	c->is_keep = http_should_keep_alive(p);
-	http_parser_pause(p, 1);
-	return 0;
-}
-
-static const http_parser_settings h1_settings = {
-	.on_message_begin = h1_on_begin,
-	.on_url = h1_on_target,
-	.on_header_field = h1_on_field,
-	.on_header_value = h1_on_value,
-	.on_headers_complete = h1_on_headers,
-	.on_body = h1_on_body,
-	.on_message_complete = h1_on_complete,
-};
-
 static const char *h1_reason(uint32_t status)
 {
 	const char *text = http_status_str(status);
@@ -377,6 +236,8 @@
 	h1_set_owed(c, true);
 	c->has_answered = true;
 	c->phase = c->is_keep ? H1_SENDING : H1_CLOSING;
+	c->is_begun = false;
+	h1_set_standing(c, H1_UNREAD);
 	c->since_ms = ck_now_ms();
 	g_string_truncate(c->target, 0);
 	h1_collector_clear(&c->collector);
@@ -387,7 +248,7 @@
 }
 
 /* A request that is not handed over: answer it and close. */
-static void h1_refuse(struct _h1_connection *c, uint32_t status)
+void h1_refuse(struct _h1_connection *c, uint32_t status)
 {
 	char after[G_ASCII_DTOSTR_BUF_SIZE];
 
@@ -408,7 +269,7 @@
 	h1_finish_answer(c);
 }
 
-static void h1_hand_over(struct _h1_connection *c)
+void h1_hand_over(struct _h1_connection *c)
 {
 	struct h1_server *server = c->server;
 	struct h1_exchange *x = &c->exchange;
@@ -417,6 +278,10 @@
 	c->has_head = false;
 	c->label[0] = '\0';
 	h1_set_owed(c, true);
+	/* Its request takes a connection to an upstream. */
+	h1_set_standing(c, H1_WORKING);
+	(void)h1_guard_make_place(server->_guard, server->_desc.is_control,
+				  ck_now_ms());
 	x->method = http_method_str(c->parser.method);
 	x->target = c->target->str;
 	x->headers = &c->collector.headers;
@@ -425,36 +290,6 @@
 	server->_desc.on_request(server->_desc.arg, x);
 }
 
-static void h1_parse(struct _h1_connection *c)
-{
-	size_t used;
-
-	if (c->phase != H1_READING || !c->in->len)
-		return;
-	used = http_parser_execute(&c->parser, &h1_settings, c->in->str,
-				   c->in->len);
-	if (c->is_complete) {
-		http_parser_pause(&c->parser, 0);
-		if (used < c->in->len)
-			g_string_erase(c->in, 0, used);
-		else
-			h1_release(&c->in);
-		c->is_complete = false;
-		h1_hand_over(c);
-		return;
-	}
-	if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK || c->parser.upgrade) {
-		h1_refuse(c, c->refused_status ? c->refused_status : 400);
-		return;
-	}
-	g_string_truncate(c->in, 0);
-	if (c->must_continue) {
-		c->must_continue = false;
-		g_string_append(c->out, "HTTP/1.1 100 Continue\r\n\r\n");
-		h1_flush_later(c);
-	}
-}
-
 /* The caller writes no more, or has gone. */
 static void h1_on_end(struct _h1_connection *c)
 {
@@ -467,27 +302,40 @@
 	ev_io_stop(c->server->_desc.loop, &c->read);
 }
 
+/* How much may be read now; 0: nothing until the answer is sent. */
+static uint64_t h1_may_read(const struct _h1_connection *c)
+{
+	const struct h1_server *server = c->server;
+	uint64_t most = server->limits.max_pipelined_bytes;
+
+	if (c->phase == H1_READING || c->phase == H1_LINGERING)
+		return H1_READ_BYTES;
+	if (c->in->len >= most ||
+	    (c->in->len && !ba_fits(server->_guard->account, BA_CALLERS, most)))
+		return 0;
+	return MIN(H1_READ_BYTES, most - c->in->len);
+}
+
 static void h1_on_readable(struct ev_loop *loop, ev_io *w, int events)
 {
 	struct _h1_connection *c = w->data;
 	char buffer[H1_READ_BYTES];
-	ssize_t n = recv(c->fd, buffer, sizeof(buffer), 0);
+	uint64_t most = h1_may_read(c);
+	ssize_t n;
 
+	if (!most) {
+		ev_io_stop(loop, &c->read);
+		return;
+	}
+	n = recv(c->fd, buffer, most, 0);
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n <= 0) {
 		h1_on_end(c);
 		return;
 	}
-	if (c->phase == H1_LINGERING)
-		return;
-	if (c->phase == H1_READING && !c->in->len)
-		c->since_ms = ck_now_ms();
-	g_string_append_len(c->in, buffer, n);
-	if (c->phase == H1_READING)
-		h1_parse(c);
-	else if (c->in->len > H1_MAX_PIPELINED)
-		ev_io_stop(loop, &c->read);
+	if (c->phase != H1_LINGERING)
+		h1_take(c, buffer, n);
 }
 
 static void h1_on_writable(struct ev_loop *loop, ev_io *w, int events)
@@ -495,6 +343,57 @@
 	h1_flush(w->data);
 }
 
+/* The caller has read nothing of the rest of its answer for too long. */
+static void h1_give_up_answer(struct _h1_connection *c)
+{
+	char unsent[24];
+
+	mt_add(&h1_unread_answers, 1);
+	g_snprintf(unsent, sizeof(unsent), "%" G_GSIZE_FORMAT,
+		   c->out->len - (gsize)c->out_offset);
+	lg_info("answer given up as its caller does not read", "event",
+		"answer_unread", "request", c->label, "unsent_bytes", unsent,
+		NULL);
+}
+
+/* Not run, and never will be: the request has not been read whole. */
+static void h1_tell_not_run(struct _h1_connection *c)
+{
+	static const char text[] = "HTTP/1.1 503 Service Unavailable\r\n"
+				   "Connection: close\r\nRetry-After: 1\r\n"
+				   "Content-Length: 0\r\n\r\n";
+
+	(void)!send(c->fd, text, sizeof(text) - 1, MSG_NOSIGNAL | MSG_DONTWAIT);
+}
+
+static void h1_on_shed(struct h1_member *member, const char *reason)
+{
+	struct _h1_connection *c = h1_connection_of(member);
+	struct h1_server *server = c->server;
+
+	mt_count(&h1_closed, reason);
+	if (server->_desc.on_shed)
+		server->_desc.on_shed(server->_desc.arg, reason,
+				      member->standing);
+	if (member->standing == H1_UNFINISHED && !strcmp(reason, "memory")) {
+		h1_refuse(c, 503);
+		return;
+	}
+	if (member->standing == H1_UNFINISHED)
+		h1_tell_not_run(c);
+	if (member->standing == H1_UNREAD)
+		h1_give_up_answer(c);
+	h1_free(c);
+}
+
+static bool h1_is_member_writing(const struct h1_member *member)
+{
+	char byte;
+
+	return recv(h1_connection_of(member)->fd, &byte, sizeof(byte),
+		    MSG_DONTWAIT | MSG_PEEK) > 0;
+}
+
 static struct _h1_connection *h1_open(struct h1_server *server, int fd)
 {
 	struct _h1_connection *c = g_new0(struct _h1_connection, 1);
@@ -508,8 +407,9 @@
 	c->in = g_string_new(NULL);
 	c->out = g_string_new(NULL);
 	h1_collector_init(&c->collector);
-	http_parser_init(&c->parser, HTTP_REQUEST);
-	c->parser.data = c;
+	h1_read_init(c);
+	c->member.shed = h1_on_shed;
+	c->member.is_writing = h1_is_member_writing;
 	ev_io_init(&c->read, h1_on_readable, fd, EV_READ);
 	ev_io_init(&c->write, h1_on_writable, fd, EV_WRITE);
 	c->read.data = c;
@@ -520,61 +420,86 @@
 	c->link = &server->_connections;
 	server->_connections = c;
 	server->_open++;
+	h1_guard_join(server->_guard, &c->member, c->since_ms);
+	h1_account(c);
 	return c;
 }
 
-static void h1_on_accept(struct ev_loop *loop, ev_io *w, int events)
+/* Returns false if there is nothing to accept, or no way to. */
+static bool h1_accept(struct h1_server *server)
 {
-	struct h1_server *server = w->data;
-	int fd;
+	int fd = accept4(server->_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	bool is_full = fd < 0 && (errno == EMFILE || errno == ENFILE);
 
-	while ((fd = accept(server->_fd, NULL, NULL)) >= 0) {
-		h1_set_options(fd, server->limits.unread_timeout_ms);
-		ev_io_start(loop, &h1_open(server, fd)->read);
+	if (is_full && h1_guard_shed_one(server->_guard, ck_now_ms()))
+		return true;
+	/* Without a descriptor, the listening socket would stay readable. */
+	if (is_full)
+		ev_io_stop(server->_desc.loop, &server->_accept);
+	if (fd < 0)
+		return false;
+	if (!h1_guard_make_place(server->_guard, server->_desc.is_control,
+				 ck_now_ms())) {
+		mt_count(&h1_closed, "no_place");
+		close(fd);
+		return true;
 	}
+	h1_set_options(fd, server->limits.unread_timeout_ms);
+	ev_io_start(server->_desc.loop, &h1_open(server, fd)->read);
+	return true;
+}
+
+static void h1_on_accept(struct ev_loop *loop, ev_io *w, int events)
+{
+	for (int i = 0; i < H1_ACCEPTS && h1_accept(w->data); i++)
+		;
 }
 
-static int64_t h1_limit_ms(const struct _h1_connection *c)
+/* Returns why the connection is to be closed, or NULL. */
+static const char *h1_is_overdue(const struct _h1_connection *c, int64_t now_ms)
 {
 	const struct h1_limits *limits = &c->server->limits;
+	int64_t age_ms = now_ms - c->since_ms;
+	int64_t quiet_ms = now_ms - c->member.moved_ms;
 
 	switch (c->phase) {
 	case H1_READING:
-		return c->target->len || c->in->len ? limits->header_timeout_ms
-						    : limits->idle_timeout_ms;
+		if (!c->is_begun)
+			return age_ms > limits->idle_timeout_ms ? "idle" : NULL;
+		if ((c->has_fields ? quiet_ms : age_ms) >
+		    limits->header_timeout_ms)
+			return "unfinished";
+		/* Within its time, a head may be as slow as it likes. */
+		if (age_ms > MAX(limits->rate_grace_ms,
+				 limits->header_timeout_ms) &&
+		    c->member.read_bytes * 1000 / (uint64_t)age_ms <
+			    limits->min_bytes_per_s)
+			return "slow";
+		return NULL;
 	case H1_SENDING:
 	case H1_CLOSING:
-		return limits->unread_timeout_ms;
+		return age_ms > limits->unread_timeout_ms ? "unread" : NULL;
 	case H1_LINGERING:
-		return H1_LINGER_MS;
+		return age_ms > H1_LINGER_MS ? "lingering" : NULL;
 	default:
-		return INT64_MAX;
+		return NULL;
 	}
 }
 
-/* The caller has read nothing of the rest of its answer for too long. */
-static void h1_give_up_answer(struct _h1_connection *c)
-{
-	char unsent[24];
-
-	mt_add(&h1_unread_answers, 1);
-	g_snprintf(unsent, sizeof(unsent), "%" G_GSIZE_FORMAT,
-		   c->out->len - (gsize)c->out_offset);
-	lg_info("answer given up as its caller does not read", "event",
-		"answer_unread", "request", c->label, "unsent_bytes", unsent,
-		NULL);
-}
-
 static void h1_on_sweep(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct h1_server *server = w->data;
 	struct _h1_connection *c = server->_connections;
 	int64_t now_ms = ck_now_ms();
 
+	ev_io_start(loop, &server->_accept);
 	while (c) {
 		struct _h1_connection *next = c->next;
 
-		if (now_ms - c->since_ms > h1_limit_ms(c)) {
+		const char *reason = h1_is_overdue(c, now_ms);
+
+		if (reason) {
+			mt_count(&h1_closed, reason);
 			if (c->phase == H1_SENDING || c->phase == H1_CLOSING)
 				h1_give_up_answer(c);
 			h1_free(c);
@@ -615,6 +540,12 @@
 		limits->idle_timeout_ms = H1_DEFAULT_IDLE_TIMEOUT_MS;
 	if (!limits->unread_timeout_ms)
 		limits->unread_timeout_ms = H1_DEFAULT_UNREAD_TIMEOUT_MS;
+	if (!limits->max_fields)
+		limits->max_fields = H1_DEFAULT_MAX_FIELDS;
+	if (!limits->max_pipelined_bytes)
+		limits->max_pipelined_bytes = H1_DEFAULT_MAX_PIPELINED_BYTES;
+	if (!limits->rate_grace_ms)
+		limits->rate_grace_ms = H1_DEFAULT_RATE_GRACE_MS;
 }
 
 enum st_code h1_server_init(struct h1_server *server,
@@ -624,6 +555,9 @@
 	server->_desc = *desc;
 	server->limits = desc->limits;
 	h1_default(&server->limits);
+	ba_init(&server->_own_account, 0);
+	h1_guard_init(&server->_own_guard, &server->_own_account);
+	server->_guard = desc->guard ? desc->guard : &server->_own_guard;
 	server->_fd = h1_listen(desc);
 	if (server->_fd < 0)
 		return st_fail(ST_UNAVAILABLE, "cannot listen on %s:%u: %s",
@@ -677,8 +611,8 @@
 	while (c) {
 		struct _h1_connection *next = c->next;
 
-		if (c->phase == H1_READING && c->has_answered &&
-		    !c->target->len && !h1_is_caller_writing(c))
+		if (c->phase == H1_READING && c->has_answered && !c->is_begun &&
+		    !h1_is_caller_writing(c))
 			h1_free(c);
 		c = next;
 	}
@@ -772,3 +706,8 @@
 {
 	return x->_connection->out->len - x->_connection->out_offset;
 }
+
+bool h1_may_take(struct h1_exchange *x, uint64_t bytes)
+{
+	return h1_has_room(x->_connection, bytes);
+}
--- a/src/http1/h1_server.h
+++ b/src/http1/h1_server.h
@@ -30,10 +30,11 @@
  *		.on_request = on_request, .arg = me });
  *
  * Limits
- *	Header fields over max_header_bytes get 431, a body over
- *	max_body_bytes 413, what is no request 400. A body for which
- *	max_held_bytes leaves no room gets 503 with Retry-After; short ones are
- *	read in any case. Idle connections hold no large memory.
+ *	Header fields over max_header_bytes or max_fields get 431, a target over
+ *	max_target_bytes 414, a body over max_body_bytes 413, what is no request
+ *	400. What finds no room in the account gets 503 with Retry-After; small
+ *	requests are read in any case (h1_guard.h). Idle connections hold no
+ *	large memory.
  */
 #ifndef H1_SERVER_H
 #define H1_SERVER_H
@@ -41,6 +42,7 @@
 #include <ev.h>
 #include <stdint.h>
 
+#include "http1/h1_guard.h"
 #include "http1/h1_headers.h"
 #include "kernel/st.h"
 
@@ -49,7 +51,11 @@
 #define H1_DEFAULT_HEADER_TIMEOUT_MS 10000
 #define H1_DEFAULT_IDLE_TIMEOUT_MS   60000
 #define H1_DEFAULT_UNREAD_TIMEOUT_MS 15000
-#define H1_LABEL_BYTES		     64
+/* Proxies in common use take some hundred fields. */
+#define H1_DEFAULT_MAX_FIELDS	       1000
+#define H1_DEFAULT_MAX_PIPELINED_BYTES 8192
+#define H1_DEFAULT_RATE_GRACE_MS       10000
+#define H1_LABEL_BYTES		       64
 
 struct h1_server;
 struct _h1_connection;
@@ -60,6 +66,7 @@
  * @target: path and query as sent.
  * @headers: all fields as sent.
  * @body: the whole body without framing.
+ * @is_body_dropped: @body is empty, as on_head said that nobody needs it.
  * @arrived_ms: ck_now_ms() of the first byte.
  * @arg: for the owner's use.
  */
@@ -68,6 +75,7 @@
 	const char *target;
 	struct h1_headers *headers;
 	GString *body;
+	bool is_body_dropped;
 	int64_t arrived_ms;
 	void *arg;
 
@@ -76,10 +84,17 @@
 
 /**
  * struct h1_limits - what a caller may do; may change while serving.
- * @header_timeout_ms: from the first byte of a request to its last.
+ * @header_timeout_ms: from the first byte of a request to the end of its
+ *	header fields; and between two bytes of its body.
  * @idle_timeout_ms: without a request.
- * @max_held_bytes: bodies and unsent answers of all connections together; a
- *	body that does not fit is refused before it is read. 0 is unlimited.
+ * @max_held_bytes: budget of the account of a server without a guard of its
+ *	process; 0 is unlimited.
+ * @max_fields: header fields of a request.
+ * @max_target_bytes: path and query; 0: @max_header_bytes alone holds.
+ * @max_pipelined_bytes: read from a connection while an answer is due on it;
+ *	the rest waits in the network.
+ * @min_bytes_per_s: of a request that is not whole @rate_grace_ms after its
+ *	first byte; 0: any.
  * @unread_timeout_ms: in which it reads nothing of its answer.
  */
 struct h1_limits {
@@ -89,6 +104,11 @@
 	int64_t idle_timeout_ms;
 	int64_t unread_timeout_ms;
 	uint64_t max_held_bytes;
+	uint32_t max_fields;
+	uint64_t max_target_bytes;
+	uint64_t max_pipelined_bytes;
+	uint64_t min_bytes_per_s;
+	int64_t rate_grace_ms;
 };
 
 /**
@@ -101,6 +121,13 @@
  * @on_gone: the caller has left before the end of its answer.
  * @on_refused: a request was answered without being handed over; @headers are
  *	those that have been read. May be NULL.
+ * @on_head: the header fields of a request with a large body have come; false
+ *	if nobody needs the body, which is then read and not kept. May be NULL.
+ * @on_shed: a connection was closed, or its request refused, to make room for
+ *	others; @reason: "memory" or "descriptors". May be NULL.
+ * @guard: of all servers of the process; NULL: the server has its own.
+ * @is_control: for readiness or metrics; keeps no bodies, and has places that
+ *	callers do not take.
  * @arg: first argument of all.
  */
 struct h1_server_desc {
@@ -112,6 +139,11 @@
 	void (*on_gone)(void *arg, struct h1_exchange *x);
 	void (*on_refused)(void *arg, const struct h1_headers *headers,
 			   uint32_t status);
+	bool (*on_head)(void *arg, const struct h1_exchange *x);
+	void (*on_shed)(void *arg, const char *reason,
+			enum h1_standing standing);
+	struct h1_guard *guard;
+	bool is_control;
 	void *arg;
 };
 
@@ -125,7 +157,9 @@
 	ev_timer _sweep;
 	uint32_t _open;
 	uint32_t _busy;
-	uint64_t _held_bytes;
+	struct h1_guard *_guard;
+	struct h1_guard _own_guard;
+	struct ba_account _own_account;
 	bool _is_draining;
 };
 
@@ -152,10 +186,11 @@
 	return server->_busy;
 }
 
-/** h1_server_held_bytes() - bodies and unsent answers of all connections. */
+/** h1_server_held_bytes() - by all connections of the guard, beyond what is
+ * guaranteed to them. */
 static inline uint64_t h1_server_held_bytes(const struct h1_server *server)
 {
-	return server->_held_bytes;
+	return ba_kind_held_bytes(server->_guard->account, BA_CALLERS);
 }
 
 /** h1_server_open() - connections. */
@@ -182,6 +217,12 @@
 /** h1_set_label() - the id by which log lines name the request. */
 void h1_set_label(struct h1_exchange *x, const char *label);
 
+/**
+ * h1_may_take() - whether there is room for @bytes more of an answer; others
+ * may be closed for it. An answer is sent in any case.
+ */
+bool h1_may_take(struct h1_exchange *x, uint64_t bytes);
+
 /** h1_unsent_bytes() - written and not yet taken by the network. */
 uint64_t h1_unsent_bytes(const struct h1_exchange *x);
 
--- a/src/rpc/rp.h
+++ b/src/rpc/rp.h
@@ -35,6 +35,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "kernel/ba.h"
 #include "kernel/st.h"
 
 #define RP_KEY_BYTES 32
@@ -132,6 +133,8 @@
  * @incarnation: of this process, not 0; rp_new_incarnation() makes one.
  * @idle_ms: an unused TCP connection is closed after it, by the peer that was
  *	called after twice the time; default RP_DEFAULT_IDLE_MS.
+ * @account: of the process; records that are not whole are charged to it. NULL:
+ *	RP_MAX_BUFFERED_BYTES alone holds.
  */
 struct rp_desc {
 	struct ev_loop *loop;
@@ -142,6 +145,7 @@
 	const char *role;
 	uint64_t incarnation;
 	int64_t idle_ms;
+	struct ba_account *account;
 };
 
 /** struct rp_endpoint - all state, behind one pointer. */
--- a/src/rpc/rp_endpoint.c
+++ b/src/rpc/rp_endpoint.c
@@ -85,6 +85,7 @@
 	s->incarnation = desc->incarnation;
 	s->ipv4 = ntohl(address.s_addr);
 	s->port = desc->port;
+	s->account = desc->account;
 	s->idle_ms = desc->idle_ms ? desc->idle_ms : RP_DEFAULT_IDLE_MS;
 	s->udp_fd = -1;
 	s->listen_fd = -1;
--- a/src/rpc/rp_private.h
+++ b/src/rpc/rp_private.h
@@ -68,6 +68,7 @@
 	struct rp_record record;
 	GQueue out;
 	uint32_t out_bytes;
+	uint64_t buffered_bytes;
 	ev_io readable;
 	ev_io writable;
 };
@@ -134,6 +135,7 @@
 	GPtrArray *conns;
 	uint32_t conn_count[2];
 	uint64_t buffered_bytes;
+	struct ba_account *account;
 };
 
 /* rp_endpoint.c */
--- a/src/rpc/rp_tcp.c
+++ b/src/rpc/rp_tcp.c
@@ -17,6 +17,8 @@
 	   "connections over the limit")
 MT_COUNTER(rp_records_malformed, "balsampin_rpc_records_malformed_total",
 	   "connections closed for a bad or oversized record")
+MT_COUNTER(rp_records_without_room, "balsampin_rpc_records_without_room_total",
+	   "connections closed as there was no room for their record")
 MT_GAUGE(rp_connections, "balsampin_rpc_connections",
 	 "open TCP connections of the endpoint")
 MT_COUNTER(rp_tcp_received, "balsampin_rpc_tcp_received_bytes_total",
@@ -24,6 +26,40 @@
 MT_COUNTER(rp_tcp_sent, "balsampin_rpc_tcp_sent_bytes_total",
 	   "bytes written to connections, record marks included")
 
+/* The memory of a record grows by doubling. */
+static void rp_set_buffered(struct _rp_conn *conn, uint32_t record_bytes)
+{
+	uint64_t bytes = 1;
+
+	while (bytes < record_bytes)
+		bytes <<= 1;
+	if (!record_bytes)
+		bytes = 0;
+	conn->state->buffered_bytes += bytes - conn->buffered_bytes;
+	if (conn->state->account)
+		ba_charge(conn->state->account, BA_PEERS,
+			  (int64_t)(bytes - conn->buffered_bytes));
+	conn->buffered_bytes = bytes;
+}
+
+/*
+ * Whether the peers' records leave room for so much more. That of a lone one
+ * is always there: a table of the store may be larger than the rest. What
+ * callers hold does not count, so that they can't cut a host off from others.
+ */
+static bool rp_may_buffer(const struct _rp_conn *conn, uint32_t bytes)
+{
+	const struct _rp_state *s = conn->state;
+	uint64_t most = 2 * (uint64_t)(rp_record_bytes(&conn->record) + bytes);
+	uint64_t more =
+		most > conn->buffered_bytes ? most - conn->buffered_bytes : 0;
+
+	if (s->buffered_bytes == conn->buffered_bytes)
+		return true;
+	return s->buffered_bytes + more <= RP_MAX_BUFFERED_BYTES &&
+	       (!s->account || ba_fits_kind(s->account, BA_PEERS, more));
+}
+
 static void rp_conn_close(struct _rp_conn *conn)
 {
 	struct _rp_state *s = conn->state;
@@ -35,7 +71,7 @@
 	g_ptr_array_remove_fast(s->conns, conn);
 	s->conn_count[conn->is_outgoing]--;
 	mt_add(&rp_connections, -1);
-	s->buffered_bytes -= rp_record_bytes(&conn->record);
+	rp_set_buffered(conn, 0);
 	for (GList *l = s->requests.head; l; l = l->next) {
 		struct rp_request *request = l->data;
 
@@ -60,20 +96,20 @@
 static bool rp_conn_feed(struct _rp_conn *conn, const uint8_t *data,
 			 uint32_t bytes)
 {
-	struct _rp_state *s = conn->state;
-	uint32_t before = rp_record_bytes(&conn->record);
 	bool ok;
 
 	conn->received++;
 	conn->active_ms = ck_now_ms();
+	if (!rp_may_buffer(conn, bytes)) {
+		mt_add(&rp_records_without_room, 1);
+		return false;
+	}
 	ok = rp_record_feed(&conn->record, data, bytes, rp_conn_on_record,
 			    conn);
-	s->buffered_bytes += rp_record_bytes(&conn->record);
-	s->buffered_bytes -= before;
-	if (ok && s->buffered_bytes <= RP_MAX_BUFFERED_BYTES)
-		return true;
-	mt_add(&rp_records_malformed, 1);
-	return false;
+	rp_set_buffered(conn, rp_record_bytes(&conn->record));
+	if (!ok)
+		mt_add(&rp_records_malformed, 1);
+	return ok;
 }
 
 static void rp_conn_read(struct ev_loop *loop, ev_io *io, int events)
