--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -31,8 +31,6 @@
 #define GW_RETRY_RESERVE   2
 #define GW_RETRY_MAX_ALONE 4
 #define GW_PERMILLE	   1000
-/* Bodies and answers of this size go back to the system as they are freed. */
-#define GW_MMAP_THRESHOLD_BYTES (256 << 10)
 /*
  * Part of the allowed ratio that is used, as the ratio is checked against
  * completed requests.
@@ -278,7 +276,7 @@
 	struct gw_arguments arguments = { g_getenv(GW_SETTINGS_ENV), false };
 
 	/* The default grows with what is freed, and such memory is kept. */
-	mallopt(M_MMAP_THRESHOLD, GW_MMAP_THRESHOLD_BYTES);
+	mallopt(M_MMAP_THRESHOLD, BA_MAPPED_BYTES);
 	gw_mask_hangup(SIG_BLOCK);
 	argp_parse(&gw_argp, argc, argv, 0, NULL, &arguments);
 	gateway.settings_path = arguments.settings_path;
--- a/src/gateway/gw_front.c
+++ b/src/gateway/gw_front.c
@@ -14,7 +14,7 @@
  * what the process knows, for what connections are guaranteed, and for answers
  * that are collected.
  */
-#define GW_HELD_SHARE 3
+#define GW_HELD_SHARE 4
 /* Part of that for records of other hosts. */
 #define GW_PEERS_SHARE 4
 /* A whole body, and its copy on the way to an upstream, fit in any case. */
@@ -26,8 +26,13 @@
 #define GW_OWN_FDS_MAX	 320
 /* Lines about refused and closed callers each second; the rest is counted. */
 #define GW_LINES_PER_S 10
-/* A metrics page is made only if there is so much room for it. */
+/* A metrics page is sent only if there is so much room for it. */
 #define GW_METRICS_BYTES (64u << 10)
+/*
+ * Metrics pages made each second; whoever asks more often gets the last one.
+ * Pipelined requests for them kept the loop from callers' requests.
+ */
+#define GW_METRICS_PER_S 20
 
 MT_COUNTER(gw_lines_left_out, "balsampin_caller_lines_left_out_total",
 	   "log lines about refused or closed callers that were left out")
@@ -40,6 +45,9 @@
 	struct h1_guard guard;
 	int64_t lines_ms;
 	uint32_t lines;
+	GString *page;
+	int64_t pages_ms;
+	uint32_t pages;
 };
 
 static void gw_on_request(void *arg, struct h1_exchange *x)
@@ -111,24 +119,38 @@
 	h1_respond(x, gw_is_ready(g, ck_now_ms()) ? 200 : 503, NULL, NULL, 0);
 }
 
+/* Makes the metrics page, unless it has been made too often of late. */
+static void gw_update_metrics(struct gw_front *front)
+{
+	int64_t now_ms = ck_now_ms();
+
+	if (now_ms - front->pages_ms >= 1000) {
+		front->pages_ms = now_ms;
+		front->pages = 0;
+	}
+	if (front->pages >= GW_METRICS_PER_S)
+		return;
+	front->pages++;
+	g_string_truncate(front->page, 0);
+	mt_print(front->page);
+	mt_family_print(front->page);
+}
+
 static void gw_on_metrics(void *arg, struct h1_exchange *x)
 {
+	struct gw_front *front = ((struct gw_gateway *)arg)->front;
 	struct h1_headers headers;
-	GString *out;
 
 	if (!h1_may_take(x, GW_METRICS_BYTES)) {
 		h1_respond(x, 503, NULL, NULL, 0);
 		return;
 	}
-	out = g_string_new(NULL);
+	gw_update_metrics(front);
 	h1_headers_init(&headers);
 	h1_headers_add(&headers, "Content-Type",
 		       "text/plain; version=0.0.4; charset=utf-8");
-	mt_print(out);
-	mt_family_print(out);
-	h1_respond(x, 200, &headers, out->str, out->len);
+	h1_respond(x, 200, &headers, front->page->str, front->page->len);
 	h1_headers_finish(&headers);
-	g_string_free(out, TRUE);
 }
 
 static uint64_t gw_budget_bytes(int64_t memory_mb, uint64_t max_body_bytes)
@@ -140,16 +162,29 @@
 			 : 0;
 }
 
-/* Connections of callers, each of which may need one more to an upstream. */
-static uint32_t gw_max_open(int64_t max_fds)
+/*
+ * The system enforces the bound on all descriptors: a connection to an upstream
+ * beyond it fails before anything is sent.
+ */
+static int64_t gw_bound_fds(int64_t max_fds)
 {
 	struct rlimit limit;
-	int64_t own;
 
-	if (!max_fds && !getrlimit(RLIMIT_NOFILE, &limit))
-		max_fds = (int64_t)MIN(limit.rlim_cur, INT32_MAX);
-	own = GW_OWN_FDS + MIN(max_fds / GW_OWN_FDS_SHARE, GW_OWN_FDS_MAX);
-	return (uint32_t)MAX(max_fds - own, 2 * H1_CONTROL_PLACES);
+	if (getrlimit(RLIMIT_NOFILE, &limit))
+		return max_fds;
+	if (max_fds && (rlim_t)max_fds <= limit.rlim_max) {
+		limit.rlim_cur = (rlim_t)max_fds;
+		(void)setrlimit(RLIMIT_NOFILE, &limit);
+	}
+	return (int64_t)MIN(limit.rlim_cur, INT32_MAX);
+}
+
+/* Connections of callers, each of which may need one more to an upstream. */
+static uint32_t gw_max_open(int64_t fds)
+{
+	int64_t own = GW_OWN_FDS + MIN(fds / GW_OWN_FDS_SHARE, GW_OWN_FDS_MAX);
+
+	return (uint32_t)MAX(fds - own, 2 * H1_CONTROL_PLACES);
 }
 
 bool gw_is_ready(const struct gw_gateway *g, int64_t now_ms)
@@ -188,6 +223,7 @@
 
 	g->front = front;
 	front->gateway = g;
+	front->page = g_string_new(NULL);
 	h1_guard_init(&front->guard, &g->account);
 	code = gw_listen(
 		g, &front->callers, &s->callers,
@@ -218,6 +254,7 @@
 	h1_server_finish(&front->callers);
 	h1_server_finish(&front->readiness);
 	h1_server_finish(&front->metrics);
+	g_string_free(front->page, TRUE);
 	g_free(front);
 	g->front = NULL;
 }
@@ -277,7 +314,7 @@
 	gw_limit_server(g, &front->metrics);
 	if (g->catalog)
 		gw_limit_callers(&g->catalog->limits, &front->callers.limits);
-	front->guard.max_open = gw_max_open(g->settings.max_fds);
+	front->guard.max_open = gw_max_open(gw_bound_fds(g->settings.max_fds));
 	account->budget_bytes = gw_budget_bytes(
 		g->settings.memory_mb, front->callers.limits.max_body_bytes);
 	account->kind_bytes[BA_ANSWERS] = GW_ANSWER_POOL_BYTES;
--- a/src/http1/h1_guard.h
+++ b/src/http1/h1_guard.h
@@ -64,6 +64,7 @@
  * @read_bytes: of an unfinished request.
  * @charged_bytes: to the account.
  * @is_known: its route and key are known; without, it goes first.
+ * @owner: for its functions.
  * @shed: closes or refuses it, and may free it; @reason for the log.
  * @is_writing: bytes have come from the caller that are not read yet.
  */
@@ -74,6 +75,7 @@
 	uint64_t read_bytes;
 	uint64_t charged_bytes;
 	bool is_known;
+	void *owner;
 	void (*shed)(struct h1_member *member, const char *reason);
 	bool (*is_writing)(const struct h1_member *member);
 	GList _link;
--- a/src/http1/h1_private.h
+++ b/src/http1/h1_private.h
@@ -52,15 +52,6 @@
 	uint32_t refused_status;
 };
 
-/** h1_connection_of() - of a member of the guard. */
-static inline struct _h1_connection *
-h1_connection_of(const struct h1_member *member)
-{
-	return (struct _h1_connection *)((char *)(uintptr_t)member -
-					 offsetof(struct _h1_connection,
-						  member));
-}
-
 /** h1_read_init() - the parser of a new connection. */
 void h1_read_init(struct _h1_connection *c);
 
--- a/src/http1/h1_read.c
+++ b/src/http1/h1_read.c
@@ -9,6 +9,8 @@
 #define H1_UNCHECKED_BYTES 1024
 /* Each field costs so much beside its text. */
 #define H1_FIELD_BYTES 10
+/* Of a body in chunks; blocks of all smaller sizes would scatter the heap. */
+#define H1_FIRST_BODY_BYTES 2048
 /* Smaller bodies are within the guaranteed minimum. */
 #define H1_SMALL_BODY_BYTES 1024
 
@@ -106,7 +108,7 @@
 static uint64_t h1_body_bytes(const struct _h1_connection *c, uint64_t bytes)
 {
 	uint64_t most = c->server->limits.max_body_bytes;
-	uint64_t size = 1;
+	uint64_t size = H1_FIRST_BODY_BYTES;
 
 	if (bytes <= c->body_bytes)
 		return c->body_bytes;
--- a/src/http1/h1_server.c
+++ b/src/http1/h1_server.c
@@ -368,7 +368,7 @@
 
 static void h1_on_shed(struct h1_member *member, const char *reason)
 {
-	struct _h1_connection *c = h1_connection_of(member);
+	struct _h1_connection *c = member->owner;
 	struct h1_server *server = c->server;
 
 	mt_count(&h1_closed, reason);
@@ -388,10 +388,10 @@
 
 static bool h1_is_member_writing(const struct h1_member *member)
 {
+	const struct _h1_connection *c = member->owner;
 	char byte;
 
-	return recv(h1_connection_of(member)->fd, &byte, sizeof(byte),
-		    MSG_DONTWAIT | MSG_PEEK) > 0;
+	return recv(c->fd, &byte, sizeof(byte), MSG_DONTWAIT | MSG_PEEK) > 0;
 }
 
 static struct _h1_connection *h1_open(struct h1_server *server, int fd)
@@ -408,6 +408,7 @@
 	c->out = g_string_new(NULL);
 	h1_collector_init(&c->collector);
 	h1_read_init(c);
+	c->member.owner = c;
 	c->member.shed = h1_on_shed;
 	c->member.is_writing = h1_is_member_writing;
 	ev_io_init(&c->read, h1_on_readable, fd, EV_READ);
--- a/src/kernel/ba.c
+++ b/src/kernel/ba.c
@@ -5,6 +5,7 @@
 
 /* What malloc() keeps beside each block. */
 #define BA_BLOCK_BYTES 16
+#define BA_PAGE_BYTES  4096
 
 void ba_init(struct ba_account *account, uint64_t budget_bytes)
 {
@@ -35,5 +36,9 @@
 
 uint64_t ba_text_bytes(const GString *text)
 {
-	return malloc_usable_size(text->str) + BA_BLOCK_BYTES;
+	uint64_t bytes = malloc_usable_size(text->str);
+
+	if (bytes >= BA_MAPPED_BYTES)
+		bytes = MIN(bytes, text->len + BA_PAGE_BYTES);
+	return bytes + BA_BLOCK_BYTES;
 }
--- a/src/kernel/ba.h
+++ b/src/kernel/ba.h
@@ -73,8 +73,15 @@
 }
 
 /**
- * ba_text_bytes() - what the allocator took for @text, which is larger than
- * its length by the rounding of the allocator and of GLib.
+ * Blocks of this size are mapped each by itself if the process asks for it with
+ * mallopt(). They go back to the system as they are freed, and cost memory only
+ * as far as they are written.
+ */
+#define BA_MAPPED_BYTES (256u << 10)
+
+/**
+ * ba_text_bytes() - memory of @text, which is larger than its length by the
+ * rounding of the allocator and of GLib, unless it is mapped.
  */
 uint64_t ba_text_bytes(const GString *text);
 
--- a/tests/sessions/gateway_crowd_test.cc
+++ b/tests/sessions/gateway_crowd_test.cc
@@ -429,4 +429,28 @@
 	check("stalled heads", max_fds);
 }
 
+// A lone request within the limits is served whatever its size, and so are
+// bodies beside idle connections; the account must not refuse them.
+TEST_F(CrowdTest, OrdinaryRequestsOfAnySizeAreServed)
+{
+	start();
+	Crowd idle(url_of(At::callers), 300);
+
+	for (size_t bytes : { 10, 1000, 60000, 1000000, 4194304 })
+		for (const char *padding : { "", "15000" }) {
+			Reply r = call(
+				Fleet::url("h1", "/look/x"),
+				std::string(bytes, 'b'),
+				{ "Host: h", "Authorization: Bearer k1",
+				  "X-Attempt-Id: s" + std::to_string(++asked),
+				  "X-Deadline-Ms: 3000",
+				  "X-Padding: " +
+					  std::string(atoi(padding), 'p') },
+				"POST");
+
+			EXPECT_EQ(r.status, 200) << bytes << " " << padding;
+		}
+	EXPECT_LE(resident_kb(), most_resident_kb);
+}
+
 } // namespace
--- a/tests/unit/http1_test.cc
+++ b/tests/unit/http1_test.cc
@@ -436,6 +436,71 @@
 	close(first);
 }
 
+// The parser's fields cost more memory than their bytes, and a head may have no
+// end.
+TEST_F(Http1, FieldsAndTargetAreBoundedAsTheyCome)
+{
+	std::string fields;
+
+	server.limits.max_header_bytes = 1 << 20;
+	server.limits.max_fields = 50;
+	for (int i = 0; i < 60; i++)
+		fields += "a:b\r\n";
+	EXPECT_EQ(talk("GET / HTTP/1.1\r\n" + fields).substr(9, 3), "431");
+	server.limits.max_target_bytes = 100;
+	EXPECT_EQ(talk("GET /" + std::string(200, 'x')).substr(9, 3), "414");
+	EXPECT_TRUE(seen.empty());
+}
+
+// Each connection holds little, so that thousands fit a small host.
+TEST_F(Http1, SmallRequestFitsWhatIsGuaranteed)
+{
+	holds = true;
+	int fd = connect_to(h1_server_port(&server));
+	write_all(fd, "POST /1 HTTP/1.1\r\nHost: h\r\n"
+		      "Authorization: Bearer k1\r\nContent-Length: 900\r\n"
+		      "\r\n" + std::string(900, 'b'));
+	run_until([&] { return held.size() == 1; });
+	EXPECT_EQ(h1_server_held_bytes(&server), 0u);
+	close(fd);
+	run_until([&] { return gone == 1; });
+}
+
+// A body that nobody needs is read, and not kept.
+TEST_F(Http1, BodyThatNobodyNeedsIsNotKept)
+{
+	server.limits.max_body_bytes = 1 << 20;
+	server._desc.on_head = [](void *arg, const struct h1_exchange *x) {
+		return !strcmp(x->target, "/known");
+	};
+	for (const char *target : { "/known", "/unknown" }) {
+		seen.clear();
+		talk(std::string("POST ") + target +
+		     " HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" +
+		     std::string(5000, 'b'));
+		ASSERT_EQ(seen.size(), 1u);
+		EXPECT_EQ(seen[0].size() > 5000, !strcmp(target, "/known"))
+			<< target;
+	}
+}
+
+// A request that comes byte by byte must not hold its connection for good.
+TEST_F(Http1, SlowRequestIsClosed)
+{
+	server.limits.header_timeout_ms = 300;
+	int fd = connect_to(h1_server_port(&server));
+	int64_t end_ms = ck_now_ms() + kPatienceMs;
+
+	write_all(fd, "GET / HTTP/1.1\r\nX: ");
+	run_until([&] { return h1_server_open(&server) == 1; });
+	while (h1_server_open(&server) && ck_now_ms() < end_ms) {
+		(void)!send(fd, "x", 1, MSG_NOSIGNAL);
+		run_for(50);
+	}
+	EXPECT_EQ(h1_server_open(&server), 0u);
+	close(fd);
+}
+
 // It has asked and waits for the rest of its answer.
 TEST_F(Http1, CallerThatClosesItsSendingHalfGetsTheRestOfItsAnswer)
 {
