callers: a lack of descriptors is not held against an upstream

A connection that failed for want of a descriptor marked its engine as failed, and a check of an engine that could not be made counted as silence, so that a crowd of callers made sound engines look dead. Both have an outcome of their own now. The copy of a body is charged until it is sent, not until its answer has come: otherwise long requests would use up the account twice. The account is a third of memory_mb.

--- a/src/gateway/gw_front.c
+++ b/src/gateway/gw_front.c
@@ -14,7 +14,7 @@
  * what the process knows, for what connections are guaranteed, and for answers
  * that are collected.
  */
-#define GW_HELD_SHARE 4
+#define GW_HELD_SHARE 3
 /* Part of that for records of other hosts. */
 #define GW_PEERS_SHARE 4
 /* A whole body, and its copy on the way to an upstream, fit in any case. */
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -219,6 +219,11 @@
 	}
 }
 
+static void gw_on_sent(void *arg)
+{
+	gw_set_sending(arg, 0);
+}
+
 static bool gw_on_head(void *arg, uint32_t status,
 		       const struct h1_headers *headers)
 {
@@ -439,6 +444,13 @@
 	}
 	gw_send_log_failure(r,
 			    was_torn ? "torn_event" : h1_outcome_name(outcome));
+	if (outcome == H1_NO_DESCRIPTOR) {
+		gw_poison_attempt_ended(r, PS_CANCELLED);
+		gw_detach_engine(r);
+		r->sends--;
+		gw_request_give_up(r, "no_descriptor");
+		return;
+	}
 	gw_engine_failed(r->engine, ck_now_ms());
 	if (outcome == H1_NOT_SENT) {
 		gw_poison_attempt_ended(r, PS_CANCELLED);
@@ -558,6 +570,7 @@
 			      .body = r->exchange->body->str,
 			      .body_bytes = r->exchange->body->len,
 			      .connect_timeout_ms = GW_CONNECT_TIMEOUT_MS,
+			      .on_sent = gw_on_sent,
 			      .on_head = gw_on_head,
 			      .on_body = gw_on_body,
 			      .on_done = gw_on_done,
--- a/src/gateway/gw_silence.c
+++ b/src/gateway/gw_silence.c
@@ -106,6 +106,12 @@
 	struct fl_engine *e = check->engine;
 
 	e->is_checking = false;
+	/* It proves nothing; the next sweep asks again. */
+	if (presence == H1_UNCHECKED) {
+		fl_unref(e);
+		g_free(check);
+		return;
+	}
 	e->checked_ms = ck_now_ms();
 	e->failed_checks = presence == H1_THERE ? 0 : e->failed_checks + 1;
 	if (e->failed_checks >= GW_CHECKS)
--- a/src/http1/h1_client.c
+++ b/src/http1/h1_client.c
@@ -250,15 +250,28 @@
 	on_checked(arg, presence);
 }
 
+static enum h1_presence h1_link_presence(const struct _h1_link *l)
+{
+	if (l->fd < 0)
+		return H1_UNCHECKED;
+	return l->error == ECONNREFUSED ? H1_REFUSED : H1_SILENT;
+}
+
+static enum h1_outcome h1_link_outcome(const struct _h1_link *l)
+{
+	if (l->fd < 0)
+		return H1_NO_DESCRIPTOR;
+	return l->was_sent ? H1_BROKEN : H1_NOT_SENT;
+}
+
 static void h1_link_fail(struct _h1_link *l)
 {
 	if (l->on_checked)
-		h1_link_checked(l, l->error == ECONNREFUSED ? H1_REFUSED
-							    : H1_SILENT);
+		h1_link_checked(l, h1_link_presence(l));
 	else if (!l->call)
 		h1_link_free(l);
 	else
-		h1_link_end(l, l->was_sent ? H1_BROKEN : H1_NOT_SENT);
+		h1_link_end(l, h1_link_outcome(l));
 }
 
 static void h1_on_readable(struct ev_loop *loop, ev_io *w, int events)
@@ -305,6 +318,8 @@
 	h1_release(&l->out);
 	l->out_offset = 0;
 	ev_io_stop(l->peer->_loop, &l->write);
+	if (l->call && l->desc.on_sent)
+		l->desc.on_sent(l->desc.arg);
 }
 
 static void h1_on_writable(struct ev_loop *loop, ev_io *w, int events)
@@ -531,8 +546,9 @@
 
 const char *h1_outcome_name(enum h1_outcome outcome)
 {
-	static const char *const names[] = { "done", "not_sent", "broken",
-					     "garbled", "too_large" };
+	static const char *const names[] = { "done",	  "not_sent",
+					     "broken",	  "garbled",
+					     "too_large", "no_descriptor" };
 
 	return names[outcome];
 }
--- a/src/http1/h1_client.h
+++ b/src/http1/h1_client.h
@@ -45,13 +45,16 @@
  * @H1_BROKEN: the connection ended before the answer was whole.
  * @H1_GARBLED: what came is no HTTP answer.
  * @H1_TOO_LARGE: more came than the call takes.
+ * @H1_NO_DESCRIPTOR: like H1_NOT_SENT, and the peer has no part in it: this
+ *	process has too many descriptors open.
  */
 enum h1_outcome {
 	H1_DONE = 0,
 	H1_NOT_SENT,
 	H1_BROKEN,
 	H1_GARBLED,
-	H1_TOO_LARGE
+	H1_TOO_LARGE,
+	H1_NO_DESCRIPTOR
 };
 
 #define H1_DEFAULT_MAX_ANSWER_BYTES (8u << 20)
@@ -63,8 +66,9 @@
  * @H1_THERE: it took a connection.
  * @H1_REFUSED: its host answers, and nothing listens there.
  * @H1_SILENT: no answer in time, or no way there.
+ * @H1_UNCHECKED: it was not asked, for want of a descriptor.
  */
-enum h1_presence { H1_THERE = 0, H1_REFUSED, H1_SILENT };
+enum h1_presence { H1_THERE = 0, H1_REFUSED, H1_SILENT, H1_UNCHECKED };
 
 /**
  * struct h1_peer - an upstream's address and the connections to it.
@@ -97,10 +101,12 @@
  * @body_bytes: 0 sends none.
  * @connect_timeout_ms: required.
  * @max_answer_bytes: of the body; default H1_DEFAULT_MAX_ANSWER_BYTES.
+ * @on_sent: all of it has been taken by the network, and the copy of the body
+ *	is freed; may come before h1_call_start() returns. May be NULL.
  * @on_head: status and fields of an answer; false skips it. May be NULL.
  * @on_body: a piece of the body; may be NULL.
  * @on_done: the end; required. May start other calls.
- * @arg: first argument of the three.
+ * @arg: first argument of all.
  */
 struct h1_call_desc {
 	struct h1_peer *peer;
@@ -111,6 +117,7 @@
 	uint64_t body_bytes;
 	int64_t connect_timeout_ms;
 	uint64_t max_answer_bytes;
+	void (*on_sent)(void *arg);
 	bool (*on_head)(void *arg, uint32_t status,
 			const struct h1_headers *headers);
 	void (*on_body)(void *arg, const char *data, uint64_t bytes);
--- a/tests/unit/http1_test.cc
+++ b/tests/unit/http1_test.cc
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <malloc.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -824,6 +825,33 @@
 	h1_peer_finish(&peer);
 }
 
+// An engine was held for silent as this process had no descriptor to ask it.
+TEST_F(Http1, LackOfDescriptorsIsNotThePeersFault)
+{
+	struct rlimit limit, low;
+	struct h1_peer peer;
+	int answer = -1;
+	Call call;
+
+	h1_peer_init(&peer, loop, INADDR_LOOPBACK, h1_server_port(&server));
+	ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &limit), 0);
+	low = limit;
+	low.rlim_cur = 0;
+	ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &low), 0);
+	start(&call, &peer);
+	h1_peer_check(
+		&peer, 500,
+		[](void *arg, enum h1_presence presence) {
+			*static_cast<int *>(arg) = presence;
+		},
+		&answer);
+	ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &limit), 0);
+	run_until([&] { return call.is_done && answer >= 0; });
+	EXPECT_EQ(call.outcome, H1_NO_DESCRIPTOR);
+	EXPECT_EQ(answer, H1_UNCHECKED);
+	h1_peer_finish(&peer);
+}
+
 TEST_F(Http1, CheckTellsWhetherThePeerTakesAConnection)
 {
 	ScriptedPeer there(
