callers: bodies that are being read are bounded in sum at the entry

The entry's front end bounded one body (8 MB) and the connections (4,096), not their product. max_unfinished_bytes [128 MiB] does; what finds no room gets 503 with "not_run". Requests of 2 KB are read in any case. entry_host.h lists all limits by position, so that the new one is added there.

--- a/src/entry/en_front.c
+++ b/src/entry/en_front.c
@@ -445,14 +445,16 @@
 	front->task = task;
 	code = hs_init(
 		&front->server,
-		&(struct hs_desc){ .loop = task->kernel->loop,
-				   .address = settings->self.address,
-				   .port = settings->self.entry_http_port,
-				   .max_body_bytes =
-					   settings->limits.max_body_bytes,
-				   .on_request = en_front_on_request,
-				   .on_closed = en_front_on_closed,
-				   .arg = front });
+		&(struct hs_desc){
+			.loop = task->kernel->loop,
+			.address = settings->self.address,
+			.port = settings->self.entry_http_port,
+			.max_body_bytes = settings->limits.max_body_bytes,
+			.max_unfinished_bytes =
+				settings->limits.max_unfinished_bytes,
+			.on_request = en_front_on_request,
+			.on_closed = en_front_on_closed,
+			.arg = front });
 	front->has_server = code == ST_OK;
 	if (code != ST_OK)
 		return code;
--- a/src/net/hs.c
+++ b/src/net/hs.c
@@ -116,8 +116,17 @@
 	return x;
 }
 
+/* Notes what the allocator took for a body that is not whole. */
+static void hs_charge(struct hs_exchange *x, uint64_t bytes)
+{
+	ba_charge(&x->_server->_account, BA_CALLERS,
+		  (int64_t)(bytes - x->_charged_bytes));
+	x->_charged_bytes = bytes;
+}
+
 static void hs_exchange_free(struct hs_exchange *x)
 {
+	hs_charge(x, 0);
 	hs_stop_hangup_watch(x);
 	if (x->_response)
 		MHD_destroy_response(x->_response);
@@ -132,18 +141,26 @@
 	g_free(x);
 }
 
-static enum MHD_Result hs_queue_too_large(struct hs_exchange *x)
+static enum MHD_Result hs_queue_refusal(struct hs_exchange *x)
 {
-	static const char text[] =
+	static const char too_large[] =
 		"{\"error\":{\"message\":\"the body is too large\","
 		"\"type\":\"invalid_request_error\",\"code\":\"body_too_large\","
 		"\"run\":\"not_run\"}}\n";
+	static const char no_room[] =
+		"{\"error\":{\"message\":\"no memory for the body\","
+		"\"type\":\"overloaded_error\",\"code\":\"no_memory\","
+		"\"run\":\"not_run\"}}\n";
+	const char *text = x->_is_too_large ? too_large : no_room;
 	struct MHD_Response *response = MHD_create_response_from_buffer(
-		sizeof(text) - 1, (void *)text, MHD_RESPMEM_PERSISTENT);
+		strlen(text), (void *)text, MHD_RESPMEM_PERSISTENT);
 	enum MHD_Result result;
 
 	MHD_add_response_header(response, "Content-Type", "application/json");
-	result = MHD_queue_response(x->_connection, 413, response);
+	if (!x->_is_too_large)
+		MHD_add_response_header(response, "Retry-After", "1");
+	result = MHD_queue_response(x->_connection,
+				    x->_is_too_large ? 413 : 503, response);
 	MHD_destroy_response(response);
 	return result;
 }
@@ -162,15 +179,35 @@
 	return result;
 }
 
+/* The text grows by doubling. */
+static bool hs_has_room(const struct hs_exchange *x, uint64_t bytes)
+{
+	uint64_t next = 2 * bytes;
+
+	return next <= HS_GUARANTEED_BYTES || next <= x->_charged_bytes ||
+	       ba_fits(&x->_server->_account, BA_CALLERS,
+		       next - x->_charged_bytes);
+}
+
 static void hs_take_upload(struct hs_exchange *x, const char *data,
 			   size_t bytes)
 {
-	if (x->body->len + bytes > x->_server->_desc.max_body_bytes) {
-		x->_is_too_large = true;
-		g_string_truncate(x->body, 0);
+	uint64_t length = x->body->len + bytes;
+	uint64_t taken;
+
+	if (x->_is_too_large || x->_has_no_room)
+		return;
+	x->_is_too_large = length > x->_server->_desc.max_body_bytes;
+	x->_has_no_room = !x->_is_too_large && !hs_has_room(x, length);
+	if (x->_is_too_large || x->_has_no_room) {
+		g_string_free(x->body, TRUE);
+		x->body = g_string_new(NULL);
+		hs_charge(x, 0);
+		return;
 	}
-	if (!x->_is_too_large)
-		g_string_append_len(x->body, data, (gssize)bytes);
+	g_string_append_len(x->body, data, (gssize)bytes);
+	taken = ba_text_bytes(x->body);
+	hs_charge(x, taken > HS_GUARANTEED_BYTES ? taken : 0);
 }
 
 static enum MHD_Result hs_on_access(void *arg, struct MHD_Connection *c,
@@ -193,10 +230,12 @@
 	/* Resumed without an answer: the caller hung up. */
 	if (x->_is_gone)
 		return MHD_NO;
-	if (x->_is_too_large)
-		return hs_queue_too_large(x);
+	if (x->_is_too_large || x->_has_no_room)
+		return hs_queue_refusal(x);
 	if (!x->_was_handed_over) {
 		x->_was_handed_over = true;
+		/* From now on, the limits on running requests hold. */
+		hs_charge(x, 0);
 		server->_desc.on_request(server->_desc.arg, x);
 	}
 	if (x->_has_answer)
@@ -251,6 +290,10 @@
 	server->_desc = *desc;
 	if (!server->_desc.max_body_bytes)
 		server->_desc.max_body_bytes = HS_DEFAULT_MAX_BODY_BYTES;
+	if (!server->_desc.max_unfinished_bytes)
+		server->_desc.max_unfinished_bytes =
+			HS_DEFAULT_UNFINISHED_BYTES;
+	ba_init(&server->_account, server->_desc.max_unfinished_bytes);
 	if (!server->_desc.max_connections)
 		server->_desc.max_connections = HS_DEFAULT_MAX_CONNECTIONS;
 	if (!server->_desc.idle_timeout_s)
--- a/src/net/hs.h
+++ b/src/net/hs.h
@@ -25,8 +25,9 @@
  *
  * Limits
  *	A body over max_body_bytes gets 413, headers over MHD's memory limit
- *	431, and a connection silent for idle_timeout_s while its request is
- *	incomplete is closed; none of these reaches on_request.
+ *	431, a body that finds no room beside the unfinished ones of others 503
+ *	with Retry-After, and a connection silent for idle_timeout_s while its
+ *request is incomplete is closed; none of these reaches on_request.
  */
 #ifndef HS_H
 #define HS_H
@@ -36,10 +37,14 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "kernel/ba.h"
 #include "kernel/st.h"
 
-#define HS_DEFAULT_MAX_BODY_BYTES  (8u << 20)
-#define HS_DEFAULT_MAX_CONNECTIONS 4096
+#define HS_DEFAULT_MAX_BODY_BYTES   (8u << 20)
+#define HS_DEFAULT_MAX_CONNECTIONS  4096
+#define HS_DEFAULT_UNFINISHED_BYTES (128u << 20)
+/** Of a body; not charged, so that small requests are always read. */
+#define HS_GUARANTEED_BYTES	   (4u << 10)
 #define HS_DEFAULT_IDLE_TIMEOUT_S  30
 #define HS_CONNECTION_MEMORY_BYTES (16u << 10)
 
@@ -67,7 +72,9 @@
 	uint32_t _status;
 	GString *_out;
 	uint64_t _out_offset;
+	uint64_t _charged_bytes;
 	bool _is_too_large;
+	bool _has_no_room;
 	bool _was_handed_over;
 	bool _is_suspended;
 	bool _has_answer;
@@ -94,6 +101,7 @@
  * @address: IP number to listen on, required.
  * @port: 0 lets the kernel choose; see hs_port().
  * @max_body_bytes: of one request.
+ * @max_unfinished_bytes: bodies that are being read, in all.
  * @max_connections: in all.
  * @idle_timeout_s: while a request is being read.
  * @on_request: a whole request has come; required.
@@ -105,6 +113,7 @@
 	const char *address;
 	uint16_t port;
 	uint64_t max_body_bytes;
+	uint64_t max_unfinished_bytes;
 	uint32_t max_connections;
 	uint32_t idle_timeout_s;
 	void (*on_request)(void *arg, struct hs_exchange *x);
@@ -117,6 +126,7 @@
 	struct hs_desc _desc;
 	struct MHD_Daemon *_daemon;
 	struct hs_exchange *_exchanges;
+	struct ba_account _account;
 	ev_io _io;
 	ev_timer _timer;
 	ev_prepare _prepare;
--- a/src/settings/cf.c
+++ b/src/settings/cf.c
@@ -117,6 +117,7 @@
 
 static const struct cf_field cf_limits_fields[] = {
 	CF_LIMIT(max_body_bytes, CF_U64, 1024, 64 << 20, 8 << 20),
+	CF_LIMIT(max_unfinished_bytes, CF_U64, 1 << 20, UINT32_MAX, 128 << 20),
 	CF_LIMIT(max_running, CF_U32, 1, 100000, 2000),
 	CF_LIMIT(max_waiting, CF_U32, 0, 100000, 2000),
 	CF_LIMIT(max_waiting_bytes, CF_U64, 0, 1 << 30, 32 << 20),
--- a/src/settings/cf.h
+++ b/src/settings/cf.h
@@ -73,6 +73,7 @@
  * @first_byte_timeout_ms: maximum wait for an engine's first token.
  * @idle_timeout_ms: maximum time between two tokens of an engine.
  * @lookup_timeout_ms: maximum wait for an answer of the index.
+ * @max_unfinished_bytes: maximum total size of bodies that are being read.
  */
 struct cf_limits {
 	uint64_t max_body_bytes;
@@ -83,6 +84,7 @@
 	int64_t first_byte_timeout_ms;
 	int64_t idle_timeout_ms;
 	int64_t lookup_timeout_ms;
+	uint64_t max_unfinished_bytes;
 };
 
 /**
--- a/tests/unit/entry_host.h
+++ b/tests/unit/entry_host.h
@@ -175,7 +175,9 @@
 			  sizeof(s->self.address));
 		g_strlcpy(s->platform.kind, "faulty", sizeof(s->platform.kind));
 		g_strlcpy(s->routing.policy, "cost", sizeof(s->routing.policy));
-		s->limits = { 1 << 20, 100, 100, 1 << 20, 2000, 2000, 100, 3 };
+		s->limits = {
+			1 << 20, 100, 100, 1 << 20, 2000, 2000, 100, 3, 0
+		};
 		p.incarnation = rp_new_incarnation();
 		start_rpc(loop, name);
 		mb_init(&members, &no_self);
--- a/tests/unit/net_test.cc
+++ b/tests/unit/net_test.cc
@@ -256,6 +256,48 @@
 	EXPECT_EQ(requests, 0);
 }
 
+// Bodies within the limit of one request, many at once, that stop short of
+// their end.
+TEST_F(Net, UnfinishedBodiesAreBoundedTogether)
+{
+	const std::string body(60000, 'b');
+	const std::string text =
+		"POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+		std::to_string(body.size()) + "\r\n\r\n" + body;
+	struct sockaddr_in to = {};
+	std::vector<int> fds;
+	Outcome small, refused, taken;
+
+	server._desc.max_body_bytes = 100000;
+	ba_init(&server._account, 200000);
+	to.sin_family = AF_INET;
+	to.sin_port = htons(hs_port(&server));
+	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	for (int i = 0; i < 8; i++) {
+		fds.push_back(socket(AF_INET, SOCK_STREAM, 0));
+		ASSERT_EQ(connect(fds[i], (struct sockaddr *)&to, sizeof(to)),
+			  0);
+		ASSERT_GT(::send(fds[i], text.data(), text.size() - 1,
+				 MSG_NOSIGNAL),
+			  0);
+	}
+	run_until([&] { return hs_open(&server) == 8; });
+	run_until([&] { return ba_held_bytes(&server._account) > 100000; });
+	send(&small, url("/echo"), "small");
+	run_until([&] { return small.is_done; });
+	EXPECT_EQ(small.status, 200u);
+	EXPECT_LE(ba_held_bytes(&server._account), 200000u);
+	send(&refused, url("/echo"), std::string(90000, 'x'));
+	run_until([&] { return refused.is_done; });
+	EXPECT_EQ(refused.status, 503u);
+	for (int fd : fds)
+		close(fd);
+	run_until([&] { return ba_held_bytes(&server._account) == 0; });
+	send(&taken, url("/echo"), body);
+	run_until([&] { return taken.is_done; });
+	EXPECT_EQ(taken.status, 200u);
+}
+
 TEST_F(Net, QuiescedServerRefusesNewCallersAndFinishesOpenOnes)
 {
 	Outcome open, refused;
