--- a/src/catalog/ca.c
+++ b/src/catalog/ca.c
@@ -150,6 +150,36 @@
 	return team;
 }
 
+static const struct ca_team *ca_team_named(const struct ca_catalog *c,
+					   const char *name)
+{
+	for (uint32_t i = 0; c && i < c->_teams->len; i++) {
+		const struct ca_team *team = c->_teams->pdata[i];
+
+		if (!strcmp(team->name, name))
+			return team;
+	}
+	return NULL;
+}
+
+void ca_keep_caps(struct ca_catalog *c, const struct ca_catalog *before)
+{
+	for (uint32_t i = 0; i < c->_teams->len; i++) {
+		struct ca_team *team = c->_teams->pdata[i];
+		const struct ca_team *last;
+
+		if (!team->has_bad_cap)
+			continue;
+		last = ca_team_named(before, team->name);
+		if (!last)
+			continue;
+		team->cap_per_s = last->cap_per_s;
+		team->cap_burst = last->cap_burst;
+		team->cap_unit = last->cap_unit;
+		team->cap_plain_cost = last->cap_plain_cost;
+	}
+}
+
 void ca_add_key(struct ca_catalog *c, struct ca_team *team, const char *key)
 {
 	g_hash_table_replace(c->_teams_by_key, g_strdup(key), team);
@@ -165,11 +195,27 @@
 	return left_bytes < right_bytes ? 1 : left_bytes > right_bytes ? -1 : 0;
 }
 
+static void ca_set_loosest_targets(const struct ca_catalog *c)
+{
+	for (uint32_t i = 0; i < c->_routes->len; i++) {
+		const struct ca_route *route = c->_routes->pdata[i];
+
+		for (uint32_t j = 0; j < route->split_count; j++) {
+			struct ca_service *service =
+				(struct ca_service *)route->splits[j].service;
+
+			service->loosest_target_ms = MAX(
+				service->loosest_target_ms, route->target_ms);
+		}
+	}
+}
+
 void ca_catalog_seal(struct ca_catalog *c)
 {
 	GHashTableIter iter;
 	void *list;
 
+	ca_set_loosest_targets(c);
 	g_hash_table_iter_init(&iter, c->_routes_by_host);
 	while (g_hash_table_iter_next(&iter, NULL, &list))
 		g_ptr_array_sort(list, ca_compare_prefixes);
--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -10,7 +10,9 @@
 #include <sysexits.h>
 
 #include "gateway/gw.h"
+#include "gateway/gw_cap.h"
 #include "gateway/gw_poison.h"
+#include "gateway/gw_separate.h"
 #include "gateway/gw_stop.h"
 #include "kernel/ck.h"
 #include "kernel/kn_registry.h"
@@ -136,11 +138,13 @@
 static enum st_code gw_task_start(struct kn_task *task)
 {
 	struct gw_gateway *g = task->state;
-	enum st_code code = gw_knowledge_start(g);
+	enum st_code code = gw_cap_start(g);
 
 	ev_timer_init(&g->log_timer, gw_flush_logs, GW_LOG_PERIOD_S,
 		      GW_LOG_PERIOD_S);
 	ev_timer_start(g->kernel.loop, &g->log_timer);
+	if (code == ST_OK)
+		code = gw_knowledge_start(g);
 	if (code == ST_OK)
 		code = gw_rollout_start(g);
 	if (code == ST_OK)
@@ -180,6 +184,7 @@
 	gw_poison_stop(g);
 	gw_rollout_stop(g);
 	gw_knowledge_stop(g);
+	gw_cap_stop(g);
 }
 
 static const struct kn_task_ops gw_task_ops = {
@@ -201,6 +206,7 @@
 	g->started_ms = ck_now_ms();
 	gw_weights_init(&g->weights);
 	pe_held_init(&g->held);
+	gw_separate_init(g);
 	pe_load_init(&g->peer_load);
 	fl_init(&g->fleet, g->kernel.loop);
 	rb_table_init(&g->retries,
@@ -221,6 +227,7 @@
 	kn_stop_all(&g->kernel);
 	fl_finish(&g->fleet);
 	pe_held_finish(&g->held);
+	gw_separate_finish(g);
 	pe_load_finish(&g->peer_load);
 	rb_table_finish(&g->retries);
 	rw_finish(&g->store);
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -23,7 +23,9 @@
  *	gw_collect.c	load summed by a collector in each zone
  *	gw_roles.c	assignment of shared duties to hosts
  *	gw_poison.c	requests that crash engines
+ *	gw_cap.c	usage caps of teams
  *	gw_place.c	candidates for src/placement
+ *	gw_separate.c	demand of short and long prompts, and who waits
  *
  *	A dialect (src/dialect/dl.h) supplies the names and formats of the
  *	platform, a row store (src/rows/rw.h) supplies access to its store.
@@ -57,6 +59,7 @@
 struct gw_peers;
 struct gw_catchup;
 struct gw_poison;
+struct gw_cap;
 
 /**
  * struct gw_gateway - state shared by the modules of the gateway.
@@ -79,6 +82,8 @@
  * @account: of the bytes that the process holds for others.
  * @config_fresh_ms: last time at which @catalog was known to be the newest
  *	configuration.
+ * @pools: struct sp_pool by the name of a model service; see gw_separate.h.
+ * @held_requests: number of requests that wait for room at an engine.
  * @retries: retry budgets of this host, by service.
  * @started_ms: start time of the process.
  * @early_requests: number of requests held until the store has been read once.
@@ -101,6 +106,8 @@
 	struct pe_load peer_load;
 	struct ba_account account;
 	int64_t config_fresh_ms;
+	GHashTable *pools;
+	uint32_t held_requests;
 	struct rb_table retries;
 	int64_t started_ms;
 	uint32_t early_requests;
@@ -113,8 +120,15 @@
 	struct gw_peers *peers;
 	struct gw_catchup *catchup;
 	struct gw_poison *poison;
+	struct gw_cap *cap;
 };
 
+/**
+ * gw_has_read() - whether what the first requests need has been read from the
+ * store.
+ */
+bool gw_has_read(const struct gw_gateway *g);
+
 /** gw_is_ready() - whether this host should receive new connections. */
 bool gw_is_ready(const struct gw_gateway *g, int64_t now_ms);
 
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -4,7 +4,9 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "gateway/gw_cap.h"
 #include "gateway/gw_poison.h"
+#include "gateway/gw_separate.h"
 #include "gateway/gw_stop.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
@@ -68,6 +70,7 @@
 		       uint32_t status)
 {
 	char status_text[12], ms[24], sends[12], events[12], first[24];
+	char content[20];
 
 	mt_count(&gw_ended, outcome);
 	mt_observe(&gw_answer_ms, gw_request_kind(r),
@@ -79,13 +82,15 @@
 	g_snprintf(events, sizeof(events), "%u", r->event_count);
 	g_snprintf(first, sizeof(first), "%" G_GINT64_FORMAT,
 		   r->first_event_ms);
+	g_snprintf(content, sizeof(content), "%" G_GINT64_MODIFIER "x",
+		   r->content);
 	lg_info("request ended", "event", "request_ended", "request",
 		r->in.attempt ? r->in.attempt : "", "route",
 		r->terms.route ? r->terms.route->name : "", "team",
 		r->terms.team ? r->terms.team->name : "", "engine",
 		r->engine ? r->engine->entry.id : "", "outcome", outcome,
 		"status", status_text, "ms", ms, "sends", sends, "events",
-		events, "first_event_ms", first, NULL);
+		events, "first_event_ms", first, "content", content, NULL);
 }
 
 /*
@@ -102,6 +107,7 @@
 	h1_set_label(exchange, r->in.attempt ? r->in.attempt : "");
 	gw_send_cancel(r);
 	ev_timer_stop(r->gateway->kernel.loop, &r->timer);
+	gw_separate_release(r);
 	r->gateway->early_requests -= r->is_early;
 	g_queue_unlink(&r->gateway->requests, &r->link);
 	r->exchange = NULL;
@@ -141,6 +147,9 @@
 
 static void gw_count_own_answer(uint32_t status)
 {
+	/* Refusals over a cap have a counter per team, see gw_cap.c. */
+	if (status == 429)
+		return;
 	if (status == 503)
 		mt_add(&gw_refused, 1);
 	else if (status >= 500)
@@ -173,7 +182,7 @@
 	}
 	h1_headers_init(&headers);
 	h1_headers_add(&headers, "Content-Type", "application/json");
-	if (status == 503) {
+	if (status == 503 || status == 429) {
 		g_snprintf(after, sizeof(after), "%.2f", gw_retry_after_s(r));
 		h1_headers_add(&headers, "Retry-After", after);
 	}
@@ -326,6 +335,8 @@
 static struct gw_place_answer gw_find_place(const struct gw_request *r)
 {
 	struct gw_place_request request = {
+		.kind = r->kind,
+		.kept_share = gw_separate_kept_share(r),
 		.service = r->service,
 		.model = r->in.model,
 		.prefix = r->prefix,
@@ -358,7 +369,9 @@
 	} else if (!answer.engine ||
 		   r->failed_connects >= GW_MAX_FAILED_CONNECTS)
 		gw_request_give_up(r, "no_engine");
-	else
+	else if (!gw_cap_charge(r))
+		gw_request_refuse(r, 429, "over_cap");
+	else if (!gw_separate_holds(r, &answer))
 		gw_send(r, &answer);
 }
 
@@ -547,6 +560,7 @@
 	gw_find_parts(r);
 	gw_find_prefix(r);
 	r->prefix.seed = gw_split_hash(r);
+	gw_separate_classify(r);
 	gw_set_times(r);
 	gw_start_timer(r);
 	gw_request_place(r);
@@ -622,9 +636,8 @@
 		gw_request_refuse(r, 503, "stopping");
 		return;
 	}
-	wait_ms = gw_startup_wait_ms(g->catalog && g->has_fleet,
-				     ck_now_ms() - g->started_ms,
-				     g->early_requests);
+	wait_ms = gw_startup_wait_ms(
+		gw_has_read(g), ck_now_ms() - g->started_ms, g->early_requests);
 	if (wait_ms > 0)
 		gw_hold_early(r, wait_ms);
 	else
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -36,6 +36,9 @@
  * @terms: result of its admission.
  * @deadline_ms: when the request times out.
  * @prefix: prompt prefix shared with other requests, see src/placement/pc.h.
+ * @kind: of its prompt, see src/placement/sp.h.
+ * @is_counted_running: counted in the demand of its pool.
+ * @held_until_ms: it waits for room until then; 0: it does not wait.
  * @content: fingerprint, the same when the caller sends the request again.
  * @parts: fingerprints of the parts of its prompt that it may share.
  * @scope: cached prompts are shared within this scope.
@@ -53,6 +56,7 @@
  * @sends: upstreams that the request was sent to.
  * @failed_connects: upstreams that accepted no connection.
  * @retry_after_ms: for a refusal; 0: a short random time, see gw_request.c.
+ * @charged: cost of the current attempt if it may be given back; see gw_cap.h.
  * @is_cut_by_stop: the end of this process comes before its deadline.
  * @may_have_begun: some upstream may have run it.
  * @predicted_ms: from sending to the first event, as placement predicted it.
@@ -75,11 +79,15 @@
 	int64_t arrived_ms;
 	int64_t deadline_ms;
 	struct pc_request prefix;
+	enum sp_kind kind;
+	bool is_counted_running;
 	uint64_t content;
 	uint64_t parts[DL_MAX_PARTS];
 	uint32_t part_count;
 	char scope[2 * DL_ID_BYTES];
 	ev_timer timer;
+	ev_timer hold_timer;
+	int64_t held_until_ms;
 	GList link;
 
 	struct fl_engine *engine;
@@ -99,6 +107,7 @@
 	uint64_t tried[GW_MAX_TRIED];
 	uint32_t tried_count;
 	int64_t retry_after_ms;
+	int64_t charged;
 	bool is_cut_by_stop;
 	bool may_have_begun;
 	int64_t sent_ms;
@@ -142,6 +151,12 @@
 /** gw_request_place() - choose an upstream and send, or refuse the request. */
 void gw_request_place(struct gw_request *r);
 
+/**
+ * gw_request_give_up() - refuse with a status that says whether it may have
+ * run; frees the request.
+ */
+void gw_request_give_up(struct gw_request *r, const char *reason);
+
 /** gw_request_can_retry() - the request can be sent to one more upstream. */
 bool gw_request_can_retry(const struct gw_request *r);
 
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -2,9 +2,11 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "gateway/gw_cap.h"
 #include "gateway/gw_notice.h"
 #include "gateway/gw_poison.h"
 #include "gateway/gw_request.h"
+#include "gateway/gw_separate.h"
 #include "gateway/gw_silence.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
@@ -83,7 +85,7 @@
 			const struct gw_place_answer *to)
 {
 	char weights[24], running[12], subject[20], root[20], left[24];
-	char cost[24], reads[12], shared[12], priority[12];
+	char cost[24], reads[12], shared[12], priority[12], kept[12];
 	char content[20], sends[12], parts[GW_LOGGED_PARTS_BYTES];
 
 	gw_format_parts(r, parts, sizeof(parts));
@@ -103,6 +105,7 @@
 	g_snprintf(content, sizeof(content), "%" G_GINT64_MODIFIER "x",
 		   r->content);
 	g_snprintf(sends, sizeof(sends), "%u", r->sends);
+	g_snprintf(kept, sizeof(kept), "%.2f", to->kept_share);
 	lg_info("request sent", "event", "request_sent", "request",
 		r->in.attempt ? r->in.attempt : "", "engine",
 		to->engine->entry.id, "source",
@@ -112,7 +115,8 @@
 		"subject", subject, "root", root, "weights", weights, "running",
 		running, "left_ms", left, "predicted_ms", cost, "priority",
 		priority, "read_tokens", reads, "shared_tokens", shared,
-		"content", content, "parts", parts, "sends", sends, NULL);
+		"content", content, "parts", parts, "sends", sends,
+		"kept_share", kept, NULL);
 }
 
 static void gw_set_pooled(struct gw_request *r, uint64_t bytes)
@@ -168,6 +172,7 @@
 	if (!e)
 		return;
 	gw_set_sending(r, 0);
+	gw_separate_ended(r);
 	r->is_awaiting_head = false;
 	e->running--;
 	e->waiting_tokens -= r->read_tokens;
@@ -184,6 +189,9 @@
 
 void gw_send_cancel(struct gw_request *r)
 {
+	if (!h1_call_was_sent(&r->call))
+		gw_cap_give_back(r);
+	gw_cap_keep(r);
 	h1_call_cancel(&r->call);
 	gw_poison_attempt_ended(r,
 				gw_is_silent(r) ? PS_ABANDONED : PS_CANCELLED);
@@ -371,6 +379,7 @@
 {
 	int64_t until_ms = ck_now_ms() + GW_BUSY_AVOID_MS;
 
+	gw_cap_give_back(r);
 	gw_send_log_failure(r, "not_run");
 	if (r->engine->avoid_until_ms < until_ms)
 		r->engine->avoid_until_ms = until_ms;
@@ -385,6 +394,7 @@
 		gw_attempt_refused(r);
 		return;
 	}
+	gw_cap_keep(r);
 	r->may_have_begun = true;
 	/* The engine did not crash, even if it answered with an error. */
 	gw_poison_attempt_ended(r, r->answer.is_signed ? PS_COMPLETED
@@ -445,6 +455,7 @@
 	gw_send_log_failure(r,
 			    was_torn ? "torn_event" : h1_outcome_name(outcome));
 	if (outcome == H1_NO_DESCRIPTOR) {
+		gw_cap_give_back(r);
 		gw_poison_attempt_ended(r, PS_CANCELLED);
 		gw_detach_engine(r);
 		r->sends--;
@@ -453,6 +464,7 @@
 	}
 	gw_engine_failed(r->engine, ck_now_ms());
 	if (outcome == H1_NOT_SENT) {
+		gw_cap_give_back(r);
 		gw_poison_attempt_ended(r, PS_CANCELLED);
 		gw_detach_engine(r);
 		r->sends--;
@@ -460,6 +472,7 @@
 		gw_request_place(r);
 		return;
 	}
+	gw_cap_keep(r);
 	r->may_have_begun = true;
 	gw_attempt_broken(r);
 	gw_request_failed(r, "engine_broke_off");
@@ -493,6 +506,7 @@
 	fl_ref(engine);
 	engine->running++;
 	engine->waiting_tokens += r->read_tokens;
+	gw_separate_started(r, to->read_tokens);
 	r->gateway->sent_tokens += to->read_tokens + r->in.max_output_tokens;
 	r->weights = engine->entry.weights;
 	gw_poison_attempt_started(r);
@@ -534,6 +548,7 @@
 	struct h1_headers headers;
 
 	if (!gw_may_send(r)) {
+		gw_cap_give_back(r);
 		gw_request_give_up(r, "no_memory");
 		return;
 	}
