--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -33,8 +33,6 @@
 #define GW_RETRY_RESERVE   2
 #define GW_RETRY_MAX_ALONE 4
 #define GW_PERMILLE	   1000
-/* Bodies and answers of this size go back to the system as they are freed. */
-#define GW_MMAP_THRESHOLD_BYTES (256 << 10)
 /*
  * Part of the allowed ratio that is used, as the ratio is checked against
  * completed requests.
@@ -120,6 +118,12 @@
 	g->settings.weights_ms = fresh.weights_ms;
 	g->settings.unread_ms = fresh.unread_ms;
 	g->settings.memory_mb = fresh.memory_mb;
+	g->settings.max_fds = fresh.max_fds;
+	g->settings.max_fields = fresh.max_fields;
+	g->settings.max_target_bytes = fresh.max_target_bytes;
+	g->settings.max_pipelined_bytes = fresh.max_pipelined_bytes;
+	g->settings.min_bytes_per_s = fresh.min_bytes_per_s;
+	g->settings.rate_grace_ms = fresh.rate_grace_ms;
 	gw_front_limit(g);
 	gw_settings_finish(&fresh);
 	lg_info("settings reloaded", "event", "reload", "outcome", "done",
@@ -279,7 +283,7 @@
 	struct gw_arguments arguments = { g_getenv(GW_SETTINGS_ENV), false };
 
 	/* The default grows with what is freed, and such memory is kept. */
-	mallopt(M_MMAP_THRESHOLD, GW_MMAP_THRESHOLD_BYTES);
+	mallopt(M_MMAP_THRESHOLD, BA_MAPPED_BYTES);
 	gw_mask_hangup(SIG_BLOCK);
 	argp_parse(&gw_argp, argc, argv, 0, NULL, &arguments);
 	gateway.settings_path = arguments.settings_path;
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -506,32 +506,51 @@
 	}
 }
 
-static enum gw_verdict gw_admit_request(struct gw_request *r, int64_t now_ms)
+static enum gw_verdict gw_admit_exchange(const struct gw_gateway *g,
+					 const struct h1_exchange *exchange,
+					 const struct dl_request *in,
+					 struct gw_terms *terms)
 {
-	const struct gw_gateway *g = r->gateway;
-
 	return gw_admit(
-		&(struct gw_admit_input){
-			.catalog = g->catalog,
-			.config_age_ms = now_ms - g->config_fresh_ms,
-			.config_ms = g->settings.config_ms,
-			.revoke_ms = g->settings.revoke_ms,
-			.host = gw_header(r->exchange, "Host"),
-			.target = r->exchange->target,
-			.request = &r->in },
-		&r->terms);
+		&(struct gw_admit_input){ .catalog = g->catalog,
+					  .config_age_ms = ck_now_ms() -
+							   g->config_fresh_ms,
+					  .config_ms = g->settings.config_ms,
+					  .revoke_ms = g->settings.revoke_ms,
+					  .host = gw_header(exchange, "Host"),
+					  .target = exchange->target,
+					  .request = in },
+		terms);
+}
+
+bool gw_request_needs_body(void *arg, const struct h1_exchange *exchange)
+{
+	const struct gw_gateway *g = arg;
+	struct dl_request in = { 0 };
+	struct gw_terms terms;
+	enum gw_verdict verdict;
+
+	g->dialect->read_request(exchange->headers, &in);
+	verdict = gw_admit_exchange(g, exchange, &in, &terms);
+	return verdict != GW_NO_ROUTE && verdict != GW_UNKNOWN_KEY;
 }
 
 /* Admits and places the request. */
 static void gw_start_request(struct gw_request *r)
 {
 	struct gw_gateway *g = r->gateway;
-	enum gw_verdict verdict = gw_admit_request(r, ck_now_ms());
+	enum gw_verdict verdict =
+		gw_admit_exchange(g, r->exchange, &r->in, &r->terms);
 
 	if (verdict != GW_ADMITTED) {
 		gw_answer_unadmitted(r, verdict);
 		return;
 	}
+	/* Its route or key has come into force since its header fields came. */
+	if (r->exchange->is_body_dropped) {
+		gw_request_refuse(r, 503, "body_not_kept");
+		return;
+	}
 	r->catalog = ca_catalog_ref(g->catalog);
 	r->service = ca_pick_service(r->terms.route, gw_split_hash(r));
 	if (!r->service) {
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -29,11 +29,11 @@
 
 /*
  * Memory reserved for each answer while it is collected, within an event, or
- * until its caller reads it; beyond that all answers share a pool. The limits
- * guard against engines that send bytes without end, to many requests at once.
+ * until its caller reads it; beyond that all answers share a pool.
  */
 #define GW_ANSWER_RESERVED_BYTES (64u << 10)
-#define GW_ANSWER_POOL_BYTES	 (8u << 20)
+/* A smaller request is sent in any case. */
+#define GW_SMALL_REQUEST_BYTES (64u << 10)
 
 /* A fingerprint has 16 digits and a comma. */
 #define GW_LOGGED_PARTS_BYTES (DL_MAX_PARTS * 17 + 1)
@@ -119,45 +119,68 @@
 		"kept_share", kept, NULL);
 }
 
-static void gw_detach_engine(struct gw_request *r)
+static void gw_set_pooled(struct gw_request *r, uint64_t bytes)
 {
-	struct fl_engine *e = r->engine;
-
-	if (!e)
-		return;
-	gw_separate_ended(r);
-	r->is_awaiting_head = false;
-	e->running--;
-	e->waiting_tokens -= r->read_tokens;
-	r->read_tokens = 0;
-	r->engine = NULL;
-	fl_unref(e);
+	ba_charge(&r->gateway->account, BA_ANSWERS,
+		  (int64_t)(bytes - r->pooled_bytes));
+	r->pooled_bytes = bytes;
 }
 
-static void gw_set_pooled(struct gw_request *r, uint64_t bytes)
+static void gw_set_sending(struct gw_request *r, uint64_t bytes)
 {
-	r->gateway->pooled_bytes += bytes - r->pooled_bytes;
-	r->pooled_bytes = bytes;
+	ba_charge(&r->gateway->account, BA_UPSTREAMS,
+		  (int64_t)(bytes - r->sending_bytes));
+	r->sending_bytes = bytes;
 }
 
 /*
  * Accounts for the memory that the answer holds now. Returns false if the pool
- * is exhausted.
+ * is exhausted. What callers hold does not count here: the request may have
+ * run.
  */
 static bool gw_reserve_answer_memory(struct gw_request *r)
 {
 	uint64_t held = r->answer_body->len + gw_events_pending(&r->events);
-	uint64_t others = r->gateway->pooled_bytes - r->pooled_bytes;
 
 	if (r->has_begun)
 		held += h1_unsent_bytes(r->exchange);
 	held -= MIN(held, GW_ANSWER_RESERVED_BYTES);
-	if (others + held > GW_ANSWER_POOL_BYTES)
+	if (held > r->pooled_bytes &&
+	    !ba_fits_kind(&r->gateway->account, BA_ANSWERS,
+			  held - r->pooled_bytes))
 		return false;
 	gw_set_pooled(r, held);
 	return true;
 }
 
+/* Whether there is memory for the copy that goes to the upstream. */
+static bool gw_may_send(struct gw_request *r)
+{
+	const struct ba_account *account = &r->gateway->account;
+	uint64_t bytes = r->exchange->body->len;
+
+	return bytes <= GW_SMALL_REQUEST_BYTES ||
+	       ba_fits(account, BA_UPSTREAMS, bytes) ||
+	       (h1_may_take(r->exchange, bytes) &&
+		ba_fits(account, BA_UPSTREAMS, bytes));
+}
+
+static void gw_detach_engine(struct gw_request *r)
+{
+	struct fl_engine *e = r->engine;
+
+	if (!e)
+		return;
+	gw_set_sending(r, 0);
+	gw_separate_ended(r);
+	r->is_awaiting_head = false;
+	e->running--;
+	e->waiting_tokens -= r->read_tokens;
+	r->read_tokens = 0;
+	r->engine = NULL;
+	fl_unref(e);
+}
+
 static bool gw_is_silent(const struct gw_request *r)
 {
 	return gw_silence_of(ck_now_ms() - r->last_byte_ms,
@@ -204,6 +227,11 @@
 	}
 }
 
+static void gw_on_sent(void *arg)
+{
+	gw_set_sending(arg, 0);
+}
+
 static bool gw_on_head(void *arg, uint32_t status,
 		       const struct h1_headers *headers)
 {
@@ -426,6 +454,14 @@
 	}
 	gw_send_log_failure(r,
 			    was_torn ? "torn_event" : h1_outcome_name(outcome));
+	if (outcome == H1_NO_DESCRIPTOR) {
+		gw_cap_give_back(r);
+		gw_poison_attempt_ended(r, PS_CANCELLED);
+		gw_detach_engine(r);
+		r->sends--;
+		gw_request_give_up(r, "no_descriptor");
+		return;
+	}
 	gw_engine_failed(r->engine, ck_now_ms());
 	if (outcome == H1_NOT_SENT) {
 		gw_cap_give_back(r);
@@ -511,7 +547,13 @@
 					  .resume_after = r->last_event };
 	struct h1_headers headers;
 
+	if (!gw_may_send(r)) {
+		gw_cap_give_back(r);
+		gw_request_give_up(r, "no_memory");
+		return;
+	}
 	gw_prepare_attempt(r, to);
+	gw_set_sending(r, r->exchange->body->len);
 	gw_log_sent(r, to);
 	send.team = r->terms.team ? r->terms.team->name : NULL;
 	send.budget_ms = r->deadline_ms - r->sent_ms;
@@ -543,6 +585,7 @@
 			      .body = r->exchange->body->str,
 			      .body_bytes = r->exchange->body->len,
 			      .connect_timeout_ms = GW_CONNECT_TIMEOUT_MS,
+			      .on_sent = gw_on_sent,
 			      .on_head = gw_on_head,
 			      .on_body = gw_on_body,
 			      .on_done = gw_on_done,
