http1: the bound on header fields is what fits the largest head

Cause: with 1,000 fields a request within the configured 16 KB of head could get 431, and a bound that is added must not refuse what is within the limits.

--- a/src/http1/h1_server.h
+++ b/src/http1/h1_server.h
@@ -52,7 +52,9 @@
 #define H1_DEFAULT_IDLE_TIMEOUT_MS   60000
 #define H1_DEFAULT_UNREAD_TIMEOUT_MS 15000
 /* Proxies in common use take some hundred fields. */
-#define H1_DEFAULT_MAX_FIELDS 1000
+/* A field takes four bytes of a head at least; see H1_DEFAULT_MAX_HEADER_BYTES.
+ */
+#define H1_DEFAULT_MAX_FIELDS 4096
 /* Its text and the final zero fit 8 KB, to which GLib rounds. */
 #define H1_DEFAULT_MAX_PIPELINED_BYTES 8191
 #define H1_DEFAULT_RATE_GRACE_MS       10000
