--- a/tests/sessions/gateway_cap_test.cc
+++ b/tests/sessions/gateway_cap_test.cc
@@ -92,6 +92,17 @@
 				return metric(host.first,
 					      "use_messages_heard_total") > 10;
 			})) << host.first;
+		// A host that the reader of the region does not list yet gets
+		// no rows, and refuses keys for a moment: stale_config.
+		for (auto &host : hosts)
+			ASSERT_TRUE(wait_until([&] {
+				return metric(host.first, "cap_hosts") ==
+				       (double)hosts.size();
+			})) << host.first;
+		for (auto &host : hosts)
+			ASSERT_TRUE(wait_until([&] {
+				return ask(host.first).status != 503;
+			})) << host.first;
 	}
 
 	static Reply ask(const std::string &host, const std::string &id = "",
@@ -253,12 +264,13 @@
 	configure("\"rate_per_s\":20,\"burst\":20,");
 	start_all(3);
 	wait_for_messages();
+	int before = (int)fleet.arrivals().size();
 	Counts counts = load({ "h1", "h2", "h3" }, 30, 10000);
 
 	EXPECT_EQ(counts.other, 0);
 	EXPECT_LE(busiest_window(), (20 * 8 + 20) * 1.1);
 	EXPECT_GE(counts.answered, 20 * 10 * 0.85);
-	EXPECT_EQ((int)fleet.arrivals().size(), counts.answered);
+	EXPECT_EQ((int)fleet.arrivals().size() - before, counts.answered);
 }
 
 // Below the cap nothing is refused, also with all load at one host.
