--- a/src/gateway/gw_collect.c
+++ b/src/gateway/gw_collect.c
@@ -7,25 +7,46 @@
 #include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt.h"
+#include "peers/pe_report.h"
 
 /* Up to this many peers, reports between all hosts are as recent as sums. */
 #define GW_DIRECT_PEERS 16
 /* Hosts considered, this one included. */
 #define GW_MAX_ZONE_HOSTS   4096
 #define GW_CHOICE_PERIOD_MS 100
-/* Sums and reports are sent this often, and less often in a large zone: a host
- * with an eighth of a core handles some thousand messages a second. */
+/* Sums and reports are sent this often. Reports are less often in a large zone:
+ * a host with an eighth of a core handles some thousand messages a second. */
 #define GW_SUMS_PERIOD_MS	100
 #define GW_SUMS_FAR_PERIOD_MS	200
-#define GW_SUMS_MS_PER_DATAGRAM 1
 #define GW_REPORT_MS_PER_MEMBER 1
-/* A silent collector is not chosen again for this time. */
+/* A standby takes over with loads that are at most so old. */
+#define GW_SUMS_STANDBY_PERIOD_MS 1000
+/* Of the collector to members that pass messages on. A host in a zone of 75
+ * shall send less than 100 KB a second in all. */
+#define GW_MEMBER_BYTES_PER_S 70000
+/* Loads of a message: 720 a second repeat those of 1,000 upstreams in 2 s. */
+#define GW_MEMBER_DATAGRAMS  1
+#define GW_NEAR_DATAGRAMS    2
+#define GW_FAR_DATAGRAMS     4
+#define GW_STANDBY_DATAGRAMS 4
+/* The rest of a budget is for loads. */
+#define GW_HELD_BUDGET_FRACTION 0.5
+/* New members are sent sums in full, so many datagrams in a step. */
+#define GW_FULL_SUMS_DATAGRAMS 8
+/* A silent collector is not chosen again for this time, and only once it was
+ * heard. */
 #define GW_DISTRUST_MS 3000
 /* Another host may be chosen if it was heard within this time. */
 #define GW_CANDIDATE_SILENT_MS 1500
 /* Announcements waiting to be relayed; older ones are dropped. */
 #define GW_MAX_RELAYED 2048
-#define GW_ONE_WAY_MS  60
+/* The standby keeps those that a collector may not have relayed before it fell
+ * silent. */
+#define GW_STANDBY_RELAY_MS 1500
+/* A host that has been on duty for this time hears the others on duty often. */
+#define GW_DUTY_SETTLED_MS 5000
+/* Longer than any period of reports. */
+#define GW_UNKNOWN_INTERVAL_MS 60000
 
 MT_COUNTER(gw_sums_sent, "balsampin_gateway_sums_sent_total",
 	   "messages with the summed load of many hosts sent")
@@ -37,6 +58,7 @@
 /** struct gw_relayed - an announcement; @is_own: of a host of this zone. */
 struct gw_relayed {
 	bp_held held;
+	int64_t heard_ms;
 	bool is_own;
 };
 
@@ -45,11 +67,15 @@
 	memset(collect, 0, sizeof(*collect));
 	pe_zone_init(&collect->zone);
 	collect->relayed = g_array_new(FALSE, FALSE, sizeof(struct gw_relayed));
+	for (uint32_t i = 0; i < GW_SUMS_GROUPS; i++)
+		pe_change_init(&collect->groups[i].change);
 }
 
 void gw_collect_finish(struct gw_collect *collect)
 {
 	pe_zone_finish(&collect->zone);
+	for (uint32_t i = 0; i < GW_SUMS_GROUPS; i++)
+		pe_change_finish(&collect->groups[i].change);
 	g_array_free(collect->relayed, TRUE);
 }
 
@@ -96,16 +122,19 @@
 	    !pe_zone_is_silent(now_ms - since_ms, gw_collect_report_ms(p),
 			       peer->sums_period_ms))
 		return;
-	peer->distrusted_until_ms = now_ms + GW_DISTRUST_MS;
+	peer->distrusted_ms = now_ms;
 	lg_info("collector of the zone is silent", "event", "load_collector",
 		"collector", peer->name, "outcome", "distrusted", NULL);
 }
 
 static bool gw_may_collect(const struct gw_peer *peer, int64_t now_ms)
 {
-	return peer->is_seen && now_ms >= peer->distrusted_until_ms &&
+	return peer->is_seen && !peer->is_zone_silent &&
+	       (!peer->distrusted_ms ||
+		(now_ms - peer->distrusted_ms >= GW_DISTRUST_MS &&
+		 peer->received_ms > peer->distrusted_ms)) &&
 	       now_ms - peer->received_ms <
-		       GW_CANDIDATE_SILENT_MS + 2 * peer->period_ms;
+		       GW_CANDIDATE_SILENT_MS + 2 * peer->expected_ms;
 }
 
 /* Lists this host, then the peers in their order. */
@@ -129,6 +158,15 @@
 	return count;
 }
 
+/* What was sent to a group counts for the process that sent it only. */
+static void gw_reset_groups(struct gw_collect *c)
+{
+	for (uint32_t i = 0; i < GW_SUMS_GROUPS; i++) {
+		pe_change_clear(&c->groups[i].change);
+		c->groups[i].relayed_end = c->relayed_end - c->relayed->len;
+	}
+}
+
 static void gw_set_collector(struct gw_peers *p, bool is_collector)
 {
 	struct gw_collect *c = &p->collect;
@@ -136,6 +174,7 @@
 	if (c->is_collector == is_collector)
 		return;
 	c->is_collector = is_collector;
+	gw_reset_groups(c);
 	mt_set(&gw_collects, is_collector);
 	lg_info("collector of the zone", "event", "load_collector", "collector",
 		p->gateway->settings.host, "outcome",
@@ -158,6 +197,7 @@
 		is_collecting |= indexes[i] == 0;
 	pe_zone_set_collecting(&p->collect.zone, is_collecting, now_ms);
 	gw_set_collector(p, found && indexes[0] == 0);
+	p->collect.is_standby = is_collecting && !p->collect.is_collector;
 	for (uint32_t i = 1; i < count; i++) {
 		struct gw_peer *peer = p->hosts.peers->pdata[i - 1];
 		bool is_chosen = false;
@@ -170,43 +210,124 @@
 	}
 }
 
-/* Fills in what @peer lacks; announcements that were dropped are skipped. */
-static uint32_t gw_fill_relayed(const struct gw_collect *c,
-				struct gw_peer *peer, bool is_member,
-				bp_held *held)
+static int64_t gw_observed_ms(const struct gw_peer *peer)
 {
-	uint64_t first = c->relayed_end - c->relayed->len;
-	uint32_t count = 0;
+	int64_t shortest_ms = GW_UNKNOWN_INTERVAL_MS;
 
-	peer->relayed_end = MAX(peer->relayed_end, first);
-	while (peer->relayed_end < c->relayed_end && count < BP_MAX_HELD) {
-		const struct gw_relayed *r =
-			&g_array_index(c->relayed, struct gw_relayed,
-				       peer->relayed_end++ - first);
+	for (uint32_t i = 0; i < 2; i++)
+		if (peer->intervals_ms[i])
+			shortest_ms = MIN(shortest_ms, peer->intervals_ms[i]);
+	return shortest_ms;
+}
 
-		if (is_member || r->is_own)
-			held[count++] = r->held;
+/* struct gw_zone_seen - what was heard of any host of a zone. */
+struct gw_zone_seen {
+	int64_t received_ms;
+	int64_t observed_ms;
+};
+
+static GHashTable *gw_see_zones(const struct gw_peers *p)
+{
+	GHashTable *zones = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+
+	for (uint32_t i = 0; i < p->hosts.peers->len; i++) {
+		const struct gw_peer *peer = p->hosts.peers->pdata[i];
+		struct gw_zone_seen *seen = g_hash_table_lookup(
+			zones, GUINT_TO_POINTER(peer->zone));
+
+		if (!seen) {
+			seen = g_new0(struct gw_zone_seen, 1);
+			seen->observed_ms = GW_UNKNOWN_INTERVAL_MS;
+			g_hash_table_insert(zones, GUINT_TO_POINTER(peer->zone),
+					    seen);
+		}
+		if (!peer->is_seen)
+			continue;
+		seen->received_ms = MAX(seen->received_ms, peer->received_ms);
+		seen->observed_ms =
+			MIN(seen->observed_ms, gw_observed_ms(peer));
 	}
-	return count;
+	return zones;
+}
+
+/* Only a host on duty hears each zone often enough to find it silent. */
+static void gw_find_silent_zones(struct gw_peers *p, int64_t now_ms)
+{
+	struct gw_collect *c = &p->collect;
+	bool hears_often = c->is_on_duty && gw_collect_is_used(p) &&
+			   now_ms - c->duty_ms >= GW_DUTY_SETTLED_MS;
+	GHashTable *zones = gw_see_zones(p);
+
+	for (uint32_t i = 0; i < p->hosts.peers->len; i++) {
+		struct gw_peer *peer = p->hosts.peers->pdata[i];
+		const struct gw_zone_seen *seen = g_hash_table_lookup(
+			zones, GUINT_TO_POINTER(peer->zone));
+
+		peer->is_zone_silent =
+			hears_often && !gw_collect_is_member(p, peer) &&
+			pe_report_zone_is_silent(now_ms - seen->received_ms,
+						 seen->observed_ms);
+	}
+	g_hash_table_destroy(zones);
+}
+
+static void gw_find_duty(struct gw_peers *p, int64_t now_ms)
+{
+	const struct gw_settings *s = &p->gateway->settings;
+	struct gw_collect *c = &p->collect;
+	uint32_t count = p->hosts.peers->len + 1;
+	struct pe_report_host *hosts = g_new0(struct pe_report_host, count);
+	bool *is_on_duty = g_new0(bool, count);
+
+	hosts[0] =
+		(struct pe_report_host){ gw_name_hash(s->host), gw_own_zone(p),
+					 true, gw_takes_part(p->gateway) };
+	for (uint32_t i = 1; i < count; i++) {
+		const struct gw_peer *peer = p->hosts.peers->pdata[i - 1];
+
+		hosts[i] =
+			(struct pe_report_host){ peer->hash, peer->zone,
+						 gw_peer_is_alive(peer, now_ms),
+						 peer->takes_part };
+	}
+	pe_report_duty(hosts, count, is_on_duty);
+	if (is_on_duty[0] && !c->is_on_duty)
+		c->duty_ms = now_ms;
+	c->is_on_duty = is_on_duty[0];
+	for (uint32_t i = 1; i < count; i++)
+		((struct gw_peer *)p->hosts.peers->pdata[i - 1])->is_on_duty =
+			is_on_duty[i];
+	g_free(hosts);
+	g_free(is_on_duty);
 }
 
+void gw_collect_set_period(const struct gw_peers *p, struct gw_peer *peer,
+			   int64_t report_ms)
+{
+	struct pe_report_pair pair = {
+		.are_on_duty = p->collect.is_on_duty && peer->is_on_duty,
+		.is_same_zone = gw_collect_is_member(p, peer),
+	};
+
+	peer->period_ms = pe_report_period_ms(&pair);
+	peer->expected_ms = pe_report_expected_ms(&pair, gw_observed_ms(peer));
+	if (peer->is_collector)
+		peer->period_ms = report_ms;
+}
+
+/* Sends sums in full to @peer. */
 static void gw_send_sums(struct gw_peers *p, struct gw_peer *peer,
-			 const GArray *sums, int64_t period_ms)
+			 const GArray *sums)
 {
 	struct gw_collect *c = &p->collect;
-	uint32_t own_zone = gw_own_zone(p);
-	bool is_member = peer->zone == own_zone;
 	bp_share shares[BP_MAX_SUM_SHARES];
-	bp_held held[BP_MAX_HELD];
 	bp_gateway_sums message = {
 		.sequence = ++c->sequence,
-		.zone = is_member ? 0 : gw_name_hash(p->gateway->settings.zone),
 		.parts = MAX((sums->len + BP_MAX_SUM_SHARES - 1) /
 				     BP_MAX_SUM_SHARES,
 			     1),
-		.period_ms = period_ms,
+		.period_ms = GW_SUMS_PERIOD_MS,
 		.shares = { 0, shares },
-		.held = { 0, held },
 	};
 
 	for (; message.part < message.parts; message.part++) {
@@ -221,8 +342,6 @@
 				(bp_share){ s->engine, s->running, s->tokens };
 		}
 		message.shares.shares_len = count;
-		message.held.held_len =
-			gw_fill_relayed(c, peer, is_member, held);
 		mt_add(&gw_sums_sent, 1);
 		gw_peers_call_one(
 			p->gateway,
@@ -233,55 +352,269 @@
 	}
 }
 
-static void gw_send_member_sums(struct gw_peers *p, int64_t now_ms)
+/*
+ * A process that is new among the members would have to wait for a whole turn
+ * of changes. If many are new at once, the turn is over first.
+ */
+static void gw_sync_new_members(struct gw_peers *p, int64_t turn_ms,
+				int64_t now_ms)
 {
-	struct gw_collect *c = &p->collect;
 	GArray *sums = g_array_new(FALSE, FALSE, sizeof(struct pe_share));
-	uint32_t zone = gw_own_zone(p);
-	uint32_t members = gw_count_members(p), parts;
-	int64_t period_ms;
+	uint32_t datagrams = 0;
 
-	pe_zone_list_for_member(&c->zone, 0, sums);
-	parts = sums->len / BP_MAX_SUM_SHARES + 1;
-	period_ms = MAX(GW_SUMS_PERIOD_MS,
-			(int64_t)members * parts * GW_SUMS_MS_PER_DATAGRAM);
-	c->next_member_sums_ms = now_ms + period_ms;
 	for (uint32_t i = 0; i < p->hosts.peers->len; i++) {
 		struct gw_peer *peer = p->hosts.peers->pdata[i];
 
-		if (peer->zone != zone || !gw_may_collect(peer, now_ms))
+		if (!gw_collect_is_member(p, peer) ||
+		    !gw_may_collect(peer, now_ms) ||
+		    peer->synced_incarnation == peer->incarnation)
 			continue;
-		g_array_set_size(sums, 0);
-		pe_zone_list_for_member(&c->zone, peer->incarnation, sums);
-		gw_send_sums(p, peer, sums, period_ms);
+		if (!peer->joined_ms)
+			peer->joined_ms = now_ms;
+		if (now_ms - peer->joined_ms < turn_ms) {
+			if (datagrams >= GW_FULL_SUMS_DATAGRAMS)
+				continue;
+			g_array_set_size(sums, 0);
+			pe_zone_list_for_member(&p->collect.zone,
+						peer->incarnation, sums);
+			gw_send_sums(p, peer, sums);
+			datagrams += sums->len / BP_MAX_SUM_SHARES + 1;
+		}
+		peer->synced_incarnation = peer->incarnation;
+		peer->joined_ms = 0;
 	}
 	g_array_free(sums, TRUE);
 }
 
-/* Sends the sum of this zone to the collectors of the other zones. */
-static void gw_send_zone_sums(struct gw_peers *p,
-			      const struct pe_zone_host *hosts, uint32_t count,
-			      bool is_far, int64_t period_ms)
+/* Appends at most @max announcements that the group lacks. */
+static void gw_take_relayed(struct gw_collect *c, enum gw_sums_group group,
+			    uint32_t max, GArray *held)
+{
+	struct gw_sums_state *state = &c->groups[group];
+	uint64_t first = c->relayed_end - c->relayed->len;
+
+	state->relayed_end = MAX(state->relayed_end, first);
+	while (state->relayed_end < c->relayed_end && held->len < max) {
+		const struct gw_relayed *r =
+			&g_array_index(c->relayed, struct gw_relayed,
+				       state->relayed_end++ - first);
+
+		if (group == GW_SUMS_MEMBERS || r->is_own)
+			g_array_append_val(held, r->held);
+	}
+}
+
+static void gw_call_changes(struct gw_peers *p, const struct gw_peer *peer,
+			    bp_gateway_changes *message)
+{
+	mt_add(&gw_sums_sent, 1);
+	gw_peers_call_one(p->gateway,
+			  &(struct rp_peer){ .ipv4 = peer->address.ipv4,
+					     .port = peer->address.port },
+			  BP_GATEWAY_CHANGES, (xdrproc_t)xdr_bp_gateway_changes,
+			  message);
+}
+
+/* In a new order for each message, so that a member that has failed keeps only
+ * few messages from the others. */
+static void gw_shuffle(GPtrArray *list)
+{
+	for (uint32_t i = list->len; i > 1; i--) {
+		uint32_t j = g_random_int_range(0, (gint32)i);
+		void *last = list->pdata[i - 1];
+
+		list->pdata[i - 1] = list->pdata[j];
+		list->pdata[j] = last;
+	}
+}
+
+/* Sends to @relays of the receivers, each of which serves some of the others.
+ */
+static void gw_spread_changes(struct gw_peers *p, GPtrArray *receivers,
+			      uint32_t relays, bp_gateway_changes *message)
+{
+	bp_forward forwards[BP_MAX_FORWARDS];
+
+	if (relays < receivers->len)
+		gw_shuffle(receivers);
+	message->forwards.forwards_val = forwards;
+	for (uint32_t i = 0; i < relays; i++) {
+		message->forwards.forwards_len = 0;
+		for (uint32_t j = i + relays; j < receivers->len; j += relays) {
+			const struct gw_peer *peer = receivers->pdata[j];
+
+			forwards[message->forwards.forwards_len++] =
+				(bp_forward){ peer->address.ipv4,
+					      peer->address.port };
+		}
+		gw_call_changes(p, receivers->pdata[i], message);
+	}
+	message->forwards.forwards_val = NULL;
+	message->forwards.forwards_len = 0;
+}
+
+static void gw_send_datagrams(struct gw_peers *p, GPtrArray *receivers,
+			      uint32_t relays, bp_gateway_changes *message,
+			      const GArray *loads, const GArray *held)
+{
+	uint32_t load = 0, announced = 0;
+
+	do {
+		bp_share shares[BP_MAX_CHANGES];
+		uint32_t count = MIN(loads->len - load, BP_MAX_CHANGES);
+
+		for (uint32_t i = 0; i < count; i++) {
+			const struct pe_share *s = &g_array_index(
+				loads, struct pe_share, load + i);
+
+			shares[i] =
+				(bp_share){ s->engine, s->running, s->tokens };
+		}
+		message->sequence = ++p->collect.sequence;
+		message->shares.shares_val = shares;
+		message->shares.shares_len = count;
+		message->held.held_val =
+			&((bp_held *)(void *)held->data)[announced];
+		message->held.held_len =
+			MIN(held->len - announced, BP_MAX_CHANGE_HELD);
+		load += count;
+		announced += message->held.held_len;
+		gw_spread_changes(p, receivers, relays, message);
+		message->shares.shares_val = NULL;
+	} while (load < loads->len || announced < held->len);
+}
+
+/* struct gw_group_rules - how a group is served. */
+struct gw_group_rules {
+	int64_t period_ms;
+	uint32_t max_datagrams;
+	bool is_relayed_to;
+};
+
+static const struct gw_group_rules gw_group_rules[GW_SUMS_GROUPS] = {
+	[GW_SUMS_MEMBERS] = { GW_SUMS_PERIOD_MS, GW_MEMBER_DATAGRAMS, true },
+	[GW_SUMS_NEAR] = { GW_SUMS_PERIOD_MS, GW_NEAR_DATAGRAMS, true },
+	[GW_SUMS_FAR] = { GW_SUMS_FAR_PERIOD_MS, GW_FAR_DATAGRAMS, true },
+	[GW_SUMS_NEAR_STANDBY] = { GW_SUMS_STANDBY_PERIOD_MS,
+				   GW_STANDBY_DATAGRAMS, false },
+	[GW_SUMS_FAR_STANDBY] = { GW_SUMS_STANDBY_PERIOD_MS,
+				  GW_STANDBY_DATAGRAMS, false },
+};
+
+static int64_t gw_group_bytes_per_s(const struct gw_peers *p,
+				    enum gw_sums_group group)
+{
+	const struct gw_settings *s = &p->gateway->settings;
+
+	if (group == GW_SUMS_MEMBERS)
+		return GW_MEMBER_BYTES_PER_S;
+	return group == GW_SUMS_NEAR || group == GW_SUMS_NEAR_STANDBY
+		       ? s->zone_bytes_per_s
+		       : s->region_bytes_per_s;
+}
+
+/* Sends the loads of @sums that are due to @receivers. */
+static struct pe_change_plan gw_send_changes(struct gw_peers *p,
+					     enum gw_sums_group group,
+					     GPtrArray *receivers,
+					     const GArray *sums, int64_t now_ms)
+{
+	const struct gw_group_rules *rules = &gw_group_rules[group];
+	struct gw_sums_state *state = &p->collect.groups[group];
+	GArray *loads = g_array_new(FALSE, FALSE, sizeof(struct pe_share));
+	GArray *held = g_array_sized_new(FALSE, FALSE, sizeof(bp_held),
+					 BP_MAX_CHANGE_HELD);
+	uint32_t relays =
+		group == GW_SUMS_MEMBERS
+			? pe_change_relays(receivers->len, BP_MAX_FORWARDS)
+			: receivers->len;
+	struct pe_change_budget budget = {
+		.upstreams = sums->len,
+		.receivers = relays,
+		.period_ms = rules->period_ms,
+		.bytes_per_s = gw_group_bytes_per_s(p, group),
+		.max_datagrams = rules->max_datagrams,
+	};
+	int64_t bytes_per_held = (int64_t)sizeof(bp_held) * MAX(relays, 1);
+	struct pe_change_plan plan;
+
+	if (rules->is_relayed_to)
+		gw_take_relayed(
+			&p->collect, group,
+			MAX(budget.bytes_per_s * GW_HELD_BUDGET_FRACTION *
+				    budget.period_ms / 1000 / bytes_per_held,
+			    1),
+			held);
+	budget.bytes_per_s -=
+		held->len * bytes_per_held * 1000 / budget.period_ms;
+	plan = pe_change_plan(&budget);
+	state->next_ms = now_ms + plan.period_ms;
+	pe_change_choose(&state->change, sums, &plan, now_ms, loads);
+	if (receivers->len)
+		gw_send_datagrams(
+			p, receivers, relays,
+			&(bp_gateway_changes){
+				.zone = group == GW_SUMS_MEMBERS
+						? 0
+						: gw_name_hash(
+							  p->gateway->settings
+								  .zone),
+				.collector =
+					gw_name_hash(p->gateway->settings.host),
+				.incarnation = p->incarnation,
+				.period_ms = plan.period_ms,
+				.turn_ms = plan.turn_ms },
+			loads, held);
+	g_array_free(loads, TRUE);
+	g_array_free(held, TRUE);
+	return plan;
+}
+
+static void gw_send_member_sums(struct gw_peers *p, int64_t now_ms)
 {
 	GArray *sums = g_array_new(FALSE, FALSE, sizeof(struct pe_share));
+	GPtrArray *receivers = g_ptr_array_new();
+	struct pe_change_plan plan;
+
+	for (uint32_t i = 0; i < p->hosts.peers->len; i++) {
+		struct gw_peer *peer = p->hosts.peers->pdata[i];
+
+		if (gw_collect_is_member(p, peer) &&
+		    gw_may_collect(peer, now_ms))
+			g_ptr_array_add(receivers, peer);
+	}
+	pe_zone_list_all(&p->collect.zone, sums);
+	plan = gw_send_changes(p, GW_SUMS_MEMBERS, receivers, sums, now_ms);
+	gw_sync_new_members(p, plan.turn_ms, now_ms);
+	g_ptr_array_free(receivers, TRUE);
+	g_array_free(sums, TRUE);
+}
+
+/* Finds the host of each other zone that belongs to @group. */
+static void gw_list_group(const struct gw_peers *p,
+			  const struct pe_zone_host *hosts, uint32_t count,
+			  enum gw_sums_group group, GPtrArray *receivers)
+{
+	bool is_far = group == GW_SUMS_FAR || group == GW_SUMS_FAR_STANDBY;
+	uint32_t place =
+		group == GW_SUMS_NEAR_STANDBY || group == GW_SUMS_FAR_STANDBY;
 	GHashTable *done = g_hash_table_new(NULL, NULL);
 
-	pe_zone_list_own(&p->collect.zone, sums);
 	g_hash_table_add(done, GUINT_TO_POINTER(hosts[0].zone));
 	for (uint32_t i = 1; i < count; i++) {
 		const struct gw_peer *peer = p->hosts.peers->pdata[i - 1];
-		uint32_t indexes[PE_COLLECTORS], found;
+		uint32_t indexes[PE_COLLECTORS];
 
 		if (peer->is_far != is_far ||
 		    !g_hash_table_add(done, GUINT_TO_POINTER(peer->zone)))
 			continue;
-		found = pe_zone_collectors(hosts, count, peer->zone, indexes);
-		for (uint32_t j = 0; j < found; j++)
-			gw_send_sums(p, p->hosts.peers->pdata[indexes[j] - 1],
-				     sums, period_ms);
+		if (pe_zone_collectors(hosts, count, peer->zone, indexes) >
+		    place)
+			g_ptr_array_add(
+				receivers,
+				p->hosts.peers->pdata[indexes[place] - 1]);
 	}
 	g_hash_table_destroy(done);
-	g_array_free(sums, TRUE);
 }
 
 static void gw_send_due_sums(struct gw_peers *p,
@@ -289,17 +622,21 @@
 			     int64_t now_ms)
 {
 	struct gw_collect *c = &p->collect;
+	GArray *sums = g_array_new(FALSE, FALSE, sizeof(struct pe_share));
+	GPtrArray *receivers = g_ptr_array_new();
 
-	if (now_ms >= c->next_member_sums_ms)
+	if (now_ms >= c->groups[GW_SUMS_MEMBERS].next_ms)
 		gw_send_member_sums(p, now_ms);
-	if (now_ms >= c->next_near_sums_ms) {
-		c->next_near_sums_ms = now_ms + GW_SUMS_PERIOD_MS;
-		gw_send_zone_sums(p, hosts, count, false, GW_SUMS_PERIOD_MS);
-	}
-	if (now_ms >= c->next_far_sums_ms) {
-		c->next_far_sums_ms = now_ms + GW_SUMS_FAR_PERIOD_MS;
-		gw_send_zone_sums(p, hosts, count, true, GW_SUMS_FAR_PERIOD_MS);
+	pe_zone_list_own(&c->zone, sums);
+	for (uint32_t i = GW_SUMS_NEAR; i < GW_SUMS_GROUPS; i++) {
+		if (now_ms < c->groups[i].next_ms)
+			continue;
+		g_ptr_array_set_size(receivers, 0);
+		gw_list_group(p, hosts, count, i, receivers);
+		gw_send_changes(p, i, receivers, sums, now_ms);
 	}
+	g_ptr_array_free(receivers, TRUE);
+	g_array_free(sums, TRUE);
 }
 
 /* This host is a member of its own zone, too. */
@@ -333,6 +670,22 @@
 		"outcome", uses_sums ? "sums" : "reports", NULL);
 }
 
+static void gw_trim_relayed(struct gw_collect *c, int64_t now_ms)
+{
+	uint32_t old = 0;
+
+	if (c->is_collector)
+		return;
+	while (old < c->relayed->len &&
+	       (!c->is_standby ||
+		now_ms - g_array_index(c->relayed, struct gw_relayed, old)
+					.heard_ms >
+			GW_STANDBY_RELAY_MS))
+		old++;
+	if (old)
+		g_array_remove_range(c->relayed, 0, old);
+}
+
 void gw_collect_step(struct gw_peers *p, int64_t now_ms)
 {
 	struct gw_collect *c = &p->collect;
@@ -345,8 +698,11 @@
 	pe_zone_expire(&c->zone, now_ms);
 	for (uint32_t i = 0; i < p->hosts.peers->len; i++)
 		gw_distrust_silent(p, p->hosts.peers->pdata[i], now_ms);
+	gw_find_silent_zones(p, now_ms);
+	gw_find_duty(p, now_ms);
 	count = gw_list_zone_hosts(p, hosts, now_ms);
 	gw_choose_collectors(p, hosts, count, now_ms);
+	gw_trim_relayed(c, now_ms);
 	if (c->is_collector) {
 		gw_collect_own(p, now_ms);
 		if (pe_zone_may_send(&c->zone, now_ms))
@@ -368,9 +724,9 @@
 		      bool is_from_own_zone)
 {
 	struct gw_collect *c = &p->collect;
-	struct gw_relayed relayed = { *held, is_from_own_zone };
+	struct gw_relayed relayed = { *held, ck_now_ms(), is_from_own_zone };
 
-	if (!c->is_collector)
+	if (!c->is_collector && !c->is_standby)
 		return;
 	if (c->relayed->len >= GW_MAX_RELAYED)
 		g_array_remove_range(c->relayed, 0, GW_MAX_RELAYED / 2);
@@ -416,14 +772,83 @@
 	rp_drop(request);
 }
 
+static void gw_forward_changes(struct gw_peers *p,
+			       const bp_gateway_changes *message)
+{
+	bp_gateway_changes copy = *message;
+
+	copy.forwards.forwards_len = 0;
+	for (uint32_t i = 0; i < message->forwards.forwards_len; i++) {
+		const bp_forward *to = &message->forwards.forwards_val[i];
+
+		gw_peers_call_one(
+			p->gateway,
+			&(struct rp_peer){ .ipv4 = to->ipv4,
+					   .port = (uint16_t)to->port },
+			BP_GATEWAY_CHANGES, (xdrproc_t)xdr_bp_gateway_changes,
+			&copy);
+	}
+}
+
+static void gw_on_changes(void *arg, struct rp_request *request,
+			  const void *args)
+{
+	struct gw_peers *p = arg;
+	const bp_gateway_changes *message = args;
+	struct gw_peer *peer =
+		gw_hosts_find_hash(&p->hosts, message->collector);
+	struct pe_share shares[BP_MAX_CHANGES];
+	int64_t now_ms = ck_now_ms();
+	struct pe_zone_changes changes = { .sender = message->incarnation,
+					   .sequence = message->sequence,
+					   .period_ms = message->period_ms,
+					   .turn_ms = message->turn_ms,
+					   .shares = shares,
+					   .count =
+						   message->shares.shares_len };
+
+	mt_add(&gw_sums_received, 1);
+	gw_forward_changes(p, message);
+	for (uint32_t i = 0; i < changes.count; i++) {
+		const bp_share *s = &message->shares.shares_val[i];
+
+		shares[i] =
+			(struct pe_share){ s->engine, s->running, s->tokens };
+	}
+	pe_zone_add_changes(&p->collect.zone, message->zone, &changes, now_ms);
+	for (uint32_t i = 0; i < message->held.held_len; i++) {
+		const bp_held *held = &message->held.held_val[i];
+
+		pe_held_add(&p->gateway->held, held->key, held->engine, now_ms);
+		if (message->zone)
+			gw_collect_relay(p, held, false);
+	}
+	if (peer) {
+		peer->received_ms = now_ms;
+		peer->sums_period_ms = message->period_ms;
+	}
+	rp_drop(request);
+}
+
 enum st_code gw_collect_serve(struct gw_peers *p)
 {
-	return rp_serve(&p->rpc, &(struct rp_procedure){
-					 .number = BP_GATEWAY_SUMS,
-					 .args = (xdrproc_t)xdr_bp_gateway_sums,
-					 .args_bytes = sizeof(bp_gateway_sums),
-					 .handler = gw_on_sums,
-					 .arg = p });
+	enum st_code code = rp_serve(
+		&p->rpc,
+		&(struct rp_procedure){ .number = BP_GATEWAY_SUMS,
+					.args = (xdrproc_t)xdr_bp_gateway_sums,
+					.args_bytes = sizeof(bp_gateway_sums),
+					.handler = gw_on_sums,
+					.arg = p });
+
+	if (code != ST_OK)
+		return code;
+	return rp_serve(&p->rpc,
+			&(struct rp_procedure){
+				.number = BP_GATEWAY_CHANGES,
+				.args = (xdrproc_t)xdr_bp_gateway_changes,
+				.args_bytes = sizeof(bp_gateway_changes),
+				.handler = gw_on_changes,
+				.arg = p });
 }
 
 struct pe_share gw_collect_others(const struct gw_gateway *g, uint64_t engine,
--- a/src/gateway/gw_collect.h
+++ b/src/gateway/gw_collect.h
@@ -16,19 +16,42 @@
 #define GW_COLLECT_H
 
 #include "gateway/gw_hosts.h"
+#include "peers/pe_change.h"
 #include "peers/pe_zone.h"
 #include "rpc/gen/balsampin.h"
 
 struct gw_peers;
 
+/** enum gw_sums_group - hosts that are sent the same loads. */
+enum gw_sums_group {
+	GW_SUMS_MEMBERS = 0,
+	GW_SUMS_NEAR, /* collectors of the other zones of the region */
+	GW_SUMS_FAR,  /* collectors of zones of other regions */
+	GW_SUMS_NEAR_STANDBY,
+	GW_SUMS_FAR_STANDBY,
+	GW_SUMS_GROUPS
+};
+
+/**
+ * struct gw_sums_state - of the messages to a group.
+ * @relayed_end: end of the announcements relayed to it.
+ * @next_ms: when the next message is due.
+ */
+struct gw_sums_state {
+	struct pe_change change;
+	uint64_t relayed_end;
+	int64_t next_ms;
+};
+
 /**
  * struct gw_collect - state of this host as member or collector.
  * @relayed: the newest announcements to relay, as struct gw_relayed.
  * @relayed_end: number of announcements ever added.
  * @is_collector: this host is the collector of its zone.
+ * @is_standby: it is the standby of the collector.
+ * @is_on_duty: see src/peers/pe_report.h; since @duty_ms.
  * @uses_sums: the last choice of an engine used sums.
- * @next_choice_ms, @next_member_sums_ms, @next_near_sums_ms,
- * @next_far_sums_ms: when each of these steps is due.
+ * @next_choice_ms: when collectors are next chosen.
  */
 struct gw_collect {
 	struct pe_zone zone;
@@ -36,17 +59,18 @@
 	uint64_t relayed_end;
 	uint64_t sequence;
 	bool is_collector;
+	bool is_standby;
+	bool is_on_duty;
 	bool uses_sums;
+	int64_t duty_ms;
 	int64_t next_choice_ms;
-	int64_t next_member_sums_ms;
-	int64_t next_near_sums_ms;
-	int64_t next_far_sums_ms;
+	struct gw_sums_state groups[GW_SUMS_GROUPS];
 };
 
 void gw_collect_init(struct gw_collect *collect);
 void gw_collect_finish(struct gw_collect *collect);
 
-/** gw_collect_serve() - accept sums from collectors. */
+/** gw_collect_serve() - accept sums and changes from collectors. */
 enum st_code gw_collect_serve(struct gw_peers *p);
 
 /** gw_collect_step() - choose collectors; send sums that are due. */
@@ -70,6 +94,13 @@
 /** gw_collect_report_ms() - period of the reports to a collector. */
 int64_t gw_collect_report_ms(const struct gw_peers *p);
 
+/**
+ * gw_collect_set_period() - set the periods of the messages to and from @peer
+ * where collectors are in use.
+ */
+void gw_collect_set_period(const struct gw_peers *p, struct gw_peer *peer,
+			   int64_t report_ms);
+
 /** gw_collect_others() - load of all other hosts at @engine, as far as known.
  */
 struct pe_share gw_collect_others(const struct gw_gateway *g, uint64_t engine,
--- a/src/gateway/gw_hosts.c
+++ b/src/gateway/gw_hosts.c
@@ -21,6 +21,9 @@
 /* Covers a store that is sixty times slower than usual. */
 #define GW_ROWS_TIMEOUT_MS 1000
 
+/* A host is alive for this time and two of its periods after a message. */
+#define GW_PEER_SILENT_MS 1000
+
 uint64_t gw_name_hash(const char *name)
 {
 	return XXH3_64bits(name, strlen(name));
@@ -120,6 +123,24 @@
 	return NULL;
 }
 
+struct gw_peer *gw_hosts_find_hash(const struct gw_hosts *hosts, uint64_t hash)
+{
+	for (uint32_t i = 0; i < hosts->peers->len; i++) {
+		struct gw_peer *peer = hosts->peers->pdata[i];
+
+		if (peer->hash == hash)
+			return peer;
+	}
+	return NULL;
+}
+
+bool gw_peer_is_alive(const struct gw_peer *peer, int64_t now_ms)
+{
+	return peer->is_seen && !peer->is_zone_silent &&
+	       now_ms - peer->received_ms <
+		       GW_PEER_SILENT_MS + 2 * peer->expected_ms;
+}
+
 /* Parses "IP:PORT REGION ZONE". */
 static bool gw_parse_peer(const struct gw_gateway *g, const char *value,
 			  struct gw_peer *peer)
--- a/src/gateway/gw_hosts.h
+++ b/src/gateway/gw_hosts.h
@@ -28,14 +28,21 @@
  * @is_collector: the load of this host is reported to it; see gw_collect.h.
  * @chosen_ms: since when @is_collector holds.
  * @sums_period_ms: of the sums that it sends, according to the last one.
- * @distrusted_until_ms: not chosen as a collector before.
- * @relayed_end: end of the announcements relayed to it; see gw_collect.h.
+ * @distrusted_ms: when it was last found silent as a collector; 0: never.
+ * @is_on_duty: see src/peers/pe_report.h.
+ * @is_zone_silent: its whole zone has fallen silent.
+ * @synced_incarnation: process that was sent sums in full; see gw_collect.c.
+ * @joined_ms: since when that process is a member.
  * @incarnation: incarnation of its process in its last message, 0 before one.
  * @is_seen: a message from it was received since this process started.
  * @takes_part: according to its last message, the store answers it and it is
  *	not stopping.
  * @received_ms: time of its last message, or of its addition to the list.
+ * @load_ms: time of its last report of load.
+ * @intervals_ms: times before its last two reports; 0: unknown.
+ * @expected_ms: longest usual time between two messages from it.
  * @sent_ms: time of the last message to it.
+ * @sent_takes_part: what that message said of this host.
  * @period_ms: time between two messages to it.
  * @announced_end: end of the announcements sent to it; see struct gw_peers.
  */
@@ -49,13 +56,20 @@
 	bool is_collector;
 	int64_t chosen_ms;
 	int64_t sums_period_ms;
-	int64_t distrusted_until_ms;
-	uint64_t relayed_end;
+	int64_t distrusted_ms;
+	bool is_on_duty;
+	bool is_zone_silent;
+	uint64_t synced_incarnation;
+	int64_t joined_ms;
 	uint64_t incarnation;
 	bool is_seen;
 	bool takes_part;
 	int64_t received_ms;
+	int64_t load_ms;
+	int64_t intervals_ms[2];
+	int64_t expected_ms;
 	int64_t sent_ms;
+	bool sent_takes_part;
 	int64_t period_ms;
 	uint64_t announced_end;
 };
@@ -102,6 +116,15 @@
 struct gw_peer *gw_hosts_find(const struct gw_hosts *hosts, uint32_t ipv4,
 			      uint16_t port);
 
+/** gw_hosts_find_hash() - find the host whose name has a hash; or NULL. */
+struct gw_peer *gw_hosts_find_hash(const struct gw_hosts *hosts, uint64_t hash);
+
+/**
+ * gw_peer_is_alive() - whether it was heard recently. The next host in order
+ * becomes the reader if the reader is not.
+ */
+bool gw_peer_is_alive(const struct gw_peer *peer, int64_t now_ms);
+
 /** gw_name_hash() - hash of a host name, which defines the order of hosts. */
 uint64_t gw_name_hash(const char *name);
 
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -53,6 +53,13 @@
 		gw_notice_sync_peer(p->gateway, from);
 }
 
+static void gw_note_interval(struct gw_peer *peer, int64_t now_ms)
+{
+	peer->intervals_ms[0] = peer->intervals_ms[1];
+	peer->intervals_ms[1] = peer->load_ms ? now_ms - peer->load_ms : 0;
+	peer->load_ms = now_ms;
+}
+
 static void gw_on_load(void *arg, struct rp_request *request, const void *args)
 {
 	struct gw_peers *p = arg;
@@ -82,11 +89,15 @@
 			gw_collect_relay(p, held, true);
 	}
 	if (peer) {
+		gw_note_interval(peer, now_ms);
 		peer->received_ms = now_ms;
 		peer->is_seen = true;
 		peer->takes_part = message->takes_part;
-		if (peer->incarnation != from->incarnation)
+		if (peer->incarnation != from->incarnation) {
 			gw_sync_started_peer(p, peer, from);
+			/* Tells it soon that this host is alive. */
+			peer->sent_ms = 0;
+		}
 		peer->incarnation = from->incarnation;
 		gw_collect_member(p, peer, message->sequence, shares,
 				  message->shares.shares_len, now_ms);
@@ -126,6 +137,18 @@
 	return count;
 }
 
+/* Tells the collectors of the zone, which report it back; see pe_zone.h. */
+static void gw_note_own_report(struct gw_peers *p, const bp_share *sent,
+			       uint32_t count, int64_t now_ms)
+{
+	struct pe_share shares[BP_MAX_SHARES];
+
+	for (uint32_t i = 0; i < count; i++)
+		shares[i] = (struct pe_share){ sent[i].engine, sent[i].running,
+					       sent[i].tokens };
+	pe_zone_note_own(&p->collect.zone, shares, count, now_ms);
+}
+
 static void gw_send_load(struct gw_peers *p, struct gw_peer *peer,
 			 int64_t now_ms)
 {
@@ -133,11 +156,21 @@
 	bp_held held[BP_MAX_HELD];
 	bp_gateway_load message = { .sequence = p->sequence++,
 				    .takes_part = gw_takes_part(p->gateway) };
+	bool is_used = gw_collect_is_used(p);
 
 	message.shares.shares_val = shares;
-	message.shares.shares_len = gw_fill_shares(p->gateway, shares);
+	/* Other zones get the load from the collector of this one. */
+	if (!is_used || gw_collect_is_member(p, peer))
+		message.shares.shares_len = gw_fill_shares(p->gateway, shares);
 	message.held.held_val = held;
-	message.held.held_len = gw_fill_held(p, peer, held);
+	if (is_used && p->collect.uses_sums && !peer->is_collector)
+		peer->announced_end = p->announcements_end;
+	else
+		message.held.held_len = gw_fill_held(p, peer, held);
+	if (peer->is_collector)
+		gw_note_own_report(p, shares, message.shares.shares_len,
+				   now_ms);
+	peer->sent_takes_part = message.takes_part;
 	peer->sent_ms = now_ms;
 	mt_add(&gw_peer_sent, 1);
 	rp_call(&p->rpc,
@@ -150,6 +183,16 @@
 		NULL);
 }
 
+/* Hosts on duty learn at once whether they are to read for others. */
+static bool gw_is_load_due(const struct gw_peers *p, const struct gw_peer *peer,
+			   int64_t now_ms)
+{
+	if (gw_collect_is_used(p) && peer->is_on_duty && peer->is_seen &&
+	    peer->sent_takes_part != gw_takes_part(p->gateway))
+		return true;
+	return now_ms - peer->sent_ms >= peer->period_ms;
+}
+
 static uint32_t gw_count_far_peers(const struct gw_peers *p)
 {
 	uint32_t far = 0;
@@ -159,23 +202,23 @@
 	return far;
 }
 
-/*
- * @similar_peers: number of peers that are far, or not far, like @peer.
- * @report_ms: period of the messages to a collector.
- */
-static int64_t gw_send_period_ms(const struct gw_peer *peer,
-				 int64_t similar_peers, int64_t report_ms,
-				 int64_t now_ms)
+/* @similar_peers: number of peers that are far, or not far, like @peer. */
+static void gw_set_period(const struct gw_peers *p, struct gw_peer *peer,
+			  int64_t similar_peers, int64_t report_ms,
+			  int64_t now_ms)
 {
-	int64_t period_ms = peer->is_far
-				    ? MAX(GW_FAR_PERIOD_MS,
-					  similar_peers * GW_FAR_PER_PEER_MS)
-				    : MAX(GW_NEAR_PERIOD_MS,
-					  similar_peers * GW_NEAR_PER_PEER_MS);
-
+	if (gw_collect_is_used(p)) {
+		gw_collect_set_period(p, peer, report_ms);
+	} else {
+		peer->period_ms =
+			peer->is_far ? MAX(GW_FAR_PERIOD_MS,
+					   similar_peers * GW_FAR_PER_PEER_MS)
+				     : MAX(GW_NEAR_PERIOD_MS,
+					   similar_peers * GW_NEAR_PER_PEER_MS);
+		peer->expected_ms = peer->period_ms;
+	}
 	if (now_ms - peer->received_ms > GW_SILENT_MS)
-		return GW_SILENT_PERIOD_MS;
-	return peer->is_collector ? MIN(period_ms, report_ms) : period_ms;
+		peer->period_ms = GW_SILENT_PERIOD_MS;
 }
 
 /* Cache memory of all engines according to the configuration. */
@@ -244,10 +287,10 @@
 	for (uint32_t i = 0; p->is_open && i < p->hosts.peers->len; i++) {
 		struct gw_peer *peer = p->hosts.peers->pdata[i];
 
-		peer->period_ms = gw_send_period_ms(
-			peer, peer->is_far ? far : p->hosts.peers->len - far,
-			report_ms, now_ms);
-		if (now_ms - peer->sent_ms >= peer->period_ms)
+		gw_set_period(p, peer,
+			      peer->is_far ? far : p->hosts.peers->len - far,
+			      report_ms, now_ms);
+		if (gw_is_load_due(p, peer, now_ms))
 			gw_send_load(p, peer, now_ms);
 	}
 }
@@ -269,14 +312,15 @@
 			"row_ignored", "key", "key", NULL);
 		return;
 	}
-	code = rp_init(&p->rpc, &(struct rp_desc){
-					.loop = p->gateway->kernel.loop,
-					.address = s->peers.address,
-					.port = s->peers.port,
-					.key = bytes,
-					.host = s->host,
-					.role = "gateway",
-					.incarnation = rp_new_incarnation() });
+	p->incarnation = rp_new_incarnation();
+	code = rp_init(&p->rpc,
+		       &(struct rp_desc){ .loop = p->gateway->kernel.loop,
+					  .address = s->peers.address,
+					  .port = s->peers.port,
+					  .key = bytes,
+					  .host = s->host,
+					  .role = "gateway",
+					  .incarnation = p->incarnation });
 	if (code == ST_OK)
 		code = rp_serve(&p->rpc,
 				&(struct rp_procedure){
--- a/src/gateway/gw_peers.h
+++ b/src/gateway/gw_peers.h
@@ -16,6 +16,7 @@
 
 /**
  * struct gw_peers - state of the messages to and from other hosts.
+ * @incarnation: of this process, once @is_open.
  * @announcements: the newest held prefixes to send, as bp_held.
  * @announcements_end: number of announcements ever added; a peer whose
  *	announced_end is lower lacks the last ones.
@@ -25,6 +26,7 @@
 	struct gw_gateway *gateway;
 	struct gw_hosts hosts;
 	struct rp_endpoint rpc;
+	uint64_t incarnation;
 	bool is_open;
 	ev_timer tick;
 	GArray *announcements;
--- a/src/gateway/gw_roles.c
+++ b/src/gateway/gw_roles.c
@@ -11,18 +11,9 @@
 
 /* Limit of the hosts considered, this one included. */
 #define GW_MAX_HOSTS 512
-/* The next host in order becomes the reader if the reader is silent. */
-#define GW_READER_SILENT_MS 1000
 /* Deadline of a call whose answer is not awaited. */
 #define GW_ONE_WAY_MS 60
 
-static bool gw_is_alive(const struct gw_peer *peer, int64_t now_ms)
-{
-	return peer->is_seen &&
-	       now_ms - peer->received_ms <
-		       GW_READER_SILENT_MS + 2 * peer->period_ms;
-}
-
 /* Lists this host, then the live peers. @peers may be NULL. */
 static uint32_t gw_list_live_hosts(const struct gw_gateway *g,
 				   struct pe_host *hosts,
@@ -39,7 +30,7 @@
 	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++) {
 		const struct gw_peer *peer = p->hosts.peers->pdata[i];
 
-		if (count == GW_MAX_HOSTS || !gw_is_alive(peer, now_ms))
+		if (count == GW_MAX_HOSTS || !gw_peer_is_alive(peer, now_ms))
 			continue;
 		if (peers)
 			peers[count] = peer;
@@ -108,7 +99,7 @@
 
 		hosts[i] = (struct pe_zone_host){
 			peer->hash, peer->zone,
-			peer->takes_part && gw_is_alive(peer, now_ms)
+			peer->takes_part && gw_peer_is_alive(peer, now_ms)
 		};
 	}
 	count = pe_zone_collectors(hosts, count, zone, indexes);
--- a/src/gateway/gw_settings.c
+++ b/src/gateway/gw_settings.c
@@ -7,14 +7,18 @@
 #include "net/ad.h"
 
 /* Defaults for bounds that the file does not give. */
-#define GW_DEFAULT_GRACE_MS    8000
-#define GW_DEFAULT_CONFIG_MS   3000
-#define GW_DEFAULT_REVOKE_MS   5000
-#define GW_DEFAULT_WEIGHTS_MS  8000
-#define GW_DEFAULT_LEASE_MS    3000
-#define GW_DEFAULT_UNREAD_MS   15000
-#define GW_DEFAULT_RETRY_RATIO 0.2
-#define GW_DEFAULT_RETRY_FLOOR 20
+#define GW_DEFAULT_GRACE_MS   8000
+#define GW_DEFAULT_CONFIG_MS  3000
+#define GW_DEFAULT_REVOKE_MS  5000
+#define GW_DEFAULT_WEIGHTS_MS 8000
+#define GW_DEFAULT_LEASE_MS   3000
+#define GW_DEFAULT_UNREAD_MS  15000
+/* A host sends some ten messages a second to each of a few zones. Regions share
+ * links of tens of Mbit/s. */
+#define GW_DEFAULT_ZONE_BYTES_PER_S   100000
+#define GW_DEFAULT_REGION_BYTES_PER_S 50000
+#define GW_DEFAULT_RETRY_RATIO	      0.2
+#define GW_DEFAULT_RETRY_FLOOR	      20
 
 struct gw_settings_reader {
 	struct json_object *root;
@@ -134,6 +138,11 @@
 	settings->unread_ms = gw_read_number(reader, "bounds/unread_ms",
 					     GW_DEFAULT_UNREAD_MS);
 	settings->memory_mb = gw_read_number(reader, "limits/memory_mb", 0);
+	settings->zone_bytes_per_s = gw_read_number(
+		reader, "limits/zone_bytes_per_s", GW_DEFAULT_ZONE_BYTES_PER_S);
+	settings->region_bytes_per_s =
+		gw_read_number(reader, "limits/region_bytes_per_s",
+			       GW_DEFAULT_REGION_BYTES_PER_S);
 	settings->retry_ratio =
 		gw_read_ratio(reader, "retries/ratio", GW_DEFAULT_RETRY_RATIO);
 	settings->retry_floor =
--- a/src/gateway/gw_settings.h
+++ b/src/gateway/gw_settings.h
@@ -43,6 +43,8 @@
  * @weights_ms: bound after which no request begins on older weights.
  * @lease_ms: least time between orders of two hosts to the same engine.
  * @unread_ms: in which a caller may read nothing of its answer.
+ * @zone_bytes_per_s, @region_bytes_per_s: budgets for the control messages of
+ *	this host to other zones of its region and to other regions.
  * @memory_mb: that the process may use; 0: unlimited.
  * @retry_ratio: retries at a service as a share of its requests.
  * @retry_floor: retries of all hosts together that are always allowed.
@@ -65,6 +67,8 @@
 	int64_t lease_ms;
 	int64_t unread_ms;
 	int64_t memory_mb;
+	int64_t zone_bytes_per_s;
+	int64_t region_bytes_per_s;
 	double retry_ratio;
 	int64_t retry_floor;
 };
--- a/src/peers/pe_load.c
+++ b/src/peers/pe_load.c
@@ -2,18 +2,29 @@
 
 #include <string.h>
 
+/* struct pe_merged - a share that was received by itself. */
+struct pe_merged {
+	struct pe_share share;
+	uint64_t sequence;
+	int64_t received_ms;
+};
+
+/* A peer has either shares or, once any was merged, only merged ones. */
 struct pe_peer {
 	uint64_t id;
 	uint64_t sequence;
 	int64_t received_ms;
 	uint32_t count;
 	struct pe_share *shares;
+	GHashTable *merged;
 };
 
 static void pe_peer_free(void *data)
 {
 	struct pe_peer *peer = data;
 
+	if (peer->merged)
+		g_hash_table_destroy(peer->merged);
 	g_free(peer->shares);
 	g_free(peer);
 }
@@ -63,9 +74,116 @@
 
 static void pe_remove_shares(struct pe_load *load, struct pe_peer *peer)
 {
+	GHashTableIter iter;
+	void *value;
+
 	for (uint32_t i = 0; i < peer->count; i++)
 		pe_subtract_share(load, &peer->shares[i]);
 	peer->count = 0;
+	if (!peer->merged)
+		return;
+	g_hash_table_iter_init(&iter, peer->merged);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		pe_subtract_share(load, &((struct pe_merged *)value)->share);
+	g_hash_table_remove_all(peer->merged);
+}
+
+static struct pe_peer *pe_find_peer(struct pe_load *load, uint64_t id)
+{
+	struct pe_peer *peer = g_hash_table_lookup(load->_peers, &id);
+
+	if (peer)
+		return peer;
+	peer = g_new0(struct pe_peer, 1);
+	peer->id = id;
+	g_hash_table_insert(load->_peers, &peer->id, peer);
+	return peer;
+}
+
+/* Replaces the share at an upstream, unless a later message carried it. */
+static void pe_merge_share(struct pe_load *load, struct pe_peer *peer,
+			   uint64_t sequence, const struct pe_share *share,
+			   int64_t now_ms)
+{
+	struct pe_merged *known =
+		g_hash_table_lookup(peer->merged, &share->engine);
+
+	if (!known) {
+		known = g_new0(struct pe_merged, 1);
+		known->share.engine = share->engine;
+		g_hash_table_insert(peer->merged, &known->share.engine, known);
+	} else if (sequence <= known->sequence) {
+		return;
+	}
+	pe_subtract_share(load, &known->share);
+	known->share = *share;
+	known->sequence = sequence;
+	known->received_ms = now_ms;
+	if (share->running || share->tokens)
+		pe_add_share(load, &known->share);
+}
+
+void pe_load_merge(struct pe_load *load, uint64_t id, uint64_t sequence,
+		   const struct pe_share *shares, uint32_t count,
+		   int64_t now_ms)
+{
+	struct pe_peer *peer = pe_find_peer(load, id);
+
+	if (!peer->merged) {
+		peer->merged = g_hash_table_new_full(
+			g_int64_hash, g_int64_equal, NULL, g_free);
+		for (uint32_t i = 0; i < peer->count; i++) {
+			pe_subtract_share(load, &peer->shares[i]);
+			pe_merge_share(load, peer, peer->sequence,
+				       &peer->shares[i], peer->received_ms);
+		}
+		peer->count = 0;
+	}
+	peer->sequence = MAX(peer->sequence, sequence);
+	peer->received_ms = MAX(peer->received_ms, now_ms);
+	for (uint32_t i = 0; i < count; i++)
+		pe_merge_share(load, peer, sequence, &shares[i], now_ms);
+}
+
+void pe_load_restart(struct pe_load *load, uint64_t id)
+{
+	struct pe_peer *peer = pe_find_peer(load, id);
+	GHashTableIter iter;
+	void *value;
+
+	peer->sequence = 0;
+	if (!peer->merged)
+		return;
+	g_hash_table_iter_init(&iter, peer->merged);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct pe_merged *)value)->sequence = 0;
+}
+
+void pe_load_touch(struct pe_load *load, uint64_t id, int64_t now_ms)
+{
+	struct pe_peer *peer = g_hash_table_lookup(load->_peers, &id);
+
+	if (peer)
+		peer->received_ms = MAX(peer->received_ms, now_ms);
+}
+
+void pe_load_expire_merged(struct pe_load *load, uint64_t id, int64_t before_ms)
+{
+	struct pe_peer *peer = g_hash_table_lookup(load->_peers, &id);
+	GHashTableIter iter;
+	void *value;
+
+	if (!peer || !peer->merged)
+		return;
+	g_hash_table_iter_init(&iter, peer->merged);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pe_merged *known = value;
+
+		if (known->received_ms >= before_ms)
+			continue;
+		pe_subtract_share(load, &known->share);
+		g_hash_table_iter_remove(&iter);
+	}
 }
 
 void pe_load_receive(struct pe_load *load, uint64_t id, uint64_t sequence,
@@ -74,14 +192,12 @@
 {
 	struct pe_peer *peer = g_hash_table_lookup(load->_peers, &id);
 
-	if (!peer) {
-		peer = g_new0(struct pe_peer, 1);
-		peer->id = id;
-		g_hash_table_insert(load->_peers, &peer->id, peer);
-	} else if (sequence <= peer->sequence) {
+	if (!peer)
+		peer = pe_find_peer(load, id);
+	else if (sequence <= peer->sequence)
 		return;
-	}
 	pe_remove_shares(load, peer);
+	g_clear_pointer(&peer->merged, g_hash_table_destroy);
 	peer->sequence = sequence;
 	peer->received_ms = now_ms;
 	peer->count = count;
--- a/src/peers/pe_load.h
+++ b/src/peers/pe_load.h
@@ -47,6 +47,28 @@
 		     const struct pe_share *shares, uint32_t count,
 		     int64_t now_ms);
 
+/**
+ * pe_load_merge() - replace the shares of a peer at some upstreams only.
+ * @sequence: of the message; a share of a message with a higher one stays.
+ */
+void pe_load_merge(struct pe_load *load, uint64_t peer, uint64_t sequence,
+		   const struct pe_share *shares, uint32_t count,
+		   int64_t now_ms);
+
+/**
+ * pe_load_restart() - accept any sequence from now on, and keep the shares; a
+ * new process reports what @peer stands for.
+ */
+void pe_load_restart(struct pe_load *load, uint64_t peer);
+
+/** pe_load_touch() - count a peer, if known, as received at @now_ms. */
+void pe_load_touch(struct pe_load *load, uint64_t peer, int64_t now_ms);
+
+/** pe_load_expire_merged() - drop merged shares not received since @before_ms.
+ */
+void pe_load_expire_merged(struct pe_load *load, uint64_t peer,
+			   int64_t before_ms);
+
 /** pe_load_remove() - drop what a peer has reported. */
 void pe_load_remove(struct pe_load *load, uint64_t peer);
 
--- a/src/peers/pe_zone.c
+++ b/src/peers/pe_zone.c
@@ -13,10 +13,18 @@
 #define PE_MAX_PERIOD_MS 2000
 /* A collector that sends nothing for so many of its periods is replaced. */
 #define PE_SILENT_PERIODS 5
+/* Another sender is accepted after so many periods of the last one at least. */
+#define PE_SENDER_SILENT_PERIODS 3
+/* A load that is repeated in each turn is dropped after so many without it. */
+#define PE_LOST_TURNS 3
+/* A report takes this long to be part of the sums of the collector. */
+#define PE_REPORT_TRANSIT_MS 20
 
 /**
  * struct pe_sender - the collector that sums a zone.
  * @zone: hash of the other zone; 0: collector of the own one.
+ * @period_ms: of its messages.
+ * @turn_ms: in which it repeats each load; 0: it sends all in each message.
  * @parts: shares of the parts of @sequence received until now.
  * @parts_received: their number.
  */
@@ -24,6 +32,8 @@
 	uint64_t zone;
 	uint64_t sender;
 	int64_t received_ms;
+	int64_t period_ms;
+	int64_t turn_ms;
 	uint64_t sequence;
 	uint32_t parts_received;
 	GArray *parts;
@@ -123,11 +133,16 @@
 					  uint64_t sender, int64_t now_ms)
 {
 	struct pe_sender *s = pe_find_sender(zone, other);
+	int64_t silent_ms = MAX(PE_SENDER_SILENT_MS,
+				PE_SENDER_SILENT_PERIODS * s->period_ms);
 
 	if (s->sender != sender) {
-		if (s->sender && now_ms - s->received_ms < PE_SENDER_SILENT_MS)
+		if (s->sender && now_ms - s->received_ms < silent_ms)
 			return NULL;
-		pe_load_remove(&zone->_all, s->sender);
+		if (other)
+			pe_load_restart(&zone->_all, other);
+		else
+			pe_load_restart(&zone->_sums, PE_SELF);
 		s->sender = sender;
 		s->sequence = 0;
 	}
@@ -135,22 +150,30 @@
 	return s;
 }
 
-static void pe_apply_sums(struct pe_zone *zone, const struct pe_sender *s,
+static void pe_renew_sums(struct pe_zone *zone, int64_t period_ms,
+			  int64_t now_ms)
+{
+	zone->_fresh_until_ms =
+		now_ms +
+		PE_FRESH_PERIODS * CLAMP(period_ms, 1, PE_MAX_PERIOD_MS);
+}
+
+static void pe_apply_sums(struct pe_zone *zone, struct pe_sender *s,
 			  int64_t period_ms, int64_t now_ms)
 {
 	const struct pe_share *shares =
 		(const struct pe_share *)(void *)s->parts->data;
 
+	s->period_ms = period_ms;
 	if (s->zone) {
-		pe_load_receive(&zone->_all, s->sender, s->sequence, shares,
+		pe_load_receive(&zone->_all, s->zone, s->sequence, shares,
 				s->parts->len, now_ms);
 		return;
 	}
-	pe_load_receive(&zone->_sums, PE_SELF, ++zone->_applied, shares,
+	pe_load_receive(&zone->_sums, PE_SELF, s->sequence, shares,
 			s->parts->len, now_ms);
-	zone->_fresh_until_ms =
-		now_ms +
-		PE_FRESH_PERIODS * CLAMP(period_ms, 1, PE_MAX_PERIOD_MS);
+	zone->_complete_from_ms = now_ms;
+	pe_renew_sums(zone, period_ms, now_ms);
 }
 
 void pe_zone_add_sums(struct pe_zone *zone, uint64_t other,
@@ -175,6 +198,80 @@
 		pe_apply_sums(zone, s, part->period_ms, now_ms);
 }
 
+void pe_zone_note_own(struct pe_zone *zone, const struct pe_share *shares,
+		      uint32_t count, int64_t now_ms)
+{
+	struct pe_own *own = &zone->_own[zone->_own_count++ % PE_OWN_REPORTS];
+
+	own->sent_ms = now_ms;
+	own->count = MIN(count, PE_MAX_OWN_SHARES);
+	memcpy(own->shares, shares, own->count * sizeof(*shares));
+}
+
+/* Returns the last report that the sums received at @now_ms can contain. */
+static const struct pe_own *pe_own_in_sums(const struct pe_zone *zone,
+					   int64_t now_ms)
+{
+	uint32_t count = MIN(zone->_own_count, PE_OWN_REPORTS);
+
+	for (uint32_t i = 1; i <= count; i++) {
+		const struct pe_own *own =
+			&zone->_own[(zone->_own_count - i) % PE_OWN_REPORTS];
+
+		if (now_ms - own->sent_ms >= PE_REPORT_TRANSIT_MS)
+			return own;
+	}
+	return NULL;
+}
+
+static struct pe_share pe_without_own(struct pe_share sum,
+				      const struct pe_own *own)
+{
+	for (uint32_t i = 0; own && i < own->count; i++) {
+		if (own->shares[i].engine != sum.engine)
+			continue;
+		sum.running -= MIN(sum.running, own->shares[i].running);
+		sum.tokens -= MIN(sum.tokens, own->shares[i].tokens);
+	}
+	return sum;
+}
+
+/* Merges sums over all hosts, this one included. */
+static void pe_merge_own_sums(struct pe_zone *zone, const struct pe_sender *s,
+			      const struct pe_zone_changes *changes,
+			      int64_t now_ms)
+{
+	const struct pe_own *own = pe_own_in_sums(zone, now_ms);
+
+	for (uint32_t i = 0; i < changes->count; i++) {
+		struct pe_share share = pe_without_own(changes->shares[i], own);
+
+		pe_load_merge(&zone->_sums, PE_SELF, changes->sequence, &share,
+			      1, now_ms);
+	}
+	if (!zone->_complete_from_ms)
+		zone->_complete_from_ms = now_ms + s->turn_ms;
+	if (now_ms >= zone->_complete_from_ms)
+		pe_renew_sums(zone, s->period_ms, now_ms);
+}
+
+void pe_zone_add_changes(struct pe_zone *zone, uint64_t other,
+			 const struct pe_zone_changes *changes, int64_t now_ms)
+{
+	struct pe_sender *s =
+		pe_accept_sender(zone, other, changes->sender, now_ms);
+
+	if (!s)
+		return;
+	s->period_ms = changes->period_ms;
+	s->turn_ms = changes->turn_ms;
+	if (other)
+		pe_load_merge(&zone->_all, other, changes->sequence,
+			      changes->shares, changes->count, now_ms);
+	else
+		pe_merge_own_sums(zone, s, changes, now_ms);
+}
+
 void pe_zone_set_collecting(struct pe_zone *zone, bool is_collecting,
 			    int64_t now_ms)
 {
@@ -212,14 +309,48 @@
 	return now_ms < zone->_fresh_until_ms;
 }
 
+void pe_zone_list_all(const struct pe_zone *zone, GArray *out)
+{
+	pe_load_list(&zone->_all, 0, out);
+}
+
+/* Drops what the sender did not repeat in time. */
+static void pe_expire_lost(struct pe_zone *zone, const struct pe_sender *s,
+			   int64_t now_ms)
+{
+	if (!s->turn_ms)
+		return;
+	if (s->zone)
+		pe_load_expire_merged(&zone->_all, s->zone,
+				      now_ms - PE_LOST_TURNS * s->turn_ms);
+	else
+		pe_load_expire_merged(&zone->_sums, PE_SELF,
+				      now_ms - PE_LOST_TURNS * s->turn_ms);
+}
+
+static bool pe_sender_is_silent(const struct pe_sender *s, int64_t now_ms)
+{
+	return now_ms - s->received_ms >
+	       MAX(PE_MEMBER_SILENT_MS, PE_SILENT_PERIODS * s->period_ms);
+}
+
 void pe_zone_expire(struct pe_zone *zone, int64_t now_ms)
 {
-	pe_load_expire(&zone->_members, now_ms - PE_MEMBER_SILENT_MS);
-	pe_load_expire(&zone->_all, now_ms - PE_MEMBER_SILENT_MS);
 	for (uint32_t i = zone->_senders->len; i-- > 0;) {
 		const struct pe_sender *s = zone->_senders->pdata[i];
 
-		if (now_ms - s->received_ms > PE_MEMBER_SILENT_MS)
-			g_ptr_array_remove_index_fast(zone->_senders, i);
+		if (!pe_sender_is_silent(s, now_ms)) {
+			pe_expire_lost(zone, s, now_ms);
+			if (s->zone)
+				pe_load_touch(&zone->_all, s->zone, now_ms);
+			continue;
+		}
+		if (s->zone)
+			pe_load_remove(&zone->_all, s->zone);
+		else
+			zone->_complete_from_ms = 0;
+		g_ptr_array_remove_index_fast(zone->_senders, i);
 	}
+	pe_load_expire(&zone->_members, now_ms - PE_MEMBER_SILENT_MS);
+	pe_load_expire(&zone->_all, now_ms - PE_MEMBER_SILENT_MS);
 }
--- a/src/peers/pe_zone.h
+++ b/src/peers/pe_zone.h
@@ -11,10 +11,11 @@
  *
  * Overview
  *	One host of each zone, the collector, receives the load of the other
- *	members of the zone several times a second and sends each of them the
- *	sum over all hosts but the member. It exchanges the sum of its zone with
- *	the collectors of the other zones. The messages of a member do not
- *	depend on the number of hosts.
+ *	members of the zone several times a second and sends them the sums over
+ *	all hosts; each subtracts what it has itself reported. It exchanges the
+ *	sum of its zone with the collectors of the other zones. The messages of
+ *	a member do not depend on the number of hosts. Most messages carry only
+ *	the loads that changed; see pe_change.h.
  *
  *	The next host in order is the standby: it receives the reports, too, and
  *	takes over when the collector falls silent. A host that receives no sums
@@ -27,6 +28,7 @@
  *	pe_zone_add_member(&z, host, sequence, shares, n, now_ms);
  *	pe_zone_list_for_member(&z, host, out);		at the collector
  *	pe_zone_add_sums(&z, zone, &part, now_ms);	at collector and member
+ *	pe_zone_add_changes(&z, zone, &changes, now_ms);
  *	if (pe_zone_others(&z, engine, now_ms, &share)) ...
  */
 #ifndef PE_ZONE_H
@@ -74,12 +76,42 @@
 	uint32_t count;
 };
 
+/**
+ * struct pe_zone_changes - loads that a collector sent by themselves.
+ * @sequence: a load of a message with a lower one does not replace it.
+ * @turn_ms: time in which the sender repeats each load.
+ * @shares: sums over the hosts of the sender's zone; from the own collector,
+ *	over all hosts, this one included.
+ */
+struct pe_zone_changes {
+	uint64_t sender;
+	uint64_t sequence;
+	int64_t period_ms;
+	int64_t turn_ms;
+	const struct pe_share *shares;
+	uint32_t count;
+};
+
+/** Shares in one report of this host; BP_MAX_SHARES of src/rpc/balsampin.x. */
+#define PE_MAX_OWN_SHARES 40
+/** Reports that are kept: two periods of reports to collector and standby. */
+#define PE_OWN_REPORTS 4
+
+/** struct pe_own - a report of this host to its collector. */
+struct pe_own {
+	int64_t sent_ms;
+	uint32_t count;
+	struct pe_share shares[PE_MAX_OWN_SHARES];
+};
+
 struct pe_zone {
 	struct pe_load _members;
 	struct pe_load _all;
 	struct pe_load _sums;
 	GPtrArray *_senders;
-	uint64_t _applied;
+	struct pe_own _own[PE_OWN_REPORTS];
+	uint32_t _own_count;
+	int64_t _complete_from_ms;
 	int64_t _fresh_until_ms;
 	int64_t _collecting_from_ms;
 };
@@ -119,6 +151,23 @@
 void pe_zone_add_sums(struct pe_zone *zone, uint64_t other,
 		      const struct pe_zone_part *part, int64_t now_ms);
 
+/**
+ * pe_zone_add_changes() - record loads that changed, or that are repeated.
+ * @other: as in pe_zone_add_sums().
+ *
+ * Sums of the own collector are used once they have been complete, that is
+ * after a first turn, or after a pe_zone_add_sums().
+ */
+void pe_zone_add_changes(struct pe_zone *zone, uint64_t other,
+			 const struct pe_zone_changes *changes, int64_t now_ms);
+
+/**
+ * pe_zone_note_own() - record what this host has reported to its collector, so
+ * that it is not taken for the load of others when it comes back in a sum.
+ */
+void pe_zone_note_own(struct pe_zone *zone, const struct pe_share *shares,
+		      uint32_t count, int64_t now_ms);
+
 /**
  * pe_zone_set_collecting() - whether this host is a collector, or the standby,
  * and so receives the reports of the members.
@@ -133,6 +182,9 @@
 void pe_zone_list_for_member(const struct pe_zone *zone, uint64_t host,
 			     GArray *out);
 
+/** pe_zone_list_all() - sums over all hosts. */
+void pe_zone_list_all(const struct pe_zone *zone, GArray *out);
+
 /** pe_zone_list_own() - sum of the own zone, for the other collectors. */
 void pe_zone_list_own(const struct pe_zone *zone, GArray *out);
 
--- a/src/rpc/balsampin.x
+++ b/src/rpc/balsampin.x
@@ -168,6 +168,34 @@
 	bp_held held<BP_MAX_HELD>;
 };
 
+const BP_MAX_CHANGES = 36;
+const BP_MAX_CHANGE_HELD = 20;
+const BP_MAX_FORWARDS = 32;
+
+struct bp_forward {
+	unsigned int ipv4;
+	unsigned int port;
+};
+
+/*
+ * Loads that changed or are repeated; see src/peers/pe_change.h. @zone: as in
+ * bp_gateway_sums; 0: over all hosts, the receiver included. @collector: hash of
+ * the name of the host that summed, and @incarnation of its process, as members
+ * get the message through other members: the receiver passes it on to
+ * @forwards. @turn_ms: in which each load is repeated.
+ */
+struct bp_gateway_changes {
+	unsigned hyper sequence;
+	unsigned hyper zone;
+	unsigned hyper collector;
+	unsigned hyper incarnation;
+	unsigned int period_ms;
+	unsigned int turn_ms;
+	bp_share shares<BP_MAX_CHANGES>;
+	bp_held held<BP_MAX_CHANGE_HELD>;
+	bp_forward forwards<BP_MAX_FORWARDS>;
+};
+
 const BP_MAX_CHARGES = 8;
 
 /* A crash that a request was running at; see src/limits/ps.h. */
@@ -400,5 +428,6 @@
 		void BP_GATEWAY_SUMS(bp_gateway_sums) = 13;
 		void BP_GATEWAY_FORWARD_ROWS(bp_gateway_rows) = 14;
 		void BP_GATEWAY_NOTICE(bp_gateway_notice) = 15;
+		void BP_GATEWAY_CHANGES(bp_gateway_changes) = 17;
 	} = 1;
 } = 0x20426d70;
--- a/src/rpc/gen/balsampin.h
+++ b/src/rpc/gen/balsampin.h
@@ -198,6 +198,37 @@
 	} held;
 };
 typedef struct bp_gateway_sums bp_gateway_sums;
+#define BP_MAX_CHANGES 36
+#define BP_MAX_CHANGE_HELD 20
+#define BP_MAX_FORWARDS 32
+
+struct bp_forward {
+	u_int ipv4;
+	u_int port;
+};
+typedef struct bp_forward bp_forward;
+
+struct bp_gateway_changes {
+	u_quad_t sequence;
+	u_quad_t zone;
+	u_quad_t collector;
+	u_quad_t incarnation;
+	u_int period_ms;
+	u_int turn_ms;
+	struct {
+		u_int shares_len;
+		bp_share *shares_val;
+	} shares;
+	struct {
+		u_int held_len;
+		bp_held *held_val;
+	} held;
+	struct {
+		u_int forwards_len;
+		bp_forward *forwards_val;
+	} forwards;
+};
+typedef struct bp_gateway_changes bp_gateway_changes;
 #define BP_MAX_CHARGES 8
 
 struct bp_charge {
@@ -479,6 +510,9 @@
 #define BP_GATEWAY_NOTICE 15
 extern  enum clnt_stat bp_gateway_notice_1(bp_gateway_notice *, void *, CLIENT *);
 extern  bool_t bp_gateway_notice_1_svc(bp_gateway_notice *, void *, struct svc_req *);
+#define BP_GATEWAY_CHANGES 17
+extern  enum clnt_stat bp_gateway_changes_1(bp_gateway_changes *, void *, CLIENT *);
+extern  bool_t bp_gateway_changes_1_svc(bp_gateway_changes *, void *, struct svc_req *);
 extern int balsampin_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -527,6 +561,9 @@
 #define BP_GATEWAY_NOTICE 15
 extern  enum clnt_stat bp_gateway_notice_1();
 extern  bool_t bp_gateway_notice_1_svc();
+#define BP_GATEWAY_CHANGES 17
+extern  enum clnt_stat bp_gateway_changes_1();
+extern  bool_t bp_gateway_changes_1_svc();
 extern int balsampin_1_freeresult ();
 #endif /* K&R C */
 
@@ -551,6 +588,8 @@
 extern  bool_t xdr_bp_held (XDR *, bp_held*);
 extern  bool_t xdr_bp_gateway_load (XDR *, bp_gateway_load*);
 extern  bool_t xdr_bp_gateway_sums (XDR *, bp_gateway_sums*);
+extern  bool_t xdr_bp_forward (XDR *, bp_forward*);
+extern  bool_t xdr_bp_gateway_changes (XDR *, bp_gateway_changes*);
 extern  bool_t xdr_bp_charge (XDR *, bp_charge*);
 extern  bool_t xdr_bp_gateway_suspect (XDR *, bp_gateway_suspect*);
 extern  bool_t xdr_bp_row (XDR *, bp_row*);
@@ -592,6 +631,8 @@
 extern bool_t xdr_bp_held ();
 extern bool_t xdr_bp_gateway_load ();
 extern bool_t xdr_bp_gateway_sums ();
+extern bool_t xdr_bp_forward ();
+extern bool_t xdr_bp_gateway_changes ();
 extern bool_t xdr_bp_charge ();
 extern bool_t xdr_bp_gateway_suspect ();
 extern bool_t xdr_bp_row ();
--- a/src/rpc/gen/balsampin_xdr.c
+++ b/src/rpc/gen/balsampin_xdr.c
@@ -571,6 +571,47 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bp_forward (XDR *xdrs, bp_forward *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->ipv4))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->port))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bp_gateway_changes (XDR *xdrs, bp_gateway_changes *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->collector))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->period_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->turn_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->shares.shares_val, (u_int *) &objp->shares.shares_len, BP_MAX_CHANGES,
+		sizeof (bp_share), (xdrproc_t) xdr_bp_share))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, BP_MAX_CHANGE_HELD,
+		sizeof (bp_held), (xdrproc_t) xdr_bp_held))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->forwards.forwards_val, (u_int *) &objp->forwards.forwards_len, BP_MAX_FORWARDS,
+		sizeof (bp_forward), (xdrproc_t) xdr_bp_forward))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bp_charge (XDR *xdrs, bp_charge *objp)
 {
