traffic: hosts that start copy the tables from others

Cause: each host that starts reads whole tables from the store. When 300 hosts start together, the hosts of a far region read 3,001 entries each over the link that they share: 30 s until they serve.

Now a host reads its own rows first, which give it the other hosts, the key and a reading of the store's clock. In a fleet of more than 17 hosts it then asks hosts of its zone and region at random, three every 40 ms, whether they have the tables (BP_GATEWAY_TABLES), and copies them over TCP from one that has. If none answers within 0.3 s it reads the store. A copy is as old as the store's clock in it says; without a reading of that clock a host takes none (gw_watch_set_clock()).

Up to 17 hosts the tables are read after the own rows, one round trip later than before: a host cannot know earlier how many there are. The first messages to hosts of other zones are spread over 1 s.

Not measured on a fleet. No other test was changed.

--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -50,6 +50,7 @@
 struct gw_peers;
 struct gw_catchup;
 struct gw_poison;
+struct gw_start;
 
 /**
  * struct gw_gateway - state shared by the modules of the gateway.
@@ -107,6 +108,7 @@
 	struct gw_peers *peers;
 	struct gw_catchup *catchup;
 	struct gw_poison *poison;
+	struct gw_start *start;
 };
 
 /** gw_is_ready() - whether this host should receive new connections. */
--- a/src/gateway/gw_catchup.c
+++ b/src/gateway/gw_catchup.c
@@ -1,5 +1,7 @@
 #include "gateway/gw_catchup.h"
 
+#include "gateway/gw_start.h"
+#include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt.h"
 #include "rows/rw_mirror.h"
@@ -8,6 +10,10 @@
 /* Covers a new connection to another region and a table of some hundred rows.
  */
 #define GW_CATCHUP_TIMEOUT_MS 800
+/* A table that is sent takes this long by a link of some 30 Mbit/s. */
+#define GW_TABLE_BYTES_PER_MS 4000
+/* Further tables are sent if the ones before are through after this time. */
+#define GW_TABLES_AHEAD_MS 200
 
 MT_COUNTER(gw_catchups, "balsampin_gateway_tables_from_hosts_total",
 	   "tables of the store received from another host")
@@ -22,6 +28,7 @@
 	struct gw_gateway *gateway;
 	struct rw_mirror mirrors[GW_TABLES];
 	struct gw_table_call calls[GW_TABLES];
+	int64_t busy_until_ms;
 };
 
 void gw_catchup_start(struct gw_gateway *g)
@@ -69,6 +76,9 @@
 			st_message(), NULL);
 		return;
 	}
+	/* It has none, or is sending it to others. */
+	if (!sent->newest)
+		return;
 	mt_add(&gw_catchups, 1);
 	lg_info("table received from another host", "event", "table_from_host",
 		"outcome", "taken", "from", from->host, NULL);
@@ -113,6 +123,17 @@
 				      .arg = call }) == ST_OK;
 }
 
+bool gw_catchup_is_pending(const struct gw_gateway *g, enum gw_table table)
+{
+	return g->catchup && g->catchup->calls[table].is_pending;
+}
+
+bool gw_catchup_is_busy(const struct gw_gateway *g, int64_t now_ms)
+{
+	return g->catchup &&
+	       g->catchup->busy_until_ms - now_ms > GW_TABLES_AHEAD_MS;
+}
+
 static void gw_on_table_request(void *arg, struct rp_request *request,
 				const void *args)
 {
@@ -127,6 +148,11 @@
 		rp_drop(request);
 		return;
 	}
+	if (!gw_knowledge_has_table(g, table) ||
+	    gw_catchup_is_busy(g, ck_now_ms())) {
+		rp_reply(request, &answer);
+		return;
+	}
 	gw_knowledge_get_version(g, table, &state, &lapse_left_ms);
 	list = g_array_new(FALSE, FALSE, sizeof(struct rw_row));
 	wire = g_array_new(FALSE, FALSE, sizeof(bp_table_row));
@@ -146,6 +172,10 @@
 	answer.lapse_left_ms = lapse_left_ms;
 	answer.rows.rows_val = (bp_table_row *)(void *)wire->data;
 	answer.rows.rows_len = wire->len;
+	g->catchup->busy_until_ms =
+		MAX(g->catchup->busy_until_ms, ck_now_ms()) +
+		(int64_t)xdr_sizeof((xdrproc_t)xdr_bp_gateway_table, &answer) /
+			GW_TABLE_BYTES_PER_MS;
 	rp_reply(request, &answer);
 	g_array_free(list, TRUE);
 	g_array_free(wire, TRUE);
--- a/src/gateway/gw_catchup.h
+++ b/src/gateway/gw_catchup.h
@@ -9,7 +9,10 @@
  *
  * Overview
  *	A host that misses rows, and that the store does not answer, requests
- *	the whole table over TCP from the host that relayed the newer rows.
+ *	the whole table over TCP from the host that relayed the newer rows. One
+ *	that starts requests it from any that has it (gw_start.h). A host sends
+ *	large tables one after the other, and says so by a table of version 0,
+ *	as does a host that has none.
  */
 #ifndef GW_CATCHUP_H
 #define GW_CATCHUP_H
@@ -32,6 +35,12 @@
 void gw_catchup_request(struct gw_gateway *g, enum gw_table table,
 			const struct rp_peer *peer);
 
+/** gw_catchup_is_pending() - whether a table is on its way. */
+bool gw_catchup_is_pending(const struct gw_gateway *g, enum gw_table table);
+
+/** gw_catchup_is_busy() - whether tables are still being sent to others. */
+bool gw_catchup_is_busy(const struct gw_gateway *g, int64_t now_ms);
+
 /** gw_catchup_serve() - serve the tables to other hosts. */
 enum st_code gw_catchup_serve(struct gw_gateway *g, struct rp_endpoint *rpc);
 
--- a/src/gateway/gw_hosts.c
+++ b/src/gateway/gw_hosts.c
@@ -5,8 +5,10 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "gateway/gw_start.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
+#include "peers/pe_report.h"
 #include "rpc/rp.h"
 
 #define GW_KEY_ROW     "key"
@@ -21,6 +23,7 @@
 /* Covers a store that is sixty times slower than usual. */
 #define GW_ROWS_TIMEOUT_MS 1000
 
+#define GW_FIRST_SPREAD_MS 1000
 /* A host is alive for this time and two of its periods after a message. */
 #define GW_PEER_SILENT_MS 1000
 
@@ -41,10 +44,14 @@
 {
 	struct gw_hosts *hosts = arg;
 
-	if (code == ST_OK)
-		gw_hosts_apply_rows(hosts, rows);
-	else
+	if (code != ST_OK) {
 		hosts->_next_read_ms = ck_now_ms() + GW_ROWS_RETRY_MS;
+		gw_start_fail(hosts->_desc.gateway);
+		return;
+	}
+	gw_hosts_apply_rows(hosts, rows);
+	gw_start_know_hosts(hosts->_desc.gateway, hosts->_read_sent_ms,
+			    rows->store_ms);
 }
 
 void gw_hosts_step(struct gw_hosts *hosts, int64_t now_ms)
@@ -54,6 +61,7 @@
 	if (now_ms < hosts->_next_read_ms || hosts->_read_call._call)
 		return;
 	hosts->_next_read_ms = now_ms + gw_rows_period_ms(hosts);
+	hosts->_read_sent_ms = now_ms;
 	rw_get(&g->store,
 	       &(struct rw_query){ .table = g->dialect->own_table,
 				   .timeout_ms = GW_ROWS_TIMEOUT_MS,
@@ -174,6 +182,13 @@
 		peer->hash = gw_name_hash(name);
 		peer->received_ms = ck_now_ms();
 		peer->takes_part = true;
+		/* When all hosts start together, the first messages to hosts
+		 * of other zones of a large fleet are spread. */
+		if (strcmp(g_quark_to_string(parsed.zone),
+			   hosts->_desc.gateway->settings.zone) != 0)
+			peer->sent_ms =
+				ck_now_ms() - PE_OTHER_PERIOD_MS +
+				g_random_int_range(0, GW_FIRST_SPREAD_MS);
 		g_ptr_array_add(hosts->peers, peer);
 		lg_info("peer found", "event", "peer_found", "peer", name,
 			"address", row->value, NULL);
--- a/src/gateway/gw_hosts.h
+++ b/src/gateway/gw_hosts.h
@@ -94,6 +94,7 @@
 	struct rw_call _write_call;
 	int64_t _started_ms;
 	int64_t _next_read_ms;
+	int64_t _read_sent_ms;
 	char _address[3 * DL_ID_BYTES];
 };
 
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -9,6 +9,7 @@
 #include "gateway/gw_poison.h"
 #include "gateway/gw_relay.h"
 #include "gateway/gw_silence.h"
+#include "gateway/gw_start.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt.h"
@@ -338,6 +339,30 @@
 	*lapse_left_ms = MAX(g->knowledge->lapse_until_ms - ck_now_ms(), 0);
 }
 
+void gw_knowledge_read(struct gw_gateway *g, enum gw_table table)
+{
+	gw_watch_read(gw_watch_of(g->knowledge, table));
+}
+
+bool gw_knowledge_has_table(const struct gw_gateway *g, enum gw_table table)
+{
+	return g->knowledge && gw_watch_of(g->knowledge, table)->fresh_ms;
+}
+
+bool gw_knowledge_is_waiting(const struct gw_gateway *g, enum gw_table table)
+{
+	return g->knowledge &&
+	       gw_watch_is_waiting(gw_watch_of(g->knowledge, table));
+}
+
+void gw_knowledge_set_clock(struct gw_gateway *g, int64_t sent_ms,
+			    int64_t store_ms)
+{
+	for (uint32_t i = 0; i < GW_TABLES; i++)
+		gw_watch_set_clock(gw_watch_of(g->knowledge, i), sent_ms,
+				   store_ms);
+}
+
 static void gw_on_lost(void *arg, const char *reason)
 {
 	mt_add(&gw_store_lost, 1);
@@ -385,16 +410,19 @@
 enum st_code gw_knowledge_start(struct gw_gateway *g)
 {
 	struct gw_knowledge *k = g_new0(struct gw_knowledge, 1);
+	bool is_waiting;
 
 	g->knowledge = k;
 	k->gateway = g;
 	gw_catchup_start(g);
+	is_waiting = gw_start_begin(g);
 	gw_watch_start(
 		&k->operator_rows,
 		&(struct gw_watch_desc){ .loop = g->kernel.loop,
 					 .store = &g->store,
 					 .table = g->dialect->operator_table,
 					 .wait_ms = GW_ROWS_WAIT_MS,
+					 .is_waiting = is_waiting,
 					 .is_reader = gw_is_reader,
 					 .retry_max_ms = gw_store_retry_max_ms,
 					 .on_rows = gw_on_operator_rows,
@@ -408,6 +436,7 @@
 					 .store = &g->store,
 					 .table = g->dialect->engines_table,
 					 .wait_ms = GW_ROWS_WAIT_MS,
+					 .is_waiting = is_waiting,
 					 .is_reader = gw_is_reader,
 					 .retry_max_ms = gw_store_retry_max_ms,
 					 .on_rows = gw_on_engine_rows,
@@ -430,6 +459,7 @@
 	ev_timer_stop(g->kernel.loop, &k->sweep);
 	gw_watch_stop(&k->operator_rows);
 	gw_watch_stop(&k->engine_rows);
+	gw_start_end(g);
 	gw_catchup_stop(g);
 	g_free(k);
 	g->knowledge = NULL;
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -10,6 +10,7 @@
 #include "gateway/gw_peers.h"
 #include "gateway/gw_poison.h"
 #include "gateway/gw_relay.h"
+#include "gateway/gw_start.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt.h"
@@ -96,7 +97,8 @@
 		if (peer->incarnation != from->incarnation) {
 			gw_sync_started_peer(p, peer, from);
 			/* Tells it soon that this host is alive. */
-			peer->sent_ms = 0;
+			if (gw_collect_is_member(p, peer))
+				peer->sent_ms = 0;
 		}
 		peer->incarnation = from->incarnation;
 		gw_collect_member(p, peer, message->sequence, shares,
@@ -335,6 +337,8 @@
 		code = gw_relay_serve(p->gateway, &p->rpc);
 	if (code == ST_OK)
 		code = gw_catchup_serve(p->gateway, &p->rpc);
+	if (code == ST_OK)
+		code = gw_start_serve(p->gateway, &p->rpc);
 	if (code == ST_OK)
 		code = gw_poison_serve(p->gateway, &p->rpc);
 	if (code == ST_OK)
@@ -400,8 +404,10 @@
 	ev_timer_init(&p->tick, gw_on_peers_tick, GW_PEERS_TICK_S,
 		      GW_PEERS_TICK_S);
 	p->tick.data = p;
-	if (g->settings.peers.address[0])
-		ev_timer_start(g->kernel.loop, &p->tick);
+	if (!g->settings.peers.address[0])
+		return ST_OK;
+	gw_hosts_step(&p->hosts, ck_now_ms());
+	ev_timer_start(g->kernel.loop, &p->tick);
 	return ST_OK;
 }
 
--- a/src/gateway/gw_watch.c
+++ b/src/gateway/gw_watch.c
@@ -239,13 +239,40 @@
 
 void gw_watch_apply_table(struct gw_watch *watch, const struct rw_rows *rows)
 {
-	if (!watch->_has_offset || !watch->_lost_ms ||
+	if (!watch->_has_offset || (!watch->_lost_ms && !watch->_is_waiting) ||
 	    rows->version < watch->version)
 		return;
 	watch->version = rows->version;
 	watch->_has_table = true;
 	gw_watch_update_freshness(watch, rows->store_ms);
 	watch->_desc.on_rows(watch->_desc.arg, rows, true);
+	if (!watch->_is_waiting)
+		return;
+	watch->_is_waiting = false;
+	watch->_has_had_table = true;
+	gw_watch_schedule(watch, 0.0);
+}
+
+bool gw_watch_is_waiting(const struct gw_watch *watch)
+{
+	return watch->_is_waiting;
+}
+
+void gw_watch_read(struct gw_watch *watch)
+{
+	if (!watch->_is_waiting)
+		return;
+	watch->_is_waiting = false;
+	gw_watch_call(watch, "whole_table");
+}
+
+void gw_watch_set_clock(struct gw_watch *watch, int64_t sent_ms,
+			int64_t store_ms)
+{
+	if (watch->_has_offset)
+		return;
+	watch->_offset_ms = sent_ms - store_ms;
+	watch->_has_offset = true;
 }
 
 void gw_watch_start(struct gw_watch *watch, const struct gw_watch_desc *desc)
@@ -254,7 +281,9 @@
 	watch->_desc = *desc;
 	ev_timer_init(&watch->_timer, gw_watch_on_timer, 0.0, 0.0);
 	watch->_timer.data = watch;
-	gw_watch_call(watch, "whole_table");
+	watch->_is_waiting = desc->is_waiting;
+	if (!watch->_is_waiting)
+		gw_watch_call(watch, "whole_table");
 }
 
 void gw_watch_stop(struct gw_watch *watch)
--- a/src/gateway/gw_watch.h
+++ b/src/gateway/gw_watch.h
@@ -55,6 +55,8 @@
  * @is_reader: returns whether this host polls the store for its region.
  * @retry_max_ms: returns the longest pause between two calls to a store that
  *	does not answer.
+ * @is_waiting: the first read waits for gw_watch_read() or a table of another
+ *	host.
  * @on_rows: receives all rows of the table (@is_whole) or the changed ones.
  * @on_read: a call to the store returned rows that changed or, except for the
  *	first read, the whole table.
@@ -67,6 +69,7 @@
 	struct rw_store *store;
 	const char *table;
 	int64_t wait_ms;
+	bool is_waiting;
 	bool (*is_reader)(void *arg);
 	int64_t (*retry_max_ms)(void *arg);
 	void (*on_rows)(void *arg, const struct rw_rows *rows, bool is_whole);
@@ -99,11 +102,26 @@
 	bool _has_offset;
 	bool _has_table;
 	bool _has_had_table;
+	bool _is_waiting;
 };
 
 void gw_watch_start(struct gw_watch *watch, const struct gw_watch_desc *desc);
 void gw_watch_stop(struct gw_watch *watch);
 
+/** gw_watch_is_waiting() - whether the first read waits; see the desc. */
+bool gw_watch_is_waiting(const struct gw_watch *watch);
+
+/** gw_watch_read() - begin a first read that waits. */
+void gw_watch_read(struct gw_watch *watch);
+
+/**
+ * gw_watch_set_clock() - note a reading of the store's clock in the answer to
+ * another call, sent at @sent_ms. Without one, no table of another host has an
+ * age.
+ */
+void gw_watch_set_clock(struct gw_watch *watch, int64_t sent_ms,
+			int64_t store_ms);
+
 /** gw_watch_is_lost() - whether the store left the last call unanswered. */
 bool gw_watch_is_lost(const struct gw_watch *watch);
 
@@ -114,7 +132,10 @@
 bool gw_watch_apply_update(struct gw_watch *watch,
 			   const struct gw_table_update *update);
 
-/** gw_watch_apply_table() - apply a whole table sent by another host. */
+/**
+ * gw_watch_apply_table() - apply a whole table sent by another host, if the
+ * first read waits or the store does not answer.
+ */
 void gw_watch_apply_table(struct gw_watch *watch, const struct rw_rows *rows);
 
 #endif
--- a/src/rpc/balsampin.x
+++ b/src/rpc/balsampin.x
@@ -269,6 +269,15 @@
 	bp_table_row rows<BP_MAX_TABLE_ROWS>;
 };
 
+/*
+ * Which tables the sender has, by number: their versions, 0 for none. @is_busy:
+ * it is sending tables to others.
+ */
+struct bp_gateway_tables {
+	bool is_busy;
+	unsigned hyper versions<8>;
+};
+
 /*
  * An engine has said that it leaves, or asked for a pause; see
  * src/gateway/gw_notice.h. @left_ms: for how long the receiver may believe it.
@@ -429,5 +438,6 @@
 		void BP_GATEWAY_FORWARD_ROWS(bp_gateway_rows) = 14;
 		void BP_GATEWAY_NOTICE(bp_gateway_notice) = 15;
 		void BP_GATEWAY_CHANGES(bp_gateway_changes) = 17;
+		bp_gateway_tables BP_GATEWAY_TABLES(void) = 18;
 	} = 1;
 } = 0x20426d70;
--- a/src/rpc/gen/balsampin.h
+++ b/src/rpc/gen/balsampin.h
@@ -301,6 +301,15 @@
 };
 typedef struct bp_gateway_table bp_gateway_table;
 
+struct bp_gateway_tables {
+	bool_t is_busy;
+	struct {
+		u_int versions_len;
+		u_quad_t *versions_val;
+	} versions;
+};
+typedef struct bp_gateway_tables bp_gateway_tables;
+
 struct bp_gateway_notice {
 	u_quad_t engine;
 	u_quad_t incarnation;
@@ -513,6 +522,9 @@
 #define BP_GATEWAY_CHANGES 17
 extern  enum clnt_stat bp_gateway_changes_1(bp_gateway_changes *, void *, CLIENT *);
 extern  bool_t bp_gateway_changes_1_svc(bp_gateway_changes *, void *, struct svc_req *);
+#define BP_GATEWAY_TABLES 18
+extern  enum clnt_stat bp_gateway_tables_1(void *, bp_gateway_tables *, CLIENT *);
+extern  bool_t bp_gateway_tables_1_svc(void *, bp_gateway_tables *, struct svc_req *);
 extern int balsampin_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -564,6 +576,9 @@
 #define BP_GATEWAY_CHANGES 17
 extern  enum clnt_stat bp_gateway_changes_1();
 extern  bool_t bp_gateway_changes_1_svc();
+#define BP_GATEWAY_TABLES 18
+extern  enum clnt_stat bp_gateway_tables_1();
+extern  bool_t bp_gateway_tables_1_svc();
 extern int balsampin_1_freeresult ();
 #endif /* K&R C */
 
@@ -596,6 +611,7 @@
 extern  bool_t xdr_bp_gateway_rows (XDR *, bp_gateway_rows*);
 extern  bool_t xdr_bp_table_row (XDR *, bp_table_row*);
 extern  bool_t xdr_bp_gateway_table (XDR *, bp_gateway_table*);
+extern  bool_t xdr_bp_gateway_tables (XDR *, bp_gateway_tables*);
 extern  bool_t xdr_bp_gateway_notice (XDR *, bp_gateway_notice*);
 extern  bool_t xdr_bp_object (XDR *, bp_object*);
 extern  bool_t xdr_bp_upstream (XDR *, bp_upstream*);
@@ -639,6 +655,7 @@
 extern bool_t xdr_bp_gateway_rows ();
 extern bool_t xdr_bp_table_row ();
 extern bool_t xdr_bp_gateway_table ();
+extern bool_t xdr_bp_gateway_tables ();
 extern bool_t xdr_bp_gateway_notice ();
 extern bool_t xdr_bp_object ();
 extern bool_t xdr_bp_upstream ();
--- a/src/rpc/gen/balsampin_xdr.c
+++ b/src/rpc/gen/balsampin_xdr.c
@@ -825,6 +825,19 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bp_gateway_tables (XDR *xdrs, bp_gateway_tables *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->is_busy))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->versions.versions_val, (u_int *) &objp->versions.versions_len, 8,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bp_gateway_notice (XDR *xdrs, bp_gateway_notice *objp)
 {
--- a/tests/sessions/gateway_collect_test.cc
+++ b/tests/sessions/gateway_collect_test.cc
@@ -274,4 +274,55 @@
 	EXPECT_LT(reads_of_missing_rows(found[0]) - reads, host_count / 2);
 }
 
+// Each host read whole tables from the store when it started: all of them at
+// once filled the link that they share.
+TEST_F(Collect, HostsThatStartGetTablesFromOthers)
+{
+	const char *copied = "balsampin_gateway_tables_from_hosts_total";
+	const char *read = "balsampin_gateway_start_reads_total";
+	double reads = 0;
+
+	start("r1");
+	ASSERT_TRUE(wait_until(
+		[&] { return collectors("z1") == expected("z1"); }, 20000));
+	for (auto &host : hosts)
+		host.second.reset();
+	for (int i = 0; i < host_count; i++) {
+		std::string name = "h" + std::to_string(i);
+		Place place = { zone_of(i), "r1", "" };
+
+		hosts[name] = start_gateway(fleet, directory.path, name, place,
+					    name + "b.log");
+	}
+	for (int i = 0; i < host_count; i++) {
+		std::string name = "h" + std::to_string(i);
+
+		EXPECT_TRUE(wait_until(
+			[&] {
+				return metric(name, read) +
+					       metric(name, copied) >=
+				       2;
+			},
+			5000))
+			<< name;
+		reads += metric(name, read);
+	}
+	/* Two tables each for a few hosts, which are not told apart by when
+	 * their processes happen to be started. */
+	EXPECT_GE(reads, 2);
+	EXPECT_LE(reads, host_count);
+	hosts["h3"].reset();
+	hosts["h3"] = start_gateway(fleet, directory.path, "h3",
+				    { zone_of(3), "r1", "" }, "h3c.log");
+	ASSERT_TRUE(
+		wait_until([&] { return metric("h3", copied) >= 2; }, 5000));
+	EXPECT_EQ(metric("h3", read), 0);
+	EXPECT_EQ(call(Fleet::url("h3", "/look/x"), "",
+		       { "Host: h", "Authorization: Bearer k1",
+			 "X-Attempt-Id: p1", "X-Deadline-Ms: 1500" },
+		       "POST")
+			  .status,
+		  200);
+}
+
 } // namespace
--- a/tests/unit/watch_test.cc
+++ b/tests/unit/watch_test.cc
@@ -87,6 +87,11 @@
 	int losses = 0;
 
 	void SetUp() override
+	{
+		begin(false);
+	}
+
+	void begin(bool is_waiting)
 	{
 		struct rw_desc store_desc = { loop, "scripted", "" };
 		struct gw_watch_desc desc = {};
@@ -122,6 +127,7 @@
 			static_cast<Watch *>(arg)->losses++;
 		};
 		desc.on_regained = [](void *arg, int64_t lost_ms) {};
+		desc.is_waiting = is_waiting;
 		desc.arg = this;
 		calls = 0;
 		gw_watch_start(&watch, &desc);
@@ -172,6 +178,65 @@
 	}
 };
 
+// A host that starts in a large fleet: the first read waits.
+class WaitingWatch : public Watch
+{
+      protected:
+	void SetUp() override
+	{
+		begin(true);
+	}
+
+	void receive_table(uint64_t version, int64_t store_ms)
+	{
+		struct rw_row row = { "a", "v", 1, version, false };
+		struct rw_rows rows = { &row, 1, version, store_ms };
+
+		gw_watch_apply_table(&watch, &rows);
+	}
+};
+
+TEST_F(WaitingWatch, ReadsOnceTold)
+{
+	EXPECT_EQ(calls, 0);
+	EXPECT_TRUE(gw_watch_is_waiting(&watch));
+	gw_watch_read(&watch);
+	gw_watch_read(&watch);
+	EXPECT_EQ(calls, 1);
+	EXPECT_FALSE(pending.is_feed);
+	answer(ST_OK, 10, 5000, "a");
+	EXPECT_EQ(whole_reads, 1);
+}
+
+// A table of another host would count as fresh although it is old.
+TEST_F(WaitingWatch, CopiedTableIsAsOldAsTheStoresClockSays)
+{
+	int64_t sent_ms = ck_now_ms() - 30;
+
+	receive_table(10, 7000);
+	EXPECT_EQ(whole_reads, 0) << "its age is not known yet";
+	gw_watch_set_clock(&watch, sent_ms, 9000);
+	receive_table(10, 7000);
+	EXPECT_EQ(whole_reads, 1);
+	EXPECT_EQ(watch.fresh_ms, sent_ms - 2000);
+	EXPECT_FALSE(gw_watch_is_waiting(&watch));
+	spin();
+	EXPECT_TRUE(pending.is_feed);
+	EXPECT_EQ(pending.after, 10u);
+}
+
+// A second copy, or one that arrives while the store is read, must not replace
+// what is newer.
+TEST_F(WaitingWatch, LateCopiesAreIgnored)
+{
+	gw_watch_set_clock(&watch, ck_now_ms(), 9000);
+	receive_table(10, 9000);
+	receive_table(9, 8000);
+	receive_table(11, 9500);
+	EXPECT_EQ(whole_reads, 1);
+	EXPECT_EQ(watch.version, 10u);
+}
+
 // A store that is about to drop its history omits changes for a second. The
 // version in the feed must not advance past an omitted change.
 TEST_F(Watch, EmptyFeedDoesNotAdvanceTheVersion)
