traffic: counters of bytes and messages by kind, scope and direction

Cause: what hosts send each other was visible as a sum of datagrams only, so neither the cost of a mechanism nor a budget for one could be told.

The endpoint of the RPC reports each message to its owner (rp_desc.on_traffic); gw_traffic counts it by kind, by where the other end is, and by direction. Announced prefixes are moved out of the messages that carry them. Requests and responses count with their bodies, calls to the store by reason with targets and bodies (rw_count_bytes()). The platform's adapter was the only place where the latter are known.

The budgets now serve their purpose: what other control messages took in the last second is taken off before loads get the rest, a quarter at least (pe_change_room()).

rpc_test: a case for the report, and the fixture records it; change_test: a case for the room; gateway_collect_test: a case for the page.

--- a/src/gateway/gw_collect.c
+++ b/src/gateway/gw_collect.c
@@ -4,6 +4,7 @@
 
 #include "gateway/gw.h"
 #include "gateway/gw_peers.h"
+#include "gateway/gw_traffic.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt.h"
@@ -404,15 +405,16 @@
 	}
 }
 
-static void gw_call_changes(struct gw_peers *p, const struct gw_peer *peer,
-			    bp_gateway_changes *message)
+static void gw_call_changes(struct gw_peers *p, uint32_t ipv4, uint16_t port,
+			    const bp_gateway_changes *message)
 {
+	struct rp_peer to = { .ipv4 = ipv4, .port = port };
+
 	mt_add(&gw_sums_sent, 1);
-	gw_peers_call_one(p->gateway,
-			  &(struct rp_peer){ .ipv4 = peer->address.ipv4,
-					     .port = peer->address.port },
-			  BP_GATEWAY_CHANGES, (xdrproc_t)xdr_bp_gateway_changes,
-			  message);
+	gw_peers_call_one(p->gateway, &to, BP_GATEWAY_CHANGES,
+			  (xdrproc_t)xdr_bp_gateway_changes, message);
+	gw_traffic_move_held(p, &to, BP_GATEWAY_CHANGES, message->held.held_len,
+			     true);
 }
 
 /* In a new order for each message, so that a member that has failed keeps only
@@ -439,6 +441,8 @@
 		gw_shuffle(receivers);
 	message->forwards.forwards_val = forwards;
 	for (uint32_t i = 0; i < relays; i++) {
+		const struct gw_peer *to;
+
 		message->forwards.forwards_len = 0;
 		for (uint32_t j = i + relays; j < receivers->len; j += relays) {
 			const struct gw_peer *peer = receivers->pdata[j];
@@ -447,7 +451,8 @@
 				(bp_forward){ peer->address.ipv4,
 					      peer->address.port };
 		}
-		gw_call_changes(p, receivers->pdata[i], message);
+		to = receivers->pdata[i];
+		gw_call_changes(p, to->address.ipv4, to->address.port, message);
 	}
 	message->forwards.forwards_val = NULL;
 	message->forwards.forwards_len = 0;
@@ -505,12 +510,21 @@
 				    enum gw_sums_group group)
 {
 	const struct gw_settings *s = &p->gateway->settings;
-
-	if (group == GW_SUMS_MEMBERS)
+	const int64_t *taken = p->traffic.per_s;
+
+	switch (group) {
+	case GW_SUMS_NEAR:
+	case GW_SUMS_NEAR_STANDBY:
+		return pe_change_room(s->zone_bytes_per_s, taken[GW_OTHER_ZONE],
+				      group == GW_SUMS_NEAR_STANDBY);
+	case GW_SUMS_FAR:
+	case GW_SUMS_FAR_STANDBY:
+		return pe_change_room(s->region_bytes_per_s,
+				      taken[GW_OTHER_REGION],
+				      group == GW_SUMS_FAR_STANDBY);
+	default:
 		return GW_MEMBER_BYTES_PER_S;
-	return group == GW_SUMS_NEAR || group == GW_SUMS_NEAR_STANDBY
-		       ? s->zone_bytes_per_s
-		       : s->region_bytes_per_s;
+	}
 }
 
 /* Sends the loads of @sums that are due to @receivers. */
@@ -781,12 +795,7 @@
 	for (uint32_t i = 0; i < message->forwards.forwards_len; i++) {
 		const bp_forward *to = &message->forwards.forwards_val[i];
 
-		gw_peers_call_one(
-			p->gateway,
-			&(struct rp_peer){ .ipv4 = to->ipv4,
-					   .port = (uint16_t)to->port },
-			BP_GATEWAY_CHANGES, (xdrproc_t)xdr_bp_gateway_changes,
-			&copy);
+		gw_call_changes(p, to->ipv4, (uint16_t)to->port, &copy);
 	}
 }
 
@@ -808,6 +817,8 @@
 						   message->shares.shares_len };
 
 	mt_add(&gw_sums_received, 1);
+	gw_traffic_move_held(p, rp_peer_of(request), BP_GATEWAY_CHANGES,
+			     message->held.held_len, false);
 	gw_forward_changes(p, message);
 	for (uint32_t i = 0; i < changes.count; i++) {
 		const bp_share *s = &message->shares.shares_val[i];
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -11,6 +11,7 @@
 #include "gateway/gw_poison.h"
 #include "gateway/gw_relay.h"
 #include "gateway/gw_start.h"
+#include "gateway/gw_traffic.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt.h"
@@ -71,6 +72,8 @@
 	int64_t now_ms = ck_now_ms();
 
 	mt_add(&gw_peer_received, 1);
+	gw_traffic_move_held(p, from, BP_GATEWAY_LOAD, message->held.held_len,
+			     false);
 	for (uint32_t i = 0; i < message->shares.shares_len; i++) {
 		const bp_share *share = &message->shares.shares_val[i];
 
@@ -183,6 +186,10 @@
 					.args_value = &message,
 					.deadline_ms = GW_NEAR_PERIOD_MS },
 		NULL);
+	gw_traffic_move_held(p,
+			     &(struct rp_peer){ .ipv4 = peer->address.ipv4,
+						.port = peer->address.port },
+			     BP_GATEWAY_LOAD, message.held.held_len, true);
 }
 
 /* Hosts on duty learn at once whether they are to read for others. */
@@ -267,6 +274,7 @@
 	p->next_sweep_ms = now_ms + GW_SWEEP_MS;
 	pe_load_expire(&p->gateway->peer_load, now_ms - GW_FORGET_LOAD_MS);
 	pe_held_expire(&p->gateway->held, now_ms - GW_FORGET_HELD_MS);
+	gw_traffic_second(&p->traffic);
 	gw_share_retries(p);
 	gw_estimate_prefix_lifetime(p);
 	gw_poison_sweep(p->gateway, now_ms);
@@ -322,7 +330,9 @@
 					  .key = bytes,
 					  .host = s->host,
 					  .role = "gateway",
-					  .incarnation = p->incarnation });
+					  .incarnation = p->incarnation,
+					  .on_traffic = gw_traffic_on_message,
+					  .traffic_arg = p });
 	if (code == ST_OK)
 		code = rp_serve(&p->rpc,
 				&(struct rp_procedure){
--- a/src/gateway/gw_peers.h
+++ b/src/gateway/gw_peers.h
@@ -11,6 +11,7 @@
 
 #include "gateway/gw_collect.h"
 #include "gateway/gw_hosts.h"
+#include "gateway/gw_traffic.h"
 #include "peers/pe_kept.h"
 #include "peers/pe_pace.h"
 
@@ -35,6 +36,7 @@
 	struct pe_kept kept;
 	struct gw_collect collect;
 	struct pe_pace pace;
+	struct gw_traffic traffic;
 	int64_t next_sweep_ms;
 };
 
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -6,6 +6,7 @@
 #include "gateway/gw_poison.h"
 #include "gateway/gw_request.h"
 #include "gateway/gw_silence.h"
+#include "gateway/gw_traffic.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt_family.h"
@@ -323,6 +324,8 @@
 	struct gw_request *r = arg;
 	struct gw_event event;
 
+	gw_traffic_count(r->gateway, r->engine->entry.zone, "responses", bytes,
+			 false);
 	if (r->mode == GW_COLLECT) {
 		r->last_byte_ms = ck_now_ms();
 		/*
@@ -519,6 +522,8 @@
 					? gw_store_hash(to->store)
 					: 0;
 	}
+	gw_traffic_count(g, to->engine->entry.zone, "requests",
+			 r->exchange->body->len, true);
 	h1_headers_init(&headers);
 	g->dialect->write_request(r->exchange->headers, &send, &headers);
 	h1_call_start(&r->call,
--- a/src/kernel/mt_family.c
+++ b/src/kernel/mt_family.c
@@ -61,6 +61,11 @@
 	mt_get_series(family, value)->count++;
 }
 
+void mt_count_many(struct mt_family *family, const char *value, int64_t count)
+{
+	mt_get_series(family, value)->count += count;
+}
+
 void mt_observe(struct mt_family *family, const char *value, int64_t ms)
 {
 	struct mt_series *series = mt_get_series(family, value);
--- a/src/kernel/mt_family.h
+++ b/src/kernel/mt_family.h
@@ -56,6 +56,9 @@
 /** mt_count() - add 1 to the counter of label value @value. */
 void mt_count(struct mt_family *family, const char *value);
 
+/** mt_count_many() - add @count to the counter of label value @value. */
+void mt_count_many(struct mt_family *family, const char *value, int64_t count);
+
 /** mt_observe() - add @ms to the histogram of label value @value. */
 void mt_observe(struct mt_family *family, const char *value, int64_t ms);
 
--- a/src/peers/pe_change.c
+++ b/src/peers/pe_change.c
@@ -1,6 +1,5 @@
 #include "peers/pe_change.h"
 
-#include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -16,6 +15,9 @@
  * are left for changes. */
 #define PE_REPEATED_NUMERATOR	3
 #define PE_REPEATED_DENOMINATOR 4
+/* Parts of a budget. */
+#define PE_STANDBY_PART 8
+#define PE_LEAST_PART	4
 /* An upstream without load is sent as zero in so many turns. */
 #define PE_ZERO_TURNS 2
 
@@ -82,6 +84,15 @@
 	return plan;
 }
 
+int64_t pe_change_room(int64_t budget, int64_t other, bool is_standby)
+{
+	int64_t standby = budget / PE_STANDBY_PART;
+
+	if (is_standby)
+		return standby;
+	return MAX(budget - standby - other, budget / PE_LEAST_PART);
+}
+
 static void pe_note_present(struct pe_change *change, const GArray *sums)
 {
 	change->_round++;
--- a/src/peers/pe_change.h
+++ b/src/peers/pe_change.h
@@ -28,6 +28,8 @@
 #ifndef PE_CHANGE_H
 #define PE_CHANGE_H
 
+#include <stdbool.h>
+
 #include "peers/pe_load.h"
 
 /** Most loads in one datagram; BP_MAX_CHANGES of src/rpc/balsampin.x. */
@@ -71,6 +73,17 @@
 /** Members of a zone up to which each gets its messages from the collector. */
 #define PE_DIRECT_MEMBERS 8
 
+/**
+ * pe_change_room() - bytes per second for loads to one kind of zones.
+ * @budget: for all control messages to them.
+ * @other: of these, bytes per second that other messages have taken lately.
+ * @is_standby: for the standbys, which get a fixed eighth.
+ *
+ * Configuration, keys and weights come first. A quarter of the budget is left
+ * for loads in any case, as hosts without them would overload engines.
+ */
+int64_t pe_change_room(int64_t budget, int64_t other, bool is_standby);
+
 /** struct pe_change - what was sent to a group of receivers. */
 struct pe_change {
 	GHashTable *_sent;
--- a/src/rows/rw.c
+++ b/src/rows/rw.c
@@ -8,6 +8,11 @@
 MT_COUNTERS(rw_calls, "balsampin_store_calls_total",
 	    "calls to the row store by the reason for them", "reason")
 
+MT_COUNTERS(rw_sent, "balsampin_store_sent_bytes_total",
+	    "bytes of calls to the row store, without headers", "reason")
+MT_COUNTERS(rw_received, "balsampin_store_received_bytes_total",
+	    "bytes of answers of the row store, without headers", "reason")
+
 void rw_row_clear(struct rw_row *row)
 {
 	g_free((char *)row->key);
@@ -51,6 +56,12 @@
 	store->_ops->write(store->_impl, write, fn, arg, call);
 }
 
+void rw_count_bytes(const char *reason, uint64_t bytes, bool is_sent)
+{
+	mt_count_many(is_sent ? &rw_sent : &rw_received, reason,
+		      (int64_t)bytes);
+}
+
 void rw_cancel(struct rw_store *store, struct rw_call *call)
 {
 	if (call->_call)
--- a/src/rows/rw.h
+++ b/src/rows/rw.h
@@ -139,4 +139,10 @@
 	      rw_write_fn fn, void *arg, struct rw_call *call);
 void rw_cancel(struct rw_store *store, struct rw_call *call);
 
+/**
+ * rw_count_bytes() - for plug-ins: count bytes of a call that is made for
+ * @reason.
+ */
+void rw_count_bytes(const char *reason, uint64_t bytes, bool is_sent);
+
 #endif
--- a/src/rpc/rp.h
+++ b/src/rpc/rp.h
@@ -121,6 +121,20 @@
 	void *arg;
 };
 
+/**
+ * struct rp_traffic - a message that was sent or received.
+ * @peer: the other end; @host is empty if only its address is known.
+ * @number: of the procedure, also for its reply.
+ * @bytes: of a datagram with its IP and UDP headers, or of a record with its
+ *	mark.
+ */
+struct rp_traffic {
+	const struct rp_peer *peer;
+	uint32_t number;
+	uint32_t bytes;
+	bool is_sent;
+};
+
 /**
  * struct rp_desc - zero means default.
  * @loop: required.
@@ -132,6 +146,8 @@
  * @incarnation: of this process, not 0; rp_new_incarnation() makes one.
  * @idle_ms: an unused TCP connection is closed after it, by the peer that was
  *	called after twice the time; default RP_DEFAULT_IDLE_MS.
+ * @on_traffic: called for each message; may be NULL.
+ * @traffic_arg: its first argument.
  */
 struct rp_desc {
 	struct ev_loop *loop;
@@ -142,6 +158,8 @@
 	const char *role;
 	uint64_t incarnation;
 	int64_t idle_ms;
+	void (*on_traffic)(void *arg, const struct rp_traffic *message);
+	void *traffic_arg;
 };
 
 /** struct rp_endpoint - all state, behind one pointer. */
--- a/src/rpc/rp_calls.c
+++ b/src/rpc/rp_calls.c
@@ -144,6 +144,8 @@
 		return ST_UNAVAILABLE;
 	if (call)
 		call->is_sent = true;
+	rp_count_traffic(s, &desc->to, desc->number,
+			 bytes + RP_DATAGRAM_HEADER_BYTES, true);
 	return ST_OK;
 }
 
@@ -175,6 +177,7 @@
 		g_free(out);
 		return st_fail(ST_UNAVAILABLE, "no connection");
 	}
+	rp_count_traffic(s, &desc->to, desc->number, out->bytes, true);
 	out->call = call;
 	if (call) {
 		call->conn = conn;
@@ -318,6 +321,8 @@
 	from.incarnation = m->sender.incarnation;
 	g_strlcpy(from.host, m->sender.host, sizeof(from.host));
 	g_strlcpy(from.role, m->sender.role, sizeof(from.role));
+	rp_count_traffic(s, &from, call->desc.number,
+			 bytes + rp_framing_bytes(conn), false);
 	wanted = call->desc.to.incarnation;
 	if (wanted && wanted != from.incarnation) {
 		mt_add(&rp_replies_stale, 1);
--- a/src/rpc/rp_endpoint.c
+++ b/src/rpc/rp_endpoint.c
@@ -86,6 +86,8 @@
 	s->ipv4 = ntohl(address.s_addr);
 	s->port = desc->port;
 	s->idle_ms = desc->idle_ms ? desc->idle_ms : RP_DEFAULT_IDLE_MS;
+	s->on_traffic = desc->on_traffic;
+	s->traffic_arg = desc->traffic_arg;
 	s->udp_fd = -1;
 	s->listen_fd = -1;
 	g_queue_init(&s->requests);
@@ -157,6 +159,8 @@
 			     &bytes) != ST_OK)
 		return ST_INVALID;
 	rp_udp_send(s, request->from.ipv4, request->from.port, data, bytes);
+	rp_count_traffic(s, &request->from, request->number,
+			 bytes + RP_DATAGRAM_HEADER_BYTES, true);
 	return ST_OK;
 }
 
@@ -182,6 +186,8 @@
 	}
 	rp_record_mark(out->data, out->bytes);
 	out->bytes += RP_RECORD_MARK_BYTES;
+	rp_count_traffic(request->state, &request->from, request->number,
+			 out->bytes, true);
 	rp_tcp_queue(request->conn, out);
 	return ST_OK;
 }
@@ -275,6 +281,7 @@
 		conn->pending++;
 	request->xid = m->xid;
 	request->procedure = rp_find(s, m->procedure);
+	request->number = m->procedure;
 	request->from.incarnation = m->sender.incarnation;
 	g_strlcpy(request->from.host, m->sender.host,
 		  sizeof(request->from.host));
@@ -317,6 +324,8 @@
 
 	request->from.ipv4 = ipv4;
 	request->from.port = port;
+	rp_count_traffic(s, &request->from, request->number,
+			 bytes + rp_framing_bytes(conn), false);
 	status = rp_admit(s, m, request);
 	if (status == SUCCESS)
 		rp_dispatch(request, m, data, bytes);
--- a/src/rpc/rp_private.h
+++ b/src/rpc/rp_private.h
@@ -94,6 +94,7 @@
  * struct rp_request - a request that a handler has not answered.
  * @state: NULL once the endpoint is finished.
  * @conn: it came on, NULL for UDP and once that is closed.
+ * @number: of the procedure that was called, also if it is not served.
  */
 struct rp_request {
 	struct _rp_state *state;
@@ -101,6 +102,7 @@
 	enum rp_transport transport;
 	struct _rp_conn *conn;
 	uint32_t xid;
+	uint32_t number;
 	const struct rp_procedure *procedure;
 	struct rp_peer from;
 };
@@ -134,8 +136,29 @@
 	GPtrArray *conns;
 	uint32_t conn_count[2];
 	uint64_t buffered_bytes;
+	void (*on_traffic)(void *arg, const struct rp_traffic *message);
+	void *traffic_arg;
 };
 
+/* Of IPv4 and UDP. */
+#define RP_DATAGRAM_HEADER_BYTES 28
+
+/* Bytes of a received message beside itself; @conn: NULL for a datagram. */
+static inline uint32_t rp_framing_bytes(const struct _rp_conn *conn)
+{
+	return conn ? RP_RECORD_MARK_BYTES : RP_DATAGRAM_HEADER_BYTES;
+}
+
+static inline void rp_count_traffic(const struct _rp_state *s,
+				    const struct rp_peer *peer, uint32_t number,
+				    uint32_t bytes, bool is_sent)
+{
+	if (s->on_traffic)
+		s->on_traffic(
+			s->traffic_arg,
+			&(struct rp_traffic){ peer, number, bytes, is_sent });
+}
+
 /* rp_endpoint.c */
 void rp_receive(struct _rp_state *s, struct _rp_conn *conn, uint32_t ipv4,
 		uint16_t port, const uint8_t *data, uint32_t bytes);
--- a/tests/sessions/gateway_collect_test.cc
+++ b/tests/sessions/gateway_collect_test.cc
@@ -202,6 +202,32 @@
 		[&] { return collectors("z1") == expected("z1"); }, 10000));
 }
 
+// Bytes of each kind are on the metrics page, by where they go.
+TEST_F(Collect, BytesAreCountedByKindAndScope)
+{
+	static const char *const names[] = {
+		"zone_sent_bytes_total{kind=\"load\"}",
+		"zone_received_bytes_total{kind=\"sums\"}",
+		"other_regions_sent_bytes_total{kind=\"load\"}",
+		"other_regions_received_messages_total{kind=\"load\"}",
+	};
+	const std::string prefix = "balsampin_gateway_";
+
+	start("r2");
+	for (const char *name : names)
+		EXPECT_TRUE(wait_until(
+			[&] { return metric("h3", prefix + name) > 0; }, 10000))
+			<< name;
+	EXPECT_EQ(
+		metric("h3",
+		       prefix + "other_zones_sent_bytes_total{kind=\"load\"}"),
+		-1)
+		<< "no other zone is in the region";
+	EXPECT_GT(metric("h3", "balsampin_store_received_bytes_total{"
+			       "reason=\"own_rows\"}"),
+		  0);
+}
+
 // The reader of a region sends rows to two hosts of each other zone, which
 // forward them to theirs. One of the two is frozen.
 // One host is told of a pause. The others of its zone learn it from it through
--- a/tests/unit/change_test.cc
+++ b/tests/unit/change_test.cc
@@ -66,6 +66,27 @@
 	}
 }
 
+// Loads took the room of configuration, keys and weights.
+TEST(ChangeRoom, OtherMessagesComeFirst)
+{
+	static const struct {
+		int64_t budget, other;
+		bool is_standby;
+		int64_t room;
+	} cases[] = {
+		{ 100000, 0, false, 87500 },
+		{ 100000, 50000, false, 37500 },
+		{ 100000, 90000, false, 25000 },
+		{ 100000, 500000, false, 25000 },
+		{ 100000, 90000, true, 12500 },
+		{ 0, 10, false, 0 },
+	};
+
+	for (const auto &c : cases)
+		EXPECT_EQ(pe_change_room(c.budget, c.other, c.is_standby),
+			  c.room);
+}
+
 // Each member of a large zone got its own message, so that the collector sent
 // most of all hosts.
 TEST(ChangeRelays, NoHostSendsManyMessagesForOne)
--- a/tests/unit/rpc_fixture.h
+++ b/tests/unit/rpc_fixture.h
@@ -75,6 +75,7 @@
 	std::string caller;
 	uint32_t keys_seen = 0;
 	int64_t idle_ms = 0;
+	std::vector<rp_traffic> traffic;
 
 	void Open(struct rp_endpoint *ep, const char *host, uint64_t inc,
 		  uint16_t port = 0, const uint8_t *key = KEY)
@@ -89,6 +90,10 @@
 		desc.role = "index";
 		desc.incarnation = inc;
 		desc.idle_ms = idle_ms;
+		desc.on_traffic = [](void *arg, const struct rp_traffic *m) {
+			static_cast<Rpc *>(arg)->traffic.push_back(*m);
+		};
+		desc.traffic_arg = this;
 		ASSERT_EQ(rp_init(ep, &desc), ST_OK) << st_message();
 	}
 
--- a/tests/unit/rpc_test.cc
+++ b/tests/unit/rpc_test.cc
@@ -30,6 +30,27 @@
 	EXPECT_EQ(keys_seen, 100u);
 }
 
+// Call and reply, each at both ends, with the number of the procedure.
+TEST_P(RpcBoth, TrafficIsToldOfEachMessage)
+{
+	bp_ix_lookup args = {};
+	Outcome o;
+	auto d = Call(GetParam(), &o, &args);
+
+	ASSERT_EQ(rp_call(&client, &d, nullptr), ST_OK);
+	Until([&] { return o.count > 0; });
+	ASSERT_EQ(traffic.size(), 4u);
+	for (const auto &m : traffic)
+		EXPECT_EQ(m.number, (uint32_t)BP_IX_LOOKUP);
+	EXPECT_TRUE(traffic[0].is_sent);
+	EXPECT_FALSE(traffic[1].is_sent);
+	EXPECT_TRUE(traffic[2].is_sent);
+	EXPECT_FALSE(traffic[3].is_sent);
+	EXPECT_EQ(traffic[0].bytes, traffic[1].bytes);
+	EXPECT_EQ(traffic[2].bytes, traffic[3].bytes);
+	EXPECT_GT(traffic[0].bytes, 100u);
+}
+
 TEST_P(RpcBoth, BytesAreCountedAtBothEnds)
 {
 	bool is_udp = GetParam() == RP_UDP;
