traffic: bounds are counted and logged, and what is kept is chosen

Cause: with 3,001 engines a placement compared the first 1,024 of the table, loaded or not, near or not; with more than 512 hosts the first of the list had duties; a host with load at more than 40 engines reported the first 40 of the table. Nothing told of it.

Now the nearest engines are compared, of these the least loaded (pc_limit); duties fall to the lowest hashes, the same on all hosts; reports carry the largest loads. Each bound, and those of waiting announcements, counts and logs when it is reached, one line in 30 s each (gw_bound).

Ruled out: comparing all engines, as a request would cost three times as much at 3,001.

A fleet beyond a bound was not run.

--- a/src/gateway/gw_collect.c
+++ b/src/gateway/gw_collect.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "gateway/gw.h"
+#include "gateway/gw_bound.h"
 #include "gateway/gw_peers.h"
 #include "gateway/gw_traffic.h"
 #include "kernel/ck.h"
@@ -734,6 +735,22 @@
 				   sequence, shares, count, now_ms);
 }
 
+/* Drops the older half. Groups that have been sent them miss nothing. */
+static void gw_drop_relayed(struct gw_collect *c)
+{
+	uint64_t dropped_end =
+		c->relayed_end - c->relayed->len + GW_MAX_RELAYED / 2;
+
+	for (uint32_t i = 0; c->is_collector && i <= GW_SUMS_FAR; i++) {
+		if (c->groups[i].relayed_end >= dropped_end)
+			continue;
+		gw_bound_reached(GW_BOUND_RELAYED, c->relayed->len,
+				 GW_MAX_RELAYED);
+		break;
+	}
+	g_array_remove_range(c->relayed, 0, GW_MAX_RELAYED / 2);
+}
+
 void gw_collect_relay(struct gw_peers *p, const bp_held *held,
 		      bool is_from_own_zone)
 {
@@ -743,7 +760,7 @@
 	if (!c->is_collector && !c->is_standby)
 		return;
 	if (c->relayed->len >= GW_MAX_RELAYED)
-		g_array_remove_range(c->relayed, 0, GW_MAX_RELAYED / 2);
+		gw_drop_relayed(c);
 	g_array_append_val(c->relayed, relayed);
 	c->relayed_end++;
 }
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "gateway/gw.h"
+#include "gateway/gw_bound.h"
 #include "gateway/gw_catchup.h"
 #include "gateway/gw_notice.h"
 #include "gateway/gw_peers.h"
@@ -110,17 +111,35 @@
 	rp_drop(request);
 }
 
+static int gw_compare_shares(const void *a, const void *b)
+{
+	const bp_share *x = a, *y = b;
+
+	if (x->running != y->running)
+		return x->running > y->running ? -1 : 1;
+	return x->tokens > y->tokens ? -1 : x->tokens < y->tokens;
+}
+
+/* The largest loads, if there are too many for a message. */
 static uint32_t gw_fill_shares(const struct gw_gateway *g, bp_share *shares)
 {
-	uint32_t count = 0;
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(bp_share));
+	uint32_t count;
 
 	fl_for_each (&g->fleet, e) {
-		if (count == BP_MAX_SHARES ||
-		    (!e->running && !e->waiting_tokens))
-			continue;
-		shares[count++] =
-			(bp_share){ e->hash, e->running, e->waiting_tokens };
+		bp_share share = { e->hash, e->running, e->waiting_tokens };
+
+		if (e->running || e->waiting_tokens)
+			g_array_append_val(all, share);
+	}
+	if (all->len > BP_MAX_SHARES) {
+		gw_bound_reached(GW_BOUND_SHARES, all->len, BP_MAX_SHARES);
+		g_array_sort(all, gw_compare_shares);
 	}
+	count = MIN(all->len, BP_MAX_SHARES);
+	if (count)
+		memcpy(shares, all->data, count * sizeof(*shares));
+	g_array_free(all, TRUE);
 	return count;
 }
 
@@ -359,6 +378,26 @@
 			"peers_closed", "reason", st_message(), NULL);
 }
 
+/* Drops the older half. Peers that have been sent them miss nothing. */
+static void gw_drop_announcements(struct gw_peers *p)
+{
+	uint64_t dropped_end = p->announcements_end - p->announcements->len +
+			       GW_MAX_ANNOUNCEMENTS / 2;
+
+	for (uint32_t i = 0; i < p->hosts.peers->len; i++) {
+		const struct gw_peer *peer = p->hosts.peers->pdata[i];
+
+		if (!gw_peer_is_alive(peer, ck_now_ms()) ||
+		    peer->announced_end >= dropped_end ||
+		    (p->collect.uses_sums && !peer->is_collector))
+			continue;
+		gw_bound_reached(GW_BOUND_ANNOUNCEMENTS, p->announcements->len,
+				 GW_MAX_ANNOUNCEMENTS);
+		break;
+	}
+	g_array_remove_range(p->announcements, 0, GW_MAX_ANNOUNCEMENTS / 2);
+}
+
 void gw_peers_announce_held(struct gw_gateway *g, uint64_t key, uint64_t engine)
 {
 	struct gw_peers *p = g->peers;
@@ -367,8 +406,7 @@
 	if (!p)
 		return;
 	if (p->announcements->len >= GW_MAX_ANNOUNCEMENTS)
-		g_array_remove_range(p->announcements, 0,
-				     GW_MAX_ANNOUNCEMENTS / 2);
+		gw_drop_announcements(p);
 	g_array_append_val(p->announcements, held);
 	p->announcements_end++;
 	gw_collect_relay(p, &held, true);
--- a/src/gateway/gw_place.c
+++ b/src/gateway/gw_place.c
@@ -3,7 +3,9 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "gateway/gw_bound.h"
 #include "gateway/gw_peers.h"
+#include "placement/pc_limit.h"
 
 #define GW_MAX_CANDIDATES 1024
 /*
@@ -119,6 +121,66 @@
 	return a_ms && a_ms < b_ms ? a_ms : b_ms;
 }
 
+/* struct gw_runnable - engines that can run a request. */
+struct gw_runnable {
+	GPtrArray *engines;
+	int64_t pause_end_ms;
+};
+
+/* Keeps the engines to compare if there are too many. */
+static void gw_limit_engines(const struct gw_gateway *g, GPtrArray *engines,
+			     int64_t now_ms)
+{
+	uint32_t count = engines->len, kept = 0;
+	struct pc_limit_key *keys;
+	bool *is_kept;
+
+	if (count <= GW_MAX_CANDIDATES)
+		return;
+	gw_bound_reached(GW_BOUND_CANDIDATES, count, GW_MAX_CANDIDATES);
+	keys = g_new(struct pc_limit_key, count);
+	is_kept = g_new0(bool, count);
+	for (uint32_t i = 0; i < count; i++) {
+		const struct fl_engine *e = engines->pdata[i];
+
+		keys[i] = (struct pc_limit_key){
+			gw_distance(g, e),
+			e->running +
+				gw_collect_others(g, e->hash, now_ms).running
+		};
+	}
+	pc_limit(keys, count, GW_MAX_CANDIDATES,
+		 g_random_int_range(0, (gint32)count), is_kept);
+	for (uint32_t i = 0; i < count; i++)
+		if (is_kept[i])
+			engines->pdata[kept++] = engines->pdata[i];
+	g_ptr_array_set_size(engines, (gint)kept);
+	g_free(keys);
+	g_free(is_kept);
+}
+
+static struct gw_runnable
+gw_list_runnable(const struct gw_gateway *g,
+		 const struct gw_place_request *request,
+		 const struct gw_wanted *wanted, int64_t now_ms)
+{
+	struct gw_runnable list = { .engines = g_ptr_array_new() };
+
+	fl_for_each (&g->fleet, e) {
+		int64_t age_ms =
+			gw_weights_age_ms(wanted, e->entry.weights, now_ms);
+
+		if (!gw_can_run(g, request, e, age_ms))
+			continue;
+		if (fl_notice_use(&e->notice, now_ms) == FL_PAUSED)
+			list.pause_end_ms = gw_earlier(
+				list.pause_end_ms, e->notice.pause_until_ms);
+		else
+			g_ptr_array_add(list.engines, e);
+	}
+	return list;
+}
+
 struct gw_place_answer gw_place(const struct gw_gateway *g,
 				const struct gw_place_request *request,
 				int64_t now_ms)
@@ -133,28 +195,24 @@
 	struct pc_request prefix = request->prefix;
 	struct pc_store stored;
 	struct pc_answer answer;
-	int64_t pause_end_ms = 0;
-	uint32_t count = 0;
-
-	fl_for_each (&g->fleet, e) {
-		int64_t age_ms =
-			gw_weights_age_ms(wanted, e->entry.weights, now_ms);
-
-		if (count == GW_MAX_CANDIDATES ||
-		    !gw_can_run(g, request, e, age_ms))
-			continue;
-		if (fl_notice_use(&e->notice, now_ms) == FL_PAUSED) {
-			pause_end_ms = gw_earlier(pause_end_ms,
-						  e->notice.pause_until_ms);
-			continue;
-		}
-		engines[count] = e;
-		candidates[count++] =
-			gw_candidate(g, request, e, age_ms, now_ms);
+	struct gw_runnable list = gw_list_runnable(g, request, wanted, now_ms);
+	uint32_t count;
+
+	gw_limit_engines(g, list.engines, now_ms);
+	count = list.engines->len;
+	for (uint32_t i = 0; i < count; i++) {
+		struct fl_engine *e = list.engines->pdata[i];
+
+		engines[i] = e;
+		candidates[i] = gw_candidate(
+			g, request, e,
+			gw_weights_age_ms(wanted, e->entry.weights, now_ms),
+			now_ms);
 	}
+	g_ptr_array_free(list.engines, TRUE);
 	/* One that was tried may be well again any time. */
 	if (count)
-		pause_end_ms = 0;
+		list.pause_end_ms = 0;
 	if (store) {
 		stored = gw_describe_store(g, request, store, wanted);
 		prefix.store = &stored;
@@ -162,7 +220,7 @@
 	answer = pc_place(&prefix, candidates, count);
 	return (struct gw_place_answer){
 		.engine = answer.chosen < 0 ? NULL : engines[answer.chosen],
-		.pause_end_ms = pause_end_ms,
+		.pause_end_ms = list.pause_end_ms,
 		.source = answer.source < 0 ? NULL : engines[answer.source],
 		.store = store,
 		.is_from_store = answer.is_from_store,
--- a/src/gateway/gw_roles.c
+++ b/src/gateway/gw_roles.c
@@ -3,6 +3,7 @@
  * computes the assignment from the hosts that are alive.
  */
 #include "gateway/gw.h"
+#include "gateway/gw_bound.h"
 #include "gateway/gw_peers.h"
 #include "gateway/gw_relay.h"
 #include "kernel/ck.h"
@@ -14,6 +15,37 @@
 /* Deadline of a call whose answer is not awaited. */
 #define GW_ONE_WAY_MS 60
 
+static int gw_compare_hashes(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/*
+ * Returns the highest hash of the hosts that are considered. All hosts leave
+ * out the same ones, those that would have duties last.
+ */
+static uint64_t gw_highest_considered(const struct gw_peers *p, int64_t now_ms)
+{
+	GArray *hashes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	uint64_t highest = UINT64_MAX;
+
+	for (uint32_t i = 0; i < p->hosts.peers->len; i++) {
+		const struct gw_peer *peer = p->hosts.peers->pdata[i];
+
+		if (gw_peer_is_alive(peer, now_ms))
+			g_array_append_val(hashes, peer->hash);
+	}
+	if (hashes->len >= GW_MAX_HOSTS) {
+		gw_bound_reached(GW_BOUND_HOSTS, hashes->len + 1, GW_MAX_HOSTS);
+		g_array_sort(hashes, gw_compare_hashes);
+		highest = g_array_index(hashes, uint64_t, GW_MAX_HOSTS - 2);
+	}
+	g_array_free(hashes, TRUE);
+	return highest;
+}
+
 /* Lists this host, then the live peers. @peers may be NULL. */
 static uint32_t gw_list_live_hosts(const struct gw_gateway *g,
 				   struct pe_host *hosts,
@@ -23,14 +55,18 @@
 	const struct gw_peers *p = g->peers;
 	int64_t now_ms = ck_now_ms();
 	uint32_t count = 1;
+	uint64_t highest = UINT64_MAX;
 
+	if (p && p->is_open && p->hosts.peers->len >= GW_MAX_HOSTS)
+		highest = gw_highest_considered(p, now_ms);
 	hosts[0] = (struct pe_host){ gw_name_hash(s->host),
 				     g_quark_from_string(s->region),
 				     gw_takes_part(g) };
 	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++) {
 		const struct gw_peer *peer = p->hosts.peers->pdata[i];
 
-		if (count == GW_MAX_HOSTS || !gw_peer_is_alive(peer, now_ms))
+		if (count == GW_MAX_HOSTS || peer->hash > highest ||
+		    !gw_peer_is_alive(peer, now_ms))
 			continue;
 		if (peers)
 			peers[count] = peer;
@@ -89,22 +125,25 @@
 static uint32_t gw_find_forwarders(const struct gw_peers *p, uint32_t zone,
 				   const struct gw_peer *found[PE_COLLECTORS])
 {
+	const struct gw_peer *members[GW_MAX_HOSTS];
 	struct pe_zone_host hosts[GW_MAX_HOSTS];
 	uint32_t indexes[PE_COLLECTORS];
-	uint32_t count = MIN(p->hosts.peers->len, GW_MAX_HOSTS);
+	uint32_t count = 0;
 	int64_t now_ms = ck_now_ms();
 
-	for (uint32_t i = 0; i < count; i++) {
+	for (uint32_t i = 0; i < p->hosts.peers->len; i++) {
 		const struct gw_peer *peer = p->hosts.peers->pdata[i];
 
-		hosts[i] = (struct pe_zone_host){
-			peer->hash, peer->zone,
-			peer->takes_part && gw_peer_is_alive(peer, now_ms)
-		};
+		if (count == GW_MAX_HOSTS || peer->zone != zone ||
+		    !peer->takes_part || !gw_peer_is_alive(peer, now_ms))
+			continue;
+		members[count] = peer;
+		hosts[count++] =
+			(struct pe_zone_host){ peer->hash, peer->zone, true };
 	}
 	count = pe_zone_collectors(hosts, count, zone, indexes);
 	for (uint32_t i = 0; i < count; i++)
-		found[i] = p->hosts.peers->pdata[indexes[i]];
+		found[i] = members[indexes[i]];
 	return count;
 }
 
