traffic: signs of life between zones through lists of the collectors

Cause: direct reports between zones every 3 s grow with the square of the hosts.

Now the collector of each zone lists its members to the collectors of the others every 2 s (BP_GATEWAY_ALIVE), and these pass the list on as they do with sums. Hosts that are listed report to other zones directly every 30 s; those on duty every 0.5 s as before. If no list comes for 6 to 9 s, direct reports begin again, spread. A host of another zone counts as dead 5 s after the last list with it, instead of 7 s after its last report.

First messages of hosts that start together are spread over 5 s between zones, those of hosts on duty over 0.5 s.

--- a/src/gateway/gw_collect.c
+++ b/src/gateway/gw_collect.c
@@ -212,6 +212,11 @@
 	}
 }
 
+static unsigned int gw_alive_word(uint64_t hash, bool takes_part)
+{
+	return (unsigned int)(hash << 1) | takes_part;
+}
+
 static int64_t gw_observed_ms(const struct gw_peer *peer)
 {
 	int64_t shortest_ms = GW_UNKNOWN_INTERVAL_MS;
@@ -304,11 +309,18 @@
 }
 
 void gw_collect_set_period(const struct gw_peers *p, struct gw_peer *peer,
-			   int64_t report_ms)
+			   int64_t report_ms, int64_t now_ms)
 {
 	struct pe_report_pair pair = {
 		.are_on_duty = p->collect.is_on_duty && peer->is_on_duty,
 		.is_same_zone = gw_collect_is_member(p, peer),
+		.is_listed =
+			peer->listed_ms &&
+			pe_report_is_listed(
+				now_ms - peer->listed_ms,
+				peer->hash ^
+					gw_name_hash(
+						p->gateway->settings.host)),
 	};
 
 	peer->period_ms = pe_report_period_ms(&pair);
@@ -431,6 +443,25 @@
 	}
 }
 
+/*
+ * Fills in the receivers that the one at @relay passes a message on to, of
+ * @relays that do.
+ */
+static uint32_t gw_fill_forwards(const GPtrArray *receivers, uint32_t relay,
+				 uint32_t relays, bp_forward *forwards)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = relay + relays;
+	     i < receivers->len && count < BP_MAX_FORWARDS; i += relays) {
+		const struct gw_peer *peer = receivers->pdata[i];
+
+		forwards[count++] =
+			(bp_forward){ peer->address.ipv4, peer->address.port };
+	}
+	return count;
+}
+
 /* Sends to @relays of the receivers, each of which serves some of the others.
  */
 static void gw_spread_changes(struct gw_peers *p, GPtrArray *receivers,
@@ -442,17 +473,10 @@
 		gw_shuffle(receivers);
 	message->forwards.forwards_val = forwards;
 	for (uint32_t i = 0; i < relays; i++) {
-		const struct gw_peer *to;
-
-		message->forwards.forwards_len = 0;
-		for (uint32_t j = i + relays; j < receivers->len; j += relays) {
-			const struct gw_peer *peer = receivers->pdata[j];
+		const struct gw_peer *to = receivers->pdata[i];
 
-			forwards[message->forwards.forwards_len++] =
-				(bp_forward){ peer->address.ipv4,
-					      peer->address.port };
-		}
-		to = receivers->pdata[i];
+		message->forwards.forwards_len =
+			gw_fill_forwards(receivers, i, relays, forwards);
 		gw_call_changes(p, to->address.ipv4, to->address.port, message);
 	}
 	message->forwards.forwards_val = NULL;
@@ -585,19 +609,26 @@
 	return plan;
 }
 
-static void gw_send_member_sums(struct gw_peers *p, int64_t now_ms)
+static GPtrArray *gw_list_members(const struct gw_peers *p, int64_t now_ms)
 {
-	GArray *sums = g_array_new(FALSE, FALSE, sizeof(struct pe_share));
-	GPtrArray *receivers = g_ptr_array_new();
-	struct pe_change_plan plan;
+	GPtrArray *members = g_ptr_array_new();
 
 	for (uint32_t i = 0; i < p->hosts.peers->len; i++) {
 		struct gw_peer *peer = p->hosts.peers->pdata[i];
 
 		if (gw_collect_is_member(p, peer) &&
 		    gw_may_collect(peer, now_ms))
-			g_ptr_array_add(receivers, peer);
+			g_ptr_array_add(members, peer);
 	}
+	return members;
+}
+
+static void gw_send_member_sums(struct gw_peers *p, int64_t now_ms)
+{
+	GArray *sums = g_array_new(FALSE, FALSE, sizeof(struct pe_share));
+	GPtrArray *receivers = gw_list_members(p, now_ms);
+	struct pe_change_plan plan;
+
 	pe_zone_list_all(&p->collect.zone, sums);
 	plan = gw_send_changes(p, GW_SUMS_MEMBERS, receivers, sums, now_ms);
 	gw_sync_new_members(p, plan.turn_ms, now_ms);
@@ -632,6 +663,59 @@
 	g_hash_table_destroy(done);
 }
 
+/* Members that have reported within the time of a collector's silence. */
+static uint32_t gw_list_alive(const struct gw_peers *p, int64_t now_ms,
+			      unsigned int *members)
+{
+	const struct gw_settings *s = &p->gateway->settings;
+	int64_t report_ms = gw_collect_report_ms(p);
+	uint32_t count = 0;
+
+	members[count++] =
+		gw_alive_word(gw_name_hash(s->host), gw_takes_part(p->gateway));
+	for (uint32_t i = 0; i < p->hosts.peers->len; i++) {
+		const struct gw_peer *peer = p->hosts.peers->pdata[i];
+
+		if (count < BP_MAX_ALIVE && gw_collect_is_member(p, peer) &&
+		    peer->is_seen &&
+		    !pe_zone_is_silent(now_ms - peer->received_ms, report_ms,
+				       0))
+			members[count++] =
+				gw_alive_word(peer->hash, peer->takes_part);
+	}
+	return count;
+}
+
+static void gw_call_alive(struct gw_peers *p, uint32_t ipv4, uint16_t port,
+			  const bp_gateway_alive *message)
+{
+	gw_peers_call_one(
+		p->gateway, &(struct rp_peer){ .ipv4 = ipv4, .port = port },
+		BP_GATEWAY_ALIVE, (xdrproc_t)xdr_bp_gateway_alive, message);
+}
+
+/* Sends the list of the members to the collectors of the other zones. */
+static void gw_send_alive(struct gw_peers *p, const struct pe_zone_host *hosts,
+			  uint32_t count, int64_t now_ms)
+{
+	unsigned int members[BP_MAX_ALIVE];
+	bp_gateway_alive message = {
+		.collector = gw_name_hash(p->gateway->settings.host),
+		.period_ms = PE_LIST_PERIOD_MS,
+		.members = { gw_list_alive(p, now_ms, members), members },
+	};
+	GPtrArray *receivers = g_ptr_array_new();
+
+	gw_list_group(p, hosts, count, GW_SUMS_NEAR, receivers);
+	gw_list_group(p, hosts, count, GW_SUMS_FAR, receivers);
+	for (uint32_t i = 0; i < receivers->len; i++) {
+		const struct gw_peer *to = receivers->pdata[i];
+
+		gw_call_alive(p, to->address.ipv4, to->address.port, &message);
+	}
+	g_ptr_array_free(receivers, TRUE);
+}
+
 static void gw_send_due_sums(struct gw_peers *p,
 			     const struct pe_zone_host *hosts, uint32_t count,
 			     int64_t now_ms)
@@ -642,6 +726,10 @@
 
 	if (now_ms >= c->groups[GW_SUMS_MEMBERS].next_ms)
 		gw_send_member_sums(p, now_ms);
+	if (now_ms >= c->next_list_ms) {
+		c->next_list_ms = now_ms + PE_LIST_PERIOD_MS;
+		gw_send_alive(p, hosts, count, now_ms);
+	}
 	pe_zone_list_own(&c->zone, sums);
 	for (uint32_t i = GW_SUMS_NEAR; i < GW_SUMS_GROUPS; i++) {
 		if (now_ms < c->groups[i].next_ms)
@@ -858,25 +946,107 @@
 	rp_drop(request);
 }
 
+/* Counts the hosts of @zone that @message lists as heard. */
+static void gw_apply_alive(struct gw_peers *p, uint32_t zone,
+			   const bp_gateway_alive *message, int64_t now_ms)
+{
+	GHashTable *listed = g_hash_table_new(NULL, NULL);
+
+	for (uint32_t i = 0; i < message->members.members_len; i++)
+		g_hash_table_add(
+			listed,
+			GUINT_TO_POINTER(message->members.members_val[i]));
+	for (uint32_t i = 0; i < p->hosts.peers->len; i++) {
+		struct gw_peer *peer = p->hosts.peers->pdata[i];
+		bool takes_part = g_hash_table_contains(
+			listed,
+			GUINT_TO_POINTER(gw_alive_word(peer->hash, true)));
+
+		if (peer->zone != zone ||
+		    (!takes_part &&
+		     !g_hash_table_contains(
+			     listed, GUINT_TO_POINTER(gw_alive_word(peer->hash,
+								    false)))))
+			continue;
+		peer->is_seen = true;
+		peer->takes_part = takes_part;
+		peer->received_ms = now_ms;
+		peer->listed_ms = now_ms;
+	}
+	g_hash_table_destroy(listed);
+}
+
+/* The collector passes lists of other zones on to its members. */
+static void gw_spread_alive(struct gw_peers *p, const bp_gateway_alive *message,
+			    int64_t now_ms)
+{
+	GPtrArray *members = gw_list_members(p, now_ms);
+	uint32_t relays = pe_change_relays(members->len, BP_MAX_FORWARDS);
+	bp_forward forwards[BP_MAX_FORWARDS];
+	bp_gateway_alive copy = *message;
+
+	gw_shuffle(members);
+	copy.forwards.forwards_val = forwards;
+	for (uint32_t i = 0; i < relays; i++) {
+		const struct gw_peer *to = members->pdata[i];
+
+		copy.forwards.forwards_len =
+			gw_fill_forwards(members, i, relays, forwards);
+		gw_call_alive(p, to->address.ipv4, to->address.port, &copy);
+	}
+	g_ptr_array_free(members, TRUE);
+}
+
+static void gw_on_alive(void *arg, struct rp_request *request, const void *args)
+{
+	struct gw_peers *p = arg;
+	const bp_gateway_alive *message = args;
+	const struct rp_peer *from = rp_peer_of(request);
+	const struct gw_peer *collector =
+		gw_hosts_find_hash(&p->hosts, message->collector);
+	int64_t now_ms = ck_now_ms();
+
+	if (collector && !gw_collect_is_member(p, collector)) {
+		gw_apply_alive(p, collector->zone, message, now_ms);
+		if (p->collect.is_collector &&
+		    gw_hosts_find(&p->hosts, from->ipv4, from->port) ==
+			    collector)
+			gw_spread_alive(p, message, now_ms);
+	}
+	for (uint32_t i = 0; i < message->forwards.forwards_len; i++) {
+		const bp_forward *to = &message->forwards.forwards_val[i];
+		bp_gateway_alive copy = *message;
+
+		copy.forwards.forwards_len = 0;
+		gw_call_alive(p, to->ipv4, (uint16_t)to->port, &copy);
+	}
+	rp_drop(request);
+}
+
 enum st_code gw_collect_serve(struct gw_peers *p)
 {
-	enum st_code code = rp_serve(
-		&p->rpc,
-		&(struct rp_procedure){ .number = BP_GATEWAY_SUMS,
-					.args = (xdrproc_t)xdr_bp_gateway_sums,
-					.args_bytes = sizeof(bp_gateway_sums),
-					.handler = gw_on_sums,
-					.arg = p });
-
-	if (code != ST_OK)
-		return code;
-	return rp_serve(&p->rpc,
-			&(struct rp_procedure){
-				.number = BP_GATEWAY_CHANGES,
-				.args = (xdrproc_t)xdr_bp_gateway_changes,
-				.args_bytes = sizeof(bp_gateway_changes),
-				.handler = gw_on_changes,
-				.arg = p });
+	const struct rp_procedure procedures[] = {
+		{ .number = BP_GATEWAY_SUMS,
+		  .args = (xdrproc_t)xdr_bp_gateway_sums,
+		  .args_bytes = sizeof(bp_gateway_sums),
+		  .handler = gw_on_sums,
+		  .arg = p },
+		{ .number = BP_GATEWAY_CHANGES,
+		  .args = (xdrproc_t)xdr_bp_gateway_changes,
+		  .args_bytes = sizeof(bp_gateway_changes),
+		  .handler = gw_on_changes,
+		  .arg = p },
+		{ .number = BP_GATEWAY_ALIVE,
+		  .args = (xdrproc_t)xdr_bp_gateway_alive,
+		  .args_bytes = sizeof(bp_gateway_alive),
+		  .handler = gw_on_alive,
+		  .arg = p },
+	};
+	enum st_code code = ST_OK;
+
+	for (uint32_t i = 0; code == ST_OK && i < G_N_ELEMENTS(procedures); i++)
+		code = rp_serve(&p->rpc, &procedures[i]);
+	return code;
 }
 
 struct pe_share gw_collect_others(const struct gw_gateway *g, uint64_t engine,
--- a/src/gateway/gw_collect.h
+++ b/src/gateway/gw_collect.h
@@ -52,6 +52,7 @@
  * @is_on_duty: see src/peers/pe_report.h; since @duty_ms.
  * @uses_sums: the last choice of an engine used sums.
  * @next_choice_ms: when collectors are next chosen.
+ * @next_list_ms: when the collector next lists the members.
  */
 struct gw_collect {
 	struct pe_zone zone;
@@ -65,6 +66,7 @@
 	int64_t duty_ms;
 	int64_t next_choice_ms;
 	struct gw_sums_state groups[GW_SUMS_GROUPS];
+	int64_t next_list_ms;
 };
 
 void gw_collect_init(struct gw_collect *collect);
@@ -99,7 +101,7 @@
  * where collectors are in use.
  */
 void gw_collect_set_period(const struct gw_peers *p, struct gw_peer *peer,
-			   int64_t report_ms);
+			   int64_t report_ms, int64_t now_ms);
 
 /** gw_collect_others() - load of all other hosts at @engine, as far as known.
  */
--- a/src/gateway/gw_hosts.c
+++ b/src/gateway/gw_hosts.c
@@ -23,7 +23,9 @@
 /* Covers a store that is sixty times slower than usual. */
 #define GW_ROWS_TIMEOUT_MS 1000
 
-#define GW_FIRST_SPREAD_MS 1000
+/* 300 hosts that start together send each other 11 MB between zones. Those on
+ * duty send sooner; see gw_peers.c. */
+#define GW_FIRST_SPREAD_MS 5000
 /* A host is alive for this time and two of its periods after a message. */
 #define GW_PEER_SILENT_MS 1000
 
@@ -182,12 +184,13 @@
 		peer->hash = gw_name_hash(name);
 		peer->received_ms = ck_now_ms();
 		peer->takes_part = true;
+		peer->added_ms = peer->received_ms;
 		/* When all hosts start together, the first messages to hosts
 		 * of other zones of a large fleet are spread. */
 		if (strcmp(g_quark_to_string(parsed.zone),
 			   hosts->_desc.gateway->settings.zone) != 0)
 			peer->sent_ms =
-				ck_now_ms() - PE_OTHER_PERIOD_MS +
+				peer->added_ms - PE_OTHER_PERIOD_MS +
 				g_random_int_range(0, GW_FIRST_SPREAD_MS);
 		g_ptr_array_add(hosts->peers, peer);
 		lg_info("peer found", "event", "peer_found", "peer", name,
--- a/src/gateway/gw_hosts.h
+++ b/src/gateway/gw_hosts.h
@@ -40,7 +40,10 @@
  * @received_ms: time of its last message, or of its addition to the list.
  * @load_ms: time of its last report of load.
  * @intervals_ms: times before its last two reports; 0: unknown.
+ * @listed_ms: when a list of its zone last told of it; 0: never.
  * @expected_ms: longest usual time between two messages from it.
+ * @added_ms: when it was added to the list.
+ * @has_sent: a message was sent to it.
  * @sent_ms: time of the last message to it.
  * @sent_takes_part: what that message said of this host.
  * @period_ms: time between two messages to it.
@@ -67,7 +70,10 @@
 	int64_t received_ms;
 	int64_t load_ms;
 	int64_t intervals_ms[2];
+	int64_t listed_ms;
 	int64_t expected_ms;
+	int64_t added_ms;
+	bool has_sent;
 	int64_t sent_ms;
 	bool sent_takes_part;
 	int64_t period_ms;
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -40,6 +40,12 @@
  * hosts. The rest is for hosts that join or leave within the period over which
  * retries are counted. */
 #define GW_RETRY_FLOOR_FRACTION 0.6
+/* A host that starts has heard the others of its zone after this time, and
+ * knows whether it is on duty. Its first messages to other zones then take this
+ * long.
+ */
+#define GW_DUTY_KNOWN_MS    300
+#define GW_FIRST_ON_DUTY_MS 500
 /* Held prefixes that are waiting to be sent; older ones are dropped. */
 #define GW_MAX_ANNOUNCEMENTS 1024
 
@@ -195,6 +201,7 @@
 		gw_note_own_report(p, shares, message.shares.shares_len,
 				   now_ms);
 	peer->sent_takes_part = message.takes_part;
+	peer->has_sent = true;
 	peer->sent_ms = now_ms;
 	mt_add(&gw_peer_sent, 1);
 	rp_call(&p->rpc,
@@ -211,6 +218,18 @@
 			     BP_GATEWAY_LOAD, message.held.held_len, true);
 }
 
+/* The collectors of other zones are to hear of a host on duty soon. */
+static bool gw_is_first_due(const struct gw_peers *p,
+			    const struct gw_peer *peer, int64_t now_ms)
+{
+	const struct gw_collect *c = &p->collect;
+
+	return gw_collect_is_used(p) && !peer->has_sent && c->is_on_duty &&
+	       now_ms - c->duty_ms >= GW_DUTY_KNOWN_MS &&
+	       now_ms - peer->added_ms >=
+		       (int64_t)(peer->hash % GW_FIRST_ON_DUTY_MS);
+}
+
 /* Hosts on duty learn at once whether they are to read for others. */
 static bool gw_is_load_due(const struct gw_peers *p, const struct gw_peer *peer,
 			   int64_t now_ms)
@@ -218,6 +237,8 @@
 	if (gw_collect_is_used(p) && peer->is_on_duty && peer->is_seen &&
 	    peer->sent_takes_part != gw_takes_part(p->gateway))
 		return true;
+	if (gw_is_first_due(p, peer, now_ms))
+		return true;
 	return now_ms - peer->sent_ms >= peer->period_ms;
 }
 
@@ -236,7 +257,7 @@
 			  int64_t now_ms)
 {
 	if (gw_collect_is_used(p)) {
-		gw_collect_set_period(p, peer, report_ms);
+		gw_collect_set_period(p, peer, report_ms, now_ms);
 	} else {
 		peer->period_ms =
 			peer->is_far ? MAX(GW_FAR_PERIOD_MS,
--- a/src/gateway/gw_traffic.c
+++ b/src/gateway/gw_traffic.c
@@ -61,6 +61,7 @@
 {
 	switch (number) {
 	case BP_GATEWAY_LOAD:
+	case BP_GATEWAY_ALIVE:
 		return "load";
 	case BP_GATEWAY_SUMS:
 	case BP_GATEWAY_CHANGES:
--- a/src/peers/pe_report.c
+++ b/src/peers/pe_report.c
@@ -4,6 +4,8 @@
 
 /* Reports are sent with a tick of 20 ms, and delayed in transit. */
 #define PE_JITTER_FACTOR 1.5
+/* Without so many lists in a row, direct reports begin again. */
+#define PE_LISTS_LOST 3
 /* As long as a host on duty counts as alive. */
 #define PE_ZONE_SILENT_MS (1000 + 2 * PE_DUTY_PERIOD_MS)
 
@@ -55,18 +57,26 @@
 {
 	if (pair->are_on_duty)
 		return PE_DUTY_PERIOD_MS;
-	return pair->is_same_zone ? PE_ZONE_PERIOD_MS : PE_OTHER_PERIOD_MS;
+	if (pair->is_same_zone)
+		return PE_ZONE_PERIOD_MS;
+	return pair->is_listed ? PE_LISTED_PERIOD_MS : PE_OTHER_PERIOD_MS;
+}
+
+bool pe_report_is_listed(int64_t listed_ms, uint64_t spread)
+{
+	return listed_ms < PE_LISTS_LOST * PE_LIST_PERIOD_MS +
+				   (int64_t)(spread % PE_OTHER_PERIOD_MS);
 }
 
 int64_t pe_report_expected_ms(const struct pe_report_pair *pair,
 			      int64_t observed_ms)
 {
-	struct pe_report_pair rare = { false, pair->is_same_zone };
-
 	if (pair->are_on_duty &&
 	    observed_ms <= PE_DUTY_PERIOD_MS * PE_JITTER_FACTOR)
 		return PE_DUTY_PERIOD_MS;
-	return pe_report_period_ms(&rare);
+	if (pair->is_same_zone)
+		return PE_ZONE_PERIOD_MS;
+	return pair->is_listed ? PE_LIST_PERIOD_MS : PE_OTHER_PERIOD_MS;
 }
 
 bool pe_report_zone_is_silent(int64_t silent_ms, int64_t observed_ms)
--- a/src/peers/pe_report.h
+++ b/src/peers/pe_report.h
@@ -14,7 +14,10 @@
  *	are alive, or of those that also take part. Hosts on duty report to each
  *	other often, so that the next one takes over within two seconds. All
  *	other hosts hear of each other rarely: none of them has to act when
- *	another one falls silent.
+ *	another one falls silent. Of hosts of other zones they hear through
+ *	lists: the collector of a zone tells the collectors of the others who
+ *	reports to it, and these tell their members. So the messages between
+ *	zones do not grow with the square of the hosts.
  *
  *	Hosts may disagree for a moment about who is on duty. A host therefore
  *	expects frequent reports of another one only if the last ones were so.
@@ -41,6 +44,10 @@
 /** Between other hosts of a zone, and of different zones. */
 #define PE_ZONE_PERIOD_MS  2000
 #define PE_OTHER_PERIOD_MS 3000
+/** Between lists of the hosts of a zone. */
+#define PE_LIST_PERIOD_MS 2000
+/** Between hosts of different zones that lists tell of each other. */
+#define PE_LISTED_PERIOD_MS 30000
 
 /**
  * struct pe_report_host - this host, or another one.
@@ -54,12 +61,24 @@
 	bool takes_part;
 };
 
-/** struct pe_report_pair - sender and receiver of reports. */
+/**
+ * struct pe_report_pair - sender and receiver of reports.
+ * @is_listed: lists tell of the other one; see pe_report_is_listed().
+ */
 struct pe_report_pair {
 	bool are_on_duty;
 	bool is_same_zone;
+	bool is_listed;
 };
 
+/**
+ * pe_report_is_listed() - whether lists tell of a host.
+ * @listed_ms: time since the last one that did.
+ * @spread: random number of this host and the other one; hosts whose lists end
+ *	do not all report at the same moment.
+ */
+bool pe_report_is_listed(int64_t listed_ms, uint64_t spread);
+
 /** pe_report_duty() - which hosts are on duty. */
 void pe_report_duty(const struct pe_report_host *hosts, uint32_t count,
 		    bool *is_on_duty);
--- a/src/rpc/balsampin.x
+++ b/src/rpc/balsampin.x
@@ -196,6 +196,21 @@
 	bp_forward forwards<BP_MAX_FORWARDS>;
 };
 
+const BP_MAX_ALIVE = 240;
+
+/*
+ * Hosts of the zone of @collector, a hash of its name, that report to it: the
+ * low 31 bits of the hash of the name of each, and in the lowest bit whether it
+ * takes part; see src/peers/pe_report.h. The next message follows after
+ * @period_ms. The receiver passes it on to @forwards.
+ */
+struct bp_gateway_alive {
+	unsigned hyper collector;
+	unsigned int period_ms;
+	unsigned int members<BP_MAX_ALIVE>;
+	bp_forward forwards<BP_MAX_FORWARDS>;
+};
+
 const BP_MAX_CHARGES = 8;
 
 /* A crash that a request was running at; see src/limits/ps.h. */
@@ -439,5 +454,6 @@
 		void BP_GATEWAY_NOTICE(bp_gateway_notice) = 15;
 		void BP_GATEWAY_CHANGES(bp_gateway_changes) = 17;
 		bp_gateway_tables BP_GATEWAY_TABLES(void) = 18;
+		void BP_GATEWAY_ALIVE(bp_gateway_alive) = 19;
 	} = 1;
 } = 0x20426d70;
--- a/src/rpc/gen/balsampin.h
+++ b/src/rpc/gen/balsampin.h
@@ -229,6 +229,21 @@
 	} forwards;
 };
 typedef struct bp_gateway_changes bp_gateway_changes;
+#define BP_MAX_ALIVE 240
+
+struct bp_gateway_alive {
+	u_quad_t collector;
+	u_int period_ms;
+	struct {
+		u_int members_len;
+		u_int *members_val;
+	} members;
+	struct {
+		u_int forwards_len;
+		bp_forward *forwards_val;
+	} forwards;
+};
+typedef struct bp_gateway_alive bp_gateway_alive;
 #define BP_MAX_CHARGES 8
 
 struct bp_charge {
@@ -525,6 +540,9 @@
 #define BP_GATEWAY_TABLES 18
 extern  enum clnt_stat bp_gateway_tables_1(void *, bp_gateway_tables *, CLIENT *);
 extern  bool_t bp_gateway_tables_1_svc(void *, bp_gateway_tables *, struct svc_req *);
+#define BP_GATEWAY_ALIVE 19
+extern  enum clnt_stat bp_gateway_alive_1(bp_gateway_alive *, void *, CLIENT *);
+extern  bool_t bp_gateway_alive_1_svc(bp_gateway_alive *, void *, struct svc_req *);
 extern int balsampin_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -579,6 +597,9 @@
 #define BP_GATEWAY_TABLES 18
 extern  enum clnt_stat bp_gateway_tables_1();
 extern  bool_t bp_gateway_tables_1_svc();
+#define BP_GATEWAY_ALIVE 19
+extern  enum clnt_stat bp_gateway_alive_1();
+extern  bool_t bp_gateway_alive_1_svc();
 extern int balsampin_1_freeresult ();
 #endif /* K&R C */
 
@@ -605,6 +626,7 @@
 extern  bool_t xdr_bp_gateway_sums (XDR *, bp_gateway_sums*);
 extern  bool_t xdr_bp_forward (XDR *, bp_forward*);
 extern  bool_t xdr_bp_gateway_changes (XDR *, bp_gateway_changes*);
+extern  bool_t xdr_bp_gateway_alive (XDR *, bp_gateway_alive*);
 extern  bool_t xdr_bp_charge (XDR *, bp_charge*);
 extern  bool_t xdr_bp_gateway_suspect (XDR *, bp_gateway_suspect*);
 extern  bool_t xdr_bp_row (XDR *, bp_row*);
@@ -649,6 +671,7 @@
 extern bool_t xdr_bp_gateway_sums ();
 extern bool_t xdr_bp_forward ();
 extern bool_t xdr_bp_gateway_changes ();
+extern bool_t xdr_bp_gateway_alive ();
 extern bool_t xdr_bp_charge ();
 extern bool_t xdr_bp_gateway_suspect ();
 extern bool_t xdr_bp_row ();
--- a/src/rpc/gen/balsampin_xdr.c
+++ b/src/rpc/gen/balsampin_xdr.c
@@ -612,6 +612,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bp_gateway_alive (XDR *xdrs, bp_gateway_alive *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->collector))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->period_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, BP_MAX_ALIVE,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->forwards.forwards_val, (u_int *) &objp->forwards.forwards_len, BP_MAX_FORWARDS,
+		sizeof (bp_forward), (xdrproc_t) xdr_bp_forward))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bp_charge (XDR *xdrs, bp_charge *objp)
 {
