gateway: gw_collect.c in four files

The hash of the own name and the quark of the own zone are kept instead of being looked up for each peer. No change of behaviour; gateway_collect_test passes.

--- a/src/gateway/gw_collect.h
+++ b/src/gateway/gw_collect.h
@@ -43,6 +43,16 @@
 	int64_t next_ms;
 };
 
+/**
+ * struct gw_relayed - an announcement.
+ * @is_own: of a host of this zone.
+ */
+struct gw_relayed {
+	bp_held held;
+	int64_t heard_ms;
+	bool is_own;
+};
+
 /**
  * struct gw_collect - state of this host as member or collector.
  * @relayed: the newest announcements to relay, as struct gw_relayed.
@@ -96,12 +106,19 @@
 /** gw_collect_report_ms() - period of the reports to a collector. */
 int64_t gw_collect_report_ms(const struct gw_peers *p);
 
-/**
- * gw_collect_set_period() - set the periods of the messages to and from @peer
- * where collectors are in use.
- */
-void gw_collect_set_period(const struct gw_peers *p, struct gw_peer *peer,
-			   int64_t report_ms, int64_t now_ms);
+/** gw_collect_zone() - number of the zone of this host. */
+uint32_t gw_collect_zone(const struct gw_peers *p);
+
+/** gw_collect_is_usable() - whether @peer may collect or be sent sums. */
+bool gw_collect_is_usable(const struct gw_peer *peer, int64_t now_ms);
+
+/** gw_collect_list_members() - usable hosts of the zone; to be freed. */
+GPtrArray *gw_collect_list_members(const struct gw_peers *p, int64_t now_ms);
+
+/** gw_collect_list_group() - add the host of each other zone in @group. */
+void gw_collect_list_group(const struct gw_peers *p,
+			   const struct pe_zone_host *hosts, uint32_t count,
+			   enum gw_sums_group group, GPtrArray *receivers);
 
 /** gw_collect_others() - load of all other hosts at @engine, as far as known.
  */
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -7,6 +7,7 @@
 #include "gateway/gw.h"
 #include "gateway/gw_bound.h"
 #include "gateway/gw_catchup.h"
+#include "gateway/gw_duty.h"
 #include "gateway/gw_notice.h"
 #include "gateway/gw_peers.h"
 #include "gateway/gw_poison.h"
@@ -257,7 +258,7 @@
 			  int64_t now_ms)
 {
 	if (gw_collect_is_used(p)) {
-		gw_collect_set_period(p, peer, report_ms, now_ms);
+		gw_duty_set_period(p, peer, report_ms, now_ms);
 	} else {
 		peer->period_ms =
 			peer->is_far ? MAX(GW_FAR_PERIOD_MS,
@@ -462,6 +463,8 @@
 
 	g->peers = p;
 	p->gateway = g;
+	p->hash = gw_name_hash(g->settings.host);
+	p->zone = g_quark_from_string(g->settings.zone);
 	g->prefix_kept_ms = PE_KEPT_MAX_MS;
 	gw_hosts_init(&p->hosts,
 		      &(struct gw_hosts_desc){ .gateway = g,
--- a/src/gateway/gw_peers.h
+++ b/src/gateway/gw_peers.h
@@ -3,6 +3,9 @@
  *
  *	gw_peers.c	load and held prefixes
  *	gw_collect.c	the same through a collector in each zone
+ *	gw_changes.c	what a collector sends
+ *	gw_duty.c	who is on duty, and who is alive in other zones
+ *	gw_traffic.c	counters of bytes
  *	gw_roles.c	which hosts read the store, poll the lease, and own the
  *			crash records of a request
  */
@@ -17,6 +20,8 @@
 
 /**
  * struct gw_peers - state of the messages to and from other hosts.
+ * @hash: gw_name_hash() of this host's name.
+ * @zone: quark of the name of its zone.
  * @incarnation: of this process, once @is_open.
  * @announcements: the newest held prefixes to send, as bp_held.
  * @announcements_end: number of announcements ever added; a peer whose
@@ -27,6 +32,8 @@
 	struct gw_gateway *gateway;
 	struct gw_hosts hosts;
 	struct rp_endpoint rpc;
+	uint64_t hash;
+	uint32_t zone;
 	uint64_t incarnation;
 	bool is_open;
 	ev_timer tick;
