traffic: a standby places by the sums of its collector

Cause: the standby of a zone is sent the sums of other zones once a second only, and placed by them once it had been the standby for 0.4 s, although the collector of its zone sends it fresher sums every 100 ms.

Now sums of the collector come first while they are fresh, 0.5 s after the last one. change_test: a case for it.

--- a/src/peers/pe_zone.c
+++ b/src/peers/pe_zone.c
@@ -301,12 +301,15 @@
 bool pe_zone_others(const struct pe_zone *zone, uint64_t engine, int64_t now_ms,
 		    struct pe_share *share)
 {
-	if (pe_zone_may_send(zone, now_ms)) {
+	bool is_fresh = now_ms < zone->_fresh_until_ms;
+
+	/* The standby, too, hears of other zones sooner by the collector. */
+	if (!is_fresh && pe_zone_may_send(zone, now_ms)) {
 		*share = pe_load_sum_without(&zone->_all, engine, PE_SELF);
 		return true;
 	}
 	*share = pe_load_sum(&zone->_sums, engine);
-	return now_ms < zone->_fresh_until_ms;
+	return is_fresh;
 }
 
 void pe_zone_list_all(const struct pe_zone *zone, GArray *out)
--- a/tests/unit/change_test.cc
+++ b/tests/unit/change_test.cc
@@ -494,6 +494,21 @@
 	EXPECT_EQ(others(5000), -1);
 }
 
+// The standby is sent the sums of other zones once a second. It would place by
+// them although the collector sends it fresher ones.
+TEST_F(Member, StandbyUsesSumsOfTheCollectorWhileTheyAreFresh)
+{
+	struct pe_share old = { 7, 1, 0 };
+	struct pe_zone_changes zone_sums = { 31, 1, 1000, 1500, &old, 1 };
+
+	pe_zone_set_collecting(&zone, true, 1000);
+	for (int64_t now = 1000; now <= 3000; now += 100)
+		sum(21, 5, now);
+	pe_zone_add_changes(&zone, 9, &zone_sums, 3000);
+	EXPECT_EQ(others(3000), 5);
+	EXPECT_EQ(others(3600), 1) << "it has taken over";
+}
+
 // Load: as in zone_test.cc, 96 hosts in three zones place 230 prompts a second
 // on 29 engines, each of which reads a prompt in 100 ms; but collectors send
 // changes, and lose one message of fifty.
