--- a/src/gateway/gw_cap.c
+++ b/src/gateway/gw_cap.c
@@ -628,10 +628,10 @@
 		return true;
 	if (r->may_have_begun || r->has_begun) {
 		lm_cap_charge(&cap->caps, team->id, cost, now_ms);
-	} else if (!lm_cap_take(
-			   &cap->caps, team->id, cost,
-			   gw_cap_is_urgent(team, r->terms.route->priority, now_ms),
-			   now_ms, &answer)) {
+	} else if (!lm_cap_take(&cap->caps, team->id, cost,
+				gw_cap_is_urgent(team, r->terms.route->priority,
+						 now_ms),
+				now_ms, &answer)) {
 		r->retry_after_ms = answer.retry_after_ms;
 		mt_count(&gw_cap_refused, team->name);
 		gw_cap_log_refused(cap, r, cost, &answer, now_ms);
