sp: requests are spread over all engines while some crash them

With short requests at the kept engines, each crash under a part of a prompt broke off many of them (567 against 154 in four seconds), their records of crashes filled the links (60,571 lines request_suspected against 11,727), and hosts lost the store.

Now a pool is not separated for 15 s after a crash under what is known to crash engines.

--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -83,6 +83,7 @@
  * @config_fresh_ms: last time at which @catalog was known to be the newest
  *	configuration.
  * @pools: struct sp_pool by the name of a model service; see gw_separate.h.
+ * @cause_crash_ms: last known crash of an engine under what is refused for it.
  * @held_requests: number of requests that wait for room at an engine.
  * @retries: retry budgets of this host, by service.
  * @started_ms: start time of the process.
@@ -107,6 +108,7 @@
 	struct ba_account account;
 	int64_t config_fresh_ms;
 	GHashTable *pools;
+	int64_t cause_crash_ms;
 	uint32_t held_requests;
 	struct rb_table retries;
 	int64_t started_ms;
--- a/src/gateway/gw_poison.c
+++ b/src/gateway/gw_poison.c
@@ -122,6 +122,8 @@
 	if (!ps_find(&g->poison->table, content, &s))
 		return;
 	gw_poison_row_changed(&g->poison->row);
+	if (s.is_proven)
+		g->cause_crash_ms = ck_now_ms();
 	if (s.count >= PS_POISON_CRASHES)
 		gw_log_suspect("request_suspected", &s, evidence);
 	if (s.count >= PS_POISON_CRASHES && gw_peers_is_owner(g, content))
--- a/src/gateway/gw_separate.c
+++ b/src/gateway/gw_separate.c
@@ -69,6 +69,7 @@
 
 void gw_separate_classify(struct gw_request *r)
 {
+	const struct gw_gateway *g = r->gateway;
 	struct sp_pool *pool = gw_pool_of(r);
 	int64_t now_ms = ck_now_ms();
 
@@ -77,7 +78,7 @@
 	r->kind = sp_kind_of(r->in.prompt_tokens, r->terms.route->target_ms,
 			     r->service->loosest_target_ms);
 	sp_arrived(pool, r->kind, now_ms);
-	if (!sp_is_separated(pool, now_ms))
+	if (!sp_is_separated(pool, g->cause_crash_ms, now_ms))
 		return;
 	r->prefix.slot_ms = sp_slot_ms(r->kind);
 	r->prefix.late_fill = sp_late_fill(r->kind);
@@ -86,14 +87,15 @@
 
 double gw_separate_kept_share(const struct gw_request *r)
 {
+	const struct gw_gateway *g = r->gateway;
 	struct sp_pool *pool = gw_pool_of(r);
 	int64_t now_ms = ck_now_ms();
 	uint64_t slots = 0;
 	uint32_t engines = 0;
 
-	if (!pool || !sp_is_separated(pool, now_ms))
+	if (!pool || !sp_is_separated(pool, g->cause_crash_ms, now_ms))
 		return 0.0;
-	fl_for_each (&r->gateway->fleet, e) {
+	fl_for_each (&g->fleet, e) {
 		if (strcmp(e->entry.service, r->service->name) != 0 ||
 		    e->is_gone || e->is_updating)
 			continue;
@@ -198,7 +200,8 @@
 	};
 
 	if (!pool || r->has_begun || r->may_have_begun ||
-	    !sp_is_separated(pool, now_ms) || !gw_is_late(r, answer)) {
+	    !sp_is_separated(pool, g->cause_crash_ms, now_ms) ||
+	    !gw_is_late(r, answer)) {
 		gw_separate_release(r);
 		return false;
 	}
--- a/src/placement/sp.c
+++ b/src/placement/sp.c
@@ -7,6 +7,9 @@
 
 /* A pool without short requests for that long is shared by all again. */
 #define SP_IDLE_MS 10000
+/* Requests are spread for so long after a crash with a known cause: the next
+ * causes are proven within some seconds of theirs. */
+#define SP_SPREAD_MS 15000
 /* Time constant of the demand: longer than a burst, so that a burst of one kind
  * does not take the engines of the other. */
 #define SP_MEAN_MS 12000.0
@@ -102,8 +105,11 @@
 		pool->running--;
 }
 
-bool sp_is_separated(const struct sp_pool *pool, int64_t now_ms)
+bool sp_is_separated(const struct sp_pool *pool, int64_t crash_ms,
+		     int64_t now_ms)
 {
+	if (crash_ms && now_ms - crash_ms < SP_SPREAD_MS)
+		return false;
 	return pool->short_ms && now_ms - pool->short_ms < SP_IDLE_MS;
 }
 
--- a/src/placement/sp.h
+++ b/src/placement/sp.h
@@ -107,8 +107,17 @@
 		int64_t target_ms, int64_t now_ms);
 void sp_ended(struct sp_pool *pool, enum sp_kind kind, int64_t now_ms);
 
-/** sp_is_separated() - whether engines are kept for short prompts now. */
-bool sp_is_separated(const struct sp_pool *pool, int64_t now_ms);
+/**
+ * sp_is_separated() - whether engines are kept for short prompts now.
+ * @crash_ms: last crash of an engine under a request, or a part of a prompt,
+ *	that is known to crash engines; 0: none.
+ *
+ * Load: requests crash the engines that run them. Kept engines run many short
+ * requests each, which would all break off with them, so requests are spread
+ * over all engines while that goes on.
+ */
+bool sp_is_separated(const struct sp_pool *pool, int64_t crash_ms,
+		     int64_t now_ms);
 
 /**
  * sp_kept_share() - part of the engines to keep for short prompts.
--- a/tests/unit/separation_test.cc
+++ b/tests/unit/separation_test.cc
@@ -125,14 +125,36 @@
 {
 	sp_pool pool = {};
 
-	EXPECT_FALSE(sp_is_separated(&pool, 5000));
+	EXPECT_FALSE(sp_is_separated(&pool, 0, 5000));
 	sp_arrived(&pool, SP_LONG, 5000);
 	sp_arrived(&pool, SP_OTHER, 5000);
-	EXPECT_FALSE(sp_is_separated(&pool, 5000));
+	EXPECT_FALSE(sp_is_separated(&pool, 0, 5000));
 	sp_arrived(&pool, SP_SHORT, 5000);
-	EXPECT_TRUE(sp_is_separated(&pool, 5000));
-	EXPECT_TRUE(sp_is_separated(&pool, 14000));
-	EXPECT_FALSE(sp_is_separated(&pool, 16000));
+	EXPECT_TRUE(sp_is_separated(&pool, 0, 5000));
+	EXPECT_TRUE(sp_is_separated(&pool, 0, 14000));
+	EXPECT_FALSE(sp_is_separated(&pool, 0, 16000));
+}
+
+// Failure: a part of some prompts crashes the engines that begin to answer it.
+// With all short requests at few engines, each crash breaks off many of them.
+TEST(Separation, RequestsAreSpreadWhileEnginesCrashUnderThem)
+{
+	static const struct {
+		int64_t crash_ms, now_ms;
+		bool is_separated;
+	} cases[] = {
+		{ 0, 20000, true },
+		{ 19000, 20000, false },
+		{ 6000, 20000, false },
+		{ 4000, 20000, true },
+	};
+	sp_pool pool = {};
+
+	sp_arrived(&pool, SP_SHORT, 20000);
+	for (const auto &c : cases)
+		EXPECT_EQ(sp_is_separated(&pool, c.crash_ms, c.now_ms),
+			  c.is_separated)
+			<< c.crash_ms;
 }
 
 TEST(Separation, KeptShareFollowsTheDemand)
