--- a/src/gateway/gw_separate.c
+++ b/src/gateway/gw_separate.c
@@ -7,9 +7,6 @@
 #include "kernel/mt.h"
 #include "placement/pu.h"
 
-/* A request that waits is decided on again after this time. */
-#define GW_HOLD_MIN_S 0.1
-#define GW_HOLD_MAX_S 0.25
 /* Requests that wait at a host, each with its body of some KB. */
 #define GW_MAX_HELD 512
 /*
@@ -146,6 +143,7 @@
 static void gw_hold(struct gw_request *r, const struct gw_place_answer *answer)
 {
 	struct gw_gateway *g = r->gateway;
+	int64_t next_ms;
 
 	if (!r->held_until_ms) {
 		r->held_until_ms =
@@ -155,8 +153,9 @@
 		mt_set(&gw_holding, g->held_requests);
 		gw_log_held(r, answer);
 	}
-	ev_timer_init(&r->hold_timer, gw_on_hold_timer,
-		      g_random_double_range(GW_HOLD_MIN_S, GW_HOLD_MAX_S), 0.0);
+	next_ms = sp_next_try_ms(g->held_requests, g_random_double(),
+				 ck_now_ms(), r->held_until_ms);
+	ev_timer_init(&r->hold_timer, gw_on_hold_timer, next_ms / 1000.0, 0.0);
 	r->hold_timer.data = r;
 	ev_timer_start(g->kernel.loop, &r->hold_timer);
 }
--- a/src/placement/sp.c
+++ b/src/placement/sp.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #define MAX(a, b) ((a) > (b) ? (a) : (b))
+#define MIN(a, b) ((a) < (b) ? (a) : (b))
 
 /* A pool without short requests for that long is shared by all again. */
 #define SP_IDLE_MS 10000
@@ -34,6 +35,11 @@
 #define SP_LONG_SLOT_MS	 500.0
 /* Late short requests must leave slots to those that are not late. */
 #define SP_LATE_FILL 0.7
+/* A request that waits is decided on again after this time, or later if more
+ * than so many wait: some 180 decisions a second at most. */
+#define SP_TRY_MIN_MS	 100.0
+#define SP_TRY_MAX_MS	 250.0
+#define SP_TRIES_AT_ONCE 32
 /* Age of what a host knows of the load of others. */
 #define SP_ROOM_PERIOD_MS 300.0
 /* The share changes in steps, and only when the demand is beyond the next one,
@@ -178,6 +184,17 @@
 	return SP_WAIT;
 }
 
+int64_t sp_next_try_ms(uint32_t waiting, double random, int64_t now_ms,
+		       int64_t until_ms)
+{
+	double ms = SP_TRY_MIN_MS + random * (SP_TRY_MAX_MS - SP_TRY_MIN_MS);
+
+	if (waiting > SP_TRIES_AT_ONCE)
+		ms *= (double)waiting / SP_TRIES_AT_ONCE;
+	/* What is not sent by then is refused at once. */
+	return MIN((int64_t)ms, MAX(until_ms - now_ms, 0));
+}
+
 int64_t sp_wait_until_ms(int64_t now_ms, int64_t deadline_ms)
 {
 	return now_ms + (deadline_ms - now_ms) / 2;
--- a/src/placement/sp.h
+++ b/src/placement/sp.h
@@ -165,6 +165,17 @@
 enum sp_action sp_decide(struct sp_pool *pool, const struct sp_wait *wait,
 			 int64_t now_ms);
 
+/**
+ * sp_next_try_ms() - time to the next decision on a request that waits.
+ * @waiting: requests that wait at this host.
+ * @random: 0 to 1; spreads the decisions.
+ *
+ * A decision costs time that grows with the engines, so a host makes a bounded
+ * number of them a second, however many requests wait.
+ */
+int64_t sp_next_try_ms(uint32_t waiting, double random, int64_t now_ms,
+		       int64_t until_ms);
+
 /** sp_wait_until_ms() - until when a late request may wait. */
 int64_t sp_wait_until_ms(int64_t now_ms, int64_t deadline_ms);
 
--- a/tests/unit/separation_test.cc
+++ b/tests/unit/separation_test.cc
@@ -316,6 +316,33 @@
 	EXPECT_EQ(sp_wait_until_ms(1000, 5000), 3000);
 }
 
+// Load: hundreds of requests wait at a host with an eighth of a core. Guards
+// against decisions that grow with them, and against a request that waits for
+// longer than it may.
+TEST(Separation, WaitingRequestsCostABoundedNumberOfDecisions)
+{
+	static const struct {
+		uint32_t waiting;
+		double random;
+		int64_t left_ms, next_ms;
+	} cases[] = {
+		{ 1, 0.0, 5000, 100 },	{ 32, 1.0, 5000, 250 },
+		{ 64, 0.0, 5000, 200 }, { 512, 0.5, 5000, 2800 },
+		{ 1, 1.0, 40, 40 },	{ 512, 1.0, 300, 300 },
+		{ 1, 0.5, 0, 0 },	{ 1, 0.5, -10, 0 },
+	};
+
+	for (const auto &c : cases)
+		EXPECT_EQ(sp_next_try_ms(c.waiting, c.random, 1000,
+					 1000 + c.left_ms),
+			  c.next_ms)
+			<< c.waiting << " " << c.left_ms;
+	for (uint32_t waiting : { 1u, 32u, 100u, 512u })
+		EXPECT_LE(waiting * 1000.0 /
+				  sp_next_try_ms(waiting, 0.5, 0, 1000000),
+			  190);
+}
+
 // Load: 86 hosts hold late requests, and 20 slots become free in each period of
 // the load reports. If each host sent one, they would queue at the engines.
 TEST(Separation, HostsTogetherTakeTheFreeSlotsOnce)
