--- a/src/http1/h1_server.h
+++ b/src/http1/h1_server.h
@@ -51,7 +51,6 @@
 #define H1_DEFAULT_HEADER_TIMEOUT_MS 10000
 #define H1_DEFAULT_IDLE_TIMEOUT_MS   60000
 #define H1_DEFAULT_UNREAD_TIMEOUT_MS 15000
-/* Proxies in common use take some hundred fields. */
 /* A field takes four bytes of a head at least; see H1_DEFAULT_MAX_HEADER_BYTES.
  */
 #define H1_DEFAULT_MAX_FIELDS 4096
