lm_cap: a window's known charges bound every admission

By reading: a bucket is as deep as the largest request seen, so that such a request fits, and the callers name its cost. One of an enormous cost, refused itself, deepened the bucket of its team to a whole window for as long as the process ran; after a quiet time small requests then got 16,900 in 8 s where the rule allows 9,900 (EnormousCostDoesNotLetSmallRequestsThrough, failed before). Now what is known to be charged in the last window bounds it, too.

Ruled out: a bound on the depth, as LargestRequestFits asks that a request of six bursts is served. lm_cap_test 52 of 52.

--- a/src/limits/lm_cap.c
+++ b/src/limits/lm_cap.c
@@ -5,6 +5,9 @@
 
 /* Of the burst; the rest covers charges that are not known yet. */
 #define LM_CAP_DEPTH 0.8
+/* Of what a window allows, the most that is charged in one. It binds a bucket
+ * that is deep for large requests, while small ones come. */
+#define LM_CAP_MOST_USED 1.1
 /* Of the burst, at the start: a restart must not grant a fresh burst. */
 #define LM_CAP_START 0.3
 /* All hosts may start at once: a first request is admitted if that of each of
@@ -491,19 +494,26 @@
 	return (t->paced > 0 || is_overdue) && t->paced + (double)cost > room;
 }
 
+/* Known charges of all hosts in the last window. */
+static double lm_used(struct lm_team *t, int64_t now_ms)
+{
+	double used = 0;
+
+	lm_note_used(t, 0, now_ms);
+	for (uint32_t k = 0; k < LM_CAP_SLOTS; k++)
+		used += t->slots[k];
+	return MAX(used, 0);
+}
+
 static void lm_look(const struct lm_caps *caps, struct lm_team *t,
 		    int64_t now_ms, struct lm_cap_answer *answer)
 {
 	GHashTableIter i;
 	void *value;
-	double used = 0;
 
 	memset(answer, 0, sizeof(*answer));
-	lm_note_used(t, 0, now_ms);
-	for (uint32_t k = 0; k < LM_CAP_SLOTS; k++)
-		used += t->slots[k];
 	answer->left = (int64_t)t->level;
-	answer->used = (int64_t)MAX(used, 0);
+	answer->used = (int64_t)lm_used(t, now_ms);
 	answer->cap = (int64_t)lm_window(t);
 	answer->share_permille = (uint32_t)(1000 * lm_own_share(caps, t));
 	g_hash_table_iter_init(&i, caps->_sources);
@@ -570,6 +580,8 @@
 		needed = MIN(needed + LM_CAP_RESERVED_PART * lm_depth(t),
 			     lm_depth(t));
 	if (t->level >= needed &&
+	    lm_used(t, now_ms) + (double)cost <=
+		    LM_CAP_MOST_USED * lm_window(t) &&
 	    !lm_is_paced(caps, t, cost, goes_first, now_ms)) {
 		lm_charge(t, cost, now_ms);
 		return true;
--- a/tests/unit/lm_cap_test.cc
+++ b/tests/unit/lm_cap_test.cc
@@ -130,6 +130,25 @@
 	EXPECT_FALSE(take(9001));
 }
 
+// A caller says how much its request costs. Guards against one that names an
+// enormous cost, which deepens the bucket: small requests must not be admitted
+// beyond the rule for it.
+TEST_F(Cap, EnormousCostDoesNotLetSmallRequestsThrough)
+{
+	int64_t admitted = 0;
+
+	set(1000, 1000);
+	EXPECT_FALSE(take(INT64_C(1000000000)));
+	pass(30000);
+	for (int i = 0; i < 800; i++) {
+		for (int k = 0; k < 20; k++)
+			admitted += take(100) ? 100 : 0;
+		pass(10);
+	}
+	EXPECT_LE(admitted, (8000 + 1000) * 1.1);
+	EXPECT_GE(admitted, 8000);
+}
+
 // A refund gives back at this host, and at the others by the counter.
 TEST_F(Cap, GivesBackWhatHasNotRun)
 {
