--- a/review/common-2/stand.cc
+++ b/review/common-2/stand.cc
@@ -617,13 +617,32 @@
 
 /* --- gateway --- */
 
+/*
+ * Below the ports that outgoing connections draw, so that a process that is
+ * started again finds its ports free. No port is given twice.
+ */
 static std::string free_address()
 {
-	uint16_t port;
-	int fd = listen_on(&port, 0);
+	static std::mutex mutex;
+	static int next = getpid() * 61 % 15000;
+	std::lock_guard<std::mutex> lock(mutex);
+	struct sockaddr_in at = {};
 
-	close(fd);
-	return std::string(ip) + ":" + std::to_string(port);
+	at.sin_family = AF_INET;
+	inet_pton(AF_INET, ip, &at.sin_addr);
+	for (int tries = 0; tries < 15000; tries++) {
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		int port = 12000 + next++ % 15000;
+		bool is_free;
+
+		at.sin_port = htons(port);
+		is_free = !bind(fd, (struct sockaddr *)&at, sizeof(at));
+		close(fd);
+		if (is_free)
+			return std::string(ip) + ":" + std::to_string(port);
+	}
+	fprintf(stderr, "no free port\n");
+	exit(2);
 }
 
 Gateway::Gateway(const Place &where, const std::string &store,
