review: case 9, a manifest is lost to the machines that don't read the store

The rule is CONFIG (strict_revoke). Tried: the operator names new weights and takes a key away in one transaction, whose rows have one version. In two transactions, the same changes reach all.

It takes the place of the case of streams that go on at a second engine (TWICE), which has the cause of case 6. The stand-in's feed now gives changes in their order.

--- a/review/common-2/stand.cc
+++ b/review/common-2/stand.cc
@@ -495,7 +495,7 @@
 void Store::put_locked(const std::string &table, const std::string &key,
 		       const std::string &value)
 {
-	tables[table][key] = { value, version, value.empty() };
+	tables[table][key] = { value, version, value.empty(), ++number };
 }
 
 void Store::put(const std::string &table, const std::string &key,
@@ -508,6 +508,16 @@
 	changed.notify_all();
 }
 
+void Store::transact(const std::vector<Entry> &entries)
+{
+	std::lock_guard<std::mutex> lock(mutex);
+
+	version++;
+	for (const Entry &e : entries)
+		put_locked(e.table, e.key, e.value);
+	changed.notify_all();
+}
+
 std::string Store::get(const std::string &table, const std::string &key)
 {
 	std::lock_guard<std::mutex> lock(mutex);
@@ -518,15 +528,24 @@
 std::string Store::rows(const std::string &table, uint64_t after, bool is_feed,
 			int *count)
 {
+	std::vector<std::pair<std::string, Row>> found;
 	std::string list;
 
-	*count = 0;
-	for (const auto &entry : tables[table]) {
+	for (const auto &entry : tables[table])
+		if (entry.second.version > after &&
+		    (is_feed || !entry.second.is_deleted))
+			found.push_back(entry);
+	/* A feed has the changes in their order, a table its keys. */
+	if (is_feed)
+		std::sort(found.begin(), found.end(),
+			  [](const auto &a, const auto &b) {
+				  return a.second.number < b.second.number;
+			  });
+	*count = (int)found.size();
+	for (const auto &entry : found) {
 		const Row &row = entry.second;
 
-		if (row.version <= after || (row.is_deleted && !is_feed))
-			continue;
-		list += (*count)++ ? "," : "";
+		list += list.empty() ? "" : ",";
 		list += "{\"table\":\"" + table +
 			"\",\"part\":\"\",\"key\":\"" + entry.first +
 			"\",\"ver\":" + std::to_string(row.version) +
--- a/review/common-2/stand.h
+++ b/review/common-2/stand.h
@@ -149,6 +149,14 @@
 	/** put() - as the operator or an engine; "" deletes the row. */
 	void put(const std::string &table, const std::string &key,
 		 const std::string &value);
+
+	/** Entry - a row of a transaction. */
+	struct Entry {
+		std::string table, key, value;
+	};
+
+	/** transact() - all entries at once; they share one version. */
+	void transact(const std::vector<Entry> &entries);
 	std::string get(const std::string &table, const std::string &key);
 
       private:
@@ -156,11 +164,12 @@
 		std::string value;
 		uint64_t version;
 		bool is_deleted;
+		uint64_t number;
 	};
 	int64_t answer_ms;
 	std::mutex mutex;
 	std::condition_variable changed;
-	uint64_t version = 0;
+	uint64_t version = 0, number = 0;
 	bool is_over = false;
 	std::map<std::string, std::map<std::string, Row>> tables;
 	std::unique_ptr<Listener> listener;
