--- a/review/common-2/stand.h
+++ b/review/common-2/stand.h
@@ -214,6 +214,11 @@
 	{
 		return place.name;
 	}
+	/** process() - its id; -1: it doesn't run. */
+	pid_t process() const
+	{
+		return pid;
+	}
 
       private:
 	Place place;
