http1, net: answers whose status line is none are rejected

What callers saw: an engine in trouble answered with the status 000, and its caller got "HTTP/1.1 0 Unknown" with the engine's stamp and body as an answer.

Cause: both HTTP libraries are lenient. http_parser takes any number up to 999 and any version, libcurl any three digits, and neither client looked at what it was handed. Statuses 001, 099, 600 and 999, one, two and four digits, HTTP/0.9 and HTTP/2.0, and 101, which follows an offer that is never made, came the same way; libcurl also hands a body over before it finds that the head is none, which the relay between regions passes on as it comes.

Change: h1_check follows the lines of a head beside the library and names what is wrong. The gateway's client pauses http_parser at the end of each head, where the check has to have found the end too, and calls on_head only then. hc checks each line that libcurl hands over and stops the transfer at the first one. The outcome is "garbled" with the reason in the log (attempt_failed, upstream_failed); it counts against the engine and is retried where the route allows, as other failures are.

Ruled out: another build of http_parser (Debian ships one), llhttp (apt-cache knows none here), a check of the status alone (lines such as "0200" or two blanks have a sound number).

--- a/src/entry/en_engine.c
+++ b/src/entry/en_engine.c
@@ -288,7 +288,7 @@
 		mb_report_answered(kernel, d->process->membership, MB_ENGINE,
 				   call->upstream, result->incarnation);
 	if (result->end == UP_NOT_SENT || result->end == UP_BROKEN ||
-	    result->end == UP_SILENT)
+	    result->end == UP_SILENT || result->end == UP_GARBLED)
 		mb_report_failed(kernel, d->process->membership, MB_ENGINE,
 				 call->upstream);
 	if (en_lacks_weights(result))
@@ -341,14 +341,16 @@
 			.has_budget = en_may_retry(call, result) },
 	};
 	enum en_step step = en_recover(&ended, ck_now_ms());
+	bool is_garbled = result->end == UP_GARBLED;
 
 	call->may_have_run = call->may_have_run || en_may_have_run(&ended);
 	if (step != EN_FINISH)
 		tl_record(TL_UPSTREAM_FAILED, call->request->request_id,
-			  "engine=%s end=%s fault=%s status=%u next=%s",
+			  "engine=%s end=%s fault=%s status=%u next=%s%s%s",
 			  call->upstream, up_end_name(result->end),
 			  sd_fault_name(result->fault), result->http_status,
-			  en_step_name(step));
+			  en_step_name(step), is_garbled ? " reason=" : "",
+			  is_garbled ? result->message : "");
 	return step;
 }
 
--- a/src/entry/en_service.c
+++ b/src/entry/en_service.c
@@ -207,6 +207,7 @@
 			.deadline_ms = call->deadline_ms,
 			.has_budget = rb_budget_has(en_call_budget(call)) },
 	};
+	bool is_garbled = result->end == UP_GARBLED;
 	enum en_step step;
 
 	if (result->end == UP_COMPLETE) {
@@ -220,8 +221,10 @@
 	step = en_recover(&ended, ck_now_ms());
 	call->may_have_run = call->may_have_run || en_may_have_run(&ended);
 	tl_record(TL_UPSTREAM_FAILED, call->request->request_id,
-		  "service=%s end=%s next=%s", call->upstream,
-		  up_end_name(result->end), en_step_name(step));
+		  "service=%s end=%s next=%s%s%s", call->upstream,
+		  up_end_name(result->end), en_step_name(step),
+		  is_garbled ? " reason=" : "",
+		  is_garbled ? result->message : "");
 	if (call->is_once) {
 		en_service_fail_claimed(call, result);
 	} else if (step == EN_RETRY) {
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -386,7 +386,7 @@
 	if (!r->is_awaiting_head || r->is_probe ||
 	    !gw_poison_has_proven_part(r))
 		return false;
-	gw_send_log_failure(r, "withdrawn");
+	gw_send_log_failure(r, "withdrawn", "");
 	if (h1_call_was_sent(&r->call))
 		r->may_have_begun = true;
 	gw_send_cancel(r);
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -201,7 +201,9 @@
 
 /**
  * gw_send_log_failure() - log and count that the current attempt has failed.
+ * @reason: in words, if @outcome does not say it all; or "".
  */
-void gw_send_log_failure(const struct gw_request *r, const char *outcome);
+void gw_send_log_failure(const struct gw_request *r, const char *outcome,
+			 const char *reason);
 
 #endif
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -51,7 +51,8 @@
 MT_COUNTERS(gw_attempt_failures, "balsampin_gateway_attempt_failures_total",
 	    "attempts at an upstream that failed", "outcome")
 
-void gw_send_log_failure(const struct gw_request *r, const char *outcome)
+void gw_send_log_failure(const struct gw_request *r, const char *outcome,
+			 const char *reason)
 {
 	char ms[24], status[12], content[20];
 
@@ -63,8 +64,8 @@
 		   r->content);
 	lg_info("attempt failed", "event", "attempt_failed", "request",
 		r->in.attempt ? r->in.attempt : "", "engine",
-		r->engine->entry.id, "outcome", outcome, "status", status, "ms",
-		ms, "content", content, NULL);
+		r->engine->entry.id, "outcome", outcome, "reason", reason,
+		"status", status, "ms", ms, "content", content, NULL);
 }
 
 /* Formats the fingerprints of the parts, separated by commas. */
@@ -347,7 +348,7 @@
 /* The answer exceeds the available memory; no caller could get it whole. */
 static void gw_answer_too_large(struct gw_request *r)
 {
-	gw_send_log_failure(r, "too_large");
+	gw_send_log_failure(r, "too_large", "");
 	gw_engine_failed(r->engine, ck_now_ms());
 	gw_send_cancel(r);
 	r->may_have_begun = true;
@@ -380,7 +381,7 @@
 	int64_t until_ms = ck_now_ms() + GW_BUSY_AVOID_MS;
 
 	gw_cap_give_back(r);
-	gw_send_log_failure(r, "not_run");
+	gw_send_log_failure(r, "not_run", "");
 	if (r->engine->avoid_until_ms < until_ms)
 		r->engine->avoid_until_ms = until_ms;
 	gw_poison_attempt_ended(r, PS_CANCELLED);
@@ -400,7 +401,7 @@
 	gw_poison_attempt_ended(r, r->answer.is_signed ? PS_COMPLETED
 						       : PS_CANCELLED);
 	if (!r->answer.is_signed) {
-		gw_send_log_failure(r, "unsigned_answer");
+		gw_send_log_failure(r, "unsigned_answer", "");
 		gw_engine_failed(r->engine, ck_now_ms());
 		gw_detach_engine(r);
 		gw_request_failed(r, "unsigned_answer");
@@ -413,7 +414,7 @@
 	}
 	/* Retry after an internal error of the engine. */
 	if (r->status >= 500 && gw_request_can_retry(r)) {
-		gw_send_log_failure(r, "engine_error");
+		gw_send_log_failure(r, "engine_error", "");
 		gw_detach_engine(r);
 		gw_request_failed(r, "engine_error");
 		return;
@@ -453,7 +454,8 @@
 		return;
 	}
 	gw_send_log_failure(r,
-			    was_torn ? "torn_event" : h1_outcome_name(outcome));
+			    was_torn ? "torn_event" : h1_outcome_name(outcome),
+			    outcome == H1_GARBLED ? st_message() : "");
 	if (outcome == H1_NO_DESCRIPTOR) {
 		gw_cap_give_back(r);
 		gw_poison_attempt_ended(r, PS_CANCELLED);
--- a/src/gateway/gw_silence.c
+++ b/src/gateway/gw_silence.c
@@ -53,7 +53,7 @@
 
 static void gw_abandon_attempt(struct gw_request *r, const char *reason)
 {
-	gw_send_log_failure(r, reason);
+	gw_send_log_failure(r, reason, "");
 	gw_poison_attempt_ended(r, PS_BROKEN);
 	gw_send_cancel(r);
 	r->may_have_begun = true;
--- /dev/null
+++ b/src/http1/h1_check.c
@@ -0,0 +1,120 @@
+#include "http1/h1_check.h"
+
+#include <string.h>
+
+#include "http1/h1_message.h"
+
+/* "HTTP/1.1 200", without the reason, which may be missing. */
+#define H1_STATUS_LINE_BYTES 12
+#define H1_STATUS_AT	     9
+#define H1_FIRST_STATUS	     100
+#define H1_FIRST_FINAL	     200
+#define H1_LAST_STATUS	     599
+/* Follows an offer to change the protocol, which is never made. */
+#define H1_OTHER_PROTOCOL 101
+
+void h1_check_init(struct h1_check *check)
+{
+	memset(check, 0, sizeof(*check));
+	check->_line = g_string_new(NULL);
+}
+
+void h1_check_finish(struct h1_check *check)
+{
+	if (check->_line)
+		g_string_free(check->_line, TRUE);
+	check->_line = NULL;
+}
+
+void h1_check_reset(struct h1_check *check)
+{
+	check->next = H1_LINE_STATUS;
+	check->status = 0;
+	h1_release(&check->_line);
+}
+
+/* The bytes of a line without those that end it. */
+static uint64_t h1_text_bytes(const char *line, uint64_t bytes)
+{
+	if (bytes && line[bytes - 1] == '\n')
+		bytes--;
+	if (bytes && line[bytes - 1] == '\r')
+		bytes--;
+	return bytes;
+}
+
+static bool h1_is_status_line(const char *line, uint64_t bytes)
+{
+	if (bytes < H1_STATUS_LINE_BYTES || memcmp(line, "HTTP/1.", 7) ||
+	    !g_ascii_isdigit(line[7]) || line[8] != ' ')
+		return false;
+	for (uint64_t i = H1_STATUS_AT; i < H1_STATUS_LINE_BYTES; i++)
+		if (!g_ascii_isdigit(line[i]))
+			return false;
+	return bytes == H1_STATUS_LINE_BYTES ||
+	       line[H1_STATUS_LINE_BYTES] == ' ';
+}
+
+static enum st_code h1_check_status_line(struct h1_check *check,
+					 const char *line, uint64_t bytes)
+{
+	if (!h1_is_status_line(line, bytes))
+		return st_fail(ST_INVALID, "no status line of HTTP/1");
+	check->status = 0;
+	for (uint64_t i = H1_STATUS_AT; i < H1_STATUS_LINE_BYTES; i++)
+		check->status = check->status * 10 + (line[i] - '0');
+	if (check->status < H1_FIRST_STATUS || check->status > H1_LAST_STATUS)
+		return st_fail(ST_INVALID, "status %03u is none of HTTP",
+			       check->status);
+	if (check->status == H1_OTHER_PROTOCOL)
+		return st_fail(ST_INVALID, "another protocol, unasked");
+	check->next = H1_LINE_FIELD;
+	return ST_OK;
+}
+
+static enum st_code h1_check_field(struct h1_check *check, const char *line,
+				   uint64_t bytes)
+{
+	if (!bytes)
+		check->next = check->status < H1_FIRST_FINAL ? H1_LINE_STATUS
+							     : H1_LINE_BODY;
+	return ST_OK;
+}
+
+enum st_code h1_check_line(struct h1_check *check, const char *line,
+			   uint64_t bytes)
+{
+	bytes = h1_text_bytes(line, bytes);
+	switch (check->next) {
+	case H1_LINE_STATUS:
+		/* http_parser skips empty lines before an answer. */
+		return bytes ? h1_check_status_line(check, line, bytes) : ST_OK;
+	case H1_LINE_FIELD:
+		return h1_check_field(check, line, bytes);
+	default:
+		return ST_OK;
+	}
+}
+
+enum st_code h1_check_bytes(struct h1_check *check, const char *data,
+			    uint64_t bytes)
+{
+	const char *end = data + bytes;
+
+	while (data < end) {
+		const char *lf = memchr(data, '\n', end - data);
+		const char *next = lf ? lf + 1 : end;
+		enum st_code code;
+
+		g_string_append_len(check->_line, data, next - data);
+		data = next;
+		if (!lf)
+			return ST_OK;
+		code = h1_check_line(check, check->_line->str,
+				     check->_line->len);
+		g_string_truncate(check->_line, 0);
+		if (code != ST_OK)
+			return code;
+	}
+	return ST_OK;
+}
--- a/src/http1/h1_client.c
+++ b/src/http1/h1_client.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "http1/h1_check.h"
 #include "http1/h1_message.h"
 #include "kernel/ck.h"
 
@@ -27,6 +28,8 @@
 	struct h1_call_desc desc;
 	struct h1_collector collector;
 	http_parser parser;
+	struct h1_check check;
+	const char *checked;
 	GString *out;
 	uint64_t out_offset;
 	ev_io read;
@@ -36,6 +39,8 @@
 	bool is_connected;
 	bool is_first;
 	bool is_head;
+	bool is_at_head_end;
+	bool is_at_end;
 	bool was_sent;
 	bool is_skipped;
 	bool is_answered;
@@ -76,6 +81,7 @@
 	if (l->peer)
 		h1_link_close(l);
 	h1_collector_finish(&l->collector);
+	h1_check_finish(&l->check);
 	g_string_free(l->out, TRUE);
 	g_free(l);
 }
@@ -145,20 +151,14 @@
 	return 0;
 }
 
+/* The parser pauses here, as it does not say where the head ends. */
 static int h1_on_headers(http_parser *p)
 {
 	struct _h1_link *l = p->data;
 
 	h1_collector_end(&l->collector);
-	if (p->status_code / 100 == 1)
-		return 0;
-	l->status = p->status_code;
-	l->is_skipped =
-		l->desc.on_head && !l->desc.on_head(l->desc.arg, p->status_code,
-						    &l->collector.headers);
-	if (l->is_cancelled)
-		return -1;
-	l->is_answered = !l->is_skipped;
+	l->is_at_head_end = true;
+	http_parser_pause(p, 1);
 	return l->is_head ? 1 : 0;
 }
 
@@ -166,6 +166,7 @@
 {
 	struct _h1_link *l = p->data;
 
+	l->checked = at + bytes;
 	if (l->is_skipped)
 		return 0;
 	l->answer_bytes += bytes;
@@ -179,14 +180,7 @@
 {
 	struct _h1_link *l = p->data;
 
-	if (p->status_code / 100 == 1)
-		return 0;
-	if (l->is_skipped) {
-		l->is_skipped = false;
-		return 0;
-	}
-	l->is_keep = http_should_keep_alive(p);
-	l->is_complete = true;
+	l->is_at_end = true;
 	http_parser_pause(p, 1);
 	return 0;
 }
@@ -200,20 +194,100 @@
 	.on_message_complete = h1_on_complete,
 };
 
+/* Checks the lines that the parser has taken, up to @end. */
+static enum st_code h1_link_check(struct _h1_link *l, const char *end)
+{
+	enum st_code code = ST_OK;
+
+	if (!h1_check_is_final(&l->check) && l->checked < end)
+		code = h1_check_bytes(&l->check, l->checked, end - l->checked);
+	l->checked = MAX(l->checked, end);
+	return code;
+}
+
+/* The parser has stopped at the last byte of a head. */
+static enum st_code h1_link_end_head(struct _h1_link *l, const char *last)
+{
+	bool is_interim = l->parser.status_code / 100 == 1;
+	enum h1_line due = is_interim ? H1_LINE_STATUS : H1_LINE_BODY;
+	enum st_code code = h1_link_check(l, last + 1);
+
+	l->is_at_head_end = false;
+	if (code != ST_OK)
+		return code;
+	if (l->check.next != due)
+		return st_fail(ST_INVALID, "no empty line after the head");
+	if (is_interim)
+		return ST_OK;
+	l->status = l->parser.status_code;
+	l->is_skipped =
+		l->desc.on_head &&
+		!l->desc.on_head(l->desc.arg, l->status, &l->collector.headers);
+	l->is_answered = !l->is_skipped;
+	return ST_OK;
+}
+
+/* The parser has stopped after an answer, which may be an interim one. */
+static void h1_link_end_message(struct _h1_link *l)
+{
+	bool is_interim = l->parser.status_code / 100 == 1;
+
+	l->is_at_end = false;
+	h1_check_reset(&l->check);
+	if (!is_interim && !l->is_skipped) {
+		l->is_keep = http_should_keep_alive(&l->parser);
+		l->is_complete = true;
+	}
+	l->is_skipped = false;
+}
+
+/*
+ * Parses up to the end of the answer. Returns ST_OK if nothing is wrong with
+ * what has come; @used: how much of it has been taken.
+ */
+static enum st_code h1_link_execute(struct _h1_link *l, const char *data,
+				    size_t bytes, size_t *used)
+{
+	enum st_code code = ST_OK;
+
+	*used = 0;
+	l->checked = data;
+	do {
+		*used += http_parser_execute(&l->parser, &h1_settings,
+					     data + *used, bytes - *used);
+		if (HTTP_PARSER_ERRNO(&l->parser) == HPE_PAUSED)
+			http_parser_pause(&l->parser, 0);
+		if (l->is_at_head_end)
+			code = h1_link_end_head(l, data + *used);
+		else if (l->is_at_end)
+			h1_link_end_message(l);
+		else
+			break;
+	} while (code == ST_OK && !l->is_cancelled && !l->is_complete &&
+		 *used < bytes);
+	if (code == ST_OK && HTTP_PARSER_ERRNO(&l->parser) != HPE_OK)
+		return st_fail(
+			ST_INVALID, "%s",
+			http_errno_description(HTTP_PARSER_ERRNO(&l->parser)));
+	if (code == ST_OK && bytes && !l->is_cancelled && !l->is_complete)
+		code = h1_link_check(l, data + bytes);
+	return code;
+}
+
 /* Returns false if the link is gone or its call is over. */
 static bool h1_link_parse(struct _h1_link *l, const char *data, size_t bytes)
 {
+	enum st_code code;
 	size_t used;
 
 	l->in_callback = true;
-	used = http_parser_execute(&l->parser, &h1_settings, data, bytes);
+	code = h1_link_execute(l, data, bytes, &used);
 	l->in_callback = false;
 	if (l->is_cancelled) {
 		h1_link_free(l);
 		return false;
 	}
 	if (l->is_complete) {
-		http_parser_pause(&l->parser, 0);
 		/* What follows a whole answer belongs to no request. */
 		if (used < bytes)
 			l->is_keep = false;
@@ -226,7 +300,7 @@
 		h1_link_end(l, H1_TOO_LARGE);
 		return false;
 	}
-	if (HTTP_PARSER_ERRNO(&l->parser) != HPE_OK) {
+	if (code != ST_OK) {
 		/* No bytes stand for the end of the connection. */
 		h1_link_end(l, bytes ? H1_GARBLED : H1_BROKEN);
 		return false;
@@ -287,7 +361,7 @@
 		return;
 	}
 	/* An answer without a length ends where the peer closes. */
-	if (n == 0 && l->call && !h1_link_parse(l, NULL, 0))
+	if (n == 0 && l->call && !h1_link_parse(l, "", 0))
 		return;
 	h1_link_fail(l);
 }
@@ -359,6 +433,7 @@
 	l->peer = peer;
 	l->out = g_string_sized_new(1024);
 	h1_collector_init(&l->collector);
+	h1_check_init(&l->check);
 	l->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	ev_io_init(&l->read, h1_on_readable, l->fd, EV_READ);
 	ev_io_init(&l->write, h1_on_writable, l->fd, EV_WRITE);
@@ -460,6 +535,8 @@
 	l->desc = *desc;
 	l->is_first = is_new;
 	l->is_head = !strcmp(desc->method, "HEAD");
+	l->is_at_head_end = false;
+	l->is_at_end = false;
 	l->was_sent = false;
 	l->is_complete = false;
 	l->is_skipped = false;
@@ -472,6 +549,7 @@
 		l->desc.max_answer_bytes = H1_DEFAULT_MAX_ANSWER_BYTES;
 	call->_link = l;
 	http_parser_init(&l->parser, HTTP_RESPONSE);
+	h1_check_reset(&l->check);
 	l->parser.data = l;
 	h1_link_fill(l, desc);
 	if (is_new)
--- a/src/http1/h1_client.h
+++ b/src/http1/h1_client.h
@@ -14,7 +14,8 @@
  *	an idle connection close it.
  *
  *	What comes before the answer and its body are bounded: a peer may send
- *	without end.
+ *	without end. What is no valid answer (h1_check.h) is not handed over:
+ *	on_head has not been called for a head that is none.
  *
  *	After on_done the call is over. h1_call_cancel() ends one early and
  *	closes its connection, from which the peer learns of it; nothing is
@@ -43,7 +44,7 @@
  * @H1_DONE: a whole answer came.
  * @H1_NOT_SENT: no connection; no byte of the call left.
  * @H1_BROKEN: the connection ended before the answer was whole.
- * @H1_GARBLED: what came is no HTTP answer.
+ * @H1_GARBLED: what came is no HTTP answer; st_message() says why.
  * @H1_TOO_LARGE: more came than the call takes.
  * @H1_NO_DESCRIPTOR: like H1_NOT_SENT, and the peer has no part in it: this
  *	process has too many descriptors open.
--- a/src/net/hc.c
+++ b/src/net/hc.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "http1/h1_check.h"
 #include "kernel/ck.h"
 
 #define HC_FIRST_SLOTS	     64
@@ -28,12 +29,13 @@
 	ev_timer silence;
 	bool got_body_byte;
 	uint64_t head_bytes;
-	long head_status;
-	bool is_head_whole;
+	struct h1_check check;
 	bool is_idle;
 	bool is_too_large;
+	bool is_garbled;
 	int64_t last_byte_ms;
 	char error[CURL_ERROR_SIZE];
+	char reason[CURL_ERROR_SIZE];
 };
 
 /* A socket that libcurl asked to be watched. */
@@ -46,6 +48,7 @@
 	[HC_DONE] = "done",	  [HC_NO_CONNECTION] = "no_connection",
 	[HC_BROKEN] = "broken",	  [HC_IDLE] = "idle",
 	[HC_TIMEOUT] = "timeout", [HC_TOO_LARGE] = "too_large",
+	[HC_GARBLED] = "garbled",
 };
 
 void hc_make_url(char *out, uint32_t room, uint32_t ipv4, uint16_t port,
@@ -71,6 +74,7 @@
 	g_free(t->body);
 	client->_collected_bytes -= t->answer->len;
 	g_string_free(t->answer, TRUE);
+	h1_check_finish(&t->check);
 	client->_slots[t->slot] = NULL;
 	client->_generations[t->slot]++;
 	client->_in_flight--;
@@ -91,13 +95,15 @@
 static enum hc_outcome hc_outcome_of(struct _hc_transfer *t, CURLcode code,
 				     bool maybe_sent)
 {
+	if (t->is_garbled)
+		return HC_GARBLED;
 	if (t->is_too_large)
 		return HC_TOO_LARGE;
 	if (t->is_idle)
 		return HC_IDLE;
 	/* libcurl reports success for an answer whose head breaks off. */
 	if (code == CURLE_OK)
-		return t->is_head_whole ? HC_DONE : HC_BROKEN;
+		return h1_check_is_final(&t->check) ? HC_DONE : HC_BROKEN;
 	if (!maybe_sent)
 		return HC_NO_CONNECTION;
 	if (code == CURLE_OPERATION_TIMEDOUT)
@@ -119,7 +125,9 @@
 	result.outcome = hc_outcome_of(t, code, result.maybe_sent);
 	g_strlcpy(message, t->error[0] ? t->error : curl_easy_strerror(code),
 		  sizeof(message));
-	if (result.outcome == HC_IDLE)
+	if (result.outcome == HC_GARBLED)
+		g_strlcpy(message, t->reason, sizeof(message));
+	else if (result.outcome == HC_IDLE)
 		g_strlcpy(message, "no byte in time", sizeof(message));
 	else if (result.outcome == HC_BROKEN && code == CURLE_OK)
 		g_strlcpy(message, "the head of the answer broke off",
@@ -320,20 +328,6 @@
 	return bytes;
 }
 
-/* Notes the status lines of interim and final heads, and where they end. */
-static void hc_follow_head(struct _hc_transfer *t, const char *line,
-			   size_t bytes)
-{
-	const char *status = memchr(line, ' ', bytes);
-
-	if (bytes > 5 && !memcmp(line, "HTTP/", 5)) {
-		t->head_status = status ? strtol(status, NULL, 10) : 0;
-		t->is_head_whole = false;
-	} else if (line[0] == '\r' || line[0] == '\n') {
-		t->is_head_whole = t->head_status >= 200;
-	}
-}
-
 static size_t hc_on_header_line(char *line, size_t size, size_t count,
 				void *arg)
 {
@@ -349,7 +343,11 @@
 		t->is_too_large = true;
 		return 0;
 	}
-	hc_follow_head(t, line, bytes);
+	if (h1_check_line(&t->check, line, bytes) != ST_OK) {
+		t->is_garbled = true;
+		g_strlcpy(t->reason, st_message(), sizeof(t->reason));
+		return 0;
+	}
 	if (!t->desc.on_header || !colon)
 		return bytes;
 	name_bytes = (size_t)(colon - line);
@@ -516,6 +514,7 @@
 	t->slot = slot;
 	t->easy = curl_easy_init();
 	t->answer = g_string_new(NULL);
+	h1_check_init(&t->check);
 	t->last_byte_ms = ck_now_ms();
 	ev_timer_init(&t->silence, hc_on_silence, 0.0, 0.0);
 	t->silence.data = t;
--- a/src/net/hc.h
+++ b/src/net/hc.h
@@ -60,6 +60,7 @@
  * @HC_IDLE: no byte for idle_timeout_ms, or no first byte in time.
  * @HC_TIMEOUT: total_timeout_ms passed.
  * @HC_TOO_LARGE: the answer exceeded one of the limits above.
+ * @HC_GARBLED: what came is no HTTP answer (http1/h1_check.h).
  */
 enum hc_outcome {
 	HC_DONE = 0,
@@ -67,7 +68,8 @@
 	HC_BROKEN,
 	HC_IDLE,
 	HC_TIMEOUT,
-	HC_TOO_LARGE
+	HC_TOO_LARGE,
+	HC_GARBLED
 };
 
 /**
--- a/src/upstream/up.c
+++ b/src/upstream/up.c
@@ -14,12 +14,14 @@
 	[UP_NOT_SENT] = "not_sent", [UP_SILENT] = "silent",
 	[UP_BROKEN] = "broken",	    [UP_FAULTY] = "faulty",
 	[UP_TIMEOUT] = "timeout",   [UP_TOO_LARGE] = "too_large",
+	[UP_GARBLED] = "garbled",
 };
 
 static const enum up_end up_end_of_outcome[] = {
 	[HC_DONE] = UP_COMPLETE,   [HC_NO_CONNECTION] = UP_NOT_SENT,
 	[HC_BROKEN] = UP_BROKEN,   [HC_IDLE] = UP_SILENT,
 	[HC_TIMEOUT] = UP_TIMEOUT, [HC_TOO_LARGE] = UP_TOO_LARGE,
+	[HC_GARBLED] = UP_GARBLED,
 };
 
 const char *up_end_name(enum up_end end)
--- a/src/upstream/up.h
+++ b/src/upstream/up.h
@@ -54,6 +54,7 @@
  * @UP_NOT_SENT: no connection; nothing ran.
  * @UP_SILENT: no data within the first-byte or idle timeout.
  * @UP_BROKEN: the connection ended before the answer was complete.
+ * @UP_GARBLED: what came is no HTTP answer; up_result.message says why.
  * @UP_FAULTY: the answer failed a check; see up_result.fault.
  * @UP_TIMEOUT: total_timeout_ms passed.
  * @UP_TOO_LARGE: the answer exceeds its size limit.
@@ -67,6 +68,7 @@
 	UP_FAULTY,
 	UP_TIMEOUT,
 	UP_TOO_LARGE,
+	UP_GARBLED,
 	UP_END_COUNT
 };
 
