http1: an answer without a length that is reset during the upload is broken

What callers saw: an engine answered a long request at once with a 200 without a length, sent half of its body and reset the connection while the request was still being written. The caller got the half with a Content-Length of its own as the whole answer; a clerk saw a record that was cut off, and nothing repeated the request.

Cause: while the request is being written, the write watcher runs before the read watcher. send() found the reset, which takes the error off the socket, and h1_link_flush() dropped it; recv() then returned 0, and that is the proper end of an answer without a length.

Change: the error of the write is kept, and an end after it is a broken connection. EPIPE is left out: Linux gives it if the peer had closed its side before the reset, and such an answer is whole. attempt_failed names the reason of "broken", too.

Early answers that end soundly are served as before.

--- a/src/http1/h1_client.c
+++ b/src/http1/h1_client.c
@@ -348,6 +348,16 @@
 		h1_link_end(l, h1_link_outcome(l));
 }
 
+/*
+ * A write that finds a reset takes the error off the socket, and reads see an
+ * end from then on. EPIPE stands for a reset after the peer had closed its side
+ * properly: reads had their end before.
+ */
+static bool h1_link_is_reset(const struct _h1_link *l)
+{
+	return l->error && l->error != EPIPE;
+}
+
 static void h1_on_readable(struct ev_loop *loop, ev_io *w, int events)
 {
 	struct _h1_link *l = w->data;
@@ -360,9 +370,14 @@
 		h1_link_parse(l, buffer, n);
 		return;
 	}
+	if (n < 0)
+		l->error = errno;
 	/* An answer without a length ends where the peer closes. */
-	if (n == 0 && l->call && !h1_link_parse(l, "", 0))
+	if (n == 0 && l->call && !h1_link_is_reset(l) &&
+	    !h1_link_parse(l, "", 0))
 		return;
+	st_fail(ST_UNKNOWN, "%s",
+		l->error ? g_strerror(l->error) : "closed without an answer");
 	h1_link_fail(l);
 }
 
@@ -383,6 +398,7 @@
 			 * The peer may have answered before it closed: that is
 			 * read first, and the end is found there.
 			 */
+			l->error = errno;
 			ev_io_stop(l->peer->_loop, &l->write);
 			return;
 		}
@@ -410,6 +426,7 @@
 			return;
 		}
 		l->is_connected = true;
+		l->error = 0;
 		ev_timer_stop(loop, &l->timer);
 		ev_io_start(loop, &l->read);
 		if (l->on_checked) {
--- a/src/http1/h1_client.h
+++ b/src/http1/h1_client.h
@@ -43,7 +43,8 @@
  * enum h1_outcome - how a call ended.
  * @H1_DONE: a whole answer came.
  * @H1_NOT_SENT: no connection; no byte of the call left.
- * @H1_BROKEN: the connection ended before the answer was whole.
+ * @H1_BROKEN: the connection ended before the answer was whole; st_message()
+ *	says how.
  * @H1_GARBLED: what came is no HTTP answer; st_message() says why.
  * @H1_TOO_LARGE: more came than the call takes.
  * @H1_NO_DESCRIPTOR: like H1_NOT_SENT, and the peer has no part in it: this
--- a/tests/unit/answer_test.cc
+++ b/tests/unit/answer_test.cc
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <vector>
@@ -25,6 +26,7 @@
 {
 
 constexpr int64_t patience_ms = 5000;
+constexpr size_t long_upload_bytes = 8 << 20;
 
 // Answers the first request on its one connection with @text.
 class OneAnswer
@@ -100,6 +102,99 @@
 	}
 };
 
+// Answers before it has read the request, whose body is longer than all
+// buffers, and goes on as the test says.
+class EarlyAnswer
+{
+      public:
+	uint16_t port;
+
+	EarlyAnswer()
+	{
+		struct sockaddr_in a = {};
+		socklen_t bytes = sizeof(a);
+		int window = window_bytes;
+
+		a.sin_family = AF_INET;
+		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &window,
+			   sizeof(window));
+		EXPECT_EQ(bind(listener, (struct sockaddr *)&a, bytes), 0);
+		EXPECT_EQ(listen(listener, 4), 0);
+		getsockname(listener, (struct sockaddr *)&a, &bytes);
+		port = ntohs(a.sin_port);
+	}
+
+	~EarlyAnswer()
+	{
+		if (fd >= 0)
+			close(fd);
+		close(listener);
+	}
+
+	// Whether the request has come, of which the first bytes are read.
+	bool is_asked()
+	{
+		char buffer[1024];
+
+		if (fd < 0)
+			fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+		if (fd < 0)
+			return false;
+		has_read = std::max<ssize_t>(
+			recv(fd, buffer, sizeof(buffer), 0), 0);
+		return has_read > 0;
+	}
+
+	void write(const std::string &text)
+	{
+		EXPECT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL),
+			  (ssize_t)text.size());
+	}
+
+	void reset()
+	{
+		struct linger hard = { 1, 0 };
+
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+		end();
+	}
+
+	// Resets it as well, as bytes of the request are unread.
+	void end()
+	{
+		if (fd >= 0)
+			close(fd);
+		fd = -1;
+	}
+
+	void stop_writing()
+	{
+		shutdown(fd, SHUT_WR);
+	}
+
+	void read_on()
+	{
+		char buffer[65536];
+		ssize_t n;
+
+		while (fd >= 0 && (n = recv(fd, buffer, sizeof(buffer), 0)) > 0)
+			has_read += n;
+	}
+
+	// Of the request, its head included.
+	size_t read_bytes() const
+	{
+		return has_read;
+	}
+
+      private:
+	static constexpr int window_bytes = 16384;
+	int listener, fd = -1;
+	size_t has_read = 0;
+};
+
 // What a client handed over of one answer.
 struct Seen {
 	bool is_done = false;
@@ -120,18 +215,35 @@
 		ev_loop_destroy(loop);
 	}
 
-	void run(OneAnswer &server, const std::function<bool()> &is_over)
+	// Runs the loop until @is_over, which may act for the server.
+	bool run_until(const std::function<bool()> &is_over)
 	{
 		int64_t end_ms = ck_now_ms() + patience_ms;
+		bool has_ended;
 
-		while (!is_over() && ck_now_ms() < end_ms) {
-			server.serve();
+		while (!(has_ended = is_over()) && ck_now_ms() < end_ms)
 			ev_run(loop, EVRUN_NOWAIT);
-		}
+		return has_ended;
 	}
 
-	// With h1, the gateway's client.
-	Seen ask_h1(OneAnswer &server)
+	void run_for(int64_t ms)
+	{
+		int64_t end_ms = ck_now_ms() + ms;
+
+		run_until([&] { return ck_now_ms() >= end_ms; });
+	}
+
+	void run(OneAnswer &server, const std::function<bool()> &is_over)
+	{
+		run_until([&] {
+			server.serve();
+			return is_over();
+		});
+	}
+
+	// With h1, the gateway's client. @play acts for the server.
+	Seen ask_h1(uint16_t port, const std::string &body,
+		    const std::function<void(const Seen &)> &play)
 	{
 		struct h1_headers headers;
 		struct h1_call_desc desc = {};
@@ -140,11 +252,13 @@
 		Seen seen;
 
 		h1_headers_init(&headers);
-		h1_peer_init(&peer, loop, INADDR_LOOPBACK, server.port);
+		h1_peer_init(&peer, loop, INADDR_LOOPBACK, port);
 		desc.peer = &peer;
-		desc.method = "GET";
+		desc.method = body.empty() ? "GET" : "POST";
 		desc.target = "/x";
 		desc.headers = &headers;
+		desc.body = body.data();
+		desc.body_bytes = body.size();
 		desc.connect_timeout_ms = 500;
 		desc.on_head = [](void *arg, uint32_t status,
 				  const struct h1_headers *) {
@@ -166,7 +280,7 @@
 		};
 		desc.arg = &seen;
 		h1_call_start(&call, &desc);
-		run(server, [&] { return seen.is_done; });
+		play(seen);
 		h1_call_cancel(&call);
 		if (!seen.is_whole) {
 			EXPECT_EQ(peer.open, 0u);
@@ -176,12 +290,19 @@
 		return seen;
 	}
 
+	Seen ask_h1(OneAnswer &server)
+	{
+		return ask_h1(server.port, "", [&](const Seen &seen) {
+			run(server, [&] { return seen.is_done; });
+		});
+	}
+
 	// With hc, the client of the entry and of the stores.
-	Seen ask_hc(OneAnswer &server, bool is_stream)
+	Seen ask_hc(uint16_t port, const std::string &body, bool is_stream,
+		    const std::function<void(const Seen &)> &play)
 	{
 		std::string url =
-			"http://127.0.0.1:" + std::to_string(server.port) +
-			"/x";
+			"http://127.0.0.1:" + std::to_string(port) + "/x";
 		struct hc_call_desc desc = {};
 		struct hc_client client;
 		struct hc_desc init = {};
@@ -190,6 +311,9 @@
 		init.loop = loop;
 		EXPECT_EQ(hc_init(&client, &init), ST_OK);
 		desc.url = url.c_str();
+		desc.method = body.empty() ? "GET" : "POST";
+		desc.body = body.empty() ? nullptr : body.data();
+		desc.body_bytes = body.size();
 		if (is_stream)
 			desc.on_data = [](void *arg, uint32_t status,
 					  const char *data, uint64_t bytes) {
@@ -209,13 +333,61 @@
 		};
 		desc.arg = &seen;
 		EXPECT_EQ(hc_send(&client, &desc, nullptr), ST_OK);
-		run(server, [&] { return seen.is_done; });
-		if (!seen.is_whole)
-			run(server, [&] { return server.is_closed; });
+		play(seen);
 		hc_finish(&client);
 		return seen;
 	}
 
+	Seen ask_hc(OneAnswer &server, bool is_stream)
+	{
+		return ask_hc(
+			server.port, "", is_stream, [&](const Seen &seen) {
+				run(server, [&] { return seen.is_done; });
+				if (!seen.is_whole)
+					run(server,
+					    [&] { return server.is_closed; });
+			});
+	}
+
+	// The whole of the answer of play_early().
+	static std::string early_body()
+	{
+		return "the first half, and the second one";
+	}
+
+	// How the connection of an early answer ends.
+	enum End {
+		RESET_HALFWAY, /* after half of the answer */
+		CLOSE_HALFWAY, /* the same, with the request unread */
+		READ_LATE,     /* the whole request is read, then it closes */
+		HALF_CLOSE,    /* no more is written; the request is read */
+	};
+
+	void play_early(EarlyAnswer &server, const std::string &head, End end,
+			const Seen &seen)
+	{
+		size_t half = early_body().size() / 2;
+
+		EXPECT_TRUE(run_until([&] { return server.is_asked(); }));
+		run_for(50);
+		server.write(head + early_body().substr(0, half));
+		run_for(50);
+		if (end == RESET_HALFWAY)
+			server.reset();
+		if (end == CLOSE_HALFWAY)
+			server.end();
+		if (end >= READ_LATE)
+			server.write(early_body().substr(half));
+		if (end == HALF_CLOSE)
+			server.stop_writing();
+		run_until([&] {
+			server.read_on();
+			if (server.read_bytes() > long_upload_bytes)
+				server.end();
+			return seen.is_done;
+		});
+	}
+
 	// "" if the answer was treated as it has to be.
 	static std::string fault_of(const SoundAnswer &a, const Seen &seen)
 	{
@@ -271,6 +443,56 @@
 	}
 };
 
+// The answer has no length, and the request is still being sent: a reset was
+// found by a write, and the read that followed saw a proper end.
+TEST_F(Answers, EarlyOnesThatAreResetAreNotWhole)
+{
+	const std::string upload(long_upload_bytes, 'u');
+
+	for (End end : { RESET_HALFWAY, CLOSE_HALFWAY })
+		for (int client = 0; client < 3; client++) {
+			EarlyAnswer server;
+			auto play = [&](const Seen &seen) {
+				play_early(server, OK_LINE "\r\n", end, seen);
+			};
+			Seen seen = client ? ask_hc(server.port, upload,
+						    client == 2, play)
+					   : ask_h1(server.port, upload, play);
+
+			EXPECT_TRUE(seen.is_done) << client;
+			EXPECT_FALSE(seen.is_whole)
+				<< "client " << client << ", end " << end
+				<< ", " << seen.body;
+		}
+}
+
+TEST_F(Answers, EarlyOnesThatEndSoundlyAreServed)
+{
+	const std::string upload(long_upload_bytes, 'u');
+	const std::string with_length = OK_LINE "Content-Length: " +
+					std::to_string(early_body().size()) +
+					"\r\n\r\n";
+
+	for (const std::string &head :
+	     { std::string(OK_LINE "\r\n"), with_length })
+		for (End end : { READ_LATE, HALF_CLOSE })
+			for (int client = 0; client < 3; client++) {
+				EarlyAnswer server;
+				auto play = [&](const Seen &seen) {
+					play_early(server, head, end, seen);
+				};
+				Seen seen = client ? ask_hc(server.port, upload,
+							    client == 2, play)
+						   : ask_h1(server.port, upload,
+							    play);
+
+				EXPECT_TRUE(seen.is_whole)
+					<< "client " << client << ", end "
+					<< end << ", " << head << seen.reason;
+				EXPECT_EQ(seen.body, early_body()) << client;
+			}
+}
+
 TEST_F(Answers, SoundOnesAreServed)
 {
 	check_sound([&](OneAnswer &s) { return ask_h1(s); });
