http1: an early answer outlasts a pause of its engine in reading the request

What callers saw: an engine answered a long request early, read nothing of the rest for 3.3 s, read on and completed its answer.

Cause: TCP_USER_TIMEOUT, which finds hosts that are gone within 2 s, also ends a connection whose peer is there and has no room for so long.

Change: once an answer has begun and some of the request is unsent, the kernel's own limit holds for the connection, and the caller's time limits (deadline, silence, store and order timeouts) end the call; a connection that is kept gets the option back.

Evidence: answer_test EarlyOnesThatEndSoundlyAreServed, the row that reads on after 3.3 s, failed for the gateway's client with and without a length; it holds now. libcurl's transfers held before. Not covered, as before: an engine that stops reading for over 2 s before it answers.

--- a/src/http1/h1_client.c
+++ b/src/http1/h1_client.c
@@ -47,6 +47,7 @@
 	bool is_too_large;
 	bool is_complete;
 	bool is_keep;
+	bool reads_slowly;
 	bool in_callback;
 	bool is_cancelled;
 	uint32_t status;
@@ -105,6 +106,9 @@
 		h1_link_free(l);
 		return;
 	}
+	if (l->reads_slowly)
+		h1_set_unacknowledged_ms(l->fd, H1_UNACKNOWLEDGED_TIMEOUT_MS);
+	l->reads_slowly = false;
 	l->next = peer->_idle;
 	if (l->next)
 		l->next->idle_link = &l->next;
@@ -205,6 +209,18 @@
 	return code;
 }
 
+/*
+ * A peer that answers early may read the rest of the request much later, and
+ * the kernel would give it up for having no room. The caller's time limits hold
+ * from here on.
+ */
+static void h1_link_expect_slow_reads(struct _h1_link *l)
+{
+	l->reads_slowly = l->out_offset < l->out->len;
+	if (l->reads_slowly)
+		h1_set_unacknowledged_ms(l->fd, 0);
+}
+
 /* The parser has stopped at the last byte of a head. */
 static enum st_code h1_link_end_head(struct _h1_link *l, const char *last)
 {
@@ -224,6 +240,8 @@
 		l->desc.on_head &&
 		!l->desc.on_head(l->desc.arg, l->status, &l->collector.headers);
 	l->is_answered = !l->is_skipped;
+	if (l->is_answered && !l->is_cancelled)
+		h1_link_expect_slow_reads(l);
 	return ST_OK;
 }
 
--- a/src/http1/h1_message.c
+++ b/src/http1/h1_message.c
@@ -88,12 +88,17 @@
 	(void)setsockopt(fd, level, name, &value, sizeof(value));
 }
 
+void h1_set_unacknowledged_ms(int fd, int64_t unacknowledged_ms)
+{
+	h1_set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms);
+}
+
 void h1_set_options(int fd, int64_t unacknowledged_ms)
 {
 	(void)fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
 	(void)fcntl(fd, F_SETFD, FD_CLOEXEC);
 	h1_set(fd, IPPROTO_TCP, TCP_NODELAY, 1);
-	h1_set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms);
+	h1_set_unacknowledged_ms(fd, unacknowledged_ms);
 	h1_set(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
 	h1_set(fd, IPPROTO_TCP, TCP_KEEPIDLE, H1_KEEPALIVE_IDLE_S);
 	h1_set(fd, IPPROTO_TCP, TCP_KEEPINTVL, H1_KEEPALIVE_INTERVAL_S);
--- a/src/http1/h1_message.h
+++ b/src/http1/h1_message.h
@@ -48,4 +48,7 @@
  */
 void h1_set_options(int fd, int64_t unacknowledged_ms);
 
+/** h1_set_unacknowledged_ms() - the same time once more; 0: the system's. */
+void h1_set_unacknowledged_ms(int fd, int64_t unacknowledged_ms);
+
 #endif
--- a/tests/unit/answer_test.cc
+++ b/tests/unit/answer_test.cc
@@ -26,6 +26,8 @@
 {
 
 constexpr int64_t patience_ms = 5000;
+// Longer than the silence after which a peer counts as unreachable.
+constexpr int64_t unread_ms = 3300;
 constexpr size_t long_upload_bytes = 8 << 20;
 
 // Answers the first request on its one connection with @text.
@@ -360,7 +362,8 @@
 		RESET_HALFWAY, /* after half of the answer */
 		CLOSE_HALFWAY, /* the same, with the request unread */
 		READ_LATE,     /* the whole request is read, then it closes */
-		HALF_CLOSE,    /* no more is written; the request is read */
+		READ_AFTER_PAUSE, /* the same, and nothing for some seconds */
+		HALF_CLOSE,	  /* no more is written; the request is read */
 	};
 
 	void play_early(EarlyAnswer &server, const std::string &head, End end,
@@ -376,6 +379,8 @@
 			server.reset();
 		if (end == CLOSE_HALFWAY)
 			server.end();
+		if (end == READ_AFTER_PAUSE)
+			run_for(unread_ms);
 		if (end >= READ_LATE)
 			server.write(early_body().substr(half));
 		if (end == HALF_CLOSE)
@@ -475,7 +480,7 @@
 
 	for (const std::string &head :
 	     { std::string(OK_LINE "\r\n"), with_length })
-		for (End end : { READ_LATE, HALF_CLOSE })
+		for (End end : { READ_LATE, READ_AFTER_PAUSE, HALF_CLOSE })
 			for (int client = 0; client < 3; client++) {
 				EarlyAnswer server;
 				auto play = [&](const Seen &seen) {
