http1, net: answers with a blank or control byte in a field's name are rejected

What callers saw: an engine in trouble sent a head in which the name of a field held a blank or a control byte, and its caller got that as an answer. The gateway passed "X A: a" and "X-A : a" on, took "Content-Length : 2" and "Transfer-Encoding : chunked" for the framing and passed these lines on too, or took the rest of a line that began with CR for the body ("-A", where the engine had written "hi"). The entry gave the bytes of the chunks' framing as a body.

Cause: Debian builds http_parser with HTTP_PARSER_STRICT=0: a blank counts as a byte of a name, and the byte behind a CR at the end of a head or of the status line is not looked at; the first byte of a value never is. libcurl looks at no byte of a name, and takes each line that begins with CR for the end of a head.

Change: h1_check reads each line by RFC 9112: a name is a token and stands at the start of its line, no line holds a control byte but a tab, and CR stands before LF only. Lines that go on in the next one are rejected as well (5.2 lets a gateway do that): a blank before a name looks the same. The check and http_parser have to agree on where a head ends.

--- a/src/http1/h1_check.c
+++ b/src/http1/h1_check.c
@@ -72,28 +72,64 @@
 	return ST_OK;
 }
 
-static enum st_code h1_check_field(struct h1_check *check, const char *line,
-				   uint64_t bytes)
+static bool h1_is_token(char c)
 {
-	if (!bytes)
-		check->next = check->status < H1_FIRST_FINAL ? H1_LINE_STATUS
-							     : H1_LINE_BODY;
+	return g_ascii_isalnum(c) || (c && strchr("!#$%&'*+-.^_`|~", c));
+}
+
+/*
+ * A line that begins with a blank may go on with the value before it, which
+ * RFC 9112, 5.2 lets a gateway reject; behind a status line it is no field.
+ */
+static enum st_code h1_check_field(const char *line, uint64_t bytes)
+{
+	const char *colon = memchr(line, ':', bytes);
+	uint64_t name_bytes = colon ? (uint64_t)(colon - line) : bytes;
+
+	for (uint64_t i = 0; i < name_bytes; i++)
+		if (!h1_is_token(line[i]))
+			return st_fail(ST_INVALID,
+				       "byte 0x%02x in the name of a field",
+				       (unsigned char)line[i]);
+	if (!colon || !name_bytes)
+		return st_fail(ST_INVALID, "a field without a %s",
+			       colon ? "name" : "colon");
+	return ST_OK;
+}
+
+static void h1_end_head(struct h1_check *check)
+{
+	check->next =
+		check->status < H1_FIRST_FINAL ? H1_LINE_STATUS : H1_LINE_BODY;
+}
+
+/* CR stands before the LF that ends a line only. */
+static enum st_code h1_check_controls(const char *line, uint64_t bytes)
+{
+	for (uint64_t i = 0; i < bytes; i++)
+		if (g_ascii_iscntrl(line[i]) && line[i] != '\t')
+			return st_fail(ST_INVALID, "control byte 0x%02x",
+				       (unsigned char)line[i]);
 	return ST_OK;
 }
 
 enum st_code h1_check_line(struct h1_check *check, const char *line,
 			   uint64_t bytes)
 {
+	enum st_code code;
+
 	bytes = h1_text_bytes(line, bytes);
-	switch (check->next) {
-	case H1_LINE_STATUS:
-		/* http_parser skips empty lines before an answer. */
-		return bytes ? h1_check_status_line(check, line, bytes) : ST_OK;
-	case H1_LINE_FIELD:
-		return h1_check_field(check, line, bytes);
-	default:
-		return ST_OK;
-	}
+	code = h1_check_controls(line, bytes);
+	if (code != ST_OK)
+		return code;
+	if (bytes)
+		return check->next == H1_LINE_STATUS
+			       ? h1_check_status_line(check, line, bytes)
+			       : h1_check_field(line, bytes);
+	/* http_parser skips empty lines before an answer. */
+	if (check->next == H1_LINE_FIELD)
+		h1_end_head(check);
+	return ST_OK;
 }
 
 enum st_code h1_check_bytes(struct h1_check *check, const char *data,
--- a/src/http1/h1_check.h
+++ b/src/http1/h1_check.h
@@ -28,7 +28,8 @@
  * enum h1_line - what the next line has to be.
  * @H1_LINE_STATUS: a status line.
  * @H1_LINE_FIELD: a header field, or the empty line that ends the head.
- * @H1_LINE_BODY: no line is due; the final head is complete.
+ * @H1_LINE_BODY: the final head is complete. What comes now is a trailer field
+ *	or the empty line behind the trailers.
  */
 enum h1_line { H1_LINE_STATUS = 0, H1_LINE_FIELD, H1_LINE_BODY };
 
--- a/tests/sessions/gateway_answer_test.cc
+++ b/tests/sessions/gateway_answer_test.cc
@@ -148,6 +148,11 @@
 	}
 }
 
+TEST_F(Answer, FieldsThatAreNone)
+{
+	check(broken_fields);
+}
+
 TEST_F(Answer, StatusLinesThatAreNone)
 {
 	check(broken_statuses);
--- a/tests/unit/answer_test.cc
+++ b/tests/unit/answer_test.cc
@@ -505,6 +505,17 @@
 		check_sound([&](OneAnswer &s) { return ask_hc(s, is_stream); });
 }
 
+// Fields with a blank in their name were handed over, or taken for the length
+// of the body; a name that began with CR ended the head.
+TEST_F(Answers, FieldsThatAreNoneAreRejected)
+{
+	check_broken(broken_fields, [&](OneAnswer &s) { return ask_h1(s); });
+	for (bool is_stream : { false, true })
+		check_broken(broken_fields, [&](OneAnswer &s) {
+			return ask_hc(s, is_stream);
+		});
+}
+
 // A status of 000 was handed over like any other.
 TEST_F(Answers, StatusLinesThatAreNoneAreRejected)
 {
