http1, net: answers with contradictory lengths or unknown codings are rejected

What callers saw: an answer with "Transfer-Encoding: x", "gzip" or "x, chunked" reached its caller with the coded bytes as the body, and "chunked, x" with the framing of the chunks in it (gateway). On the entry two lengths gave the engine's first byte of two, "2x" and "+2" counted as lengths, one beyond 64 bits as none, and a length beside chunks was ignored.

Cause: the same trust in lenient libraries. http_parser reads a body in an unknown coding up to the end of the connection, libcurl takes the last length and whatever of it is a number.

Change: h1_check looks at the two fields that tell where a body ends: a length is a number of 63 bits, the only coding is chunked, which no request of ours offers to extend ("identity", of RFC 2616, still counts as none), and only one of these fields may come.

--- a/src/http1/h1_check.c
+++ b/src/http1/h1_check.c
@@ -1,5 +1,6 @@
 #include "http1/h1_check.h"
 
+#include <errno.h>
 #include <string.h>
 
 #include "http1/h1_message.h"
@@ -30,6 +31,7 @@
 {
 	check->next = H1_LINE_STATUS;
 	check->status = 0;
+	check->_has_framing = false;
 	h1_release(&check->_line);
 }
 
@@ -97,10 +99,89 @@
 	return ST_OK;
 }
 
+static bool h1_is_number(const char *value)
+{
+	char *end;
+
+	if (!g_ascii_isdigit(value[0]))
+		return false;
+	errno = 0;
+	return g_ascii_strtoull(value, &end, 10) <= G_MAXINT64 && !errno &&
+	       !*end;
+}
+
+/* No other coding was offered; RFC 2616 had "identity" for none at all. */
+static bool h1_is_coding(const char *value)
+{
+	return !g_ascii_strcasecmp(value, "chunked") ||
+	       !g_ascii_strcasecmp(value, "identity");
+}
+
+/* The fields that tell where the body ends; values are stripped. */
+static enum st_code h1_check_length(struct h1_check *check, const char *value)
+{
+	if (!h1_is_number(value))
+		return st_fail(ST_INVALID, "\"%.32s\" is no length", value);
+	if (check->_has_framing)
+		return st_fail(ST_INVALID, "more than one length or coding");
+	check->_has_framing = true;
+	return ST_OK;
+}
+
+static enum st_code h1_check_coding(struct h1_check *check, const char *value)
+{
+	if (!h1_is_coding(value))
+		return st_fail(ST_INVALID, "\"%.32s\" is no coding", value);
+	if (check->_has_framing)
+		return st_fail(ST_INVALID, "more than one length or coding");
+	check->_has_framing = true;
+	return ST_OK;
+}
+
+static const struct {
+	const char *name;
+	enum st_code (*check)(struct h1_check *check, const char *value);
+} h1_framing_fields[] = {
+	{ "Content-Length:", h1_check_length },
+	{ "Transfer-Encoding:", h1_check_coding },
+};
+
+static enum st_code h1_check_framing(struct h1_check *check, const char *line,
+				     uint64_t bytes)
+{
+	enum st_code code = ST_OK;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(h1_framing_fields); i++) {
+		const char *name = h1_framing_fields[i].name;
+		uint64_t name_bytes = strlen(name);
+		char *value;
+
+		if (bytes < name_bytes ||
+		    g_ascii_strncasecmp(line, name, name_bytes) != 0)
+			continue;
+		value = g_strndup(line + name_bytes, bytes - name_bytes);
+		code = h1_framing_fields[i].check(check, g_strstrip(value));
+		g_free(value);
+	}
+	return code;
+}
+
+/* Trailers tell nothing about the body, and follow it. */
+static enum st_code h1_check_field_line(struct h1_check *check,
+					const char *line, uint64_t bytes)
+{
+	enum st_code code = h1_check_field(line, bytes);
+
+	if (code != ST_OK || check->next != H1_LINE_FIELD)
+		return code;
+	return h1_check_framing(check, line, bytes);
+}
+
 static void h1_end_head(struct h1_check *check)
 {
 	check->next =
 		check->status < H1_FIRST_FINAL ? H1_LINE_STATUS : H1_LINE_BODY;
+	check->_has_framing = false;
 }
 
 /* CR stands before the LF that ends a line only. */
@@ -125,7 +206,7 @@
 	if (bytes)
 		return check->next == H1_LINE_STATUS
 			       ? h1_check_status_line(check, line, bytes)
-			       : h1_check_field(line, bytes);
+			       : h1_check_field_line(check, line, bytes);
 	/* http_parser skips empty lines before an answer. */
 	if (check->next == H1_LINE_FIELD)
 		h1_end_head(check);
--- a/src/http1/h1_check.h
+++ b/src/http1/h1_check.h
@@ -43,6 +43,7 @@
 	enum h1_line next;
 	uint32_t status;
 
+	bool _has_framing;
 	GString *_line;
 };
 
--- a/tests/sessions/gateway_answer_test.cc
+++ b/tests/sessions/gateway_answer_test.cc
@@ -153,6 +153,11 @@
 	check(broken_fields);
 }
 
+TEST_F(Answer, LengthsAndCodingsThatAreNone)
+{
+	check(broken_lengths);
+}
+
 TEST_F(Answer, StatusLinesThatAreNone)
 {
 	check(broken_statuses);
--- a/tests/unit/answer_test.cc
+++ b/tests/unit/answer_test.cc
@@ -505,6 +505,17 @@
 		check_sound([&](OneAnswer &s) { return ask_hc(s, is_stream); });
 }
 
+// Lengths that contradict each other, or that are none, and codings that nobody
+// had offered to undo.
+TEST_F(Answers, LengthsAndCodingsThatAreNoneAreRejected)
+{
+	check_broken(broken_lengths, [&](OneAnswer &s) { return ask_h1(s); });
+	for (bool is_stream : { false, true })
+		check_broken(broken_lengths, [&](OneAnswer &s) {
+			return ask_hc(s, is_stream);
+		});
+}
+
 // Fields with a blank in their name were handed over, or taken for the length
 // of the body; a name that began with CR ended the head.
 TEST_F(Answers, FieldsThatAreNoneAreRejected)
