http1: chunks that are longer than their size, or end with any bytes, are rejected

What callers saw: an engine wrote a chunk of four bytes with the size 2, and its caller got the first two as the whole body. The two bytes behind a chunk, and the one behind the CR of a size, of an extension or of the trailers, could be anything; fields with a blank in their name passed as trailers.

Cause: Debian's build of http_parser (HTTP_PARSER_STRICT=0) skips these bytes unseen, and takes all up to the next CR for an extension.

Change: the gateway's client passes the lines around chunks to h1_check, too: each size, the empty line behind each chunk, and the trailers. What precedes a piece of the body is checked before the piece is handed over, and at the end the check and the parser have to agree that the answer is complete.

Extensions, trailers, sizes with zeros and capitals, and chunks that hold what looks like framing are served as before. Not looked at: garbage between a size and the end of its line on the entry, which libcurl skips and does not tell; the body is the engine's all the same.

--- a/src/http1/h1_check.c
+++ b/src/http1/h1_check.c
@@ -179,8 +179,8 @@
 
 static void h1_end_head(struct h1_check *check)
 {
-	check->next =
-		check->status < H1_FIRST_FINAL ? H1_LINE_STATUS : H1_LINE_BODY;
+	check->next = check->status < H1_FIRST_FINAL ? H1_LINE_STATUS
+						     : H1_LINE_TRAILER;
 	check->_has_framing = false;
 }
 
@@ -194,6 +194,52 @@
 	return ST_OK;
 }
 
+static enum st_code h1_check_size(struct h1_check *check, const char *line,
+				  uint64_t bytes)
+{
+	uint64_t digits = 0, at;
+	bool is_last = true;
+
+	while (digits < bytes && g_ascii_isxdigit(line[digits]))
+		is_last &= line[digits++] == '0';
+	at = digits;
+	while (at < bytes && (line[at] == ' ' || line[at] == '\t'))
+		at++;
+	if (!digits || (at < bytes && line[at] != ';'))
+		return st_fail(ST_INVALID, "no size of a chunk");
+	check->next = is_last ? H1_LINE_TRAILER : H1_LINE_CHUNK_END;
+	return ST_OK;
+}
+
+/* A line without its end, of which only the empty one has no bytes. */
+static enum st_code h1_check_text(struct h1_check *check, const char *line,
+				  uint64_t bytes)
+{
+	switch (check->next) {
+	case H1_LINE_STATUS:
+		/* http_parser skips empty lines before an answer. */
+		return bytes ? h1_check_status_line(check, line, bytes) : ST_OK;
+	case H1_LINE_SIZE:
+		return h1_check_size(check, line, bytes);
+	case H1_LINE_CHUNK_END:
+		if (bytes)
+			return st_fail(ST_INVALID,
+				       "a chunk longer than its size");
+		check->next = H1_LINE_SIZE;
+		return ST_OK;
+	case H1_LINE_FIELD:
+		if (bytes)
+			return h1_check_field_line(check, line, bytes);
+		h1_end_head(check);
+		return ST_OK;
+	default:
+		if (bytes)
+			return h1_check_field_line(check, line, bytes);
+		check->next = H1_LINE_NONE;
+		return ST_OK;
+	}
+}
+
 enum st_code h1_check_line(struct h1_check *check, const char *line,
 			   uint64_t bytes)
 {
@@ -201,16 +247,12 @@
 
 	bytes = h1_text_bytes(line, bytes);
 	code = h1_check_controls(line, bytes);
-	if (code != ST_OK)
-		return code;
-	if (bytes)
-		return check->next == H1_LINE_STATUS
-			       ? h1_check_status_line(check, line, bytes)
-			       : h1_check_field_line(check, line, bytes);
-	/* http_parser skips empty lines before an answer. */
-	if (check->next == H1_LINE_FIELD)
-		h1_end_head(check);
-	return ST_OK;
+	return code == ST_OK ? h1_check_text(check, line, bytes) : code;
+}
+
+void h1_check_expect_chunks(struct h1_check *check)
+{
+	check->next = H1_LINE_SIZE;
 }
 
 enum st_code h1_check_bytes(struct h1_check *check, const char *data,
--- a/src/http1/h1_check.h
+++ b/src/http1/h1_check.h
@@ -5,7 +5,7 @@
  *	http_parser and libcurl take lines that are none by RFC 9112. The check
  *	follows the lines of an answer beside the library, in the order in which
  *	they come, and names what is wrong with the first invalid one. Bodies
- *	are not passed to it.
+ *	and the data of chunks are not passed to it.
  *
  * Use
  *	struct h1_check check;
@@ -28,10 +28,20 @@
  * enum h1_line - what the next line has to be.
  * @H1_LINE_STATUS: a status line.
  * @H1_LINE_FIELD: a header field, or the empty line that ends the head.
- * @H1_LINE_BODY: the final head is complete. What comes now is a trailer field
- *	or the empty line behind the trailers.
+ * @H1_LINE_SIZE: the size of a chunk, with extensions.
+ * @H1_LINE_CHUNK_END: the empty line behind a chunk.
+ * @H1_LINE_TRAILER: a trailer field, or the empty line that ends the trailers;
+ *	due as well behind a head whose chunks are not followed.
+ * @H1_LINE_NONE: the answer is complete.
  */
-enum h1_line { H1_LINE_STATUS = 0, H1_LINE_FIELD, H1_LINE_BODY };
+enum h1_line {
+	H1_LINE_STATUS = 0,
+	H1_LINE_FIELD,
+	H1_LINE_SIZE,
+	H1_LINE_CHUNK_END,
+	H1_LINE_TRAILER,
+	H1_LINE_NONE
+};
 
 /**
  * struct h1_check - the lines of one answer so far.
@@ -69,10 +79,16 @@
 enum st_code h1_check_bytes(struct h1_check *check, const char *data,
 			    uint64_t bytes);
 
+/**
+ * h1_check_expect_chunks() - the final head is complete, and the lines around
+ * the chunks of the body are passed to the check, too.
+ */
+void h1_check_expect_chunks(struct h1_check *check);
+
 /** h1_check_is_final() - the head of the answer itself is complete. */
 static inline bool h1_check_is_final(const struct h1_check *check)
 {
-	return check->next == H1_LINE_BODY;
+	return check->next > H1_LINE_FIELD;
 }
 
 #endif
--- a/src/http1/h1_client.c
+++ b/src/http1/h1_client.c
@@ -30,6 +30,7 @@
 	http_parser parser;
 	struct h1_check check;
 	const char *checked;
+	enum st_code code;
 	GString *out;
 	uint64_t out_offset;
 	ev_io read;
@@ -41,6 +42,7 @@
 	bool is_head;
 	bool is_at_head_end;
 	bool is_at_end;
+	bool is_chunked;
 	bool was_sent;
 	bool is_skipped;
 	bool is_answered;
@@ -166,10 +168,22 @@
 	return l->is_head ? 1 : 0;
 }
 
+/* Checks the lines that the parser has taken, up to @end. */
+static enum st_code h1_link_check(struct _h1_link *l, const char *end)
+{
+	if (l->code == ST_OK && l->checked < end)
+		l->code =
+			h1_check_bytes(&l->check, l->checked, end - l->checked);
+	l->checked = MAX(l->checked, end);
+	return l->code;
+}
+
 static int h1_on_body(http_parser *p, const char *at, size_t bytes)
 {
 	struct _h1_link *l = p->data;
 
+	if (h1_link_check(l, at) != ST_OK)
+		return -1;
 	l->checked = at + bytes;
 	if (l->is_skipped)
 		return 0;
@@ -198,17 +212,6 @@
 	.on_message_complete = h1_on_complete,
 };
 
-/* Checks the lines that the parser has taken, up to @end. */
-static enum st_code h1_link_check(struct _h1_link *l, const char *end)
-{
-	enum st_code code = ST_OK;
-
-	if (!h1_check_is_final(&l->check) && l->checked < end)
-		code = h1_check_bytes(&l->check, l->checked, end - l->checked);
-	l->checked = MAX(l->checked, end);
-	return code;
-}
-
 /*
  * A peer that answers early may read the rest of the request much later, and
  * the kernel would give it up for having no room. The caller's time limits hold
@@ -222,19 +225,23 @@
 }
 
 /* The parser has stopped at the last byte of a head. */
-static enum st_code h1_link_end_head(struct _h1_link *l, const char *last)
+static void h1_link_end_head(struct _h1_link *l, const char *last)
 {
 	bool is_interim = l->parser.status_code / 100 == 1;
-	enum h1_line due = is_interim ? H1_LINE_STATUS : H1_LINE_BODY;
-	enum st_code code = h1_link_check(l, last + 1);
+	enum h1_line due = is_interim ? H1_LINE_STATUS : H1_LINE_TRAILER;
 
 	l->is_at_head_end = false;
-	if (code != ST_OK)
-		return code;
-	if (l->check.next != due)
-		return st_fail(ST_INVALID, "no empty line after the head");
+	if (h1_link_check(l, last + 1) != ST_OK)
+		return;
+	if (l->check.next != due) {
+		l->code = st_fail(ST_INVALID, "no empty line after the head");
+		return;
+	}
 	if (is_interim)
-		return ST_OK;
+		return;
+	l->is_chunked = !l->is_head && l->parser.flags & F_CHUNKED;
+	if (l->is_chunked)
+		h1_check_expect_chunks(&l->check);
 	l->status = l->parser.status_code;
 	l->is_skipped =
 		l->desc.on_head &&
@@ -242,15 +249,24 @@
 	l->is_answered = !l->is_skipped;
 	if (l->is_answered && !l->is_cancelled)
 		h1_link_expect_slow_reads(l);
-	return ST_OK;
 }
 
-/* The parser has stopped after an answer, which may be an interim one. */
-static void h1_link_end_message(struct _h1_link *l)
+/*
+ * The parser has stopped after an answer, which may be an interim one; @end is
+ * behind its last byte.
+ */
+static void h1_link_end_message(struct _h1_link *l, const char *end)
 {
 	bool is_interim = l->parser.status_code / 100 == 1;
 
 	l->is_at_end = false;
+	if (h1_link_check(l, end) != ST_OK)
+		return;
+	if (l->is_chunked && l->check.next != H1_LINE_NONE) {
+		l->code = st_fail(ST_INVALID, "no empty line after the chunks");
+		return;
+	}
+	l->is_chunked = false;
 	h1_check_reset(&l->check);
 	if (!is_interim && !l->is_skipped) {
 		l->is_keep = http_should_keep_alive(&l->parser);
@@ -260,46 +276,46 @@
 }
 
 /*
- * Parses up to the end of the answer. Returns ST_OK if nothing is wrong with
- * what has come; @used: how much of it has been taken.
+ * Parses up to the end of the answer, or to what is wrong with it. Returns how
+ * much has been taken.
  */
-static enum st_code h1_link_execute(struct _h1_link *l, const char *data,
-				    size_t bytes, size_t *used)
+static size_t h1_link_execute(struct _h1_link *l, const char *data,
+			      size_t bytes)
 {
-	enum st_code code = ST_OK;
+	size_t used = 0;
 
-	*used = 0;
 	l->checked = data;
 	do {
-		*used += http_parser_execute(&l->parser, &h1_settings,
-					     data + *used, bytes - *used);
+		used += http_parser_execute(&l->parser, &h1_settings,
+					    data + used, bytes - used);
 		if (HTTP_PARSER_ERRNO(&l->parser) == HPE_PAUSED)
 			http_parser_pause(&l->parser, 0);
 		if (l->is_at_head_end)
-			code = h1_link_end_head(l, data + *used);
+			h1_link_end_head(l, data + used);
 		else if (l->is_at_end)
-			h1_link_end_message(l);
+			h1_link_end_message(l, data + used);
 		else
 			break;
-	} while (code == ST_OK && !l->is_cancelled && !l->is_complete &&
-		 *used < bytes);
-	if (code == ST_OK && HTTP_PARSER_ERRNO(&l->parser) != HPE_OK)
-		return st_fail(
+	} while (l->code == ST_OK && !l->is_cancelled && !l->is_complete &&
+		 used < bytes);
+	if (l->is_cancelled || l->is_complete || l->code != ST_OK)
+		return used;
+	if (HTTP_PARSER_ERRNO(&l->parser) != HPE_OK)
+		l->code = st_fail(
 			ST_INVALID, "%s",
 			http_errno_description(HTTP_PARSER_ERRNO(&l->parser)));
-	if (code == ST_OK && bytes && !l->is_cancelled && !l->is_complete)
-		code = h1_link_check(l, data + bytes);
-	return code;
+	else
+		h1_link_check(l, data + bytes);
+	return used;
 }
 
 /* Returns false if the link is gone or its call is over. */
 static bool h1_link_parse(struct _h1_link *l, const char *data, size_t bytes)
 {
-	enum st_code code;
 	size_t used;
 
 	l->in_callback = true;
-	code = h1_link_execute(l, data, bytes, &used);
+	used = h1_link_execute(l, data, bytes);
 	l->in_callback = false;
 	if (l->is_cancelled) {
 		h1_link_free(l);
@@ -318,7 +334,7 @@
 		h1_link_end(l, H1_TOO_LARGE);
 		return false;
 	}
-	if (code != ST_OK) {
+	if (l->code != ST_OK) {
 		/* No bytes stand for the end of the connection. */
 		h1_link_end(l, bytes ? H1_GARBLED : H1_BROKEN);
 		return false;
@@ -572,6 +588,8 @@
 	l->is_head = !strcmp(desc->method, "HEAD");
 	l->is_at_head_end = false;
 	l->is_at_end = false;
+	l->is_chunked = false;
+	l->code = ST_OK;
 	l->was_sent = false;
 	l->is_complete = false;
 	l->is_skipped = false;
--- a/tests/sessions/gateway_answer_test.cc
+++ b/tests/sessions/gateway_answer_test.cc
@@ -148,6 +148,11 @@
 	}
 }
 
+TEST_F(Answer, ChunksThatAreNone)
+{
+	check(broken_chunks);
+}
+
 TEST_F(Answer, FieldsThatAreNone)
 {
 	check(broken_fields);
--- a/tests/unit/answer_test.cc
+++ b/tests/unit/answer_test.cc
@@ -505,6 +505,16 @@
 		check_sound([&](OneAnswer &s) { return ask_hc(s, is_stream); });
 }
 
+// The bytes that end a chunk were skipped, whatever they were.
+TEST_F(Answers, ChunksThatAreNoneAreRejected)
+{
+	check_broken(broken_chunks, [&](OneAnswer &s) { return ask_h1(s); });
+	for (bool is_stream : { false, true })
+		check_broken(broken_chunks, [&](OneAnswer &s) {
+			return ask_hc(s, is_stream);
+		});
+}
+
 // Lengths that contradict each other, or that are none, and codings that nobody
 // had offered to undo.
 TEST_F(Answers, LengthsAndCodingsThatAreNoneAreRejected)
