http1: interim answers, 204 and 304 have no body, whatever their fields say

What callers saw: a 304 that named the length of what it left out was waited for until the request's timeout (504); an interim answer with a length ate the start of the answer itself (502). Its bytes went to the caller's side of the client as body before the answer's head had come.

Cause: http_parser reads a body wherever a length or a coding is named.

Change: the client tells the parser that such a head has no body. A 204 that announces one all the same is served and ends its connection, as the bytes may follow.

--- a/src/http1/h1_client.c
+++ b/src/http1/h1_client.c
@@ -157,6 +157,15 @@
 	return 0;
 }
 
+/* RFC 9112, 6.3: whatever the fields say. */
+static bool h1_link_has_no_body(const struct _h1_link *l)
+{
+	uint32_t status = l->parser.status_code;
+
+	return l->is_head || status / 100 == 1 || status == 204 ||
+	       status == 304;
+}
+
 /* The parser pauses here, as it does not say where the head ends. */
 static int h1_on_headers(http_parser *p)
 {
@@ -165,7 +174,7 @@
 	h1_collector_end(&l->collector);
 	l->is_at_head_end = true;
 	http_parser_pause(p, 1);
-	return l->is_head ? 1 : 0;
+	return h1_link_has_no_body(l) ? 1 : 0;
 }
 
 /* Checks the lines that the parser has taken, up to @end. */
@@ -239,7 +248,7 @@
 	}
 	if (is_interim)
 		return;
-	l->is_chunked = !l->is_head && l->parser.flags & F_CHUNKED;
+	l->is_chunked = !h1_link_has_no_body(l) && l->parser.flags & F_CHUNKED;
 	if (l->is_chunked)
 		h1_check_expect_chunks(&l->check);
 	l->status = l->parser.status_code;
@@ -251,6 +260,15 @@
 		h1_link_expect_slow_reads(l);
 }
 
+/* A body that was announced where none is allowed may still come. */
+static bool h1_link_may_send_more(const struct _h1_link *l)
+{
+	uint64_t bytes = l->parser.content_length;
+
+	return l->parser.status_code == 204 &&
+	       (l->parser.flags & F_CHUNKED || (bytes && bytes != UINT64_MAX));
+}
+
 /*
  * The parser has stopped after an answer, which may be an interim one; @end is
  * behind its last byte.
@@ -269,7 +287,8 @@
 	l->is_chunked = false;
 	h1_check_reset(&l->check);
 	if (!is_interim && !l->is_skipped) {
-		l->is_keep = http_should_keep_alive(&l->parser);
+		l->is_keep = http_should_keep_alive(&l->parser) &&
+			     !h1_link_may_send_more(l);
 		l->is_complete = true;
 	}
 	l->is_skipped = false;
--- a/tests/harness/answer_cases.h
+++ b/tests/harness/answer_cases.h
@@ -108,6 +108,22 @@
 	  "Connection: Upgrade\r\nUpgrade: h2c\r\n" TWO_BYTES END_OF_TWO,
 	  200, "hi" },
 	{ "no content", "HTTP/1.1 204 No Content\r\n\r\n", 204, "" },
+	{ "no content of no bytes",
+	  "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", 204, "" },
+	{ "no content, and bytes that are none of it",
+	  "HTTP/1.1 204 No Content\r\n" TWO_BYTES END_OF_TWO, 204, "" },
+	{ "not modified, with the length of what was not sent",
+	  "HTTP/1.1 304 Not Modified\r\n" TWO_BYTES "\r\n", 304, "" },
+	{ "not modified, with the coding of what was not sent",
+	  "HTTP/1.1 304 Not Modified\r\n" IN_CHUNKS "\r\n", 304, "" },
+	{ "interim with a length",
+	  "HTTP/1.1 100 Continue\r\n" TWO_BYTES
+	  "\r\n" OK_LINE TWO_BYTES END_OF_TWO,
+	  200, "hi" },
+	{ "interim with a coding",
+	  "HTTP/1.1 100 Continue\r\n" IN_CHUNKS
+	  "\r\n" OK_LINE TWO_BYTES END_OF_TWO,
+	  200, "hi" },
 };
 
 inline const BrokenAnswer broken_statuses[] = {
