net: answers that libcurl itself rejects are garbled, with their reason

libcurl finds some of the broken answers itself: statuses below 100, versions it does not know, NUL, lines without a colon, chunks that are none. They ended as "broken", for which the entry logs no reason; they end as "garbled" now, and upstream_failed names the reason. An error in chunks has the code of a failed read, and is told from one by the system's error, of which there is none.

answer_test demands a reason of each rejected answer from both clients.

--- a/src/net/hc.c
+++ b/src/net/hc.c
@@ -92,6 +92,27 @@
 	return request_bytes > 0;
 }
 
+/*
+ * libcurl has found itself that the answer is none. Errors in chunks have the
+ * code of a failed read, for which the system gave no reason.
+ */
+static bool hc_has_rejected(struct _hc_transfer *t, CURLcode code)
+{
+	long os_errno = 0;
+
+	switch (code) {
+	case CURLE_UNSUPPORTED_PROTOCOL:
+	case CURLE_WEIRD_SERVER_REPLY:
+	case CURLE_BAD_FUNCTION_ARGUMENT:
+		return true;
+	case CURLE_RECV_ERROR:
+		curl_easy_getinfo(t->easy, CURLINFO_OS_ERRNO, &os_errno);
+		return !os_errno;
+	default:
+		return false;
+	}
+}
+
 static enum hc_outcome hc_outcome_of(struct _hc_transfer *t, CURLcode code,
 				     bool maybe_sent)
 {
@@ -108,7 +129,7 @@
 		return HC_NO_CONNECTION;
 	if (code == CURLE_OPERATION_TIMEDOUT)
 		return HC_TIMEOUT;
-	return HC_BROKEN;
+	return hc_has_rejected(t, code) ? HC_GARBLED : HC_BROKEN;
 }
 
 static void hc_transfer_end(struct _hc_transfer *t, CURLcode code)
@@ -125,7 +146,7 @@
 	result.outcome = hc_outcome_of(t, code, result.maybe_sent);
 	g_strlcpy(message, t->error[0] ? t->error : curl_easy_strerror(code),
 		  sizeof(message));
-	if (result.outcome == HC_GARBLED)
+	if (t->is_garbled)
 		g_strlcpy(message, t->reason, sizeof(message));
 	else if (result.outcome == HC_IDLE)
 		g_strlcpy(message, "no byte in time", sizeof(message));
--- a/tests/unit/answer_test.cc
+++ b/tests/unit/answer_test.cc
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "../harness/answer_cases.h"
+#include "../harness/one_answer.h"
 
 extern "C" {
 #include "http1/h1_client.h"
@@ -22,6 +23,8 @@
 #include "net/hc.h"
 }
 
+using harness::OneAnswer;
+
 namespace
 {
 
@@ -30,80 +33,6 @@
 constexpr int64_t unread_ms = 3300;
 constexpr size_t long_upload_bytes = 8 << 20;
 
-// Answers the first request on its one connection with @text.
-class OneAnswer
-{
-      public:
-	OneAnswer(std::string text, bool is_bytewise, bool closes)
-	    : rest(std::move(text)), is_bytewise(is_bytewise), closes(closes)
-	{
-		struct sockaddr_in a = {};
-		socklen_t bytes = sizeof(a);
-
-		a.sin_family = AF_INET;
-		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-		EXPECT_EQ(bind(listener, (struct sockaddr *)&a, bytes), 0);
-		EXPECT_EQ(listen(listener, 4), 0);
-		getsockname(listener, (struct sockaddr *)&a, &bytes);
-		port = ntohs(a.sin_port);
-	}
-
-	~OneAnswer()
-	{
-		if (fd >= 0)
-			close(fd);
-		close(listener);
-	}
-
-	void serve()
-	{
-		char buffer[4096];
-		ssize_t n;
-
-		if (fd < 0 && !is_closed) {
-			fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
-			return;
-		}
-		if (fd < 0)
-			return;
-		n = recv(fd, buffer, sizeof(buffer), 0);
-		is_asked = is_asked || n > 0;
-		if (n == 0 || (n < 0 && errno != EAGAIN))
-			end();
-		else if (is_asked)
-			answer();
-	}
-
-	uint16_t port;
-	bool is_closed = false;
-
-      private:
-	std::string rest;
-	bool is_bytewise, closes;
-	int listener, fd = -1;
-	bool is_asked = false;
-
-	void end()
-	{
-		close(fd);
-		fd = -1;
-		is_closed = true;
-	}
-
-	void answer()
-	{
-		int on = 1;
-		size_t bytes = is_bytewise ? !rest.empty() : rest.size();
-
-		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-		send(fd, rest.data(), bytes, MSG_NOSIGNAL);
-		rest.erase(0, bytes);
-		if (rest.empty() && closes)
-			end();
-	}
-};
-
 // Answers before it has read the request, whose body is longer than all
 // buffers, and goes on as the test says.
 class EarlyAnswer
@@ -201,6 +130,7 @@
 struct Seen {
 	bool is_done = false;
 	bool is_whole = false;
+	bool is_garbled = false;
 	bool has_head = false;
 	uint32_t status = 0;
 	std::string body;
@@ -278,6 +208,7 @@
 
 			s->is_done = true;
 			s->is_whole = outcome == H1_DONE;
+			s->is_garbled = outcome == H1_GARBLED;
 			s->reason = st_message();
 		};
 		desc.arg = &seen;
@@ -329,6 +260,7 @@
 
 			s->is_done = true;
 			s->is_whole = r->outcome == HC_DONE;
+			s->is_garbled = r->outcome == HC_GARBLED;
 			s->status = r->http_status;
 			s->body.append(r->body, r->body_bytes);
 			s->reason = r->message;
@@ -411,6 +343,10 @@
 		if (seen.is_whole)
 			return "served as " + std::to_string(seen.status) +
 			       " \"" + seen.body + "\"";
+		if (!seen.is_garbled)
+			return "not garbled: " + seen.reason;
+		if (seen.reason.empty())
+			return "without a reason";
 		if (!a.has_sound_head && (seen.has_head || !seen.body.empty()))
 			return "handed over in part";
 		return "";
