tests: broken answers at the entry, between regions and in the callers' stand-in

Attempts of the entry at services and engines end as garbled, may have run, and have no body; a request that may run once only is not sent again, a stream goes on at another engine and is not resumed at this one. The stand-in for callers reads by libcurl and took answers for complete whose head is none or breaks off: it checks their lines now.

--- a/tests/harness/http.cc
+++ b/tests/harness/http.cc
@@ -5,6 +5,10 @@
 
 #include <algorithm>
 
+extern "C" {
+#include "http1/h1_check.h"
+}
+
 #include "bench/bench_answer.h"
 
 namespace harness
@@ -19,12 +23,23 @@
 	return size * count;
 }
 
+// What the lines of an answer are checked for, as libcurl takes any.
+struct Head {
+	struct h1_check check;
+	std::map<std::string, std::string> *headers;
+	bool is_valid = true;
+};
+
 size_t on_header(char *data, size_t size, size_t count, void *arg)
 {
-	auto *headers = static_cast<std::map<std::string, std::string> *>(arg);
+	auto *head = static_cast<Head *>(arg);
+	auto *headers = head->headers;
 	std::string line(data, size * count);
 	size_t colon = line.find(": ");
 
+	if (h1_check_line(&head->check, data, size * count) != ST_OK)
+		head->is_valid = false;
+
 	if (colon != std::string::npos) {
 		std::string name = line.substr(0, colon);
 
@@ -45,6 +60,8 @@
 		int timeout_ms, Reply *reply)
 	    : easy(curl_easy_init()), reply(reply)
 	{
+		h1_check_init(&head.check);
+		head.headers = &reply->headers;
 		for (const std::string &header : headers)
 			list = curl_slist_append(list, header.c_str());
 		list = curl_slist_append(list, "Expect:");
@@ -53,7 +70,7 @@
 		curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
 		curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
 		curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
-		curl_easy_setopt(easy, CURLOPT_HEADERDATA, &reply->headers);
+		curl_easy_setopt(easy, CURLOPT_HEADERDATA, &head);
 		curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append);
 		curl_easy_setopt(easy, CURLOPT_WRITEDATA, &reply->body);
 		if (!body.empty()) {
@@ -69,6 +86,7 @@
 
 	~Request()
 	{
+		h1_check_finish(&head.check);
 		curl_slist_free_all(list);
 		curl_easy_cleanup(easy);
 	}
@@ -81,13 +99,17 @@
 		CURLcode code = curl_easy_perform(easy);
 
 		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &reply->status);
-		reply->complete = code == CURLE_OK;
+		reply->complete = code == CURLE_OK && head.is_valid &&
+				  h1_check_is_final(&head.check);
 		reply->error = code == CURLE_OK ? "" : curl_easy_strerror(code);
+		if (!head.is_valid)
+			reply->error = "no valid answer";
 	}
 
 	CURL *easy;
 
       private:
+	Head head;
 	Reply *reply;
 	curl_slist *list = nullptr;
 };
--- a/tests/harness/http.h
+++ b/tests/harness/http.h
@@ -24,7 +24,10 @@
 
 constexpr int default_timeout_ms = 20000;
 
-/** Reply - an answer. complete is false if the transfer broke. */
+/**
+ * Reply - an answer. complete is false if the transfer broke, or what came is
+ * no valid answer.
+ */
 struct Reply {
 	long status = 0;
 	bool complete = false;
--- a/tests/unit/entry_rules_test.cc
+++ b/tests/unit/entry_rules_test.cc
@@ -44,6 +44,9 @@
 		{ "not sent, part delivered", UP_NOT_SENT, true, nullptr,
 		  EN_CONTINUE },
 		{ "failed a check", UP_FAULTY, false, nullptr, EN_RETRY },
+		{ "no HTTP", UP_GARBLED, false, nullptr, EN_RETRY },
+		{ "no HTTP, part delivered", UP_GARBLED, true, nullptr,
+		  EN_CONTINUE },
 		{ "failed a check, part delivered", UP_FAULTY, true, nullptr,
 		  EN_CONTINUE },
 		{ "not continuable, part delivered", UP_FAULTY, true,
@@ -90,6 +93,12 @@
 			  e->is_resuming = true;
 		  },
 		  EN_CONTINUE },
+		{ "not idempotent, no HTTP", UP_GARBLED, false,
+		  [](struct en_attempt_result *e) {
+			  e->can_resume = false;
+			  e->rb.is_idempotent = false;
+		  },
+		  EN_FAIL_UNCERTAIN },
 		{ "not idempotent, may have run", UP_BROKEN, false,
 		  [](struct en_attempt_result *e) {
 			  e->can_resume = false;
--- a/tests/unit/relay_test.cc
+++ b/tests/unit/relay_test.cc
@@ -9,6 +9,9 @@
 #include <functional>
 #include <string>
 
+#include "../harness/answer_cases.h"
+#include "../harness/one_answer.h"
+
 extern "C" {
 #include "kernel/ck.h"
 #include "link/lk_relay.h"
@@ -42,6 +45,7 @@
 	bool engine_aborts = false;
 	bool engine_streams = false;
 	bool engine_is_endless = false;
+	harness::OneAnswer *raw_engine = nullptr;
 	int runs = 0;
 	int engine_closed = 0;
 
@@ -222,8 +226,11 @@
 		};
 		EXPECT_EQ(hc_send(&client, &desc, nullptr), ST_OK);
 		int64_t deadline_ms = ck_now_ms() + 5000;
-		while (!a.is_done && ck_now_ms() < deadline_ms)
-			ev_run(loop, EVRUN_ONCE);
+		while (!a.is_done && ck_now_ms() < deadline_ms) {
+			ev_run(loop, raw_engine ? EVRUN_NOWAIT : EVRUN_ONCE);
+			if (raw_engine)
+				raw_engine->serve();
+		}
 		EXPECT_TRUE(a.is_done);
 		return a;
 	}
@@ -349,6 +356,31 @@
 	lk_call_finish(&call);
 }
 
+// libcurl hands the body over before it finds that the head is none.
+TEST_F(Relay, AnswerThatIsNoneIsNotRelayed)
+{
+	const std::string body(5000, 'z');
+
+	for (const BrokenAnswer *answer :
+	     { &broken_statuses[1], &broken_statuses[2], &broken_statuses[3],
+	       &broken_fields[3], &broken_lengths[6] }) {
+		harness::OneAnswer server(answer->text, false, false);
+		struct lk_call_desc desc = desc_of(body);
+		struct lk_call call;
+
+		raw_engine = &server;
+		list_engine(server.port);
+		ASSERT_EQ(lk_call_init(&call, &near, &desc), ST_OK);
+		Answer a = post(&call);
+		EXPECT_EQ(a.outcome, HC_DONE) << answer->name;
+		EXPECT_EQ(a.status, 502u) << answer->name;
+		EXPECT_EQ(a.relay, LK_RELAY_UNKNOWN) << answer->name;
+		EXPECT_EQ(a.body, "") << answer->name;
+		lk_call_finish(&call);
+		raw_engine = nullptr;
+	}
+}
+
 // The engine sends without end, and the caller on the other side does not read:
 // the far side kept everything.
 TEST_F(Relay, AnswerWithoutEndToACallerThatDoesNotReadIsCut)
--- a/tests/unit/upstream_test.cc
+++ b/tests/unit/upstream_test.cc
@@ -1,5 +1,7 @@
 // Attempts at engines and services against a fake server on the same loop.
+#include "../harness/answer_cases.h"
 #include "../harness/endless.h"
+#include "../harness/one_answer.h"
 #include "fakes.h"
 
 extern "C" {
@@ -235,6 +237,40 @@
 	EXPECT_FALSE(up_can_resume(&attempt));
 }
 
+// Neither a service's answer, whatever its status, nor an engine's refusal.
+TEST_F(Upstream, AnswerThatIsNoneEndsTheAttemptWithItsReason)
+{
+	static const struct {
+		const char *kind;
+		bool is_stream;
+	} attempts[] = { { "service", false },
+			 { "engine", false },
+			 { "engine", true } };
+
+	for (const auto &a : attempts)
+		for (const BrokenAnswer *answer :
+		     { &broken_statuses[1], &broken_fields[3],
+		       &broken_lengths[6], &broken_chunks[10] }) {
+			harness::OneAnswer server(answer->text, false, false);
+			int before = done_count;
+
+			start(a.kind, a.is_stream, "/x", server.port);
+			l.run_until([&] {
+				server.serve();
+				return done_count > before;
+			});
+			/* The decoder may have found a fault before. */
+			EXPECT_EQ(result.end,
+				  a.is_stream && answer->has_sound_head
+					  ? UP_FAULTY
+					  : UP_GARBLED)
+				<< answer->name;
+			EXPECT_TRUE(result.maybe_sent) << answer->name;
+			EXPECT_EQ(body, "") << answer->name;
+			up_finish(&attempt);
+		}
+}
+
 std::string make(const char *request, int32_t priority)
 {
 	struct json_object *json = up_parse_json(request, strlen(request));
