http1: requests with a blank in a field's name are refused

A caller's "Transfer-Encoding : chunked", "Content-Length : 3" or "X A: a" was taken, and the line passed on to the engine beside the gateway's own Content-Length, where it may hide a second request.

Cause: the same build of http_parser counts a blank as part of a name, so that neither the check for two framings nor the list of fields that are not passed on knew the name.

--- a/src/http1/h1_check.c
+++ b/src/http1/h1_check.c
@@ -74,11 +74,19 @@
 	return ST_OK;
 }
 
-static bool h1_is_token(char c)
+static bool h1_is_token_byte(char c)
 {
 	return g_ascii_isalnum(c) || (c && strchr("!#$%&'*+-.^_`|~", c));
 }
 
+bool h1_check_is_token(const char *text, uint64_t bytes)
+{
+	for (uint64_t i = 0; i < bytes; i++)
+		if (!h1_is_token_byte(text[i]))
+			return false;
+	return true;
+}
+
 /*
  * A line that begins with a blank may go on with the value before it, which
  * RFC 9112, 5.2 lets a gateway reject; behind a status line it is no field.
@@ -89,7 +97,7 @@
 	uint64_t name_bytes = colon ? (uint64_t)(colon - line) : bytes;
 
 	for (uint64_t i = 0; i < name_bytes; i++)
-		if (!h1_is_token(line[i]))
+		if (!h1_is_token_byte(line[i]))
 			return st_fail(ST_INVALID,
 				       "byte 0x%02x in the name of a field",
 				       (unsigned char)line[i]);
--- a/src/http1/h1_check.h
+++ b/src/http1/h1_check.h
@@ -85,6 +85,9 @@
  */
 void h1_check_expect_chunks(struct h1_check *check);
 
+/** h1_check_is_token() - whether @text may be part of a field's name. */
+bool h1_check_is_token(const char *text, uint64_t bytes);
+
 /** h1_check_is_final() - the head of the answer itself is complete. */
 static inline bool h1_check_is_final(const struct h1_check *check)
 {
--- a/src/http1/h1_read.c
+++ b/src/http1/h1_read.c
@@ -1,6 +1,7 @@
 /* Reads requests: the callbacks of the parser, and their limits. */
 #include <string.h>
 
+#include "http1/h1_check.h"
 #include "http1/h1_private.h"
 #include "kernel/ck.h"
 #include "kernel/mt.h"
@@ -85,6 +86,8 @@
 {
 	struct _h1_connection *c = p->data;
 
+	if (!h1_check_is_token(at, bytes))
+		return h1_reject(c, 400);
 	h1_collector_field(&c->collector, at, bytes);
 	return h1_check_fields(c, bytes);
 }
--- a/tests/unit/http1_test.cc
+++ b/tests/unit/http1_test.cc
@@ -214,6 +214,17 @@
 		  "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 		  "400", nullptr },
 		{ "no request at all\r\n\r\n", "400", nullptr },
+		/* These were passed on to upstreams beside the real framing. */
+		{ "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : chunked"
+		  "\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		  "400", nullptr },
+		{ "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n"
+		  "\r\nabc",
+		  "400", nullptr },
+		{ "GET /p HTTP/1.1\r\nHost: h\r\nX A: a\r\n\r\n", "400",
+		  nullptr },
+		{ "GET /p HTTP/1.1\r\n X-A: a\r\nHost: h\r\n\r\n", "400",
+		  nullptr },
 	};
 
 	for (const auto &c : cases) {
