--- a/src/gateway/gw_rollout.c
+++ b/src/gateway/gw_rollout.c
@@ -142,7 +142,7 @@
 }
 
 static void gw_job_log(const struct gw_job *job, const char *event,
-		       const char *outcome)
+		       const char *outcome, const char *reason)
 {
 	char version[24], orders[24], fencing[24], status[12];
 
@@ -154,7 +154,7 @@
 	g_snprintf(status, sizeof(status), "%u", job->status);
 	lg_info(event, "event", event, "engine", job->engine->entry.id,
 		"version", version, "after_orders", orders, "fencing", fencing,
-		"status", status, "outcome", outcome, NULL);
+		"status", status, "outcome", outcome, "reason", reason, NULL);
 }
 
 static void gw_job_done(void *arg, enum h1_outcome outcome);
@@ -241,7 +241,7 @@
 	if (job->status != 200 ||
 	    job->rollout->gateway->dialect->decode_report(
 		    job->body->str, job->body->len, &report) != ST_OK) {
-		gw_job_log(job, "report", "unusable");
+		gw_job_log(job, "report", "unusable", "");
 		job->next_ms = ck_now_ms() + GW_ORDER_RETRY_MS;
 		return;
 	}
@@ -260,14 +260,14 @@
 	case 202:
 		job->orders++;
 		job->next_ms = ck_now_ms() + GW_ORDER_LIMIT_MS;
-		gw_job_log(job, "order", "accepted");
+		gw_job_log(job, "order", "accepted", "");
 		/* The outcome is read before another order is sent. */
 		job->knows_orders = false;
 		return;
 	case 200:
 		job->engine->entry.weights = job->version;
 		gw_plan_update(job->rollout->gateway, ck_now_ms());
-		gw_job_log(job, "order", "already_there");
+		gw_job_log(job, "order", "already_there", "");
 		return;
 	case 412:
 		ls_on_refused(&job->rollout->lease);
@@ -275,7 +275,7 @@
 	default:
 		job->knows_orders = false;
 		job->next_ms = ck_now_ms() + GW_ORDER_RETRY_MS;
-		gw_job_log(job, "order", "refused");
+		gw_job_log(job, "order", "refused", "");
 	}
 }
 
@@ -291,7 +291,8 @@
 		job->knows_orders = false;
 		job->next_ms = ck_now_ms() + GW_ORDER_RETRY_MS;
 		gw_job_log(job, was_report ? "report" : "order",
-			   h1_outcome_name(outcome));
+			   h1_outcome_name(outcome),
+			   h1_outcome_reason(outcome));
 		if (was_report)
 			job->report_timeout_ms = MIN(2 * job->report_timeout_ms,
 						     GW_REPORT_MAX_TIMEOUT_MS);
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -438,11 +438,6 @@
 	gw_detach_engine(r);
 }
 
-static bool gw_has_reason(enum h1_outcome outcome)
-{
-	return outcome == H1_GARBLED || outcome == H1_BROKEN;
-}
-
 static void gw_on_done(void *arg, enum h1_outcome outcome)
 {
 	struct gw_request *r = arg;
@@ -458,9 +453,9 @@
 		gw_attempt_refused(r);
 		return;
 	}
-	gw_send_log_failure(
-		r, was_torn ? "torn_event" : h1_outcome_name(outcome),
-		gw_has_reason(outcome) && !was_torn ? st_message() : "");
+	gw_send_log_failure(r,
+			    was_torn ? "torn_event" : h1_outcome_name(outcome),
+			    h1_outcome_reason(outcome));
 	if (outcome == H1_NO_DESCRIPTOR) {
 		gw_cap_give_back(r);
 		gw_poison_attempt_ended(r, PS_CANCELLED);
--- a/src/http1/h1_client.c
+++ b/src/http1/h1_client.c
@@ -694,6 +694,12 @@
 	h1_peer_close_idle(peer);
 }
 
+const char *h1_outcome_reason(enum h1_outcome outcome)
+{
+	return outcome == H1_BROKEN || outcome == H1_GARBLED ? st_message()
+							     : "";
+}
+
 const char *h1_outcome_name(enum h1_outcome outcome)
 {
 	static const char *const names[] = { "done",	  "not_sent",
--- a/src/http1/h1_client.h
+++ b/src/http1/h1_client.h
@@ -43,9 +43,8 @@
  * enum h1_outcome - how a call ended.
  * @H1_DONE: a whole answer came.
  * @H1_NOT_SENT: no connection; no byte of the call left.
- * @H1_BROKEN: the connection ended before the answer was whole; st_message()
- *	says how.
- * @H1_GARBLED: what came is no HTTP answer; st_message() says why.
+ * @H1_BROKEN: the connection ended before the answer was whole.
+ * @H1_GARBLED: what came is no HTTP answer.
  * @H1_TOO_LARGE: more came than the call takes.
  * @H1_NO_DESCRIPTOR: like H1_NOT_SENT, and the peer has no part in it: this
  *	process has too many descriptors open.
@@ -168,4 +167,11 @@
 
 const char *h1_outcome_name(enum h1_outcome outcome);
 
+/**
+ * h1_outcome_reason() - for on_done, before anything else fails.
+ *
+ * Return: why a call is broken or garbled, in words; "" for other outcomes.
+ */
+const char *h1_outcome_reason(enum h1_outcome outcome);
+
 #endif
--- a/tests/sessions/gateway_answer_test.cc
+++ b/tests/sessions/gateway_answer_test.cc
@@ -36,9 +36,11 @@
 	std::string text;
 	std::atomic<bool> closes{ false };
 	std::atomic<int> runs{ 0 };
+	std::atomic<int> looks{ 0 };
 	int asked = 0;
 	ScriptedServer engine{ [this](const ScriptedServer::Request &r) {
 		runs++;
+		looks += r.head.find(" /look/") != std::string::npos;
 		return with_fields(
 			text, "X-Attempt-Id: " + r.field("X-Attempt-Id") +
 				      "\r\nX-Response-Stamp: scripted\r\n");
@@ -125,6 +127,7 @@
 			EXPECT_EQ(status_of(ask("look")), "HTTP/1.1 200")
 				<< a.name;
 		}
+		EXPECT_GT(looks, 0);
 		EXPECT_TRUE(has_logged_reason());
 		EXPECT_EQ(call(Fleet::readiness("h1")).status, 200);
 	}
@@ -148,6 +151,29 @@
 	}
 }
 
+// No part of a chunk that is none reaches the caller, and the end of its answer
+// does not look like one.
+TEST_F(Answer, StreamThatTurnsIntoNoneIsCutOff)
+{
+	static const std::string head =
+		"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n"
+		"11\r\nid: 1\ndata: one\n\n\r\n";
+
+	for (const char *rest : { "11\r\nid: 2\ndata: two\n\nxx0\r\n\r\n",
+				  "11\rxid: 2\ndata: two\n\n\r\n0\r\n\r\n",
+				  "what\r\n", "0\r\nX A: a\r\n\r\n" }) {
+		std::string seen;
+
+		answer_with(head + rest, true);
+		seen = ask("grade");
+		EXPECT_EQ(status_of(seen), "HTTP/1.1 200") << rest;
+		EXPECT_NE(seen.find("data: one\n\n"), std::string::npos)
+			<< rest;
+		EXPECT_EQ(seen.find("\r\n0\r\n"), std::string::npos) << rest;
+	}
+}
+
 TEST_F(Answer, ChunksThatAreNone)
 {
 	check(broken_chunks);
