net: no body is handed over before its head is final; one listener for tests

A guard beside the check of lines: whatever libcurl takes for a head, data that comes before the final one ends the call as garbled. The two stand-ins for servers share how they listen.

--- a/src/net/hc.c
+++ b/src/net/hc.c
@@ -323,6 +323,12 @@
 			t->client->_max_collected_bytes);
 }
 
+static void hc_reject(struct _hc_transfer *t, const char *reason)
+{
+	t->is_garbled = true;
+	g_strlcpy(t->reason, reason, sizeof(t->reason));
+}
+
 static size_t hc_on_body(char *data, size_t size, size_t count, void *arg)
 {
 	struct _hc_transfer *t = arg;
@@ -330,6 +336,10 @@
 	long status = 0;
 
 	t->last_byte_ms = ck_now_ms();
+	if (!h1_check_is_final(&t->check)) {
+		hc_reject(t, "a body without a head");
+		return 0;
+	}
 	if (!t->got_body_byte) {
 		t->got_body_byte = true;
 		hc_drop_sent_body(t);
@@ -365,8 +375,7 @@
 		return 0;
 	}
 	if (h1_check_line(&t->check, line, bytes) != ST_OK) {
-		t->is_garbled = true;
-		g_strlcpy(t->reason, st_message(), sizeof(t->reason));
+		hc_reject(t, st_message());
 		return 0;
 	}
 	if (!t->desc.on_header || !colon)
--- a/tests/harness/one_answer.h
+++ b/tests/harness/one_answer.h
@@ -27,6 +27,26 @@
 namespace harness
 {
 
+/** listen_on_loopback() - a socket that does not block, at a port of its own.
+ */
+inline int listen_on_loopback(uint16_t *port, int window_bytes = 0)
+{
+	struct sockaddr_in at = {};
+	socklen_t bytes = sizeof(at);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+	at.sin_family = AF_INET;
+	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (window_bytes)
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window_bytes,
+			   sizeof(window_bytes));
+	EXPECT_EQ(bind(fd, (struct sockaddr *)&at, bytes), 0);
+	EXPECT_EQ(listen(fd, 4), 0);
+	getsockname(fd, (struct sockaddr *)&at, &bytes);
+	*port = ntohs(at.sin_port);
+	return fd;
+}
+
 class OneAnswer
 {
       public:
@@ -34,16 +54,7 @@
 	OneAnswer(std::string text, bool is_bytewise, bool closes)
 	    : rest(std::move(text)), is_bytewise(is_bytewise), closes(closes)
 	{
-		struct sockaddr_in a = {};
-		socklen_t bytes = sizeof(a);
-
-		a.sin_family = AF_INET;
-		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-		EXPECT_EQ(bind(listener, (struct sockaddr *)&a, bytes), 0);
-		EXPECT_EQ(listen(listener, 4), 0);
-		getsockname(listener, (struct sockaddr *)&a, &bytes);
-		port = ntohs(a.sin_port);
+		listener = listen_on_loopback(&port);
 	}
 
 	~OneAnswer()
@@ -53,6 +64,9 @@
 		close(listener);
 	}
 
+	OneAnswer(const OneAnswer &) = delete;
+	OneAnswer &operator=(const OneAnswer &) = delete;
+
 	void serve()
 	{
 		char buffer[4096];
@@ -72,9 +86,6 @@
 			answer();
 	}
 
-	OneAnswer(const OneAnswer &) = delete;
-	OneAnswer &operator=(const OneAnswer &) = delete;
-
 	uint16_t port;
 	bool is_closed = false;
 
--- a/tests/unit/answer_test.cc
+++ b/tests/unit/answer_test.cc
@@ -42,19 +42,7 @@
 
 	EarlyAnswer()
 	{
-		struct sockaddr_in a = {};
-		socklen_t bytes = sizeof(a);
-		int window = window_bytes;
-
-		a.sin_family = AF_INET;
-		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-		setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &window,
-			   sizeof(window));
-		EXPECT_EQ(bind(listener, (struct sockaddr *)&a, bytes), 0);
-		EXPECT_EQ(listen(listener, 4), 0);
-		getsockname(listener, (struct sockaddr *)&a, &bytes);
-		port = ntohs(a.sin_port);
+		listener = harness::listen_on_loopback(&port, window_bytes);
 	}
 
 	~EarlyAnswer()
