gateway: a refusal whose body is garbled names the reason and counts as a failure

A head that says "not run" is final, so a 503 of an engine with a chunk longer than its size was logged as not_run with no reason, and did not count as the engine's failure. The promise stays, as the head was valid; attempt_failed has the reason now and the engine is avoided as after other failures. gateway_answer_test RefusalWithABrokenBody... failed before: the reason was empty.

The reasons use the field's words: "invalid status code 000" in place of "status 000 is none of HTTP", and so on. No test asserts their text.

--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -376,12 +376,13 @@
 		gw_answer_too_large(r);
 }
 
-static void gw_attempt_refused(struct gw_request *r)
+/* @reason: what is wrong with the answer behind its head; or "". */
+static void gw_attempt_refused(struct gw_request *r, const char *reason)
 {
 	int64_t until_ms = ck_now_ms() + GW_BUSY_AVOID_MS;
 
 	gw_cap_give_back(r);
-	gw_send_log_failure(r, "not_run", "");
+	gw_send_log_failure(r, "not_run", reason);
 	if (r->engine->avoid_until_ms < until_ms)
 		r->engine->avoid_until_ms = until_ms;
 	gw_poison_attempt_ended(r, PS_CANCELLED);
@@ -392,7 +393,7 @@
 static void gw_attempt_answered(struct gw_request *r)
 {
 	if (r->answer.has_not_run) {
-		gw_attempt_refused(r);
+		gw_attempt_refused(r, "");
 		return;
 	}
 	gw_cap_keep(r);
@@ -450,7 +451,9 @@
 	}
 	/* A head that says "not run" is final, however the body ends. */
 	if (r->mode == GW_COLLECT && r->answer.has_not_run) {
-		gw_attempt_refused(r);
+		if (outcome == H1_GARBLED)
+			gw_engine_failed(r->engine, ck_now_ms());
+		gw_attempt_refused(r, h1_outcome_reason(outcome));
 		return;
 	}
 	gw_send_log_failure(r,
--- a/src/http1/h1_check.c
+++ b/src/http1/h1_check.c
@@ -61,15 +61,15 @@
 					 const char *line, uint64_t bytes)
 {
 	if (!h1_is_status_line(line, bytes))
-		return st_fail(ST_INVALID, "no status line of HTTP/1");
+		return st_fail(ST_INVALID, "malformed status line");
 	check->status = 0;
 	for (uint64_t i = H1_STATUS_AT; i < H1_STATUS_LINE_BYTES; i++)
 		check->status = check->status * 10 + (line[i] - '0');
 	if (check->status < H1_FIRST_STATUS || check->status > H1_LAST_STATUS)
-		return st_fail(ST_INVALID, "status %03u is none of HTTP",
+		return st_fail(ST_INVALID, "invalid status code %03u",
 			       check->status);
 	if (check->status == H1_OTHER_PROTOCOL)
-		return st_fail(ST_INVALID, "another protocol, unasked");
+		return st_fail(ST_INVALID, "unexpected switch of protocols");
 	check->next = H1_LINE_FIELD;
 	return ST_OK;
 }
@@ -99,10 +99,10 @@
 	for (uint64_t i = 0; i < name_bytes; i++)
 		if (!h1_is_token_byte(line[i]))
 			return st_fail(ST_INVALID,
-				       "byte 0x%02x in the name of a field",
+				       "invalid byte 0x%02x in a field name",
 				       (unsigned char)line[i]);
 	if (!colon || !name_bytes)
-		return st_fail(ST_INVALID, "a field without a %s",
+		return st_fail(ST_INVALID, "field without a %s",
 			       colon ? "name" : "colon");
 	return ST_OK;
 }
@@ -131,8 +131,8 @@
 	bool (*is_valid)(const char *value);
 	const char *fault;
 } h1_framing_fields[] = {
-	{ "Content-Length:", h1_is_number, "a length that is no number" },
-	{ "Transfer-Encoding:", h1_is_coding, "an unknown transfer coding" },
+	{ "Content-Length:", h1_is_number, "invalid Content-Length" },
+	{ "Transfer-Encoding:", h1_is_coding, "unsupported transfer coding" },
 };
 
 static enum st_code h1_check_framing(struct h1_check *check, const char *line,
@@ -152,7 +152,8 @@
 				       h1_framing_fields[i].fault);
 		if (check->_has_framing)
 			return st_fail(ST_INVALID,
-				       "more than one length or coding");
+				       "more than one Content-Length or "
+				       "Transfer-Encoding");
 		check->_has_framing = true;
 	}
 	return ST_OK;
@@ -181,7 +182,8 @@
 {
 	for (uint64_t i = 0; i < bytes; i++)
 		if (g_ascii_iscntrl(line[i]) && line[i] != '\t')
-			return st_fail(ST_INVALID, "control byte 0x%02x",
+			return st_fail(ST_INVALID,
+				       "invalid control byte 0x%02x",
 				       (unsigned char)line[i]);
 	return ST_OK;
 }
@@ -198,7 +200,7 @@
 	while (at < bytes && (line[at] == ' ' || line[at] == '\t'))
 		at++;
 	if (!digits || (at < bytes && line[at] != ';'))
-		return st_fail(ST_INVALID, "no size of a chunk");
+		return st_fail(ST_INVALID, "malformed chunk size");
 	check->next = is_last ? H1_LINE_TRAILER : H1_LINE_CHUNK_END;
 	return ST_OK;
 }
@@ -216,7 +218,7 @@
 	case H1_LINE_CHUNK_END:
 		if (bytes)
 			return st_fail(ST_INVALID,
-				       "a chunk longer than its size");
+				       "chunk longer than its size");
 		check->next = H1_LINE_SIZE;
 		return ST_OK;
 	case H1_LINE_FIELD:
--- a/tests/sessions/gateway_answer_test.cc
+++ b/tests/sessions/gateway_answer_test.cc
@@ -151,6 +151,25 @@
 	}
 }
 
+// Its head is final: the request has not run. What is wrong with its body is
+// the engine's failure all the same.
+TEST_F(Answer, RefusalWithABrokenBodyIsLoggedWithItsReason)
+{
+	std::string log;
+
+	answer_with("HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
+		    "Transfer-Encoding: chunked\r\n\r\n2\r\nhixx0\r\n\r\n",
+		    true);
+	EXPECT_EQ(status_of(ask("record")), "HTTP/1.1 503");
+	EXPECT_TRUE(wait_until([&] {
+		log = read_file(directory.path + "/log");
+		return log.find("\"outcome\":\"not_run\",\"reason\":\"") !=
+		       std::string::npos;
+	}));
+	EXPECT_EQ(log.find("\"outcome\":\"not_run\",\"reason\":\"\""),
+		  std::string::npos);
+}
+
 // No part of a chunk that is none reaches the caller, and the end of its answer
 // does not look like one.
 TEST_F(Answer, StreamThatTurnsIntoNoneIsCutOff)
