--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -131,6 +131,20 @@
 	run([&] { state->put(table, key, value); });
 }
 
+void Fleet::put_together(
+	const std::string &table,
+	const std::vector<std::pair<std::string, std::string>> &rows)
+{
+	run([&] {
+		uint64_t version = state->version + 1;
+
+		for (const auto &row : rows)
+			state->set_row(table, row.first,
+				       { row.second, version, false });
+		state->answer_waiters(table);
+	});
+}
+
 std::string Fleet::row(const std::string &table, const std::string &key)
 {
 	std::string value;
@@ -317,6 +331,14 @@
 	return times;
 }
 
+size_t Fleet::at_work()
+{
+	size_t count = 0;
+
+	run([&] { count = state->running.size(); });
+	return count;
+}
+
 int Fleet::runs(const std::string &attempt)
 {
 	int count = 0;
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -22,6 +22,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace harness
@@ -95,6 +96,11 @@
 	void put(const std::string &table, const std::string &key,
 		 const std::string &value);
 
+	/** put_together() - several rows of a table in one transaction. */
+	void put_together(
+		const std::string &table,
+		const std::vector<std::pair<std::string, std::string>> &rows);
+
 	/** row() - its value; "" if there is none. */
 	std::string row(const std::string &table, const std::string &key);
 
@@ -206,6 +212,9 @@
 	/** crash_times() - when each of them ended, in order. */
 	std::vector<int64_t> crash_times();
 
+	/** at_work() - requests that engines answer at their pace now. */
+	size_t at_work();
+
 	/** runs() - begun for that attempt at any engine. */
 	int runs(const std::string &attempt);
 
--- a/tests/harness/fleet_state.h
+++ b/tests/harness/fleet_state.h
@@ -133,6 +133,7 @@
 		 const std::string &value);
 	void set_row(const std::string &table, const std::string &key,
 		     const Row &row);
+	void answer_waiters(const std::string &table);
 	void go_away(int away_ms, int back_ms);
 	void undo_since(int64_t at_ms);
 	void come_back(int64_t now_ms);
--- a/tests/harness/fleet_store.cc
+++ b/tests/harness/fleet_store.cc
@@ -130,6 +130,11 @@
 		return;
 	}
 	set_row(table, key, { value, version + 1, value.empty() });
+	answer_waiters(table);
+}
+
+void Fleet::State::answer_waiters(const std::string &table)
+{
 	for (auto it = waiters.begin(); it != waiters.end();) {
 		if (it->table != table) {
 			++it;
