--- a/src/gateway/gw_relay.c
+++ b/src/gateway/gw_relay.c
@@ -108,8 +108,27 @@
 		gw_relay_free(message);
 }
 
-/* Encodes the rows from @first on that fit a datagram; 0 if the first is too
- * large. */
+/*
+ * Shortens a message that ends between rows of one transaction. The version at
+ * its end tells receivers that they have all rows up to it.
+ */
+static uint32_t gw_relay_end_of_version(const struct rw_rows *rows,
+					uint32_t first, uint32_t count)
+{
+	uint32_t end = first + count;
+
+	if (end == rows->count)
+		return count;
+	while (end > first &&
+	       rows->rows[end - 1].version == rows->rows[end].version)
+		end--;
+	return end - first;
+}
+
+/*
+ * Encodes the rows from @first on that fit a datagram. Returns their number; 0
+ * if those of the next version are too large.
+ */
 static uint32_t gw_relay_fill(const struct rw_rows *rows, uint32_t first,
 			      bp_row *wire)
 {
@@ -124,7 +143,7 @@
 		room -= gw_row_bytes(row);
 		wire[count++] = gw_row_to_wire(row);
 	}
-	return count;
+	return gw_relay_end_of_version(rows, first, count);
 }
 
 static void gw_relay_send_reload(struct gw_gateway *g,
--- a/src/gateway/gw_relay.h
+++ b/src/gateway/gw_relay.h
@@ -20,8 +20,9 @@
  *	Messages that come in a burst are spread over time; see
  *	src/peers/pe_pace.h.
  *
- *	Rows that do not fit a datagram are only announced; each receiver then
- *	reads them from the store.
+ *	Rows of one transaction share a version and go in one datagram. What
+ *	does not fit one is only announced; each receiver then reads it from
+ *	the store.
  */
 #ifndef GW_RELAY_H
 #define GW_RELAY_H
