--- a/src/catalog/ca.h
+++ b/src/catalog/ca.h
@@ -162,9 +162,14 @@
 	int64_t idle_timeout_ms;
 };
 
-/** struct ca_catalog - state; fields without "_" are readable. */
+/**
+ * struct ca_catalog - state; fields without "_" are readable.
+ * @unusable_entries: entries that lack what they need. A catalog with any is
+ *	never put in force: requests would be handled as no version says.
+ */
 struct ca_catalog {
 	uint64_t version;
+	uint32_t unusable_entries;
 	struct ca_limits limits;
 	bool has_teams;
 
--- a/src/dialect/dl.h
+++ b/src/dialect/dl.h
@@ -194,7 +194,8 @@
  * @config_fields: names of a configuration's members by enum ca_field.
  * @decode_config: takes whatever of a configuration is valid. Each part that is
  *	refused or ignored is a finding of severity FD_ERROR; without a catalog
- *	there is at least one. NULL if nothing can be used.
+ *	there is at least one. NULL if nothing can be used. Entries that lack
+ *	what they need are counted in ca_catalog.unusable_entries.
  */
 struct dl_dialect {
 	const char *operator_table;
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -30,6 +30,8 @@
 
 MT_COUNTER(gw_configs, "balsampin_gateway_configurations_total",
 	   "configurations put in force")
+MT_COUNTER(gw_configs_refused, "balsampin_gateway_configurations_refused_total",
+	   "configurations with entries that cannot be used")
 MT_COUNTER(gw_bad_rows, "balsampin_gateway_unreadable_rows_total",
 	   "rows of the store that could not be read")
 MT_COUNTER(gw_store_lost, "balsampin_gateway_store_losses_total",
@@ -54,6 +56,22 @@
 		"reason", st_message(), NULL);
 }
 
+/* The last version stays in force: left out entries would change routing. */
+static void gw_refuse_config(const struct gw_gateway *g,
+			     const struct ca_catalog *catalog)
+{
+	char version[24], kept[24], entries[12];
+
+	mt_add(&gw_configs_refused, 1);
+	g_snprintf(version, sizeof(version), "%" G_GUINT64_FORMAT,
+		   catalog->version);
+	g_snprintf(kept, sizeof(kept), "%" G_GUINT64_FORMAT,
+		   g->catalog ? g->catalog->version : 0);
+	g_snprintf(entries, sizeof(entries), "%u", catalog->unusable_entries);
+	lg_warn("configuration refused", "event", "config_refused", "version",
+		version, "in_force", kept, "unusable_entries", entries, NULL);
+}
+
 static void gw_apply_config(struct gw_gateway *g, const struct rw_row *row)
 {
 	struct fd_list findings;
@@ -74,7 +92,9 @@
 	fd_finish(&findings);
 	if (!catalog)
 		return;
-	if (!ca_replaces(catalog, g->catalog)) {
+	if (catalog->unusable_entries)
+		gw_refuse_config(g, catalog);
+	if (catalog->unusable_entries || !ca_replaces(catalog, g->catalog)) {
 		ca_catalog_unref(catalog);
 		return;
 	}
