--- a/src/gateway/gw_watch.c
+++ b/src/gateway/gw_watch.c
@@ -281,9 +281,16 @@
 	if (!watch->_has_offset || !watch->_lost_ms ||
 	    rows->version < watch->version)
 		return;
+	/* A read under way may be older than these rows. */
+	if (watch->_call._call) {
+		rw_cancel(watch->_desc.store, &watch->_call);
+		gw_watch_schedule(watch, watch->_retry_ms / 1000.0);
+	}
 	watch->version = rows->version;
+	watch->_has_table = true;
 	/* Of which era the rows are is not known here. */
-	watch->_has_table = !rw_era(watch->_desc.store);
+	if (rw_era(watch->_desc.store))
+		gw_watch_restart(watch);
 	gw_watch_update_freshness(watch, rows->store_ms);
 	watch->_desc.on_rows(watch->_desc.arg, rows, true);
 }
--- a/tests/unit/watch_test.cc
+++ b/tests/unit/watch_test.cc
@@ -308,6 +308,44 @@
 	EXPECT_TRUE(!pending.is_feed || pending.after <= 20) << pending.after;
 }
 
+// The version of a table from another host, which may be of another era, was
+// kept over the whole read that followed: changes in between were missed.
+TEST_F(Watch, FeedGoesOnFromTheReadThatFollowsAnotherHostsTable)
+{
+	store_era = 2;
+	answer(ST_OK, 20, ck_now_ms(), "a");
+	answer(ST_OK, 20, ck_now_ms(), "a");
+	answer(ST_UNAVAILABLE, 0, 0);
+	struct rw_row row = { "of_era_1", "v", 1, 30, false };
+	struct rw_rows table = { &row, 1, 30, ck_now_ms() };
+	gw_watch_apply_table(&watch, &table);
+	spin(500);
+	ASSERT_FALSE(pending.is_feed);
+	answer(ST_OK, 22, ck_now_ms(), "b");
+	EXPECT_TRUE(pending.is_feed);
+	EXPECT_EQ(pending.after, 22u);
+}
+
+// A whole read was under way when the table came from another host: its older
+// rows were applied over the newer ones, as changes.
+TEST_F(Watch, TableFromAnotherHostEndsTheReadUnderWay)
+{
+	answer(ST_OK, 20, 1000, "a");
+	answer(ST_STALE, 0, 0);
+	answer(ST_UNAVAILABLE, 0, 0);
+	spin(500);
+	Pending read = pending;
+	ASSERT_FALSE(read.is_feed);
+	struct rw_row row = { "newer", "v", 1, 30, false };
+	struct rw_rows table = { &row, 1, 30, 2000 };
+	gw_watch_apply_table(&watch, &table);
+	EXPECT_EQ(pending.fn, nullptr);
+	spin(500);
+	EXPECT_TRUE(pending.is_feed);
+	EXPECT_EQ(pending.after, 30u);
+	EXPECT_EQ(received_keys, (std::vector<std::string>{ "a", "newer" }));
+}
+
 // The history was dropped and the store does not answer any more. A host that
 // lost the store earlier sends an older table than the known one.
 TEST_F(Watch, OlderTableFromAnotherHostIsRefusedAfterLostHistory)
