--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -365,11 +365,28 @@
 	       (gw_poison_may_move(r) && gw_find_place(r).engine);
 }
 
+/*
+ * Ends a request whose caller has left before it is sent. Its close is read
+ * behind the request, which a loop that is behind finds some time later.
+ */
+static bool gw_end_if_caller_left(struct gw_request *r)
+{
+	struct h1_exchange *exchange;
+
+	if (!h1_has_caller_left(r->exchange))
+		return false;
+	mt_add(&gw_callers_left, 1);
+	exchange = gw_release_exchange(r, "caller_left", 0);
+	h1_abort(exchange);
+	gw_free(r);
+	return true;
+}
+
 void gw_request_place(struct gw_request *r)
 {
 	struct gw_place_answer answer;
 
-	if (gw_apply_poison_verdict(r))
+	if (gw_end_if_caller_left(r) || gw_apply_poison_verdict(r))
 		return;
 	answer = gw_find_place(r);
 	if (!answer.engine && answer.pause_end_ms) {
--- a/src/http1/h1_server.c
+++ b/src/http1/h1_server.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <inttypes.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -131,6 +132,13 @@
 	       recv(c->fd, &byte, sizeof(byte), MSG_DONTWAIT | MSG_PEEK) > 0;
 }
 
+static bool h1_is_hung_up(const struct _h1_connection *c)
+{
+	struct pollfd p = { .fd = c->fd, .events = POLLRDHUP };
+
+	return poll(&p, 1, 0) > 0;
+}
+
 static void h1_reset_on_close(int fd)
 {
 	struct linger reset = { .l_onoff = 1, .l_linger = 0 };
@@ -703,6 +711,11 @@
 	g_strlcpy(x->_connection->label, label, H1_LABEL_BYTES);
 }
 
+bool h1_has_caller_left(const struct h1_exchange *x)
+{
+	return h1_is_hung_up(x->_connection);
+}
+
 uint64_t h1_unsent_bytes(const struct h1_exchange *x)
 {
 	return x->_connection->out->len - x->_connection->out_offset;
--- a/src/http1/h1_server.h
+++ b/src/http1/h1_server.h
@@ -10,7 +10,9 @@
  *	that is incomplete.
  *
  *	on_gone is called at most once, when the caller closes its connection
- *	while an answer is due; the exchange must then be left alone. After
+ *	while an answer is due; the exchange must then be left alone. A loop
+ *	that is behind calls it late: before work that cannot be undone, ask
+ *	h1_has_caller_left(). After
  *	h1_respond(), h1_end() and h1_abort() it must be left alone, too. These
  *	only note what is to be sent: connections are written, closed, and read
  *	for their next request from the loop.
@@ -225,6 +227,13 @@
  */
 bool h1_may_take(struct h1_exchange *x, uint64_t bytes);
 
+/**
+ * h1_has_caller_left() - whether the caller has closed its connection, or its
+ * sending half, behind all that has been read from it. Found at once, also
+ * where on_gone has not been called yet.
+ */
+bool h1_has_caller_left(const struct h1_exchange *x);
+
 /** h1_unsent_bytes() - written and not yet taken by the network. */
 uint64_t h1_unsent_bytes(const struct h1_exchange *x);
 
