--- a/src/http1/h1_server.c
+++ b/src/http1/h1_server.c
@@ -495,6 +495,16 @@
 	}
 }
 
+/*
+ * While an answer is due, only so much is read ahead; then nothing tells of a
+ * close, which lies behind what is not read.
+ */
+static bool h1_has_left_unseen(const struct _h1_connection *c)
+{
+	return c->phase == H1_ANSWERING && !ev_is_active(&c->read) &&
+	       h1_is_hung_up(c);
+}
+
 static void h1_on_sweep(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct h1_server *server = w->data;
@@ -512,6 +522,8 @@
 			if (c->phase == H1_SENDING || c->phase == H1_CLOSING)
 				h1_give_up_answer(c);
 			h1_free(c);
+		} else if (h1_has_left_unseen(c)) {
+			h1_drop(c);
 		}
 		c = next;
 	}
