--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -50,7 +50,7 @@
 	       std::to_string(first_port + range * ports_of_a_host + which);
 }
 
-enum { callers_port, readiness_port, metrics_port, peers_port };
+enum { callers_port, readiness_port, metrics_port, peers_port, via_port };
 
 } // namespace
 
@@ -69,11 +69,10 @@
 	desc.address = ip.c_str();
 	desc.limits.header_timeout_ms = 60000;
 	desc.on_request = [](void *arg, struct h1_exchange *x) {
-		static_cast<State *>(arg)->on_store(x);
+		static_cast<State *>(arg)->on_store(x, nullptr);
 	};
 	desc.on_gone = [](void *arg, struct h1_exchange *x) {
-		static_cast<State *>(arg)->waiters.remove_if(
-			[x](const Waiter &w) { return w.x == x; });
+		static_cast<State *>(arg)->forget_waiter(x);
 	};
 	desc.arg = s;
 	EXPECT_EQ(h1_server_init(&s->store, &desc), ST_OK);
@@ -111,6 +110,8 @@
 	thread.join();
 	for (auto &entry : state->engines)
 		h1_server_finish(&entry.second->server);
+	for (View &view : state->views)
+		h1_server_finish(&view.server);
 	h1_server_finish(&state->store);
 	ev_loop_destroy(state->loop);
 }
@@ -277,6 +278,21 @@
 	});
 }
 
+std::string Fleet::add_view(const std::map<std::string, std::string> &addresses)
+{
+	std::string address;
+
+	run([&] {
+		state->views.push_back({ state.get(), addresses });
+		View &view = state->views.back();
+
+		state->listen(&view);
+		address = store_ip() + ":" +
+			  std::to_string(h1_server_port(&view.server));
+	});
+	return address;
+}
+
 void Fleet::forget_history()
 {
 	run([&] { state->history_from = ++state->version; });
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -187,6 +187,15 @@
 	/** seed_store() - of the delays with which rows are written again. */
 	void seed_store(uint32_t seed);
 
+	/**
+	 * add_view() - "IP:PORT" of a way to the store on which the entries of
+	 * engines have other addresses, by the engines' ids. Hosts of a region
+	 * hand rows on to each other, so a host with a view of its own needs a
+	 * region of its own.
+	 */
+	std::string
+	add_view(const std::map<std::string, std::string> &addresses);
+
 	/** forget_history() - feeds that are behind must read the table. */
 	void forget_history();
 
--- a/tests/harness/fleet_engine.cc
+++ b/tests/harness/fleet_engine.cc
@@ -382,7 +382,7 @@
 			++it;
 			continue;
 		}
-		answer_rows(it->x, it->table, it->after, true);
+		answer_rows(it->x, it->table, it->after, true, it->view);
 		it = waiters.erase(it);
 	}
 	for (auto &entry : engines) {
--- a/tests/harness/fleet_state.h
+++ b/tests/harness/fleet_state.h
@@ -46,8 +46,16 @@
 	int64_t due_ms;
 };
 
+/* A way to the store on which engines' entries have other addresses. */
+struct View {
+	Fleet::State *state;
+	std::map<std::string, std::string> addresses;
+	struct h1_server server = {};
+};
+
 struct Waiter {
 	struct h1_exchange *x;
+	const View *view;
 	std::string table;
 	uint64_t after;
 	int64_t until_ms;
@@ -119,16 +127,17 @@
 	int64_t copy_ms = 0;
 	std::mt19937 random;
 	std::list<Waiter> waiters;
+	std::list<View> views;
 	std::map<std::string, std::unique_ptr<Engine>> engines;
 	std::vector<Arrival> arrivals;
 	std::vector<Order> orders;
 
 	std::string rows_json(const std::string &table, uint64_t after,
-			      bool is_feed, int *count);
+			      bool is_feed, const View *view, int *count);
 	void answer(struct h1_exchange *x, uint32_t status,
 		    const std::string &body);
 	void answer_rows(struct h1_exchange *x, const std::string &table,
-			 uint64_t after, bool is_feed);
+			 uint64_t after, bool is_feed, const View *view);
 	void put(const std::string &table, const std::string &key,
 		 const std::string &value);
 	void set_row(const std::string &table, const std::string &key,
@@ -139,7 +148,9 @@
 	void come_back(int64_t now_ms);
 	void on_store_tick(int64_t now_ms);
 	void write_entry(const Engine &e);
-	void on_store(struct h1_exchange *x);
+	void on_store(struct h1_exchange *x, const View *view);
+	void forget_waiter(struct h1_exchange *x);
+	void listen(View *view);
 	void on_transaction(struct h1_exchange *x);
 	void on_engine(Engine *e, struct h1_exchange *x);
 	void on_order(Engine *e, struct h1_exchange *x);
--- a/tests/harness/fleet_store.cc
+++ b/tests/harness/fleet_store.cc
@@ -46,6 +46,18 @@
 	return result;
 }
 
+/* The entry as it is seen where the engine has another address. */
+std::string moved(std::string entry, const std::string &address)
+{
+	const std::string field = "\"address\":\"";
+	size_t at = entry.find(field);
+
+	if (at == std::string::npos)
+		return entry;
+	at += field.size();
+	return entry.replace(at, entry.find('"', at) - at, address);
+}
+
 } // namespace
 
 void respond(struct h1_exchange *x, uint32_t status, const std::string &body,
@@ -72,14 +84,18 @@
 }
 
 std::string Fleet::State::rows_json(const std::string &table, uint64_t after,
-				    bool is_feed, int *count)
+				    bool is_feed, const View *view, int *count)
 {
 	std::string rows;
 
 	*count = 0;
 	for (const auto &entry : tables[table]) {
 		const Row &row = entry.second;
+		std::string value = row.value;
 
+		if (view && table == "servers" &&
+		    view->addresses.count(entry.first))
+			value = moved(value, view->addresses.at(entry.first));
 		if (row.version <= after || (row.is_deleted && !is_feed))
 			continue;
 		rows += (*count)++ ? "," : "";
@@ -88,7 +104,7 @@
 			"\",\"ver\":" + std::to_string(row.version);
 		rows += row.is_deleted
 				? ",\"deleted\":true}"
-				: ",\"value\":\"" + base64(row.value) + "\"}";
+				: ",\"value\":\"" + base64(value) + "\"}";
 	}
 	return "{\"rows\":[" + rows +
 	       "],\"has_more\":false,\"ver\":" + std::to_string(version) +
@@ -96,10 +112,10 @@
 }
 
 void Fleet::State::answer_rows(struct h1_exchange *x, const std::string &table,
-			       uint64_t after, bool is_feed)
+			       uint64_t after, bool is_feed, const View *view)
 {
 	int count;
-	std::string text = rows_json(table, after, is_feed, &count);
+	std::string text = rows_json(table, after, is_feed, view, &count);
 
 	answer(x, 200, text);
 }
@@ -140,7 +156,7 @@
 			++it;
 			continue;
 		}
-		answer_rows(it->x, table, it->after, true);
+		answer_rows(it->x, table, it->after, true, it->view);
 		it = waiters.erase(it);
 	}
 }
@@ -195,6 +211,8 @@
 		h1_abort(w.x);
 	waiters.clear();
 	h1_server_close_idle(&store);
+	for (View &view : views)
+		h1_server_close_idle(&view.server);
 }
 
 /*
@@ -257,7 +275,7 @@
 	}
 }
 
-void Fleet::State::on_store(struct h1_exchange *x)
+void Fleet::State::on_store(struct h1_exchange *x, const View *view)
 {
 	std::string target = x->target;
 
@@ -269,7 +287,7 @@
 	} else if (target.rfind("/rows-tx", 0) == 0) {
 		on_transaction(x);
 	} else if (target.rfind("/rows-get", 0) == 0) {
-		answer_rows(x, query(target, "table"), 0, false);
+		answer_rows(x, query(target, "table"), 0, false, view);
 	} else if (target.rfind("/rows-feed", 0) == 0) {
 		std::string table = query(target, "table");
 		uint64_t after = std::stoull(query(target, "after"));
@@ -279,12 +297,12 @@
 			answer(x, 410, "{}");
 			return;
 		}
-		rows_json(table, after, true, &count);
+		rows_json(table, after, true, view, &count);
 		if (count)
-			answer_rows(x, table, after, true);
+			answer_rows(x, table, after, true, view);
 		else
 			waiters.push_back(
-				{ x, table, after,
+				{ x, view, table, after,
 				  ck_now_ms() + std::stoll(query(target,
 								 "wait_ms")) });
 	} else {
@@ -292,6 +310,32 @@
 	}
 }
 
+void Fleet::State::forget_waiter(struct h1_exchange *x)
+{
+	waiters.remove_if([x](const Waiter &w) { return w.x == x; });
+}
+
+void Fleet::State::listen(View *view)
+{
+	struct h1_server_desc desc = {};
+	static std::string ip;
+
+	ip = own_ip();
+	desc.loop = loop;
+	desc.address = ip.c_str();
+	desc.limits.header_timeout_ms = 60000;
+	desc.on_request = [](void *arg, struct h1_exchange *x) {
+		auto *to = static_cast<View *>(arg);
+
+		to->state->on_store(x, to);
+	};
+	desc.on_gone = [](void *arg, struct h1_exchange *x) {
+		static_cast<View *>(arg)->state->forget_waiter(x);
+	};
+	desc.arg = view;
+	EXPECT_EQ(h1_server_init(&view->server, &desc), ST_OK);
+}
+
 void Fleet::State::write_entry(const Engine &e)
 {
 	std::string models = e.model.empty()
