tests: the wait for a retry of the store is longer than its pause

Watch.TableFromAnotherHostEndsTheReadUnderWay failed once in ctest beside other tests: it waited 500 ms for a retry that comes after 500 ms, the second pause of 250 ms doubled. It now waits 1,000 ms; what it checks is unchanged.

--- a/tests/unit/watch_test.cc
+++ b/tests/unit/watch_test.cc
@@ -340,7 +340,8 @@
 	struct rw_rows table = { &row, 1, 30, 2000 };
 	gw_watch_apply_table(&watch, &table);
 	EXPECT_EQ(pending.fn, nullptr);
-	spin(500);
+	/* The second pause is twice the first one of 250 ms. */
+	spin(1000);
 	EXPECT_TRUE(pending.is_feed);
 	EXPECT_EQ(pending.after, 30u);
 	EXPECT_EQ(received_keys, (std::vector<std::string>{ "a", "newer" }));
