soak: notices and pauses bind the host that sent the request

check_leaving and check_pauses took the host that the caller had asked for the one that sent the request to the engine.

The sender is now read from the hosts' logs (request_sent); an answer that says that an engine leaves binds both hosts. Without a log line the host that the caller asked counts, as before. Nothing else is changed.

--- a/tests/soak/driver.cc
+++ b/tests/soak/driver.cc
@@ -614,6 +614,33 @@
 	}
 }
 
+/* The text of a member of a log line; "" if it has none. */
+static std::string member(const std::string &line, const std::string &name)
+{
+	std::string begin = "\"" + name + "\":\"";
+	size_t at = line.find(begin);
+
+	if (at == std::string::npos)
+		return "";
+	at += begin.size();
+	return line.substr(at, line.find('"', at) - at);
+}
+
+/* Which host sent which attempt to which engine. */
+void Driver::read_logs()
+{
+	for (size_t i = 0; i < hosts.size(); i++) {
+		std::istringstream log(harness::read_file(
+			folder + "/" + hosts[i]->name + ".log"));
+		std::string line;
+
+		while (std::getline(log, line))
+			if (member(line, "event") == "request_sent")
+				promises.placed(i, member(line, "request"),
+						member(line, "engine"));
+	}
+}
+
 std::vector<std::string> Driver::play(const std::vector<Fault> &list)
 {
 	for (auto &host : hosts)
@@ -656,6 +683,7 @@
 	ev_run(loop, 0);
 	ev_timer_stop(loop, &tick);
 	check_processes();
+	read_logs();
 	promises.finish();
 	if (size.drills)
 		promises.check_store_calls(hosts.size(), elapsed_ms());
--- a/tests/soak/driver.h
+++ b/tests/soak/driver.h
@@ -158,6 +158,7 @@
 	void note_standstill();
 	void look_for_recovery(int64_t now_ms);
 	void check_processes();
+	void read_logs();
 
 	void ask(Caller &caller);
 	void on_timer(Caller &caller);
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -137,6 +137,43 @@
 	if (!sent.is_settled)
 		unsettled.insert(sent.attempt);
 	sent_by_attempt[sent.attempt] = sent;
+	lives[sent.host][sent.sent_ms] = sent.life;
+}
+
+void Promises::placed(uint32_t host, const std::string &attempt,
+		      const std::string &engine)
+{
+	placed_by[{ attempt, engine }].insert(host);
+}
+
+Promises::Life Promises::life_of(uint32_t host, int64_t at_ms) const
+{
+	auto known = lives.find(host);
+
+	if (known == lives.end())
+		return { host, 0 };
+	auto next = known->second.upper_bound(at_ms);
+
+	return { host, next == known->second.begin()
+			       ? next->second
+			       : std::prev(next)->second };
+}
+
+/* The processes that sent it to the engine; without a log line of any, the one
+ * that its caller asked. */
+std::set<Promises::Life> Promises::senders(const Sent &sent,
+					   const std::string &engine) const
+{
+	auto placed = placed_by.find({ sent.attempt, engine });
+	std::set<Life> processes;
+
+	if (placed == placed_by.end())
+		return { { sent.host, sent.life } };
+	for (uint32_t host : placed->second)
+		processes.insert(host == sent.host
+					 ? Life{ host, sent.life }
+					 : life_of(host, sent.sent_ms));
+	return processes;
 }
 
 void Promises::answered(const Sent &sent, const Got &got)
@@ -145,9 +182,11 @@
 	outcomes[(got.is_whole ? "" : "torn ") + std::to_string(got.status)]++;
 	check_body(sent, got);
 	check_key(sent, got);
-	if (!got.leaving.empty())
+	if (!got.leaving.empty()) {
 		heard_leaving_ms[{ { sent.host, sent.life }, got.leaving }]
 			.insert(got.head_ms);
+		leaving.push_back({ sent.attempt, got.leaving, got.head_ms });
+	}
 	if (got.says_not_run)
 		not_run.insert(sent.attempt);
 	if (got.is_whole && got.status == 503 && !got.has_retry_after)
@@ -256,6 +295,11 @@
 {
 	std::map<std::string, int64_t> crashed_ms;
 
+	/* The host that asked the engine knows as soon as the one that told. */
+	for (const Leaving &l : leaving)
+		for (const Life &life :
+		     senders(sent_by_attempt.at(l.attempt), l.engine))
+			heard_leaving_ms[{ life, l.engine }].insert(l.at_ms);
 	for (const harness::Arrival &a : arrivals) {
 		if (a.ends_engine)
 			crashed_ms[a.engine] = a.at_ms;
@@ -265,17 +309,20 @@
 				: "");
 		if (sent == sent_by_attempt.end())
 			continue;
-		Life life = { sent->second.host, sent->second.life };
-		const auto &heard = heard_leaving_ms[{ life, a.engine }];
-		auto since = heard.upper_bound(crashed_ms[a.engine] +
-					       engine_down_ms);
-
-		if (since != heard.end() &&
-		    sent->second.sent_ms > *since + drain_ms)
-			broken("engine " + a.engine +
-			       " got a request after it had said that it "
-			       "leaves: " +
-			       described(sent->second));
+		for (const Life &life : senders(sent->second, a.engine)) {
+			const auto &heard =
+				heard_leaving_ms[{ life, a.engine }];
+			auto since = heard.upper_bound(crashed_ms[a.engine] +
+						       engine_down_ms);
+
+			if (since != heard.end() &&
+			    sent->second.sent_ms > *since + drain_ms)
+				broken("engine " + a.engine +
+				       " got a request after it had said that "
+				       "it leaves: " +
+				       described(sent->second) + ", from " +
+				       std::to_string(life.first));
+		}
 	}
 }
 
@@ -297,15 +344,19 @@
 			    sent == sent_by_attempt.end() ||
 			    !sent->second.is_settled)
 				continue;
-			Life life = { sent->second.host, sent->second.life };
-			int64_t first_ms =
-				told_ms.insert({ life, a.at_ms }).first->second;
-
-			if (a.at_ms > first_ms + pause_settle_ms &&
-			    ++late[life] == allowed_in_pause + 1)
-				broken("engine " + a.engine +
-				       " got too many requests in its pause: " +
-				       described(sent->second));
+			for (const Life &life :
+			     senders(sent->second, a.engine)) {
+				int64_t first_ms =
+					told_ms.insert({ life, a.at_ms })
+						.first->second;
+
+				if (a.at_ms > first_ms + pause_settle_ms &&
+				    ++late[life] == allowed_in_pause + 1)
+					broken("engine " + a.engine +
+					       " got too many requests in its "
+					       "pause: " +
+					       described(sent->second));
+			}
 		}
 	}
 }
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -120,6 +120,13 @@
 	/** check_store_calls() - in drills, of all hosts in a play. */
 	void check_store_calls(size_t hosts, int64_t lasted_ms);
 
+	/**
+	 * placed() - a host's log says that it sent the attempt to the engine;
+	 * that host need not be the one that the caller asked.
+	 */
+	void placed(uint32_t host, const std::string &attempt,
+		    const std::string &engine);
+
 	/** finish() - what can only be seen at the end. */
 	void finish();
 
@@ -152,11 +159,25 @@
 	/* A process, by its host's number and which life of it. */
 	using Life = std::pair<uint32_t, uint32_t>;
 	std::map<std::string, Sent> sent_by_attempt;
+	/* By attempt and engine: the hosts that sent it there. */
+	std::map<std::pair<std::string, std::string>, std::set<uint32_t>>
+		placed_by;
+	/* By host: which life it was at, as its callers saw it. */
+	std::map<uint32_t, std::map<int64_t, uint32_t>> lives;
 	/* When a process passed on that an engine leaves. */
 	std::map<std::pair<Life, std::string>, std::set<int64_t>>
 		heard_leaving_ms;
+	/* Answers that said so: attempt, engine and time. */
+	struct Leaving {
+		std::string attempt, engine;
+		int64_t at_ms;
+	};
+	std::vector<Leaving> leaving;
 
 	void note(const Sent &sent);
+	Life life_of(uint32_t host, int64_t at_ms) const;
+	std::set<Life> senders(const Sent &sent,
+			       const std::string &engine) const;
 	void check_body(const Sent &sent, const Got &got);
 	void check_key(const Sent &sent, const Got &got);
 	void check_orders();
