--- a/src/dialect/dl.h
+++ b/src/dialect/dl.h
@@ -78,6 +78,7 @@
  * @fetch_from: "IP:PORT" of an engine or store to copy cached prompts from.
  * @save_to: "IP:PORT" of a store to copy cached prompts to.
  * @resume_after: number of the last event that the caller received.
+ * @omitted: name of a caller's field that is left out; NULL: none.
  */
 struct dl_forward_fields {
 	const char *team;
@@ -89,6 +90,7 @@
 	const char *fetch_from;
 	const char *save_to;
 	int64_t resume_after;
+	const char *omitted;
 };
 
 /**
@@ -192,6 +194,8 @@
  * @report_target: HTTP path from which an engine's report is read.
  * @order_target: HTTP path to which orders are posted.
  * @config_fields: names of a configuration's members by enum ca_field.
+ * @pass_request: writes the fields with which another host of this system takes
+ *	the request over: the caller's, but for the time that is left.
  * @decode_config: takes whatever of a configuration is valid. Each part that is
  *	refused or ignored is a finding of severity FD_ERROR; without a catalog
  *	there is at least one. NULL if nothing can be used. Entries that lack
@@ -211,6 +215,8 @@
 	void (*write_request)(const struct h1_headers *from,
 			      const struct dl_forward_fields *fields,
 			      struct h1_headers *to);
+	void (*pass_request)(const struct h1_headers *from, int64_t budget_ms,
+			     struct h1_headers *to);
 	void (*read_answer)(uint32_t status, const struct h1_headers *headers,
 			    struct dl_answer *answer);
 	void (*write_order_headers)(const char *instance,
--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -16,6 +16,7 @@
 #include "gateway/gw_poison.h"
 #include "gateway/gw_separate.h"
 #include "gateway/gw_stop.h"
+#include "gateway/gw_via.h"
 #include "kernel/ck.h"
 #include "kernel/kn_registry.h"
 #include "kernel/lg.h"
@@ -147,6 +148,8 @@
 	ev_timer_start(g->kernel.loop, &g->log_timer);
 	if (code == ST_OK)
 		code = gw_begun_start(g);
+	if (code == ST_OK)
+		code = gw_via_start(g);
 	if (code == ST_OK)
 		code = gw_knowledge_start(g);
 	if (code == ST_OK)
@@ -184,6 +187,7 @@
 
 	ev_timer_stop(g->kernel.loop, &g->log_timer);
 	gw_front_stop(g);
+	gw_via_stop(g);
 	gw_begun_stop(g);
 	gw_peers_stop(g);
 	gw_poison_stop(g);
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -15,6 +15,7 @@
  *	gw_plan.c	decision which engines load new weights next
  *	gw_rollout.c	sends the load orders, under a lease
  *	gw_silence.c	detection of engines that stop answering
+ *	gw_via.c	requests passed on to another host, if cut off
  *	gw_notice.c	engines that say that they leave or want a pause
  *	gw_relay.c	distribution of store rows within a region
  *	gw_hosts.c	list of the other hosts, from the gateway's own rows
@@ -63,6 +64,7 @@
 struct gw_poison;
 struct gw_begun;
 struct gw_cap;
+struct gw_via;
 
 /**
  * struct gw_gateway - state shared by the modules of the gateway.
@@ -129,6 +131,7 @@
 	struct gw_poison *poison;
 	struct gw_begun *begun;
 	struct gw_cap *cap;
+	struct gw_via *via;
 };
 
 /**
--- a/src/gateway/gw_front.c
+++ b/src/gateway/gw_front.c
@@ -4,6 +4,7 @@
 
 #include "gateway/gw.h"
 #include "gateway/gw_request.h"
+#include "gateway/gw_via.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt.h"
@@ -40,6 +41,7 @@
 struct gw_front {
 	struct gw_gateway *gateway;
 	struct h1_server callers;
+	struct h1_server via;
 	struct h1_server readiness;
 	struct h1_server metrics;
 	struct h1_guard guard;
@@ -231,6 +233,13 @@
 					  .on_gone = gw_on_gone,
 					  .on_refused = gw_on_refused,
 					  .on_head = gw_request_needs_body });
+	if (code == ST_OK)
+		code = gw_listen(g, &front->via, &s->via,
+				 &(struct h1_server_desc){
+					 .on_request = gw_via_on_request,
+					 .on_gone = gw_on_gone,
+					 .on_refused = gw_on_refused,
+					 .on_head = gw_request_needs_body });
 	if (code == ST_OK)
 		code = gw_listen(
 			g, &front->readiness, &s->readiness,
@@ -252,6 +261,7 @@
 	if (!front)
 		return;
 	h1_server_finish(&front->callers);
+	h1_server_finish(&front->via);
 	h1_server_finish(&front->readiness);
 	h1_server_finish(&front->metrics);
 	g_string_free(front->page, TRUE);
@@ -262,12 +272,15 @@
 void gw_front_drain(struct gw_gateway *g)
 {
 	h1_server_drain(&g->front->callers);
+	h1_server_drain(&g->front->via);
 	h1_server_close_idle(&g->front->callers);
+	h1_server_close_idle(&g->front->via);
 }
 
 uint32_t gw_front_busy(const struct gw_gateway *g)
 {
-	return h1_server_busy(&g->front->callers);
+	return h1_server_busy(&g->front->callers) +
+	       h1_server_busy(&g->front->via);
 }
 
 /* What the settings say; it holds for all addresses. */
@@ -310,10 +323,17 @@
 	if (!front)
 		return;
 	gw_limit_server(g, &front->callers);
+	gw_limit_server(g, &front->via);
 	gw_limit_server(g, &front->readiness);
 	gw_limit_server(g, &front->metrics);
-	if (g->catalog)
+	if (g->catalog) {
 		gw_limit_callers(&g->catalog->limits, &front->callers.limits);
+		gw_limit_callers(&g->catalog->limits, &front->via.limits);
+	}
+	/* What a caller may send still fits with the field of the hosts. */
+	front->via.limits.max_header_bytes =
+		front->callers.limits.max_header_bytes + GW_VIA_FIELD_BYTES;
+	front->via.limits.max_fields = front->callers.limits.max_fields + 1;
 	front->guard.max_open = gw_max_open(gw_bound_fds(g->settings.max_fds));
 	account->budget_bytes = gw_budget_bytes(
 		g->settings.memory_mb, front->callers.limits.max_body_bytes);
--- a/src/gateway/gw_hosts.c
+++ b/src/gateway/gw_hosts.c
@@ -120,17 +120,20 @@
 	return NULL;
 }
 
-/* Parses "IP:PORT REGION ZONE". */
+/* Parses "IP:PORT REGION ZONE [PORT]"; older hosts write three words. */
 static bool gw_parse_peer(const struct gw_gateway *g, const char *value,
 			  struct gw_peer *peer)
 {
 	char address[32], region[DL_ID_BYTES], zone[DL_ID_BYTES];
+	unsigned int via_port = 0;
 
-	if (sscanf(value, "%31s %71s %71s", address, region, zone) != 3 ||
+	if (sscanf(value, "%31s %71s %71s %u", address, region, zone,
+		   &via_port) < 3 ||
 	    !ad_parse(address, &peer->address) || !peer->address.port)
 		return false;
 	peer->region = g_quark_from_string(region);
 	peer->zone = g_quark_from_string(zone);
+	peer->via_port = via_port <= UINT16_MAX ? (uint16_t)via_port : 0;
 	peer->is_far = strcmp(region, g->settings.region) != 0;
 	return true;
 }
@@ -158,6 +161,7 @@
 			"address", row->value, NULL);
 	}
 	peer->address = parsed.address;
+	peer->via_port = parsed.via_port;
 	peer->region = parsed.region;
 	peer->zone = parsed.zone;
 	peer->is_far = parsed.is_far;
@@ -200,8 +204,9 @@
 	hosts->_desc = *desc;
 	hosts->_started_ms = ck_now_ms();
 	hosts->peers = g_ptr_array_new_with_free_func(g_free);
-	snprintf(hosts->_address, sizeof(hosts->_address), "%s:%u %s %s",
-		 s->peers.address, s->peers.port, s->region, s->zone);
+	snprintf(hosts->_address, sizeof(hosts->_address), "%s:%u %s %s %u",
+		 s->peers.address, s->peers.port, s->region, s->zone,
+		 s->via.port);
 }
 
 void gw_hosts_finish(struct gw_hosts *hosts)
--- a/src/gateway/gw_hosts.h
+++ b/src/gateway/gw_hosts.h
@@ -2,7 +2,8 @@
  * gw_hosts - list of the other hosts, from the gateway's own rows of the store.
  *
  * Overview
- *	Row "host/NAME" holds an address, region and zone; row "key" holds the
+ *	Row "host/NAME" holds an address, region and zone, and the port for
+ *	requests that hosts pass on to it (gw_via.h); row "key" holds the
  *	key that authenticates the datagrams between hosts. A host that finds no
  *	key creates one. A replaced host leaves its row behind; since it is
  *	silent, messages are sent to it only rarely.
@@ -22,6 +23,7 @@
 /**
  * struct gw_peer - another host.
  * @hash: gw_name_hash() of its name.
+ * @via_port: for requests that are passed on to it; 0: it takes none.
  * @region: quark of the name of its region.
  * @zone: quark of the name of its availability zone.
  * @is_far: it is in another region than this host.
@@ -43,6 +45,7 @@
 	char name[DL_ID_BYTES];
 	uint64_t hash;
 	struct ad_address address;
+	uint16_t via_port;
 	uint32_t region;
 	uint32_t zone;
 	bool is_far;
--- a/src/gateway/gw_peers.c
+++ b/src/gateway/gw_peers.c
@@ -12,6 +12,7 @@
 #include "gateway/gw_peers.h"
 #include "gateway/gw_poison.h"
 #include "gateway/gw_relay.h"
+#include "gateway/gw_via.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt.h"
@@ -302,6 +303,7 @@
 		code = gw_notice_serve(p->gateway, &p->rpc);
 	if (code == ST_OK)
 		code = gw_cap_serve(p->gateway, &p->rpc);
+	gw_via_set_key(p->gateway, bytes);
 	p->is_open = code == ST_OK;
 	if (!p->is_open)
 		lg_warn("endpoint for other hosts not opened", "event",
--- a/src/gateway/gw_peers.h
+++ b/src/gateway/gw_peers.h
@@ -36,4 +36,7 @@
 	int64_t next_sweep_ms;
 };
 
+/** gw_peer_is_alive() - a message from it has come a short while ago. */
+bool gw_peer_is_alive(const struct gw_peer *peer, int64_t now_ms);
+
 #endif
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -8,6 +8,7 @@
 #include "gateway/gw_poison.h"
 #include "gateway/gw_separate.h"
 #include "gateway/gw_stop.h"
+#include "gateway/gw_via.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt.h"
@@ -193,6 +194,8 @@
 		g_snprintf(after, sizeof(after), "%.2f", gw_retry_after_s(r));
 		h1_headers_add(&headers, "Retry-After", after);
 	}
+	if (r->is_passed)
+		h1_headers_add(&headers, GW_VIA_REASON_FIELD, reason);
 	snprintf(body, sizeof(body), "{\"error\": \"%s\"}\n", reason);
 	h1_respond(exchange, status, &headers, body, strlen(body));
 	h1_headers_finish(&headers);
@@ -251,12 +254,19 @@
 	return rb_table_get(&r->gateway->retries, r->service->name);
 }
 
+uint32_t gw_request_sends_left(const struct gw_request *r)
+{
+	uint32_t most = MIN(r->terms.route->max_sends, r->max_sends);
+
+	return most - MIN(most, r->sends);
+}
+
 bool gw_request_can_retry(const struct gw_request *r)
 {
 	const struct ca_route *route = r->terms.route;
 
 	return (route->kind == CA_IDEMPOTENT || gw_request_is_resumable(r)) &&
-	       r->sends < route->max_sends && rb_budget_has(gw_budget_of(r));
+	       gw_request_sends_left(r) && rb_budget_has(gw_budget_of(r));
 }
 
 void gw_request_failed(struct gw_request *r, const char *reason)
@@ -269,9 +279,8 @@
 		.has_answer_bytes = r->has_begun,
 		.can_continue = is_resumable,
 		/* The limit of the route applies before that of rb.h. */
-		.attempts = r->sends < r->terms.route->max_sends
-				    ? r->sends
-				    : RB_MAX_ATTEMPTS,
+		.attempts =
+			gw_request_sends_left(r) ? r->sends : RB_MAX_ATTEMPTS,
 		.deadline_ms = r->deadline_ms,
 		.has_budget = rb_budget_has(gw_budget_of(r)),
 	};
@@ -382,21 +391,50 @@
 	return true;
 }
 
+/*
+ * While this host is cut off from all engines, requests go through another one.
+ * Without any that could help, they are refused at once; a host that is alone
+ * tries its engines. Returns true if the request was passed on or refused.
+ */
+static bool gw_pass_if_cut_off(struct gw_request *r)
+{
+	if (!gw_via_is_cut_off(r->gateway) || r->has_begun)
+		return false;
+	if (!r->is_passed) {
+		if (gw_via_send(r, "cut_off"))
+			return true;
+		if (!gw_via_has_hosts(r->gateway))
+			return false;
+	}
+	gw_request_give_up(r, "cut_off");
+	return true;
+}
+
+/* No engine that was tried has accepted a connection. */
+static void gw_place_elsewhere(struct gw_request *r, const char *reason)
+{
+	if (!gw_via_send(r, "no_connection"))
+		gw_request_give_up(r, reason);
+}
+
 void gw_request_place(struct gw_request *r)
 {
 	struct gw_place_answer answer;
 
-	if (gw_end_if_caller_left(r) || gw_apply_poison_verdict(r))
+	if (gw_end_if_caller_left(r) || gw_apply_poison_verdict(r) ||
+	    gw_pass_if_cut_off(r))
 		return;
 	answer = gw_find_place(r);
 	if (!answer.engine && answer.pause_end_ms) {
 		r->retry_after_ms =
 			gw_pause_retry_after_ms(answer.pause_end_ms);
 		gw_request_give_up(r, "engines_paused");
-	} else if (!answer.engine)
+	} else if (!answer.engine && r->failed_connects)
+		gw_place_elsewhere(r, gw_continue_no_place(&r->stream));
+	else if (!answer.engine)
 		gw_request_give_up(r, gw_continue_no_place(&r->stream));
 	else if (r->failed_connects >= GW_MAX_FAILED_CONNECTS)
-		gw_request_give_up(r, "no_engine");
+		gw_place_elsewhere(r, "no_engine");
 	else if (!r->held_until_ms && !gw_cap_charge(r))
 		gw_request_refuse(r, 429, "over_cap");
 	else if (!gw_separate_holds(r, &answer))
@@ -644,7 +682,8 @@
 				     gw_stop_accept_ms(g->settings.grace_ms);
 }
 
-void gw_request_new(struct gw_gateway *g, struct h1_exchange *exchange)
+static void gw_begin_request(struct gw_gateway *g, struct h1_exchange *exchange,
+			     uint32_t max_sends, bool is_passed)
 {
 	struct gw_request *r = g_new0(struct gw_request, 1);
 	int64_t wait_ms;
@@ -656,6 +695,8 @@
 	r->link.data = r;
 	g_queue_push_tail_link(&g->requests, &r->link);
 	r->arrived_ms = exchange->arrived_ms;
+	r->max_sends = max_sends;
+	r->is_passed = is_passed;
 	r->answer_body = g_string_new(NULL);
 	h1_headers_init(&r->answer_headers);
 	gw_events_init(&r->events);
@@ -672,3 +713,14 @@
 	else
 		gw_start_request(r);
 }
+
+void gw_request_new(struct gw_gateway *g, struct h1_exchange *exchange)
+{
+	gw_begin_request(g, exchange, UINT32_MAX, false);
+}
+
+void gw_request_new_passed(struct gw_gateway *g, struct h1_exchange *exchange,
+			   uint32_t max_sends)
+{
+	gw_begin_request(g, exchange, max_sends, true);
+}
--- a/src/gateway/gw_request.h
+++ b/src/gateway/gw_request.h
@@ -58,6 +58,11 @@
  * @is_awaiting_head: sent, and the head of the answer has not arrived.
  * @is_awaiting_event: sent, and its first event has not arrived.
  * @sends: upstreams that the request was sent to.
+ * @max_sends: limit of @sends beside that of the route; see gw_via.h.
+ * @is_passed: another host has passed it on to this one.
+ * @via_tries: other hosts that it was passed on to.
+ * @via_host: the last one of them, by the hash of its name.
+ * @via_zone: zone of the last one that refused it; 0: none.
  * @failed_connects: upstreams that accepted no connection.
  * @retry_after_ms: for a refusal; 0: a short random time, see gw_request.c.
  * @charged: cost of the current attempt if it may be given back; see gw_cap.h.
@@ -109,6 +114,11 @@
 	bool is_awaiting_event;
 	struct h1_call call;
 	uint32_t sends;
+	uint32_t max_sends;
+	bool is_passed;
+	uint32_t via_tries;
+	uint64_t via_host;
+	uint32_t via_zone;
 	uint32_t failed_connects;
 	uint64_t tried[GW_MAX_TRIED];
 	uint32_t tried_count;
@@ -144,6 +154,13 @@
 /** gw_request_new() - handle a new request; it frees itself when it ends. */
 void gw_request_new(struct gw_gateway *g, struct h1_exchange *exchange);
 
+/**
+ * gw_request_new_passed() - the same, for a request that another host passes
+ * on. @max_sends: upstreams that it may be sent to, 1 or more.
+ */
+void gw_request_new_passed(struct gw_gateway *g, struct h1_exchange *exchange,
+			   uint32_t max_sends);
+
 /**
  * gw_request_kind() - kind of its route, for metrics; "none" without a route.
  */
@@ -166,6 +183,9 @@
  */
 void gw_request_give_up(struct gw_request *r, const char *reason);
 
+/** gw_request_sends_left() - upstreams that it may still be sent to. */
+uint32_t gw_request_sends_left(const struct gw_request *r);
+
 /** gw_request_can_retry() - the request can be sent to one more upstream. */
 bool gw_request_can_retry(const struct gw_request *r);
 
@@ -208,6 +228,21 @@
 /** gw_send_cancel() - cancel the attempt; its connection is closed. */
 void gw_send_cancel(struct gw_request *r);
 
+/**
+ * gw_send_hold_body() - account for the copy of the body on its way.
+ * Return: false if there is no memory for it.
+ */
+bool gw_send_hold_body(struct gw_request *r);
+
+/** gw_send_release_body() - the copy is no longer needed. */
+void gw_send_release_body(struct gw_request *r);
+
+/**
+ * gw_send_reserve_answer() - account for what the answer holds now.
+ * Return: false if the memory for all answers is used up.
+ */
+bool gw_send_reserve_answer(struct gw_request *r);
+
 /**
  * gw_send_log_failure() - log and count that the current attempt has failed.
  * @reason: in words, if @outcome does not say it all; or "".
--- a/src/gateway/gw_roles.c
+++ b/src/gateway/gw_roles.c
@@ -19,7 +19,7 @@
  * in 12 s, see GW_FAR_PER_PEER_MS. */
 #define GW_FIRST_MESSAGE_MS 15000
 
-static bool gw_is_alive(const struct gw_peer *peer, int64_t now_ms)
+bool gw_peer_is_alive(const struct gw_peer *peer, int64_t now_ms)
 {
 	return peer->is_seen &&
 	       now_ms - peer->received_ms <
@@ -42,7 +42,7 @@
 	for (uint32_t i = 0; p && p->is_open && i < p->hosts.peers->len; i++) {
 		const struct gw_peer *peer = p->hosts.peers->pdata[i];
 
-		if (count == GW_MAX_HOSTS || !gw_is_alive(peer, now_ms))
+		if (count == GW_MAX_HOSTS || !gw_peer_is_alive(peer, now_ms))
 			continue;
 		if (peers)
 			peers[count] = peer;
@@ -111,7 +111,7 @@
 
 		hosts[i] = (struct pe_zone_host){
 			peer->hash, peer->zone,
-			peer->takes_part && gw_is_alive(peer, now_ms)
+			peer->takes_part && gw_peer_is_alive(peer, now_ms)
 		};
 	}
 	count = pe_zone_collectors(hosts, count, zone, indexes);
@@ -276,7 +276,7 @@
 	     i++) {
 		const struct gw_peer *peer = p->hosts.peers->pdata[i];
 
-		if (!gw_is_alive(peer, now_ms) &&
+		if (!gw_peer_is_alive(peer, now_ms) &&
 		    !(all && gw_may_be_alive(peer, now_ms)))
 			continue;
 		peers[count] = peer;
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -8,6 +8,7 @@
 #include "gateway/gw_request.h"
 #include "gateway/gw_separate.h"
 #include "gateway/gw_silence.h"
+#include "gateway/gw_via.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt_family.h"
@@ -141,7 +142,7 @@
  * is exhausted. What callers hold does not count here: the request may have
  * run.
  */
-static bool gw_reserve_answer_memory(struct gw_request *r)
+bool gw_send_reserve_answer(struct gw_request *r)
 {
 	uint64_t held = r->answer_body->len + gw_events_pending(&r->events);
 
@@ -168,13 +169,26 @@
 		ba_fits(account, BA_UPSTREAMS, bytes));
 }
 
+bool gw_send_hold_body(struct gw_request *r)
+{
+	if (!gw_may_send(r))
+		return false;
+	gw_set_sending(r, r->exchange->body->len);
+	return true;
+}
+
+void gw_send_release_body(struct gw_request *r)
+{
+	gw_set_sending(r, 0);
+}
+
 static void gw_detach_engine(struct gw_request *r)
 {
 	struct fl_engine *e = r->engine;
 
+	gw_set_sending(r, 0);
 	if (!e)
 		return;
-	gw_set_sending(r, 0);
 	gw_separate_ended(r);
 	r->is_awaiting_head = false;
 	e->running--;
@@ -241,6 +255,7 @@
 	struct gw_request *r = arg;
 	struct dl_answer answer;
 
+	gw_via_heard(r->gateway);
 	r->gateway->dialect->read_answer(status, headers, &answer);
 	gw_notice_answer(r->gateway, r->engine, &answer,
 			 r->in.attempt ? r->in.attempt : "");
@@ -264,8 +279,12 @@
 				  answer.is_signed
 			  ? GW_EVENTS
 			  : GW_COLLECT;
-	if (!r->has_begun)
-		gw_copy_headers(headers, &r->answer_headers);
+	if (r->has_begun)
+		return true;
+	gw_copy_headers(headers, &r->answer_headers);
+	if (r->is_passed)
+		h1_headers_add(&r->answer_headers, GW_VIA_ENGINE_FIELD,
+			       r->engine->entry.id);
 	return true;
 }
 
@@ -372,6 +391,7 @@
 	struct gw_request *r = arg;
 	struct gw_event event;
 
+	gw_via_heard(r->gateway);
 	if (r->mode == GW_EVENTS && r->is_awaiting_event &&
 	    !gw_continue_may_forward(&r->stream, fl_build(r->engine))) {
 		gw_build_in_doubt(r);
@@ -389,7 +409,7 @@
 		while (gw_events_next(&r->events, &event))
 			gw_forward_event(r, &event);
 	}
-	if (!gw_reserve_answer_memory(r))
+	if (!gw_send_reserve_answer(r))
 		gw_answer_too_large(r);
 }
 
@@ -485,6 +505,8 @@
 		return;
 	}
 	gw_engine_failed(r->engine, ck_now_ms());
+	if (r->mode == GW_NO_ANSWER && outcome != H1_GARBLED)
+		gw_via_failed(r->gateway, r->engine, r->sent_ms);
 	if (outcome == H1_NOT_SENT) {
 		gw_cap_give_back(r);
 		gw_poison_attempt_ended(r, PS_CANCELLED);
@@ -567,16 +589,16 @@
 	struct gw_gateway *g = r->gateway;
 	struct dl_forward_fields send = { .instance = to->engine->entry.id,
 					  .priority = -1,
-					  .resume_after = r->last_event };
+					  .resume_after = r->last_event,
+					  .omitted = GW_VIA_FIELD };
 	struct h1_headers headers;
 
-	if (!gw_may_send(r)) {
+	if (!gw_send_hold_body(r)) {
 		gw_cap_give_back(r);
 		gw_request_give_up(r, "no_memory");
 		return;
 	}
 	gw_prepare_attempt(r, to);
-	gw_set_sending(r, r->exchange->body->len);
 	gw_log_sent(r, to);
 	send.team = r->terms.team ? r->terms.team->name : NULL;
 	send.budget_ms = r->deadline_ms - r->sent_ms;
--- a/src/gateway/gw_settings.h
+++ b/src/gateway/gw_settings.h
@@ -33,6 +33,8 @@
  * @readiness: address for the balancer's readiness checks.
  * @peers: address for messages of other hosts; if disabled, the host runs
  *	alone.
+ * @via: address for requests that other hosts pass on; if disabled, this host
+ *	takes none. See gw_via.h.
  * @metrics: address for metrics.
  * @dialect: plug-in of the platform.
  * @store_address: "IP:PORT" of the row store.
@@ -63,6 +65,7 @@
 	struct gw_listen readiness;
 	struct gw_listen metrics;
 	struct gw_listen peers;
+	struct gw_listen via;
 	char *dialect;
 	char *store_address;
 	GHashTable *regions;
--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -413,7 +413,8 @@
 			address_of(host, callers_port) + "\",\"readiness\":\"" +
 			address_of(host, readiness_port) + "\",\"metrics\":\"" +
 			address_of(host, metrics_port) + "\",\"peers\":\"" +
-			address_of(host, peers_port) +
+			address_of(host, peers_port) + "\",\"via\":\"" +
+			address_of(host, via_port) +
 			"\"},\"zones\":{\"z1\":\"r1\",\"z2\":\"r1\",\"z3\":"
 			"\"r2\"},"
 			"\"bounds\":{\"grace_s\":8,\"revoke_ms\":3200,"
@@ -442,6 +443,11 @@
 	return "http://" + address_of(host, metrics_port) + "/metrics";
 }
 
+std::string Fleet::via(const std::string &host)
+{
+	return "http://" + address_of(host, via_port);
+}
+
 std::string Fleet::readiness(const std::string &host)
 {
 	return "http://" + address_of(host, readiness_port) + "/ready";
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -243,6 +243,9 @@
 	static std::string url(const std::string &host,
 			       const std::string &target);
 	static std::string readiness(const std::string &host);
+
+	/** via() - of its server for requests that other hosts pass on. */
+	static std::string via(const std::string &host);
 	static std::string metrics(const std::string &host);
 
       private:
--- a/tests/sessions/gateway_cut_test.cc
+++ b/tests/sessions/gateway_cut_test.cc
@@ -2,6 +2,9 @@
 // other hosts still reach them.
 #include <gtest/gtest.h>
 
+#include <signal.h>
+
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <thread>
@@ -12,6 +15,7 @@
 #include "http.h"
 #include "process.h"
 #include "proxy.h"
+#include "raw.h"
 
 using namespace harness;
 
@@ -274,4 +278,279 @@
 	}
 }
 
+// Two of the hosts are cut off, the links reset, and know it.
+class PassedOn : public CutOff
+{
+      protected:
+	void SetUp() override
+	{
+		CutOff::SetUp();
+		for (const char *host : { "h1", "h2" })
+			cut(host, Cut::reset);
+		for (const char *host : { "h1", "h2" })
+			ASSERT_TRUE(finds_out(host));
+	}
+
+	// The host finds out that it is cut off, by a few requests.
+	static bool finds_out(const std::string &host)
+	{
+		return wait_until([&] {
+			is_served(host, "look", "warm");
+			return metric(host, "balsampin_gateway_cut_off") == 1;
+		});
+	}
+
+	static double metric(const std::string &host, const std::string &name)
+	{
+		std::string page = call(Fleet::metrics(host)).body;
+		size_t at = page.find("\n" + name + " ");
+
+		return at == std::string::npos
+			       ? 0
+			       : std::stod(page.substr(at + name.size() + 2));
+	}
+
+	static std::string request(const std::string &route,
+				   const std::string &id,
+				   const std::string &more = "")
+	{
+		std::string model = "X-Model: m\r\nX-Token-Usage: 100,8\r\n"
+				    "X-Prefix-Hash: aa:50,bb:50\r\n";
+
+		return "POST /" + route +
+		       "/x HTTP/1.1\r\nHost: h\r\n"
+		       "Authorization: Bearer k1\r\nX-Attempt-Id: " +
+		       id + "\r\nX-Deadline-Ms: 3000\r\n" +
+		       (route == "grade" ? model : "") + more +
+		       "Content-Length: 4\r\n\r\nbody";
+	}
+
+	void make_engines_slow(int pace_ms)
+	{
+		fleet.set_pace(pace_ms);
+		for (const std::string &id : engine_ids)
+			fleet.behave(id, Behaviour::pace);
+	}
+
+	Arrival arrival_of(const std::string &id)
+	{
+		for (const Arrival &a : fleet.arrivals())
+			if (a.headers.at("X-Attempt-Id") == id)
+				return a;
+		ADD_FAILURE() << id << " has not arrived";
+		return {};
+	}
+
+	size_t arrivals_at(const std::string &engine)
+	{
+		size_t count = 0;
+
+		for (const Arrival &a : fleet.arrivals())
+			count += a.engine == engine;
+		return count;
+	}
+
+	// The host that placed the request, by its log.
+	std::string placed_by(const std::string &id)
+	{
+		for (int i = 1; i <= host_count; i++)
+			if (read_file(directory.path + "/" + name(i) + ".log")
+				    .find("\"event\":\"request_sent\","
+					  "\"request\":\"" +
+					  id + "\"") != std::string::npos)
+				return name(i);
+		return "";
+	}
+
+	Process &process_of(const std::string &host)
+	{
+		return *hosts[std::stoi(host.substr(1)) - 1];
+	}
+};
+
+TEST_F(PassedOn, RequestReachesTheEngineAsItsCallerSentIt)
+{
+	for (const char *route : { "look", "record", "grade" }) {
+		std::string id = std::string("as-") + route;
+		RawCaller caller(Fleet::url("h1", ""));
+
+		caller.write(request(route, id,
+				     "X-Custom: kept\r\nBalsampin-Via: 9 "
+				     "forged\r\nX-Tenant: other\r\n"));
+		caller.read(route[0] == 'g' ? "\r\n0\r\n" : "recorded");
+		EXPECT_EQ(caller.status(), 200) << route;
+		Arrival a = arrival_of(id);
+		EXPECT_EQ(a.body, "body");
+		EXPECT_EQ(a.target, std::string("/") + route + "/x");
+		EXPECT_EQ(a.headers["X-Custom"], "kept");
+		EXPECT_EQ(a.headers["X-Tenant"], "t1");
+		EXPECT_EQ(a.headers.count("Authorization"), 0u);
+		EXPECT_EQ(a.headers.count("Balsampin-Via"), 0u);
+		EXPECT_LE(std::stoi(a.headers["X-Deadline-Ms"]), 3000);
+		EXPECT_EQ(fleet.runs(id), 1);
+	}
+}
+
+// The close of the caller has to reach the engine over both hosts.
+TEST_F(PassedOn, WorkEndsWhenTheCallerLeaves)
+{
+	make_engines_slow(2500);
+	for (const char *route : { "look", "record", "grade" }) {
+		auto caller = std::make_unique<RawCaller>(Fleet::url("h1", ""));
+
+		caller->write(request(route, std::string("left-") + route));
+		ASSERT_TRUE(
+			wait_until([&] { return fleet.at_work() == 1; }, 2000));
+		caller.reset();
+		EXPECT_TRUE(
+			wait_until([&] { return fleet.at_work() == 0; }, 500))
+			<< route;
+	}
+}
+
+TEST_F(PassedOn, EventsComeAsTheyAreMade)
+{
+	make_engines_slow(300);
+	RawCaller caller(Fleet::url("h1", ""));
+
+	caller.write(request("grade", "paced"));
+	EXPECT_NE(caller.read("token 1", 1000).find("token 1"),
+		  std::string::npos);
+	EXPECT_EQ(caller.read("token 3", 100).find("token 3"),
+		  std::string::npos);
+	EXPECT_NE(caller.read("token 8").find("token 8"), std::string::npos);
+}
+
+// The other host is killed in the middle: what may have run is not repeated,
+// and a stream that ends early does not look complete.
+TEST_F(PassedOn, OtherHostIsKilledInTheMiddle)
+{
+	make_engines_slow(500);
+	RawCaller stream(Fleet::url("h1", "")), record(Fleet::url("h2", ""));
+
+	stream.write(request("grade", "killed-s"));
+	record.write(request("record", "killed-r"));
+	stream.read("token 2");
+	for (const char *id : { "killed-s", "killed-r" }) {
+		std::string host = placed_by(id);
+
+		ASSERT_NE(host, "");
+		process_of(host).signal(SIGKILL);
+	}
+	EXPECT_EQ(stream.read_to_end(3000).find("\r\n0\r\n"),
+		  std::string::npos);
+	EXPECT_TRUE(stream.is_at_end());
+	record.read("\r\n\r\n", 4000);
+	EXPECT_TRUE(record.status() == 502 || record.status() == 200)
+		<< record.status();
+	EXPECT_EQ(fleet.runs("killed-r"), 1);
+}
+
+// A host that stands still takes connections and answers nothing. It is left
+// alone as soon as its messages cease.
+TEST_F(PassedOn, OtherHostStandsStill)
+{
+	std::map<std::string, Count> counts;
+
+	process_of("h3").signal(SIGSTOP);
+	std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+	for (int n = 0; n < 60; n++) {
+		std::string host = n % 2 ? "h1" : "h2";
+		std::string id = "still-" + std::to_string(n);
+
+		(is_served(host, "record", id) ? counts[host].served
+					       : counts[host].failed)++;
+		EXPECT_LE(fleet.runs(id), 1);
+	}
+	process_of("h3").signal(SIGCONT);
+	EXPECT_EQ(counts["h1"].failed + counts["h2"].failed, 0);
+}
+
+// The host that passes on that an engine leaves must leave it alone, too, once
+// it reaches it again.
+TEST_F(PassedOn, EngineThatLeavesGetsNothingAfterTheLinksHeal)
+{
+	bool is_told = false;
+	size_t before;
+
+	fleet.say_leaving("a1");
+	for (int n = 0; n < 100 && !is_told; n++) {
+		RawCaller caller(Fleet::url("h1", ""));
+		const std::string &text =
+			(caller.write(request("look",
+					      "leaves-" + std::to_string(n))),
+			 caller.read("recorded"));
+
+		is_told = text.find("Server-Leaving: 1") != std::string::npos;
+		EXPECT_EQ(text.find("Balsampin-Via"), std::string::npos);
+	}
+	ASSERT_TRUE(is_told);
+	cut("h1", Cut::none);
+	std::this_thread::sleep_for(std::chrono::milliseconds(heal_ms));
+	ASSERT_EQ(metric("h1", "balsampin_gateway_cut_off"), 0);
+	before = arrivals_at("a1");
+	for (int n = 0; n < 40; n++)
+		EXPECT_TRUE(
+			is_served("h1", "look", "healed-" + std::to_string(n)));
+	EXPECT_EQ(arrivals_at("a1"), before);
+}
+
+// No host has a way to the engines: nothing goes in circles, and callers are
+// told at once that nothing has run.
+TEST_F(PassedOn, NoHostHasAWay)
+{
+	for (const char *host : { "h3", "h4" }) {
+		cut(host, Cut::reset);
+		ASSERT_TRUE(finds_out(host));
+	}
+	for (int n = 0; n < 40; n++) {
+		auto begin = std::chrono::steady_clock::now();
+		std::string id = "none-" + std::to_string(n);
+		RawCaller caller(Fleet::url(name(n % host_count + 1), ""));
+
+		caller.write(request("record", id));
+		caller.read("}\n", 4000);
+		EXPECT_EQ(caller.status(), 503);
+		EXPECT_LT(std::chrono::steady_clock::now() - begin,
+			  std::chrono::milliseconds(500));
+		EXPECT_EQ(fleet.runs(id), 0);
+	}
+	for (int i = 1; i <= host_count; i++)
+		cut(name(i), Cut::none);
+	std::this_thread::sleep_for(std::chrono::milliseconds(heal_ms));
+	for (int i = 1; i <= host_count; i++)
+		EXPECT_TRUE(is_served(name(i), "record",
+				      "healed-" + std::to_string(i)));
+}
+
+// The address for other hosts serves nobody else.
+TEST_F(PassedOn, CallersCannotUseTheAddressOfTheHosts)
+{
+	for (const char *more :
+	     { "", "Balsampin-Via: 2\r\n", "Balsampin-Via: 2 1 00\r\n",
+	       "Balsampin-Via: 0 1\r\n",
+	       "Balsampin-Via: 2 1 "
+	       "00000000000000000000000000000000000000000000000000000000000000"
+	       "00\r\n" }) {
+		RawCaller caller(Fleet::via("h3"));
+
+		caller.write(request("look", "forged", more));
+		caller.read("\r\n\r\n", 2000);
+		EXPECT_EQ(caller.status(), 403) << more;
+	}
+	EXPECT_EQ(fleet.runs("forged"), 0);
+}
+
+// An engine that refuses is asked no more often than the route allows, however
+// many hosts the request goes through.
+TEST_F(PassedOn, RequestIsTriedAtNoMoreEnginesThanItsRouteAllows)
+{
+	for (const std::string &id : engine_ids)
+		fleet.behave(id, Behaviour::fail);
+	for (int n = 0; n < 12; n++)
+		is_served("h1", "look", "fail-" + std::to_string(n));
+	for (int n = 0; n < 12; n++)
+		EXPECT_LE(fleet.runs("fail-" + std::to_string(n)), 2);
+}
+
 } // namespace
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -121,6 +121,43 @@
 	EXPECT_STREQ(h1_headers_get(&out, "Last-Event-Id"), "3");
 }
 
+// Another host admits and places the request itself, so it needs the caller's
+// key and what the caller says of its stream.
+TEST_F(Adapter, PassesACallersRequestOnToAnotherHost)
+{
+	static const char *const kept[] = { "Authorization", "X-Attempt-Id",
+					    "Last-Event-Id", "Resumes",
+					    "X-Token-Usage", "X-Prefix-Hash",
+					    "X-Other",	     "Host" };
+
+	for (const char *name : kept)
+		h1_headers_add(&in, name, name);
+	h1_headers_add(&in, "X-Deadline-Ms", "5000");
+	h1_headers_add(&in, "Connection", "X-Hop");
+	h1_headers_add(&in, "X-Hop", "dropped");
+	h1_headers_add(&in, "Transfer-Encoding", "chunked");
+	dialect->pass_request(&in, 700, &out);
+	for (const char *name : kept)
+		EXPECT_STREQ(h1_headers_get(&out, name), name);
+	EXPECT_STREQ(h1_headers_get(&out, "X-Deadline-Ms"), "700");
+	EXPECT_EQ(h1_headers_count(&out), G_N_ELEMENTS(kept) + 1);
+}
+
+TEST_F(Adapter, LeavesOutAFieldOfTheGateway)
+{
+	struct dl_forward_fields send = {};
+
+	h1_headers_add(&in, "Balsampin-Via", "2 00");
+	h1_headers_add(&in, "X-Other", "kept");
+	send.budget_ms = -1;
+	send.priority = -1;
+	send.resume_after = -1;
+	send.omitted = "balsampin-via";
+	dialect->write_request(&in, &send, &out);
+	EXPECT_EQ(h1_headers_count(&out), 1u);
+	EXPECT_STREQ(h1_headers_get(&out, "X-Other"), "kept");
+}
+
 TEST_F(Adapter, DetectsRequestsThatDidNotRun)
 {
 	static const struct {
