--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -207,6 +207,11 @@
 	});
 }
 
+void Fleet::set_brittle(const std::string &id, int per_s)
+{
+	run([&] { state->engines[id]->brittle_per_s = per_s; });
+}
+
 void Fleet::start_anew(const std::string &id)
 {
 	run([&] {
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -129,6 +129,12 @@
 	 */
 	void ask_pause(const std::string &id, int pause_ms);
 
+	/**
+	 * set_brittle() - all its answers say that it is brittle: it falls over
+	 * once it has to turn more than @per_s requests away in a second.
+	 */
+	void set_brittle(const std::string &id, int per_s);
+
 	/**
 	 * set_software() - the version of its software in its entry, which is
 	 * written. It stands in each event that it sends.
--- a/tests/harness/fleet_engine.cc
+++ b/tests/harness/fleet_engine.cc
@@ -136,6 +136,8 @@
 	fields["X-Attempt-Id"] = arrival.headers["X-Attempt-Id"];
 	if (e->is_leaving)
 		fields["Server-Leaving"] = "1";
+	if (e->brittle_per_s)
+		fields["Server-Brittle"] = std::to_string(e->brittle_per_s);
 	if (arrival.at_ms < e->paused_until_ms) {
 		fields["X-Not-Executed"] = "1";
 		fields["Retry-After"] = std::to_string(
--- a/tests/harness/fleet_state.h
+++ b/tests/harness/fleet_state.h
@@ -77,6 +77,7 @@
 	std::string address;
 	bool is_draining = false;
 	bool is_leaving = false;
+	int brittle_per_s = 0;
 	int64_t paused_until_ms = 0;
 	std::string service;
 	std::string model;
--- a/tests/sessions/gateway_cut_test.cc
+++ b/tests/sessions/gateway_cut_test.cc
@@ -278,6 +278,36 @@
 	}
 }
 
+// Engines that are sound may be silent for a second and go on: what they run is
+// not given up, and what runs at most once does.
+TEST_F(CutOff, EnginesThatAreSilentForASecondLoseNothing)
+{
+	const auto silence = std::chrono::milliseconds(1100);
+
+	for (int round = 0; round < 3; round++) {
+		std::map<std::string, Count> counts;
+		std::string label = "q" + std::to_string(round) + "-";
+		std::thread callers([&] {
+			load(counts, std::chrono::milliseconds(3000), label);
+		});
+
+		std::this_thread::sleep_for(std::chrono::milliseconds(400));
+		for (int i = 1; i <= host_count; i++)
+			for (const std::string &id : engine_ids)
+				links[name(i)][id]->set(Way::silent);
+		std::this_thread::sleep_for(silence);
+		for (int i = 1; i <= host_count; i++)
+			for (const std::string &id : engine_ids)
+				links[name(i)][id]->set(Way::pass);
+		callers.join();
+		for (auto &entry : counts) {
+			EXPECT_GT(entry.second.served, 50) << entry.first;
+			EXPECT_EQ(entry.second.failed, 0) << entry.first;
+		}
+		expect_once(label);
+	}
+}
+
 // Two of the hosts are cut off, the links reset, and know it.
 class PassedOn : public CutOff
 {
