gateway: the address for passed requests is optional in every setting

A platform that gives a host one internal port, or none beyond the first, would have kept the process from starting: an address without a port is a finding, and two listeners on one port are an error.

--- a/src/gateway/gw_settings.c
+++ b/src/gateway/gw_settings.c
@@ -184,6 +184,9 @@
 	gw_read_listen(&reader, "listen/metrics", false, &settings->metrics);
 	gw_read_listen(&reader, "listen/peers", false, &settings->peers);
 	gw_read_listen(&reader, "listen/via", false, &settings->via);
+	/* With one port for both, messages between hosts come first. */
+	if (settings->via.port == settings->peers.port)
+		settings->via = (struct gw_listen){ 0 };
 	gw_read_regions(&reader, settings);
 	gw_read_bounds(&reader, settings);
 	json_object_put(reader.root);
