--- a/src/dialect/dl.h
+++ b/src/dialect/dl.h
@@ -100,6 +100,8 @@
  * @has_not_run: the upstream has not run the request and never will.
  * @is_leaving: the upstream says that it leaves the service.
  * @pause_ms: time for which it wants no more requests from this host; 0: none.
+ * @rejections_per_s: more than so many in a second make it fall over; 0: any
+ *	number is borne.
  * @has_bad_notice: a field for one of the two above could not be read.
  */
 struct dl_answer {
@@ -108,6 +110,7 @@
 	bool has_not_run;
 	bool is_leaving;
 	int64_t pause_ms;
+	uint32_t rejections_per_s;
 	bool has_bad_notice;
 };
 
--- a/src/fleet/fl.h
+++ b/src/fleet/fl.h
@@ -34,6 +34,7 @@
 #include "dialect/dl.h"
 #include "fleet/fl_notice.h"
 #include "http1/h1_client.h"
+#include "limits/rj.h"
 
 /**
  * struct fl_engine - an upstream.
@@ -51,6 +52,7 @@
  * @is_updating: about to load new weights, or loading; see gw_plan.h.
  * @updating_since_ms: when @is_updating was set.
  * @notice: what it has said of itself; change it with fl_keep_notice().
+ * @rejections: rests after its rejections, see limits/rj.h.
  * @is_gone: removed; kept in memory only for requests that refer to it.
  */
 struct fl_engine {
@@ -70,6 +72,7 @@
 	bool is_updating;
 	int64_t updating_since_ms;
 	struct fl_notice notice;
+	struct rj_state rejections;
 	bool is_gone;
 
 	uint64_t _build;
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -259,6 +259,7 @@
 	r->gateway->dialect->read_answer(status, headers, &answer);
 	gw_notice_answer(r->gateway, r->engine, &answer,
 			 r->in.attempt ? r->in.attempt : "");
+	rj_told(&r->engine->rejections, answer.rejections_per_s);
 	/* A late answer to an earlier request on this connection. */
 	if (answer.attempt && r->in.attempt &&
 	    strcmp(answer.attempt, r->in.attempt) != 0)
@@ -413,6 +414,23 @@
 		gw_answer_too_large(r);
 }
 
+/* 421 is for another engine, and no want of room. */
+static void gw_rest_from(const struct gw_request *r)
+{
+	struct rj_state *rejections = &r->engine->rejections;
+	char rest[24];
+
+	if (r->status != 503 || !rejections->per_s)
+		return;
+	rj_rejected(rejections, gw_peers_count(r->gateway) + 1,
+		    g_random_double(), ck_now_ms());
+	g_snprintf(rest, sizeof(rest), "%" G_GINT64_FORMAT,
+		   rejections->rest_until_ms - ck_now_ms());
+	lg_info("engine rests after a rejection", "event", "engine_rests",
+		"engine", r->engine->entry.id, "request",
+		r->in.attempt ? r->in.attempt : "", "rest_ms", rest, NULL);
+}
+
 /* @reason: what is wrong with the answer behind its head; or "". */
 static void gw_attempt_refused(struct gw_request *r, const char *reason)
 {
@@ -422,6 +440,7 @@
 	gw_send_log_failure(r, "not_run", reason);
 	if (r->engine->avoid_until_ms < until_ms)
 		r->engine->avoid_until_ms = until_ms;
+	gw_rest_from(r);
 	gw_poison_attempt_ended(r, PS_CANCELLED);
 	gw_detach_engine(r);
 	gw_request_failed(r, "refused_by_engine");
@@ -549,6 +568,7 @@
 	r->read_tokens = to->read_tokens * urgency.weight;
 	fl_ref(engine);
 	engine->running++;
+	rj_sent(&engine->rejections, ck_now_ms());
 	engine->waiting_tokens += r->read_tokens;
 	gw_separate_started(r, to->read_tokens);
 	r->gateway->sent_tokens += to->read_tokens + r->in.max_output_tokens;
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -243,6 +243,32 @@
 	}
 }
 
+TEST_F(Adapter, ReadsHowManyRejectionsAnUpstreamBears)
+{
+	static const struct {
+		const char *value;
+		uint32_t per_s;
+		bool is_bad;
+	} cases[] = {
+		{ nullptr, 0, false }, { "1", 1, false },
+		{ "40", 40, false },   { "0", 0, true },
+		{ "-4", 0, true },     { "", 0, true },
+		{ "4.5", 0, true },    { "many", 0, true },
+		{ "1e9", 0, true },    { "4294967296", 0, true },
+	};
+
+	for (const auto &c : cases) {
+		struct dl_answer answer;
+
+		h1_headers_clear(&in);
+		if (c.value)
+			h1_headers_add(&in, "server-brittle", c.value);
+		dialect->read_answer(200, &in, &answer);
+		EXPECT_EQ(answer.rejections_per_s, c.per_s) << c.value;
+		EXPECT_EQ(answer.has_bad_notice, c.is_bad) << c.value;
+	}
+}
+
 // "seq" and "version" occur at several levels, with a different meaning at
 // each.
 TEST_F(Adapter, ReadsAnEngineAndItsReport)
