--- a/src/gateway/gateway_command.c
+++ b/src/gateway/gateway_command.c
@@ -14,6 +14,7 @@
 #include "gateway/gw_cap.h"
 #include "gateway/gw_continue.h"
 #include "gateway/gw_poison.h"
+#include "gateway/gw_reach.h"
 #include "gateway/gw_separate.h"
 #include "gateway/gw_stop.h"
 #include "gateway/gw_via.h"
@@ -148,6 +149,8 @@
 	ev_timer_start(g->kernel.loop, &g->log_timer);
 	if (code == ST_OK)
 		code = gw_begun_start(g);
+	if (code == ST_OK)
+		code = gw_reach_start(g);
 	if (code == ST_OK)
 		code = gw_via_start(g);
 	if (code == ST_OK)
@@ -188,6 +191,7 @@
 	ev_timer_stop(g->kernel.loop, &g->log_timer);
 	gw_front_stop(g);
 	gw_via_stop(g);
+	gw_reach_stop(g);
 	gw_begun_stop(g);
 	gw_peers_stop(g);
 	gw_poison_stop(g);
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -15,6 +15,7 @@
  *	gw_plan.c	decision which engines load new weights next
  *	gw_rollout.c	sends the load orders, under a lease
  *	gw_silence.c	detection of engines that stop answering
+ *	gw_reach.c	whether this host is cut off from all engines
  *	gw_via.c	requests passed on to another host, if cut off
  *	gw_notice.c	engines that say that they leave or want a pause
  *	gw_relay.c	distribution of store rows within a region
@@ -65,6 +66,7 @@
 struct gw_begun;
 struct gw_cap;
 struct gw_via;
+struct gw_reach;
 
 /**
  * struct gw_gateway - state shared by the modules of the gateway.
@@ -132,6 +134,7 @@
 	struct gw_begun *begun;
 	struct gw_cap *cap;
 	struct gw_via *via;
+	struct gw_reach *reach;
 };
 
 /**
--- a/src/gateway/gw_knowledge.c
+++ b/src/gateway/gw_knowledge.c
@@ -10,9 +10,9 @@
 #include "gateway/gw_continue.h"
 #include "gateway/gw_notice.h"
 #include "gateway/gw_poison.h"
+#include "gateway/gw_reach.h"
 #include "gateway/gw_relay.h"
 #include "gateway/gw_silence.h"
-#include "gateway/gw_via.h"
 #include "kernel/ck.h"
 #include "kernel/lg.h"
 #include "kernel/mt.h"
@@ -419,7 +419,7 @@
 	mt_set(&gw_config_age, ck_now_ms() - k->gateway->config_fresh_ms);
 	gw_requests_sweep(k->gateway, ck_now_ms());
 	gw_silence_sweep(k->gateway, ck_now_ms());
-	gw_via_sweep(k->gateway, ck_now_ms());
+	gw_reach_sweep(k->gateway, ck_now_ms());
 	gw_notice_sweep(k->gateway, ck_now_ms());
 	gw_begun_sweep(k->gateway, k->engines_fresh_ms, ck_now_ms());
 	if (!fl_expire(&k->gateway->fleet, ck_now_ms()))
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -6,6 +6,7 @@
 
 #include "gateway/gw_cap.h"
 #include "gateway/gw_poison.h"
+#include "gateway/gw_reach.h"
 #include "gateway/gw_separate.h"
 #include "gateway/gw_stop.h"
 #include "gateway/gw_via.h"
@@ -398,7 +399,7 @@
  */
 static bool gw_pass_if_cut_off(struct gw_request *r)
 {
-	if (!gw_via_is_cut_off(r->gateway) || r->has_begun)
+	if (!gw_reach_is_cut_off(r->gateway) || r->has_begun)
 		return false;
 	if (!r->is_passed) {
 		if (gw_via_send(r, "cut_off"))
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -5,6 +5,7 @@
 #include "gateway/gw_cap.h"
 #include "gateway/gw_notice.h"
 #include "gateway/gw_poison.h"
+#include "gateway/gw_reach.h"
 #include "gateway/gw_request.h"
 #include "gateway/gw_separate.h"
 #include "gateway/gw_silence.h"
@@ -255,7 +256,7 @@
 	struct gw_request *r = arg;
 	struct dl_answer answer;
 
-	gw_via_heard(r->gateway);
+	gw_reach_heard(r->gateway);
 	r->gateway->dialect->read_answer(status, headers, &answer);
 	gw_notice_answer(r->gateway, r->engine, &answer,
 			 r->in.attempt ? r->in.attempt : "");
@@ -392,7 +393,7 @@
 	struct gw_request *r = arg;
 	struct gw_event event;
 
-	gw_via_heard(r->gateway);
+	gw_reach_heard(r->gateway);
 	if (r->mode == GW_EVENTS && r->is_awaiting_event &&
 	    !gw_continue_may_forward(&r->stream, fl_build(r->engine))) {
 		gw_build_in_doubt(r);
@@ -525,7 +526,7 @@
 	}
 	gw_engine_failed(r->engine, ck_now_ms());
 	if (r->mode == GW_NO_ANSWER && outcome != H1_GARBLED)
-		gw_via_failed(r->gateway, r->engine, r->sent_ms);
+		gw_reach_failed(r->gateway, r->engine, r->sent_ms);
 	if (outcome == H1_NOT_SENT) {
 		gw_cap_give_back(r);
 		gw_poison_attempt_ended(r, PS_CANCELLED);
--- a/src/gateway/gw_via.c
+++ b/src/gateway/gw_via.c
@@ -13,23 +13,15 @@
 #include "kernel/lg.h"
 #include "kernel/mt.h"
 #include "kernel/mt_family.h"
-#include "peers/pe_reach.h"
 #include "peers/pe_via.h"
 
 /* Other hosts that a request is passed on to. */
 #define GW_VIA_TRIES 3
 /* As to an engine, which may be as far away. */
 #define GW_VIA_CONNECT_TIMEOUT_MS 400
-/* An engine that is sound may be silent for a second. */
-#define GW_VIA_SILENT_MS 1500
-/* Between two questions to engines while cut off, and the time for an answer.
- */
-#define GW_PROBE_PERIOD_S   0.25
-#define GW_PROBE_TIMEOUT_MS 1000
-#define GW_PROBE_CONNECT_MS 300
-#define GW_MAX_VIA_HOSTS    512
-#define GW_VIA_MAX_PAUSE_MS 60000
-#define GW_VIA_PROOF_BYTES  (2 * crypto_auth_BYTES + 1)
+#define GW_MAX_VIA_HOSTS	  512
+#define GW_VIA_MAX_PAUSE_MS	  60000
+#define GW_VIA_PROOF_BYTES	  (2 * crypto_auth_BYTES + 1)
 
 /* The format in gw_read_proof() has room for so much. */
 G_STATIC_ASSERT(GW_VIA_PROOF_BYTES == 64 + 1);
@@ -43,10 +35,6 @@
 	   "requests that other hosts passed on to this one")
 MT_COUNTER(gw_via_unproven, "balsampin_gateway_via_unproven_total",
 	   "requests at the hosts' address without a valid proof")
-MT_COUNTER(gw_probes, "balsampin_gateway_cut_off_probes_total",
-	   "questions to engines while cut off from all")
-MT_GAUGE(gw_cut_off, "balsampin_gateway_cut_off",
-	 "whether this host is cut off from all engines")
 
 /* Connections to another host, by its address. */
 struct gw_door {
@@ -56,179 +44,12 @@
 
 struct gw_via {
 	struct gw_gateway *gateway;
-	struct pe_reach reach;
 	struct pe_via choice;
 	GHashTable *doors;
 	bool has_key;
 	uint8_t key[RP_KEY_BYTES];
-	ev_timer probe_timer;
-	ev_timer probe_end;
-	struct fl_engine *probed;
-	struct h1_call probe;
 };
 
-/* --- whether this host is cut off --- */
-
-static void gw_end_probe(struct gw_via *v)
-{
-	ev_timer_stop(v->gateway->kernel.loop, &v->probe_end);
-	h1_call_cancel(&v->probe);
-	if (v->probed)
-		fl_unref(v->probed);
-	v->probed = NULL;
-}
-
-static void gw_log_cut_off(const struct gw_via *v, const char *outcome)
-{
-	char heard[24];
-
-	g_snprintf(heard, sizeof(heard), "%" G_GINT64_FORMAT,
-		   v->reach.heard_ms ? ck_now_ms() - v->reach.heard_ms : -1);
-	lg_warn("way to all engines", "event", "cut_off", "outcome", outcome,
-		"heard_ms_ago", heard, NULL);
-}
-
-void gw_via_heard(struct gw_gateway *g)
-{
-	struct gw_via *v = g->via;
-
-	if (v->reach.is_cut_off) {
-		gw_log_cut_off(v, "over");
-		mt_set(&gw_cut_off, 0);
-		ev_timer_stop(g->kernel.loop, &v->probe_timer);
-	}
-	pe_reach_heard(&v->reach, ck_now_ms());
-}
-
-static uint32_t gw_count_engines(const struct gw_gateway *g)
-{
-	uint32_t count = 0;
-
-	fl_for_each (&g->fleet, e)
-		count += !e->is_gone;
-	return count;
-}
-
-void gw_via_failed(struct gw_gateway *g, const struct fl_engine *e,
-		   int64_t began_ms)
-{
-	struct gw_via *v = g->via;
-
-	if (v->reach.is_cut_off)
-		return;
-	pe_reach_failed(&v->reach, e->hash, began_ms, gw_count_engines(g),
-			ck_now_ms());
-	if (!v->reach.is_cut_off)
-		return;
-	gw_log_cut_off(v, "found");
-	mt_set(&gw_cut_off, 1);
-	ev_timer_start(g->kernel.loop, &v->probe_timer);
-}
-
-bool gw_via_is_cut_off(const struct gw_gateway *g)
-{
-	return g->via->reach.is_cut_off;
-}
-
-static bool gw_on_probe_head(void *arg, uint32_t status,
-			     const struct h1_headers *headers)
-{
-	gw_via_heard(((struct gw_via *)arg)->gateway);
-	return true;
-}
-
-static void gw_on_probe_done(void *arg, enum h1_outcome outcome)
-{
-	gw_end_probe(arg);
-}
-
-static void gw_on_probe_end(struct ev_loop *loop, ev_timer *w, int events)
-{
-	gw_end_probe(w->data);
-}
-
-/* A plain engine has no report: that it takes a connection has to do. */
-static void gw_on_probe_checked(void *arg, enum h1_presence presence)
-{
-	struct gw_via *v = arg;
-
-	if (presence == H1_THERE)
-		gw_via_heard(v->gateway);
-	gw_end_probe(v);
-}
-
-/* Model engines only, if there are any. */
-static struct fl_engine *gw_choose_probed(const struct gw_gateway *g)
-{
-	struct fl_engine *chosen = NULL;
-	bool has_model = false;
-	uint32_t count = 0;
-
-	fl_for_each (&g->fleet, e)
-		has_model |= !e->is_gone && e->entry.model[0];
-	fl_for_each (&g->fleet, e) {
-		if (e->is_gone || (has_model && !e->entry.model[0]))
-			continue;
-		if (g_random_int_range(0, (gint32)++count) == 0)
-			chosen = e;
-	}
-	return chosen;
-}
-
-static void gw_on_probe_timer(struct ev_loop *loop, ev_timer *w, int events)
-{
-	struct gw_via *v = w->data;
-	struct gw_gateway *g = v->gateway;
-	struct h1_headers headers;
-
-	if (v->probed)
-		return;
-	v->probed = gw_choose_probed(g);
-	if (!v->probed)
-		return;
-	mt_add(&gw_probes, 1);
-	fl_ref(v->probed);
-	if (!v->probed->entry.model[0]) {
-		h1_peer_check(&v->probed->peer, GW_PROBE_CONNECT_MS,
-			      gw_on_probe_checked, v);
-		return;
-	}
-	/* One that was open before may hang for longer than the cut lasts. */
-	h1_peer_close_idle(&v->probed->peer);
-	ev_timer_set(&v->probe_end, GW_PROBE_TIMEOUT_MS / 1000.0, 0.0);
-	ev_timer_start(loop, &v->probe_end);
-	h1_headers_init(&headers);
-	h1_headers_add(&headers, "Host", v->probed->entry.address);
-	h1_call_start(&v->probe,
-		      &(struct h1_call_desc){
-			      .peer = &v->probed->peer,
-			      .method = "GET",
-			      .target = g->dialect->report_target,
-			      .headers = &headers,
-			      .connect_timeout_ms = GW_PROBE_CONNECT_MS,
-			      .on_head = gw_on_probe_head,
-			      .on_done = gw_on_probe_done,
-			      .arg = v });
-	h1_headers_finish(&headers);
-}
-
-void gw_via_sweep(struct gw_gateway *g, int64_t now_ms)
-{
-	gw_for_each_request (g, r) {
-		if (!r->engine || r->mode != GW_NO_ANSWER ||
-		    now_ms - r->sent_ms < GW_VIA_SILENT_MS)
-			continue;
-		gw_via_failed(g, r->engine, r->sent_ms);
-		if (!gw_via_is_cut_off(g) || r->has_begun ||
-		    !gw_request_can_retry(r))
-			continue;
-		gw_send_log_failure(r, "cut_off", "");
-		gw_send_cancel(r);
-		r->may_have_begun = true;
-		gw_request_failed(r, "cut_off");
-	}
-}
-
 /* --- the proof that a host has passed a request on --- */
 
 /* What the field says before the proof. */
@@ -391,8 +212,8 @@
 		NULL);
 }
 
-static void gw_via_failed_at(struct gw_request *r, const char *outcome,
-			     const char *reason)
+static void gw_end_via_attempt(struct gw_request *r, const char *outcome,
+			       const char *reason)
 {
 	mt_count(&gw_via_ended, outcome);
 	gw_log_via(r, "passed_on_failed", "", reason[0] ? reason : outcome);
@@ -433,7 +254,7 @@
 	int64_t after_ms =
 		after ? h1_parse_delay_ms(after, GW_VIA_MAX_PAUSE_MS) : -1;
 
-	gw_via_failed_at(r, "refused", reason ? reason : "");
+	gw_end_via_attempt(r, "refused", reason ? reason : "");
 	r->retry_after_ms = MAX(after_ms, 0);
 	if (r->status == 503 && reason && gw_may_ask_another(reason))
 		gw_ask_another(r, "no_engine");
@@ -459,7 +280,7 @@
 	pe_via_accepted(&r->gateway->via->choice, r->via_host,
 			gw_name_hash(r->service->name));
 	if (!r->answer.is_signed) {
-		gw_via_failed_at(r, "failed_there", "");
+		gw_end_via_attempt(r, "failed_there", "");
 		gw_request_give_up(r, "failed_at_host");
 		return;
 	}
@@ -537,7 +358,7 @@
 	}
 	if (gw_send_reserve_answer(r))
 		return;
-	gw_via_failed_at(r, "too_large", "");
+	gw_end_via_attempt(r, "too_large", "");
 	gw_send_cancel(r);
 	r->may_have_begun = true;
 	gw_request_give_up(r, "answer_too_large");
@@ -551,8 +372,8 @@
 		gw_on_answer(r);
 		return;
 	}
-	gw_via_failed_at(r, h1_outcome_name(outcome),
-			 h1_outcome_reason(outcome));
+	gw_end_via_attempt(r, h1_outcome_name(outcome),
+			   h1_outcome_reason(outcome));
 	if (outcome == H1_NO_DESCRIPTOR) {
 		gw_request_give_up(r, "no_descriptor");
 	} else if (outcome == H1_NOT_SENT) {
@@ -642,11 +463,6 @@
 	pe_via_init(&v->choice);
 	v->doors = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 gw_free_door);
-	ev_timer_init(&v->probe_timer, gw_on_probe_timer, 0.0,
-		      GW_PROBE_PERIOD_S);
-	ev_timer_init(&v->probe_end, gw_on_probe_end, 0.0, 0.0);
-	v->probe_timer.data = v;
-	v->probe_end.data = v;
 	return ST_OK;
 }
 
@@ -656,8 +472,6 @@
 
 	if (!v)
 		return;
-	ev_timer_stop(g->kernel.loop, &v->probe_timer);
-	gw_end_probe(v);
 	g_hash_table_destroy(v->doors);
 	pe_via_finish(&v->choice);
 	g_free(v);
--- a/src/gateway/gw_via.h
+++ b/src/gateway/gw_via.h
@@ -8,7 +8,7 @@
  *	with most of a zone gone it uses all its hosts.
  *
  * Overview
- *	A host that is cut off (peers/pe_reach.h), or that gets no connection to
+ *	A host that is cut off (gw_reach.h), or that gets no connection to
  *	any engine for a request, passes the request on to another host
  *	(peers/pe_via.h) over HTTP. That host admits, charges and places it like
  *	one of its own callers', with the time that is left, and never passes it
@@ -27,13 +27,8 @@
  *	host with an older configuration refuses it. Nothing else is served at
  *	this address.
  *
- *	While cut off, a host asks one engine after the other for its report;
- *	any byte from an engine ends the state.
- *
  * Use
- *	gw_via_heard(g);		a byte has come from an engine
- *	gw_via_failed(g, engine, sent_ms);
- *	if (gw_via_is_cut_off(g) && gw_via_send(r, "cut_off")) ...
+ *	if (gw_reach_is_cut_off(g) && gw_via_send(r, "cut_off")) ...
  */
 #ifndef GW_VIA_H
 #define GW_VIA_H
@@ -57,15 +52,6 @@
 /** gw_via_set_key() - @key: RP_KEY_BYTES, of the messages between hosts. */
 void gw_via_set_key(struct gw_gateway *g, const uint8_t *key);
 
-/** gw_via_heard() - an engine has sent something. */
-void gw_via_heard(struct gw_gateway *g);
-
-/** gw_via_failed() - an attempt at @e that began then ended without a byte. */
-void gw_via_failed(struct gw_gateway *g, const struct fl_engine *e,
-		   int64_t began_ms);
-
-bool gw_via_is_cut_off(const struct gw_gateway *g);
-
 /** gw_via_has_hosts() - whether any other host takes requests over. */
 bool gw_via_has_hosts(const struct gw_gateway *g);
 
@@ -80,7 +66,4 @@
 /** gw_via_on_request() - another host passes on a request. @arg: gateway. */
 void gw_via_on_request(void *arg, struct h1_exchange *exchange);
 
-/** gw_via_sweep() - attempts without a byte for long, of all requests. */
-void gw_via_sweep(struct gw_gateway *g, int64_t now_ms);
-
 #endif
