gateway: a host that counts itself as cut off takes no request back

On a host with little to do that may be three sound and busy engines. It is only evidence now; what waits goes on.

--- a/src/gateway/gw_reach.c
+++ b/src/gateway/gw_reach.c
@@ -171,21 +171,13 @@
 	h1_headers_finish(&headers);
 }
 
+/* A request that waits is not given up: its engine may be sound, and busy. */
 void gw_reach_sweep(struct gw_gateway *g, int64_t now_ms)
 {
-	gw_for_each_request (g, r) {
-		if (!r->engine || r->mode != GW_NO_ANSWER ||
-		    now_ms - r->sent_ms < GW_REACH_SILENT_MS)
-			continue;
-		gw_reach_failed(g, r->engine, r->sent_ms);
-		if (!gw_reach_is_cut_off(g) || r->has_begun ||
-		    !gw_request_can_retry(r))
-			continue;
-		gw_send_log_failure(r, "cut_off", "");
-		gw_send_cancel(r);
-		r->may_have_begun = true;
-		gw_request_failed(r, "cut_off");
-	}
+	gw_for_each_request (g, r)
+		if (r->engine && r->mode == GW_NO_ANSWER &&
+		    now_ms - r->sent_ms >= GW_REACH_SILENT_MS)
+			gw_reach_failed(g, r->engine, r->sent_ms);
 }
 
 enum st_code gw_reach_start(struct gw_gateway *g)
--- a/tests/sessions/gateway_cut_test.cc
+++ b/tests/sessions/gateway_cut_test.cc
@@ -308,6 +308,35 @@
 	}
 }
 
+// Sound engines may be busy for longer than a host waits until it counts itself
+// as cut off: what they run is not sent again.
+TEST_F(CutOff, WorkOfBusyEnginesIsNotGivenUp)
+{
+	std::vector<std::thread> callers;
+	std::atomic<int> served{ 0 };
+
+	fleet.set_pace(2500);
+	for (const char *id : { "a1", "a2", "a3", "a4" })
+		fleet.behave(id, Behaviour::pace);
+	for (int i = 0; i < 4; i++)
+		callers.emplace_back([&, i] {
+			std::string id = "busy-" + std::to_string(i);
+			Reply reply =
+				call(Fleet::url("h1", "/look/x"), "",
+				     { "Host: h", "Authorization: Bearer k1",
+				       "X-Attempt-Id: " + id,
+				       "X-Deadline-Ms: 4000" },
+				     "POST");
+
+			served += reply.complete && reply.status == 200;
+		});
+	for (std::thread &caller : callers)
+		caller.join();
+	EXPECT_EQ(served, 4);
+	for (int i = 0; i < 4; i++)
+		EXPECT_EQ(fleet.runs("busy-" + std::to_string(i)), 1);
+}
+
 // Two of the hosts are cut off, the links reset, and know it.
 class PassedOn : public CutOff
 {
