--- a/src/fleet/fl.h
+++ b/src/fleet/fl.h
@@ -52,7 +52,7 @@
  * @is_updating: about to load new weights, or loading; see gw_plan.h.
  * @updating_since_ms: when @is_updating was set.
  * @notice: what it has said of itself; change it with fl_keep_notice().
- * @rejections: rests after its rejections, see limits/rj.h.
+ * @rejections: backoff after its rejections, see limits/rj.h.
  * @is_gone: removed; kept in memory only for requests that refer to it.
  */
 struct fl_engine {
--- a/src/gateway/gw_place.c
+++ b/src/gateway/gw_place.c
@@ -182,9 +182,9 @@
 						  e->notice.pause_until_ms);
 			continue;
 		}
-		if (rj_rests(&e->rejections, now_ms)) {
-			pause_end_ms = gw_earlier(pause_end_ms,
-						  e->rejections.rest_until_ms);
+		if (rj_is_backing_off(&e->rejections, now_ms)) {
+			pause_end_ms = gw_earlier(
+				pause_end_ms, e->rejections.backoff_until_ms);
 			continue;
 		}
 		engines[count] = e;
--- a/src/gateway/gw_send.c
+++ b/src/gateway/gw_send.c
@@ -260,7 +260,7 @@
 	r->gateway->dialect->read_answer(status, headers, &answer);
 	gw_notice_answer(r->gateway, r->engine, &answer,
 			 r->in.attempt ? r->in.attempt : "");
-	rj_told(&r->engine->rejections, answer.rejections_per_s);
+	rj_set_limit(&r->engine->rejections, answer.rejections_per_s);
 	/* A late answer to an earlier request on this connection. */
 	if (answer.attempt && r->in.attempt &&
 	    strcmp(answer.attempt, r->in.attempt) != 0)
@@ -416,20 +416,21 @@
 }
 
 /* 421 is for another engine, and no want of room. */
-static void gw_rest_from(const struct gw_request *r)
+static void gw_back_off(const struct gw_request *r)
 {
 	struct rj_state *rejections = &r->engine->rejections;
-	char rest[24];
+	char backoff[24];
 
 	if (r->status != 503 || !rejections->per_s)
 		return;
 	rj_rejected(rejections, gw_peers_count(r->gateway) + 1,
 		    g_random_double(), ck_now_ms());
-	g_snprintf(rest, sizeof(rest), "%" G_GINT64_FORMAT,
-		   rejections->rest_until_ms - ck_now_ms());
-	lg_info("engine rests after a rejection", "event", "engine_rests",
+	g_snprintf(backoff, sizeof(backoff), "%" G_GINT64_FORMAT,
+		   rejections->backoff_until_ms - ck_now_ms());
+	lg_info("engine has rejected a request", "event", "engine_backoff",
 		"engine", r->engine->entry.id, "request",
-		r->in.attempt ? r->in.attempt : "", "rest_ms", rest, NULL);
+		r->in.attempt ? r->in.attempt : "", "backoff_ms", backoff,
+		NULL);
 }
 
 /* @reason: what is wrong with the answer behind its head; or "". */
@@ -441,7 +442,7 @@
 	gw_send_log_failure(r, "not_run", reason);
 	if (r->engine->avoid_until_ms < until_ms)
 		r->engine->avoid_until_ms = until_ms;
-	gw_rest_from(r);
+	gw_back_off(r);
 	gw_poison_attempt_ended(r, PS_CANCELLED);
 	gw_detach_engine(r);
 	gw_request_failed(r, "refused_by_engine");
--- a/src/gateway/gw_via.c
+++ b/src/gateway/gw_via.c
@@ -37,7 +37,7 @@
 	   "requests at the hosts' address without a valid proof")
 
 /* Connections to another host, by its address. */
-struct gw_door {
+struct gw_via_link {
 	uint64_t address;
 	struct h1_peer peer;
 };
@@ -45,7 +45,7 @@
 struct gw_via {
 	struct gw_gateway *gateway;
 	struct pe_via choice;
-	GHashTable *doors;
+	GHashTable *links;
 	bool has_key;
 	uint8_t key[RP_KEY_BYTES];
 };
@@ -174,27 +174,28 @@
 	return i < 0 ? NULL : peers[i];
 }
 
-static struct h1_peer *gw_door_of(struct gw_via *v, const struct gw_peer *peer)
+static struct h1_peer *gw_via_link_of(struct gw_via *v,
+				      const struct gw_peer *peer)
 {
 	uint64_t address = (uint64_t)peer->address.ipv4 << 16 | peer->via_port;
-	struct gw_door *door = g_hash_table_lookup(v->doors, &address);
+	struct gw_via_link *link = g_hash_table_lookup(v->links, &address);
 
-	if (!door) {
-		door = g_new0(struct gw_door, 1);
-		door->address = address;
-		h1_peer_init(&door->peer, v->gateway->kernel.loop,
+	if (!link) {
+		link = g_new0(struct gw_via_link, 1);
+		link->address = address;
+		h1_peer_init(&link->peer, v->gateway->kernel.loop,
 			     peer->address.ipv4, peer->via_port);
-		g_hash_table_insert(v->doors, &door->address, door);
+		g_hash_table_insert(v->links, &link->address, link);
 	}
-	return &door->peer;
+	return &link->peer;
 }
 
-static void gw_free_door(void *data)
+static void gw_free_via_link(void *data)
 {
-	struct gw_door *door = data;
+	struct gw_via_link *link = data;
 
-	h1_peer_finish(&door->peer);
-	g_free(door);
+	h1_peer_finish(&link->peer);
+	g_free(link);
 }
 
 static void gw_log_via(const struct gw_request *r, const char *event,
@@ -385,7 +386,7 @@
 	}
 }
 
-static void gw_start_via_call(struct gw_request *r, struct h1_peer *door)
+static void gw_start_via_call(struct gw_request *r, struct h1_peer *link)
 {
 	struct gw_gateway *g = r->gateway;
 	struct gw_via_terms terms = { gw_request_sends_left(r),
@@ -402,7 +403,7 @@
 				 MAX(r->deadline_ms - r->sent_ms, 1), &headers);
 	h1_call_start(&r->call,
 		      &(struct h1_call_desc){
-			      .peer = door,
+			      .peer = link,
 			      .method = r->exchange->method,
 			      .target = r->exchange->target,
 			      .headers = &headers,
@@ -442,7 +443,7 @@
 	g_string_truncate(r->answer_body, 0);
 	mt_count(&gw_via_sent, reason);
 	gw_log_via(r, "passed_on", peer->name, reason);
-	gw_start_via_call(r, gw_door_of(v, peer));
+	gw_start_via_call(r, gw_via_link_of(v, peer));
 	return true;
 }
 
@@ -461,8 +462,8 @@
 	g->via = v;
 	v->gateway = g;
 	pe_via_init(&v->choice);
-	v->doors = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-					 gw_free_door);
+	v->links = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					 gw_free_via_link);
 	return ST_OK;
 }
 
@@ -472,7 +473,7 @@
 
 	if (!v)
 		return;
-	g_hash_table_destroy(v->doors);
+	g_hash_table_destroy(v->links);
 	pe_via_finish(&v->choice);
 	g_free(v);
 	g->via = NULL;
--- a/src/http1/h1_server.h
+++ b/src/http1/h1_server.h
@@ -12,8 +12,8 @@
  *	on_gone is called at most once, when the caller closes its connection
  *	while an answer is due; the exchange must then be left alone. A loop
  *	that is behind calls it late: before work that cannot be undone, ask
- *	h1_has_caller_left(). After
- *	h1_respond(), h1_end() and h1_abort() it must be left alone, too. These
+ *	h1_has_caller_left(). After h1_respond(), h1_end() and h1_abort() the
+ *	exchange must be left alone, too. These
  *	only note what is to be sent: connections are written, closed, and read
  *	for their next request from the loop.
  *
--- a/tests/unit/rest_test.cc
+++ b/tests/unit/rj_test.cc
@@ -1,4 +1,4 @@
-// Rests after rejections: hosts that do not see each other's rejections must
+// Backoff after rejections: hosts that do not see each other's rejections must
 // together stay within what a brittle upstream bears.
 #include <gtest/gtest.h>
 
@@ -27,7 +27,7 @@
 
 // All hosts send to an upstream that rejects everything, and learn of a
 // rejection a while after they have sent.
-TEST(Rest, HostsTogetherStayWithinWhatAnUpstreamBears)
+TEST(Backoff, HostsTogetherStayWithinWhatAnUpstreamBears)
 {
 	for (const Replay &r : replays) {
 		std::mt19937 random(59);
@@ -38,7 +38,7 @@
 		size_t most = 0, first = 0;
 
 		for (rj_state &s : states) {
-			rj_told(&s, r.per_s);
+			rj_set_limit(&s, r.per_s);
 			rj_rejected(&s, r.hosts, part(random), 0);
 		}
 		for (int64_t now_ms = 1; now_ms < 60000; now_ms++) {
@@ -51,7 +51,8 @@
 				bool asks = part(random) <
 					    r.requests_per_s / 1000.0;
 
-				if (!asks || rj_rests(&states[i], now_ms))
+				if (!asks ||
+				    rj_is_backing_off(&states[i], now_ms))
 					continue;
 				rj_sent(&states[i], now_ms);
 				rejected.push_back(now_ms);
@@ -68,33 +69,33 @@
 	}
 }
 
-TEST(Rest, UpstreamThatIsNotBrittleNeverRests)
+TEST(Backoff, NoneFromAnUpstreamThatIsNotBrittle)
 {
 	struct rj_state state = {};
 
 	rj_rejected(&state, 9, 0.5, 1000);
-	EXPECT_FALSE(rj_rests(&state, 1000));
-	rj_told(&state, 10);
+	EXPECT_FALSE(rj_is_backing_off(&state, 1000));
+	rj_set_limit(&state, 10);
 	rj_rejected(&state, 9, 0.5, 1000);
-	EXPECT_TRUE(rj_rests(&state, 1000));
-	rj_told(&state, 0);
-	EXPECT_FALSE(rj_rests(&state, 1000));
+	EXPECT_TRUE(rj_is_backing_off(&state, 1000));
+	rj_set_limit(&state, 0);
+	EXPECT_FALSE(rj_is_backing_off(&state, 1000));
 }
 
-// After a rest one request goes first; the others follow when it was taken.
-TEST(Rest, OneRequestGoesFirst)
+// After a backoff one request goes first; the others follow when it was taken.
+TEST(Backoff, OneRequestGoesFirst)
 {
 	struct rj_state state = {};
 
-	rj_told(&state, 10);
+	rj_set_limit(&state, 10);
 	rj_rejected(&state, 5, 0.0, 1000);
-	EXPECT_TRUE(rj_rests(&state, state.rest_until_ms - 1));
-	EXPECT_FALSE(rj_rests(&state, state.rest_until_ms));
+	EXPECT_TRUE(rj_is_backing_off(&state, state.backoff_until_ms - 1));
+	EXPECT_FALSE(rj_is_backing_off(&state, state.backoff_until_ms));
 	rj_sent(&state, 5000);
-	EXPECT_TRUE(rj_rests(&state, 5001));
-	EXPECT_FALSE(rj_rests(&state, 5000 + RJ_ANSWER_MS));
+	EXPECT_TRUE(rj_is_backing_off(&state, 5001));
+	EXPECT_FALSE(rj_is_backing_off(&state, 5000 + RJ_ANSWER_MS));
 	rj_sent(&state, 5200);
-	EXPECT_FALSE(rj_rests(&state, 5201));
+	EXPECT_FALSE(rj_is_backing_off(&state, 5201));
 }
 
 } // namespace
