--- a/src/gateway/gw_reach.c
+++ b/src/gateway/gw_reach.c
@@ -85,6 +85,13 @@
 	ev_timer_start(g->kernel.loop, &reach->probe_timer);
 }
 
+void gw_reach_timed_out(struct gw_gateway *g, const struct fl_engine *e,
+			int64_t began_ms)
+{
+	if (ck_now_ms() - g->reach->state.heard_ms >= GW_REACH_SILENT_MS)
+		gw_reach_failed(g, e, began_ms);
+}
+
 bool gw_reach_is_cut_off(const struct gw_gateway *g)
 {
 	return g->reach->state.is_cut_off;
--- a/src/gateway/gw_reach.h
+++ b/src/gateway/gw_reach.h
@@ -28,6 +28,15 @@
 void gw_reach_failed(struct gw_gateway *g, const struct fl_engine *e,
 		     int64_t began_ms);
 
+/**
+ * gw_reach_timed_out() - the deadline of a request at @e has ended an attempt
+ * that had no byte yet. It may be shorter than the time for which a sound
+ * engine is silent, so it counts only if no engine has sent anything for that
+ * long.
+ */
+void gw_reach_timed_out(struct gw_gateway *g, const struct fl_engine *e,
+			int64_t began_ms);
+
 bool gw_reach_is_cut_off(const struct gw_gateway *g);
 
 /** gw_reach_sweep() - attempts without a byte for long, of all requests. */
--- a/src/gateway/gw_request.c
+++ b/src/gateway/gw_request.c
@@ -218,6 +218,8 @@
 
 	if (h1_call_was_sent(&r->call))
 		r->may_have_begun = true;
+	if (r->engine && r->mode == GW_NO_ANSWER)
+		gw_reach_timed_out(r->gateway, r->engine, r->sent_ms);
 	gw_send_cancel(r);
 	gw_request_give_up(r, r->is_cut_by_stop ? "stopping" : "timeout");
 }
--- a/tests/sessions/gateway_cut_test.cc
+++ b/tests/sessions/gateway_cut_test.cc
@@ -62,6 +62,7 @@
 	std::map<std::string, std::map<std::string, std::unique_ptr<Proxy>>>
 		links;
 	std::vector<std::unique_ptr<Process>> hosts;
+	int deadline_ms = 4000;
 
 	void SetUp() override
 	{
@@ -136,13 +137,14 @@
 		}
 	}
 
-	static bool is_served(const std::string &host, const std::string &route,
-			      const std::string &id)
+	bool is_served(const std::string &host, const std::string &route,
+		       const std::string &id) const
 	{
-		std::vector<std::string> fields = { "Host: h",
-						    "Authorization: Bearer k1",
-						    "X-Attempt-Id: " + id,
-						    "X-Deadline-Ms: 4000" };
+		std::vector<std::string> fields = {
+			"Host: h", "Authorization: Bearer k1",
+			"X-Attempt-Id: " + id,
+			"X-Deadline-Ms: " + std::to_string(deadline_ms)
+		};
 
 		if (route == "grade")
 			for (const char *field :
@@ -239,6 +241,7 @@
 	const char *name;
 	Cut how;
 	std::vector<std::string> hosts;
+	int deadline_ms = 4000;
 };
 
 const CutCase cut_cases[] = {
@@ -247,6 +250,7 @@
 	{ "new ones refused, half", Cut::refuses_new, { "h1", "h2" } },
 	{ "reset, all but one", Cut::reset, { "h1", "h2", "h3" } },
 	{ "hang, one", Cut::hang, { "h4" } },
+	{ "hang, half, short deadlines", Cut::hang, { "h1", "h2" }, 800 },
 };
 
 // A host without a way to the engines could only refuse, or let its callers
@@ -261,6 +265,7 @@
 
 		SCOPED_TRACE(c.name);
 		printf("%s: ", c.name);
+		deadline_ms = c.deadline_ms;
 		load(calm, std::chrono::milliseconds(500), label + "b");
 		for (const std::string &host : c.hosts)
 			cut(host, c.how);
@@ -351,7 +356,7 @@
 	}
 
 	// The host finds out that it is cut off, by a few requests.
-	static bool finds_out(const std::string &host)
+	bool finds_out(const std::string &host) const
 	{
 		return wait_until([&] {
 			is_served(host, "look", "warm");
